--- /dev/null
+++ b/Makefile
@@ -0,0 +1,31 @@
+PYTHON ?= python3.11
+VENV := .venv
+BIN := $(VENV)/bin
+PACKAGES := core daemon cli standins proof bench
+SEED ?= 1
+ROUNDS ?= 3
+
+.PHONY: setup test demo proof mutate bench slopes check clean
+
+$(VENV)/installed: $(foreach p,$(PACKAGES),packages/$(p)/pyproject.toml) constraints.txt
+	$(PYTHON) -m venv $(VENV)
+	$(BIN)/pip install --quiet --upgrade "setuptools>=68" wheel
+	$(BIN)/pip install --quiet --config-settings editable_mode=compat --constraint constraints.txt \
+		$(foreach p,$(PACKAGES),--editable packages/$(p)) hypothesis black ruff
+	touch $@
+
+setup: $(VENV)/installed
+
+test: setup
+	$(BIN)/python scripts/run_tests.py
+
+check: setup
+	$(BIN)/black --check --quiet .
+	$(BIN)/ruff check --quiet .
+	$(BIN)/python scripts/run_doctests.py
+
+demo: setup
+	$(BIN)/python -m cranberryshore_bench.demo --seed $(SEED)
+
+clean:
+	rm -rf $(VENV) build
--- /dev/null
+++ b/packages/bench/cranberryshore_bench/__init__.py
@@ -0,0 +1,1 @@
+"""Package bench."""
--- /dev/null
+++ b/packages/cli/cranberryshore_cli/__init__.py
@@ -0,0 +1,5 @@
+"""Command line and client library of cranberryshore."""
+
+from cranberryshore_cli.client import Client, ClientFailure
+
+__all__ = ["Client", "ClientFailure"]
--- /dev/null
+++ b/packages/core/cranberryshore/dispatch/dispatcher.py
@@ -0,0 +1,325 @@
+"""The dispatcher aggregate: accepts jobs, places their tasks and settles their outcomes."""
+
+from collections.abc import Callable
+
+import attrs
+
+from cranberryshore.dispatch import effects as out
+from cranberryshore.dispatch import inputs as into
+from cranberryshore.dispatch.admission import Admission
+from cranberryshore.dispatch.filling import Filling
+from cranberryshore.dispatch.lending import Lending
+from cranberryshore.dispatch.settings import DispatchSettings
+from cranberryshore.dispatch.workers import WorkerSet
+from cranberryshore.errors import ErrorType, Refusal, RunClaim
+from cranberryshore.limits.fair_queue import FairQueue
+from cranberryshore.limits.quota import QuotaBook
+from cranberryshore.work.job import Job, TaskResult
+
+__all__ = ["DispatchSettings", "Dispatcher"]
+
+REJECT_PAUSE_SECONDS = 0.05
+
+
+@attrs.define
+class Dispatcher:
+    """Decides for the jobs of one entry instance; performs no input or output.
+
+    Every event goes through :meth:`handle`, which returns what is to be done. The same inputs
+    with the same times give the same effects.
+
+    Parameters
+    ----------
+    settings : DispatchSettings
+        Limits of the queue and of retained outcomes.
+    owner : str
+        Text form of the current incarnation, the only one whose jobs may be started.
+    """
+
+    settings: DispatchSettings
+    owner: str
+    jobs: dict[str, Job] = attrs.field(factory=dict)
+    workers: WorkerSet = attrs.field(factory=WorkerSet)
+    queue: FairQueue[Job] = attrs.field(init=False)
+    quotas: QuotaBook = attrs.field(factory=QuotaBook)
+    admission: Admission = attrs.field(init=False)
+    filling: Filling = attrs.field(init=False)
+    lending: Lending = attrs.field(init=False)
+    is_draining: bool = False
+    late_results: int = 0
+    rejected_starts: int = 0
+    settled: dict[str, float] = attrs.field(factory=dict)
+    handlers: dict[type, Callable] = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self.queue = FairQueue(is_live=lambda job: bool(job.waiting))
+        self.admission = Admission(self.settings, self.workers)
+        self.filling = Filling(self.queue, self.workers, self.quotas)
+        self.lending = Lending(self.workers.pool)
+        self.handlers = {
+            into.Submit: self._submit,
+            into.Cancel: self._cancel,
+            into.WorkerAdded: self._worker_added,
+            into.WorkerOpened: self._worker_opened,
+            into.WorkerLost: self._worker_lost,
+            into.TasksFinished: self._tasks_finished,
+            into.TasksRejected: self._tasks_rejected,
+            into.UsageReported: self._usage_reported,
+            into.Assigned: self._assigned,
+            into.LoanWanted: self._loan_wanted,
+            into.LoanGranted: self._loan_granted,
+            into.LoanReturned: self._loan_returned,
+            into.LoansRecalled: self._loans_recalled,
+            into.PeerDead: self._peer_dead,
+            into.PeerDemand: self._peer_demand,
+            into.QuotasSet: self._quotas_set,
+            into.OwnerClosed: self._owner_closed,
+            into.Drain: self._drain,
+            into.Tick: self._tick,
+        }
+
+    def handle(self, input: into.Input, now: float) -> list[out.Effect]:
+        """Handle one input.
+
+        Parameters
+        ----------
+        input : Input
+            What happened.
+        now : float
+            Time in seconds on this instance's monotonic clock.
+
+        Returns
+        -------
+        list of Effect
+            What is to be done, in order.
+        """
+        effects = self.handlers[type(input)](input, now)
+        effects += self.filling.fill(now)
+        effects += self.lending.balance(self.filling.backlog, now)
+        return effects
+
+    def demands(self) -> dict[str, int]:
+        """Return the millicores running and waiting by team, for the peers' quota shares."""
+        return self.filling.demands()
+
+    def _submit(self, input: into.Submit, now: float) -> list[out.Effect]:
+        job = Job(input.id, input.caller, input.request, now)
+        refusal = self._refusal(job, now)
+        if refusal is not None:
+            return [out.JobRefused(input.id, refusal)]
+        self.jobs[str(input.id)] = job
+        self.admission.on_accept(job)
+        self.filling.add(job)
+        return []
+
+    def _refusal(self, job: Job, now: float) -> Refusal | None:
+        if self.is_draining:
+            detail = "This instance is leaving; use a new id from another one."
+            return Refusal(ErrorType.DRAINING, RunClaim.NOT_RUN, detail, 0)
+        if str(job.id.issuer) != self.owner:
+            detail = "The incarnation that issued this id is closed; use a new id."
+            return Refusal(ErrorType.OWNER_CLOSED, RunClaim.NOT_RUN, detail)
+        return self.admission.refusal(job, self.filling.waiting_work(), now)
+
+    def _settle(self, job: Job, refusal: Refusal | None, now: float) -> list[out.Effect]:
+        """Settle ``job`` as failed if a refusal is given, and stop what still runs of it."""
+        stops: list[out.Effect] = [
+            out.StopTasks(worker, str(job.id)) for worker in job.running_by_worker()
+        ]
+        if refusal is not None:
+            job.fail(refusal, now)
+        self.filling.forget_waiting(job)
+        self.settled[str(job.id)] = now
+        return [*stops, out.JobSettled(job.id)]
+
+    def _cancel(self, input: into.Cancel, now: float) -> list[out.Effect]:
+        job = self.jobs.get(str(input.id))
+        if job is None or job.is_settled:
+            return []
+        claim = RunClaim.MAY_HAVE_RUN if job.has_started else RunClaim.NOT_RUN
+        refusal = Refusal(ErrorType.CANCELLED, claim, "The caller cancelled the job.")
+        return self._settle(job, refusal, now)
+
+    def _worker_added(self, input: into.WorkerAdded, now: float) -> list[out.Effect]:
+        is_replaced = self.workers.add(input.worker, input.incarnation, input.total)
+        return self._lose_tasks(input.worker, now) if is_replaced else []
+
+    def _worker_opened(self, input: into.WorkerOpened, now: float) -> list[out.Effect]:
+        if not self.workers.open(input.worker, input.incarnation):
+            return []
+        known = set(input.known)
+        for job in list(self.jobs.values()):
+            for index, worker in list(job.workers.items()):
+                if worker == input.worker and (str(job.id), index) not in known:
+                    # The worker has fenced the earlier session, so the start cannot arrive late.
+                    self._take_back(job, index, input.worker)
+        return [
+            out.StopTasks(input.worker, job_id)
+            for job_id in {job_id for job_id, _ in known}
+            if job_id not in self.jobs or self.jobs[job_id].is_settled
+        ]
+
+    def _worker_lost(self, input: into.WorkerLost, now: float) -> list[out.Effect]:
+        if not self.workers.lose(input.worker, input.incarnation, input.is_leaving):
+            return []
+        return [] if input.is_leaving else self._lose_tasks(input.worker, now)
+
+    def _lose_tasks(self, worker: str, now: float) -> list[out.Effect]:
+        effects: list[out.Effect] = []
+        for job in list(self.jobs.values()):
+            lost = [index for index, name in job.workers.items() if name == worker]
+            for index in lost:
+                self._release(job, index, worker)
+                detail = f"Worker {worker} was lost while task {index} may have been running."
+                was_settled = job.is_settled
+                job.lose(index, Refusal(ErrorType.TASK_LOST, RunClaim.MAY_HAVE_RUN, detail), now)
+                if not was_settled:
+                    effects += self._settle(job, None, now)
+        return effects
+
+    def _tasks_finished(self, input: into.TasksFinished, now: float) -> list[out.Effect]:
+        effects: list[out.Effect] = []
+        for job_id, result in input.results:
+            job = self.jobs.get(job_id)
+            if job is None or result.index >= len(job.states):
+                self.late_results += 1
+                continue
+            was_settled = job.is_settled
+            if not job.finish(result, now):
+                self.late_results += 1
+                continue
+            self._release(job, result.index, input.worker)
+            self._learn(job, result, input.worker, now)
+            if was_settled:
+                self.late_results += 1
+            elif job.is_settled:
+                effects += self._settle(job, None, now)
+        return effects
+
+    def _learn(self, job: Job, result: TaskResult, worker: str, now: float) -> None:
+        if result.is_ok:
+            expected = job.request.tasks[result.index].expected_ms
+            self.workers.health.on_success(worker, result.run_ms, expected)
+            self.admission.on_result(result.run_ms, expected)
+        elif not job.is_settled or job.failure.type is not ErrorType.CANCELLED:
+            self.workers.health.on_failure(worker, str(job.id), now)
+
+    def _tasks_rejected(self, input: into.TasksRejected, now: float) -> list[out.Effect]:
+        for job_id, index in input.tasks:
+            job = self.jobs.get(job_id)
+            if job is not None and job.workers.get(index) == input.worker:
+                self._take_back(job, index, input.worker)
+                self.rejected_starts += 1
+        self.workers.block(input.worker, now + REJECT_PAUSE_SECONDS)
+        return []
+
+    def _take_back(self, job: Job, index: int, worker: str) -> None:
+        self._release(job, index, worker)
+        if job.take_back(index):
+            self.filling.add_back(job, index)
+        else:
+            job.workers.pop(index, None)
+
+    def _release(self, job: Job, index: int, worker: str) -> None:
+        demand = job.request.tasks[index].demand
+        self.workers.pool.release(worker, demand)
+        self.filling.on_end(job, demand)
+
+    def _usage_reported(self, input: into.UsageReported, now: float) -> list[out.Effect]:
+        self.workers.pool.report(input.worker, input.usage)
+        return []
+
+    def _assigned(self, input: into.Assigned, now: float) -> list[out.Effect]:
+        self.workers.assign(input.workers)
+        return []
+
+    def _loan_wanted(self, input: into.LoanWanted, now: float) -> list[out.Effect]:
+        self.workers.pool.want(input.peer, input.demand, input.count, now)
+        return []
+
+    def _loan_granted(self, input: into.LoanGranted, now: float) -> list[out.Effect]:
+        self.workers.pool.borrow(input.grants)
+        return []
+
+    def _loan_returned(self, input: into.LoanReturned, now: float) -> list[out.Effect]:
+        self.workers.pool.take_back(input.peer, input.grants)
+        return []
+
+    def _loans_recalled(self, input: into.LoansRecalled, now: float) -> list[out.Effect]:
+        self.workers.pool.recall(input.workers)
+        return []
+
+    def _peer_dead(self, input: into.PeerDead, now: float) -> list[out.Effect]:
+        self.workers.pool.drop_peer(input.peer)
+        self.quotas.drop_peer(input.peer)
+        return []
+
+    def _peer_demand(self, input: into.PeerDemand, now: float) -> list[out.Effect]:
+        self.quotas.hear(input.peer, input.demands)
+        return []
+
+    def _quotas_set(self, input: into.QuotasSet, now: float) -> list[out.Effect]:
+        self.quotas.limits = dict(input.limits)
+        return []
+
+    def _owner_closed(self, input: into.OwnerClosed, now: float) -> list[out.Effect]:
+        """Refuse what has not started, and leave the rest to the workers' records."""
+        if input.owner != self.owner:
+            return []
+        effects: list[out.Effect] = [out.OwnerRetired(input.owner)]
+        self.owner = ""
+        for job in list(self.jobs.values()):
+            if job.is_settled or str(job.id.issuer) != input.owner:
+                continue
+            if job.has_started:
+                effects.append(self._forget(job))
+            else:
+                detail = "A peer closed this instance's ownership; use a new id."
+                refusal = Refusal(ErrorType.OWNER_CLOSED, RunClaim.NOT_RUN, detail, 0)
+                effects += self._settle(job, refusal, now)
+        return effects
+
+    def _forget(self, job: Job) -> out.Effect:
+        self.filling.forget_waiting(job)
+        for index, worker in job.workers.items():
+            self._release(job, index, worker)
+        del self.jobs[str(job.id)]
+        return out.JobForgotten(job.id)
+
+    def _drain(self, input: into.Drain, now: float) -> list[out.Effect]:
+        self.is_draining = True
+        effects: list[out.Effect] = []
+        if not input.is_final:
+            return effects
+        for job in list(self.jobs.values()):
+            if not job.waiting:
+                continue
+            claim = RunClaim.MAY_HAVE_RUN if job.has_started else RunClaim.NOT_RUN
+            detail = "The instance left before the job could be started whole."
+            effects += self._settle(job, Refusal(ErrorType.DRAINING, claim, detail, 0), now)
+        return effects
+
+    def _tick(self, input: into.Tick, now: float) -> list[out.Effect]:
+        effects: list[out.Effect] = []
+        for job in list(self.queue.entries()):
+            if job.waiting and self._is_too_late(job, now):
+                claim = RunClaim.MAY_HAVE_RUN if job.has_started else RunClaim.NOT_RUN
+                detail = "The job's deadline passed before all of its tasks had started."
+                effects += self._settle(job, Refusal(ErrorType.DEADLINE_PASSED, claim, detail), now)
+        self._forget_old(now)
+        return effects
+
+    def _is_too_late(self, job: Job, now: float) -> bool:
+        deadline_ms = job.request.deadline_ms
+        return deadline_ms is not None and now > job.accepted_at + deadline_ms / 1000
+
+    def _forget_old(self, now: float) -> None:
+        horizon = now - self.settings.retention_seconds
+        excess = len(self.settled) - self.settings.retained_jobs
+        for job_id, settled_at in list(self.settled.items()):
+            if settled_at > horizon and excess <= 0:
+                break
+            if not self.jobs[job_id].workers:
+                del self.jobs[job_id]
+                del self.settled[job_id]
+            excess -= 1
--- /dev/null
+++ b/packages/core/cranberryshore/dispatch/filling.py
@@ -0,0 +1,162 @@
+"""Handing out waiting tasks to workers, in fair order and within quotas."""
+
+import attrs
+
+from cranberryshore.dispatch import effects as out
+from cranberryshore.dispatch.admission import WaitingWork
+from cranberryshore.dispatch.lending import Backlog
+from cranberryshore.dispatch.workers import WorkerSet
+from cranberryshore.limits.fair_queue import FairQueue
+from cranberryshore.limits.quota import QuotaBook
+from cranberryshore.work.capacity import Capacity
+from cranberryshore.work.job import Job
+from cranberryshore.work.task import TaskSpec
+
+TASKS_PER_TURN = 64
+RESERVE_AFTER_SECONDS = 0.5
+
+
+@attrs.frozen
+class Reservation:
+    """A worker that takes nothing new until the named job's next task fits."""
+
+    job: str
+    worker: str
+
+
+def _work(spec: TaskSpec) -> float:
+    return float(max(spec.demand.millicores, 1)) * spec.expected_ms
+
+
+@attrs.define
+class Filling:
+    """Takes waiting tasks in fair order and places them where there is room."""
+
+    queue: FairQueue[Job]
+    workers: WorkerSet
+    quotas: QuotaBook
+    backlog: Backlog | None = None
+    reservation: Reservation | None = None
+    blocked_job: str = ""
+    blocked_since: float = 0.0
+    waiting_tasks: int = 0
+    waiting_millicore_ms: float = 0.0
+    waiting: dict[str, int] = attrs.field(factory=dict)
+    running: dict[str, int] = attrs.field(factory=dict)
+
+    def add(self, job: Job) -> None:
+        """Queue a newly accepted job."""
+        for spec in job.request.tasks:
+            self._count_waiting(job, spec, 1)
+        self.queue.push(job.request.team, job.request.urgent, job)
+
+    def add_back(self, job: Job, index: int) -> None:
+        """Queue a task again that its worker refused to start."""
+        self._count_waiting(job, job.request.tasks[index], 1)
+        if len(job.waiting) == 1:
+            self.queue.push(job.request.team, job.request.urgent, job, at_front=True)
+
+    def forget_waiting(self, job: Job) -> None:
+        """Drop what still waits of a settled job."""
+        if self.reservation is not None and self.reservation.job == str(job.id):
+            self.reservation = None
+        for index in job.waiting:
+            self._count_waiting(job, job.request.tasks[index], -1)
+        job.waiting.clear()
+
+    def on_end(self, job: Job, demand: Capacity) -> None:
+        """Count that a started task holds its room no longer."""
+        team = job.request.team
+        self.running[team] = self.running.get(team, 0) - demand.millicores
+
+    def waiting_work(self) -> WaitingWork:
+        """Return the sum over all waiting tasks."""
+        return WaitingWork(self.waiting_tasks, max(self.waiting_millicore_ms, 0.0))
+
+    def demands(self) -> dict[str, int]:
+        """Return the millicores running and waiting by team."""
+        teams = self.running.keys() | self.waiting.keys()
+        sums = {team: self.running.get(team, 0) + self.waiting.get(team, 0) for team in teams}
+        return {team: amount for team, amount in sums.items() if amount > 0}
+
+    def fill(self, now: float) -> list[out.Effect]:
+        """Place waiting tasks until nothing more fits."""
+        effects: list[out.Effect] = []
+        skip: set[tuple[str, bool]] = set()
+        self.backlog = None
+        while (head := self.queue.peek(frozenset(skip))) is not None:
+            team, is_urgent, job = head
+            spec, count = job.next_run(TASKS_PER_TURN)
+            allowed = min(count, self._quota_count(team, spec.demand))
+            placed = self._place(job, spec.demand, allowed, now) if allowed else []
+            if not placed:
+                skip.add((team, is_urgent))
+                if allowed:
+                    self._on_blocked(job, spec.demand, now)
+                continue
+            effects += self._start(job, spec, placed)
+            taken = sum(number for _, number in placed)
+            self.queue.charge(team, is_urgent, _work(spec) * taken)
+            if not job.waiting:
+                self.queue.pop(team, is_urgent)
+        return effects
+
+    def _place(self, job: Job, demand: Capacity, count: int, now: float) -> list[tuple[str, int]]:
+        reservation = self.reservation
+        if reservation is None:
+            return self.workers.place(demand, count, now)
+        if reservation.job != str(job.id):
+            return self.workers.place(demand, count, now, reservation.worker)
+        placed = self.workers.place(demand, count, now)
+        if placed:
+            self.reservation = None
+        return placed
+
+    def _on_blocked(self, job: Job, demand: Capacity, now: float) -> None:
+        """Remember the first blocked job, and keep a worker for it once it has waited long.
+
+        Without a reservation, small tasks of others would fill every gap and a task that needs
+        most of a worker would wait for ever.
+        """
+        if self.backlog is not None:
+            return
+        self.backlog = Backlog(demand, self.waiting_tasks)
+        if self.blocked_job != str(job.id):
+            self.blocked_job = str(job.id)
+            self.blocked_since = now
+        if now - self.blocked_since < RESERVE_AFTER_SECONDS or self.reservation is not None:
+            return
+        worker = self.workers.largest_room(demand)
+        if worker is not None:
+            self.reservation = Reservation(str(job.id), worker)
+
+    def _quota_count(self, team: str, demand: Capacity) -> int:
+        running = self.running.get(team, 0)
+        room = self.quotas.room(team, running, running + self.waiting.get(team, 0))
+        if room is None or demand.millicores == 0:
+            return TASKS_PER_TURN
+        return room // demand.millicores
+
+    def _start(
+        self, job: Job, spec: TaskSpec, placed: list[tuple[str, int]]
+    ) -> list[out.StartTasks]:
+        effects = []
+        for worker, number in placed:
+            tasks = []
+            for index in job.hand_out(number, worker):
+                task = job.request.tasks[index]
+                self._count_waiting(job, task, -1)
+                tasks.append(out.TaskStart(index, task))
+            batch = out.TaskBatch(str(job.id), job.caller, len(job.states), tuple(tasks))
+            incarnation = self.workers.states[worker].incarnation
+            effects.append(out.StartTasks(worker, incarnation, batch))
+            team = job.request.team
+            amount = spec.demand.millicores * number
+            self.running[team] = self.running.get(team, 0) + amount
+        return effects
+
+    def _count_waiting(self, job: Job, spec: TaskSpec, sign: int) -> None:
+        team = job.request.team
+        self.waiting_tasks += sign
+        self.waiting_millicore_ms += sign * _work(spec)
+        self.waiting[team] = self.waiting.get(team, 0) + sign * spec.demand.millicores
--- /dev/null
+++ b/packages/core/cranberryshore/dispatch/lending.py
@@ -0,0 +1,63 @@
+"""Asking peers for room, lending to them, and returning what is no longer needed."""
+
+import attrs
+
+from cranberryshore.dispatch import effects as out
+from cranberryshore.placement.shared_pool import SharedPool
+from cranberryshore.work.capacity import NOTHING, Capacity
+
+ASK_AGAIN_SECONDS = 0.5
+RECALL_AGAIN_SECONDS = 0.5
+
+
+@attrs.frozen
+class Backlog:
+    """What waits for room: the first demand in turn and how many copies wait in all."""
+
+    demand: Capacity
+    count: int
+
+
+@attrs.define
+class Lending:
+    """Balances room between this instance and its peers after each input.
+
+    An instance with a backlog asks its peers, recalls what it has lent, and lends nothing. An
+    instance without one returns what it borrowed and serves the peers that have asked.
+    """
+
+    pool: SharedPool
+    asked_at: float | None = None
+    asked_count: int = 0
+    recalled_at: float = float("-inf")
+
+    def balance(self, backlog: Backlog | None, now: float) -> list[out.Effect]:
+        """Return the messages to peers that the present backlog calls for."""
+        if backlog is not None:
+            return self._seek(backlog, now)
+        effects: list[out.Effect] = []
+        if self.asked_at is not None:
+            self.asked_at = None
+            effects.append(out.AskPeers(NOTHING, 0))
+        effects += self._give_back(only_recalled=False)
+        for peer, grants in self.pool.serve_wants(now).items():
+            effects.append(out.LendTo(peer, tuple(grants)))
+        return effects
+
+    def _seek(self, backlog: Backlog, now: float) -> list[out.Effect]:
+        effects = self._give_back(only_recalled=True)
+        is_due = self.asked_at is None or now - self.asked_at >= ASK_AGAIN_SECONDS
+        if is_due or backlog.count > 2 * self.asked_count:
+            self.asked_at = now
+            self.asked_count = backlog.count
+            effects.append(out.AskPeers(backlog.demand, backlog.count))
+        peers = self.pool.borrowers()
+        if peers and now - self.recalled_at >= RECALL_AGAIN_SECONDS:
+            self.recalled_at = now
+            names = frozenset(self.pool.lent_resources())
+            effects.append(out.RecallLoans(frozenset(peers), names))
+        return effects
+
+    def _give_back(self, only_recalled: bool) -> list[out.Effect]:
+        grants = self.pool.give_back(only_recalled)
+        return [out.GiveBack(tuple(grants))] if grants else []
--- /dev/null
+++ b/packages/core/cranberryshore/dispatch/workers.py
@@ -0,0 +1,103 @@
+"""The workers of the zone as one dispatcher sees them."""
+
+import attrs
+
+from cranberryshore.placement.health import PoolHealth
+from cranberryshore.placement.shared_pool import SharedPool
+from cranberryshore.work.capacity import Capacity
+
+
+@attrs.define
+class WorkerState:
+    """One worker incarnation that this owner may use."""
+
+    incarnation: str
+    is_connected: bool = False
+    is_leaving: bool = False
+    blocked_until: float = 0.0
+
+
+@attrs.define
+class WorkerSet:
+    """Sessions, room and health of the workers, kept consistent with one another."""
+
+    pool: SharedPool = attrs.field(factory=SharedPool)
+    health: PoolHealth = attrs.field(factory=PoolHealth)
+    states: dict[str, WorkerState] = attrs.field(factory=dict)
+    assigned: frozenset[str] = frozenset()
+
+    def add(self, name: str, incarnation: str, total: Capacity) -> bool:
+        """Add a worker; return whether it replaces another incarnation of the same name."""
+        state = self.states.get(name)
+        is_replaced = state is not None and state.incarnation != incarnation
+        if state is None or is_replaced:
+            self.pool.remove(name)
+            self.states[name] = WorkerState(incarnation)
+            self.health.workers.pop(name, None)
+        self.pool.add(name, total)
+        self._refresh(name)
+        self.pool.assign(set(self.assigned))
+        return is_replaced
+
+    def open(self, name: str, incarnation: str) -> bool:
+        """Mark a session open; return whether the incarnation is the known one."""
+        state = self.states.get(name)
+        if state is None or state.incarnation != incarnation:
+            return False
+        state.is_connected = True
+        self._refresh(name)
+        return True
+
+    def lose(self, name: str, incarnation: str, is_leaving: bool) -> bool:
+        """Close a worker for new work; return whether the incarnation is the known one."""
+        state = self.states.get(name)
+        if state is None or state.incarnation != incarnation:
+            return False
+        if is_leaving:
+            state.is_leaving = True
+        else:
+            state.is_connected = False
+        self._refresh(name)
+        return True
+
+    def assign(self, names: frozenset[str]) -> None:
+        """Set which workers are assigned to this instance."""
+        self.assigned = names
+        self.pool.assign(set(names))
+
+    def block(self, name: str, until: float) -> None:
+        """Place nothing on a worker until a time, because it refused to start tasks."""
+        state = self.states.get(name)
+        if state is not None:
+            state.blocked_until = until
+
+    def place(
+        self, demand: Capacity, count: int, now: float, kept: str = ""
+    ) -> list[tuple[str, int]]:
+        """Take room for up to ``count`` tasks on other workers than ``kept``."""
+
+        def allowance(name: str) -> int:
+            if name == kept or self.states[name].blocked_until > now:
+                return 0
+            return self.health.allowance(name, now)
+
+        placed = self.pool.place(demand, count, self.health.preference, allowance)
+        for name, _ in placed:
+            record = self.health.of(name)
+            record.probe_running = bool(record.isolation_seconds)
+        return placed
+
+    def largest_room(self, demand: Capacity) -> str | None:
+        """Return the assigned open worker that could hold ``demand`` and has the most free."""
+        best, best_free = None, float("-inf")
+        for name, member in self.pool.members.items():
+            if not (member.is_assigned and member.is_open and member.total.holds(demand)):
+                continue
+            free = member.free().millicores
+            if free > best_free:
+                best, best_free = name, free
+        return best
+
+    def _refresh(self, name: str) -> None:
+        state = self.states[name]
+        self.pool.members[name].is_open = state.is_connected and not state.is_leaving
--- /dev/null
+++ b/packages/core/cranberryshore/errors/__init__.py
@@ -0,0 +1,6 @@
+"""Typed refusals and failures, shared by every part."""
+
+from cranberryshore.errors.refusal import ErrorType, Refusal, RunClaim, malformed
+from cranberryshore.errors.settings_error import SettingsError
+
+__all__ = ["ErrorType", "Refusal", "RunClaim", "SettingsError", "malformed"]
--- /dev/null
+++ b/packages/core/cranberryshore/errors/refusal.py
@@ -0,0 +1,124 @@
+"""Refusals and failures, each with a true statement of what may have run."""
+
+from enum import Enum
+
+import attrs
+
+
+class RunClaim(Enum):
+    """What a refusal or failure states about the work behind it."""
+
+    NOT_RUN = "not_run"
+    MAY_HAVE_RUN = "may_have_run"
+    RAN_AND_FAILED = "ran_and_failed"
+
+
+class ErrorType(Enum):
+    """Every error that a caller or an operator can be given, as listed in docs/API.md."""
+
+    MALFORMED = "malformed"
+    TOO_LARGE = "too_large"
+    UNAUTHENTICATED = "unauthenticated"
+    FORBIDDEN = "forbidden"
+    NOT_FOUND = "not_found"
+    NEVER_FITS = "never_fits"
+    QUEUE_FULL = "queue_full"
+    DEADLINE_UNMEETABLE = "deadline_unmeetable"
+    DEADLINE_PASSED = "deadline_passed"
+    QUOTA_EXCEEDED = "quota_exceeded"
+    DRAINING = "draining"
+    NOT_READY = "not_ready"
+    ID_NOT_ISSUED = "id_not_issued"
+    ID_EXPIRED = "id_expired"
+    ISSUER_UNREACHABLE = "issuer_unreachable"
+    OWNER_CLOSED = "owner_closed"
+    OWNER_LOST = "owner_lost"
+    TRUTH_PENDING = "truth_pending"
+    TASK_FAILED = "task_failed"
+    TASK_LOST = "task_lost"
+    CANCELLED = "cancelled"
+    NO_WORKER = "no_worker"
+    NO_UPSTREAM = "no_upstream"
+    UPSTREAM_LOST = "upstream_lost"
+    UPSTREAM_TIMEOUT = "upstream_timeout"
+    CONFLICT = "conflict"
+    CHANGE_UNCERTAIN = "change_uncertain"
+    STORE_UNAVAILABLE = "store_unavailable"
+    KEY_BUDGET_EXHAUSTED = "key_budget_exhausted"
+    WATCH_GAP = "watch_gap"
+    INTERNAL = "internal"
+
+
+STATUS = {
+    ErrorType.MALFORMED: 400,
+    ErrorType.TOO_LARGE: 413,
+    ErrorType.UNAUTHENTICATED: 401,
+    ErrorType.FORBIDDEN: 403,
+    ErrorType.NOT_FOUND: 404,
+    ErrorType.NEVER_FITS: 422,
+    ErrorType.QUEUE_FULL: 503,
+    ErrorType.DEADLINE_UNMEETABLE: 503,
+    ErrorType.DEADLINE_PASSED: 504,
+    ErrorType.QUOTA_EXCEEDED: 429,
+    ErrorType.DRAINING: 503,
+    ErrorType.NOT_READY: 503,
+    ErrorType.ID_NOT_ISSUED: 409,
+    ErrorType.ID_EXPIRED: 410,
+    ErrorType.ISSUER_UNREACHABLE: 503,
+    ErrorType.OWNER_CLOSED: 409,
+    ErrorType.OWNER_LOST: 502,
+    ErrorType.TRUTH_PENDING: 503,
+    ErrorType.TASK_FAILED: 502,
+    ErrorType.TASK_LOST: 502,
+    ErrorType.CANCELLED: 409,
+    ErrorType.NO_WORKER: 503,
+    ErrorType.NO_UPSTREAM: 503,
+    ErrorType.UPSTREAM_LOST: 502,
+    ErrorType.UPSTREAM_TIMEOUT: 504,
+    ErrorType.CONFLICT: 409,
+    ErrorType.CHANGE_UNCERTAIN: 503,
+    ErrorType.STORE_UNAVAILABLE: 503,
+    ErrorType.KEY_BUDGET_EXHAUSTED: 429,
+    ErrorType.WATCH_GAP: 410,
+    ErrorType.INTERNAL: 500,
+}
+
+
+@attrs.frozen
+class Refusal:
+    """One refusal or failure as the caller sees it.
+
+    Parameters
+    ----------
+    type : ErrorType
+        Kind of the error, which also gives the HTTP status.
+    claim : RunClaim
+        What is true of the work behind it.
+    detail : str
+        One sentence for people.
+    retry_after_ms : int or None
+        When to come back, in milliseconds; ``None`` if coming back cannot help.
+
+    Examples
+    --------
+    >>> Refusal(ErrorType.QUEUE_FULL, RunClaim.NOT_RUN, "The queue is full.", 50).status
+    503
+    """
+
+    type: ErrorType
+    claim: RunClaim
+    detail: str
+    retry_after_ms: int | None = None
+
+    @property
+    def status(self) -> int:
+        """Return the HTTP status of the answer."""
+        return STATUS[self.type]
+
+
+def malformed(field: str, value: object, expected: str) -> Refusal:
+    """Return the refusal of malformed input: the field, its value and what was expected."""
+    shown = repr(value)[:80]
+    return Refusal(
+        ErrorType.MALFORMED, RunClaim.NOT_RUN, f"{field}: got {shown}, expected {expected}."
+    )
--- /dev/null
+++ b/packages/core/cranberryshore/identity/ledger.py
@@ -0,0 +1,129 @@
+"""Record of the submission ids that one incarnation has issued and seen used."""
+
+from enum import Enum
+
+import attrs
+
+from cranberryshore.identity.incarnation import Incarnation
+from cranberryshore.identity.submission_id import SubmissionId
+
+ID_LIFETIME_SECONDS = 3600.0
+MAX_BATCH = 1000
+
+
+class ClaimKind(Enum):
+    """What an incarnation may conclude about an id that a caller presents."""
+
+    FRESH = "fresh"
+    USED = "used"
+    NOT_ISSUED = "not_issued"
+    EXPIRED = "expired"
+
+
+@attrs.frozen
+class Claim:
+    """Answer of the ledger for one presented id."""
+
+    kind: ClaimKind
+    id: SubmissionId
+
+
+@attrs.define
+class SubmissionBatch:
+    """Consecutive ids issued to one caller."""
+
+    caller: str
+    first: int
+    count: int
+    expires_at: float
+    used: set[int] = attrs.field(factory=set)
+
+    def holds(self, sequence: int) -> bool:
+        """Tell whether ``sequence`` belongs to this batch."""
+        return self.first <= sequence < self.first + self.count
+
+
+@attrs.define
+class SubmissionLedger:
+    """Issues submission ids and lets each be used once.
+
+    An id is accepted only from the caller it was issued to, only while its batch lives, and
+    only once. After the batch has expired the ledger no longer knows whether the id was used.
+
+    Parameters
+    ----------
+    incarnation : Incarnation
+        The incarnation that issues the ids.
+
+    Examples
+    --------
+    >>> ledger = SubmissionLedger(Incarnation("a", "e1", "0" * 16))
+    >>> ids = ledger.issue("desk", 2, now=0.0)
+    >>> ledger.claim(ids[0], "desk", now=1.0).kind
+    <ClaimKind.FRESH: 'fresh'>
+    >>> ledger.claim(ids[0], "desk", now=1.0).kind
+    <ClaimKind.USED: 'used'>
+    >>> ledger.claim(ids[1], "gate", now=1.0).kind
+    <ClaimKind.NOT_ISSUED: 'not_issued'>
+    """
+
+    incarnation: Incarnation
+    next_sequence: int = 0
+    batches: list[SubmissionBatch] = attrs.field(factory=list)
+
+    def issue(self, caller: str, count: int, now: float) -> list[SubmissionId]:
+        """Issue ``count`` ids to ``caller``, valid for ``ID_LIFETIME_SECONDS``."""
+        self._drop_expired(now)
+        batch = SubmissionBatch(caller, self.next_sequence, count, now + ID_LIFETIME_SECONDS)
+        self.batches.append(batch)
+        self.next_sequence += count
+        numbers = range(batch.first, batch.first + count)
+        return [SubmissionId(self.incarnation, number) for number in numbers]
+
+    def claim(self, id: SubmissionId, caller: str, now: float) -> Claim:
+        """Use ``id`` if it may be used, and tell what is known of it."""
+        self._drop_expired(now)
+        batch = self._batch_of(id.sequence)
+        if id.issuer != self.incarnation or id.sequence >= self.next_sequence:
+            return Claim(ClaimKind.NOT_ISSUED, id)
+        if batch is None:
+            return Claim(ClaimKind.EXPIRED, id)
+        if batch.caller != caller:
+            return Claim(ClaimKind.NOT_ISSUED, id)
+        if id.sequence in batch.used:
+            return Claim(ClaimKind.USED, id)
+        batch.used.add(id.sequence)
+        return Claim(ClaimKind.FRESH, id)
+
+    def release(self, id: SubmissionId) -> None:
+        """Make a used id fresh again, because its submission was refused and never kept."""
+        batch = self._batch_of(id.sequence)
+        if batch is not None:
+            batch.used.discard(id.sequence)
+
+    def is_unused(self, id: SubmissionId, now: float) -> bool:
+        """Tell whether ``id`` was issued, still lives and has not been used."""
+        self._drop_expired(now)
+        batch = self._batch_of(id.sequence)
+        return batch is not None and id.sequence not in batch.used
+
+    def _batch_of(self, sequence: int) -> SubmissionBatch | None:
+        low, high = 0, len(self.batches)
+        while low < high:
+            middle = (low + high) // 2
+            batch = self.batches[middle]
+            if batch.holds(sequence):
+                return batch
+            if sequence < batch.first:
+                high = middle
+            else:
+                low = middle + 1
+        return None
+
+    def _drop_expired(self, now: float) -> None:
+        expired = 0
+        for batch in self.batches:
+            if batch.expires_at > now:
+                break
+            expired += 1
+        del self.batches[:expired]
--- /dev/null
+++ b/packages/core/cranberryshore/limits/retry_budget.py
@@ -0,0 +1,35 @@
+"""Limit on retries as a share of first attempts."""
+
+import attrs
+
+
+@attrs.define
+class RetryBudget:
+    """Allows one retry for every ``1 / share`` first attempts, so that an overload never grows.
+
+    Examples
+    --------
+    >>> budget = RetryBudget(share=0.5, burst=1.0)
+    >>> budget.take(), budget.take()
+    (True, False)
+    >>> budget.on_attempt(); budget.on_attempt(); budget.take()
+    True
+    """
+
+    share: float = 0.1
+    burst: float = 10.0
+    level: float = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self.level = self.burst
+
+    def on_attempt(self) -> None:
+        """Count a first attempt."""
+        self.level = min(self.level + self.share, self.burst)
+
+    def take(self) -> bool:
+        """Take one retry if the budget allows it."""
+        if self.level < 1.0:
+            return False
+        self.level -= 1.0
+        return True
--- /dev/null
+++ b/packages/core/cranberryshore/limits/token_bucket.py
@@ -0,0 +1,37 @@
+"""Limit on the rate of an operation."""
+
+import attrs
+
+
+@attrs.define
+class TokenBucket:
+    """Allows ``rate`` operations a second on average and ``burst`` at once.
+
+    Examples
+    --------
+    >>> bucket = TokenBucket(rate=1.0, burst=1.0)
+    >>> bucket.take(now=0.0), bucket.take(now=0.5), bucket.take(now=1.5)
+    (True, False, True)
+    """
+
+    rate: float
+    burst: float
+    level: float = attrs.field(init=False)
+    updated_at: float = 0.0
+
+    def __attrs_post_init__(self) -> None:
+        self.level = self.burst
+
+    def take(self, now: float) -> bool:
+        """Take one operation if the limit allows it."""
+        elapsed = max(now - self.updated_at, 0.0)
+        self.updated_at = now
+        self.level = min(self.level + elapsed * self.rate, self.burst)
+        if self.level < 1.0:
+            return False
+        self.level -= 1.0
+        return True
+
+    def wait_seconds(self) -> float:
+        """Return how long until the next operation is allowed."""
+        return max(1.0 - self.level, 0.0) / self.rate
--- /dev/null
+++ b/packages/core/cranberryshore/membership/__init__.py
@@ -0,0 +1,21 @@
+"""Which entry instances live, as this instance sees it."""
+
+from cranberryshore.membership.peer_table import (
+    MemberJoined,
+    MemberLeft,
+    MembershipChange,
+    MemberSuspected,
+    Peer,
+    PeerState,
+    PeerTable,
+)
+
+__all__ = [
+    "MemberJoined",
+    "MemberLeft",
+    "MemberSuspected",
+    "MembershipChange",
+    "Peer",
+    "PeerState",
+    "PeerTable",
+]
--- /dev/null
+++ b/packages/core/cranberryshore/messages/codec.py
@@ -0,0 +1,139 @@
+"""Encoding of messages: MessagePack between daemons, JSON towards everybody else."""
+
+from functools import cache
+from typing import Any, TypeVar
+
+import attrs
+import msgspec
+
+from cranberryshore.errors import Refusal
+from cranberryshore.messages import peer
+from cranberryshore.timeline.clock import Stamp
+
+T = TypeVar("T")
+
+PeerMessage = (
+    peer.Heartbeat
+    | peer.Leave
+    | peer.LoanAsk
+    | peer.LoanGrants
+    | peer.LoanReturns
+    | peer.LoanRecall
+    | peer.PeerCall
+    | peer.PeerReply
+)
+
+_TYPES: dict[str, type] = {
+    type_.__name__: type_
+    for type_ in (
+        peer.Heartbeat,
+        peer.Leave,
+        peer.LoanAsk,
+        peer.LoanGrants,
+        peer.LoanReturns,
+        peer.LoanRecall,
+        peer.PeerCall,
+        peer.PeerReply,
+        peer.SubmitCall,
+        peer.JobQuery,
+        peer.CancelCall,
+        peer.TimelineQuery,
+        peer.ConfigQuery,
+        peer.JobAnswer,
+        peer.TimelineAnswer,
+        peer.ConfigAnswer,
+        Refusal,
+    )
+}
+
+
+@attrs.frozen
+class Part:
+    """One encoded message and the name of its type."""
+
+    kind: str
+    body: bytes
+
+
+@attrs.frozen
+class Envelope:
+    """Messages that travel together from one daemon to another.
+
+    Parameters
+    ----------
+    sender : str
+        Incarnation of the sender.
+    target : str
+        Incarnation that the messages are for, or empty for whoever has the address. A process
+        that replaced the target under the same address drops what is not for it.
+    stamp : Stamp
+        Sender's hybrid logical time.
+    parts : tuple of Part
+        The messages.
+    """
+
+    sender: str
+    target: str
+    stamp: Stamp
+    parts: tuple[Part, ...]
+
+
+_encoder = msgspec.msgpack.Encoder()
+_json_encoder = msgspec.json.Encoder()
+
+
+@cache
+def _decoder(type_: type) -> msgspec.msgpack.Decoder:
+    return msgspec.msgpack.Decoder(type_)
+
+
+@cache
+def _json_decoder(type_: type) -> msgspec.json.Decoder:
+    return msgspec.json.Decoder(type_)
+
+
+def close_part(message: Any) -> Part:
+    """Encode one message."""
+    return Part(type(message).__name__, _encoder.encode(message))
+
+
+def open_part(kind: str, body: bytes) -> Any | None:
+    """Decode one message; ``None`` if its kind is unknown or its body malformed."""
+    type_ = _TYPES.get(kind)
+    if type_ is None:
+        return None
+    try:
+        return _decoder(type_).decode(body)
+    except (msgspec.DecodeError, ValueError):
+        return None
+
+
+def encode_envelope(sender: str, target: str, stamp: Stamp, messages: list[Any]) -> bytes:
+    """Encode messages for one peer.
+
+    Examples
+    --------
+    >>> data = encode_envelope("a.e1.0", "", Stamp(1, 0), [peer.Leave()])
+    >>> [part.kind for part in decode_envelope(data).parts]
+    ['Leave']
+    """
+    parts = tuple(close_part(message) for message in messages)
+    return _encoder.encode(Envelope(sender, target, stamp, parts))
+
+
+def decode_envelope(data: bytes) -> Envelope | None:
+    """Decode an envelope; ``None`` if it is malformed."""
+    try:
+        return _decoder(Envelope).decode(data)
+    except (msgspec.DecodeError, ValueError):
+        return None
+
+
+def encode_json(message: Any) -> bytes:
+    """Encode one message as JSON."""
+    return _json_encoder.encode(message)
+
+
+def decode_json(data: bytes, type_: type[T]) -> T:
+    """Decode JSON; raises ``msgspec.DecodeError`` with the path of the fault."""
+    return _json_decoder(type_).decode(data)
--- /dev/null
+++ b/packages/core/cranberryshore/ownership/record.py
@@ -0,0 +1,73 @@
+"""The owner's record in the store, and the workers' records of its tasks."""
+
+from enum import Enum
+
+import attrs
+
+from cranberryshore.identity.incarnation import Incarnation
+
+OWNER_PREFIX = "owners/"
+
+
+def owner_key(incarnation: Incarnation) -> str:
+    """Return the store key of an incarnation's record.
+
+    Examples
+    --------
+    >>> owner_key(Incarnation("a", "e1", "0" * 16))
+    'owners/a/e1/0000000000000000'
+    """
+    return f"{OWNER_PREFIX}{incarnation.zone}/{incarnation.instance}/{incarnation.nonce}"
+
+
+@attrs.frozen(order=True)
+class OwnedWorker:
+    """A worker incarnation that an owner may start tasks on."""
+
+    name: str
+    incarnation: str
+
+
+@attrs.frozen
+class OwnerRecord:
+    """What the store holds of one incarnation.
+
+    An owner starts tasks only on the workers of its record. It extends the record by
+    compare-and-swap, which fails once a peer has set ``is_closed``. So the record that a peer
+    reads back after closing names every worker on which a task of this owner can ever have been
+    started, however late the owner wakes up.
+    """
+
+    owner: str
+    workers: tuple[OwnedWorker, ...] = ()
+    is_closed: bool = False
+    closed_by: str = ""
+
+    def closed(self, by: str) -> "OwnerRecord":
+        """Return the closed record."""
+        return attrs.evolve(self, is_closed=True, closed_by=by)
+
+    def with_workers(self, workers: frozenset[OwnedWorker]) -> "OwnerRecord":
+        """Return the record with another set of workers."""
+        return attrs.evolve(self, workers=tuple(sorted(workers)))
+
+
+class TaskRecordState(Enum):
+    """State of a task at its worker."""
+
+    RUNNING = "running"
+    OK = "ok"
+    FAILED = "failed"
+    STOPPED = "stopped"
+
+
+@attrs.frozen
+class TaskRecord:
+    """What a worker knows of one task that it has started."""
+
+    job: str
+    caller: str
+    task_count: int
+    index: int
+    state: TaskRecordState
+    output: str = ""
--- /dev/null
+++ b/packages/core/cranberryshore/placement/__init__.py
@@ -0,0 +1,15 @@
+"""Sharing of workers and upstreams between the entry instances of an availability zone."""
+
+from cranberryshore.placement.assignment import assign_balanced
+from cranberryshore.placement.health import PoolHealth, WorkerHealth
+from cranberryshore.placement.shared_pool import Grant, SharedCapacity, SharedPool, Want
+
+__all__ = [
+    "Grant",
+    "PoolHealth",
+    "SharedCapacity",
+    "SharedPool",
+    "Want",
+    "WorkerHealth",
+    "assign_balanced",
+]
--- /dev/null
+++ b/packages/core/cranberryshore/placement/assignment.py
@@ -0,0 +1,54 @@
+"""Assignment of workers and upstreams to entry instances."""
+
+from collections.abc import Collection
+from hashlib import blake2b
+from math import ceil
+
+SCORE_BYTES = 8
+
+
+def _score(resource: str, instance: str) -> bytes:
+    return blake2b(f"{resource}|{instance}".encode(), digest_size=SCORE_BYTES).digest()
+
+
+def assign_balanced(resources: Collection[str], instances: Collection[str]) -> dict[str, str]:
+    """Assign each resource to one instance, evenly and with few moves.
+
+    Each resource goes to the instance with the highest hash score [1]_ that still has room,
+    where no instance takes more than its even share rounded up. Every instance that sees the
+    same two sets computes the same assignment.
+
+    Parameters
+    ----------
+    resources : collection of str
+        Names of workers or upstreams.
+    instances : collection of str
+        Keys of the live entry instances.
+
+    Returns
+    -------
+    dict
+        Instance by resource; empty if there is no instance.
+
+    Examples
+    --------
+    >>> counts = list(assign_balanced(["w1", "w2", "w3", "w4"], ["e1", "e2"]).values())
+    >>> counts.count("e1"), counts.count("e2")
+    (2, 2)
+
+    References
+    ----------
+    .. [1] D. Thaler, C. Ravishankar, "Using name-based mappings to increase hit rates",
+       IEEE/ACM Transactions on Networking 6(1), 1998.
+    """
+    if not instances:
+        return {}
+    limit = ceil(len(resources) / len(instances))
+    loads = dict.fromkeys(instances, 0)
+    assignment = {}
+    for resource in sorted(resources):
+        open_instances = [name for name, load in loads.items() if load < limit]
+        best = max(open_instances, key=lambda name: _score(resource, name))
+        loads[best] += 1
+        assignment[resource] = best
+    return assignment
--- /dev/null
+++ b/packages/core/cranberryshore/placement/shared_pool.py
@@ -0,0 +1,277 @@
+"""Capacity that several entry instances share without a common store.
+
+Each worker or upstream is assigned to one instance, which alone knows what is free there. An
+instance with a backlog asks its peers; a peer without a backlog lends parts of what is assigned
+to it, and gets them back when the borrower has no more use for them.
+"""
+
+from collections.abc import Callable, Iterable
+
+import attrs
+
+from cranberryshore.work.capacity import NOTHING, Capacity
+
+WANT_LIFETIME_SECONDS = 1.0
+
+
+@attrs.frozen
+class Grant:
+    """A part of one resource that passes between two instances."""
+
+    resource: str
+    amount: Capacity
+
+
+@attrs.frozen
+class Want:
+    """What a peer with a backlog asks for: ``count`` copies of ``demand``."""
+
+    demand: Capacity
+    count: int
+    expires_at: float
+
+
+@attrs.define
+class SharedCapacity:
+    """One worker or upstream as this instance sees it.
+
+    Parameters
+    ----------
+    total : Capacity
+        Everything that the resource has.
+    is_assigned : bool
+        Whether this instance is the one that knows what is free.
+    is_open : bool
+        Whether new work may be placed: connected, not leaving, not recalled.
+    borrowed : Capacity
+        What the assigned peer has lent to this instance.
+    used : Capacity
+        What this instance's own work holds.
+    lent : dict
+        What this instance has lent, by peer.
+    reported : dict
+        What the resource itself reports in use, by peer, with a lag.
+    """
+
+    total: Capacity
+    is_assigned: bool = False
+    is_open: bool = True
+    is_recalled: bool = False
+    borrowed: Capacity = NOTHING
+    used: Capacity = NOTHING
+    lent: dict[str, Capacity] = attrs.field(factory=dict)
+    reported: dict[str, Capacity] = attrs.field(factory=dict)
+
+    def free(self) -> Capacity:
+        """Return what may be handed out now; parts may be negative."""
+        if not self.is_assigned:
+            return self.borrowed - self.used
+        free = self.total - self.used
+        for peer in self.lent.keys() | self.reported.keys():
+            held = self.lent.get(peer, NOTHING).maximum(self.reported.get(peer, NOTHING))
+            free = free - held
+        return free
+
+
+@attrs.define
+class SharedPool:
+    """The resources of one kind in an availability zone.
+
+    Examples
+    --------
+    >>> pool = SharedPool()
+    >>> pool.add("w1", Capacity(4000))
+    >>> pool.assign({"w1"})
+    >>> pool.place(Capacity(1000), 3)
+    [('w1', 3)]
+    >>> pool.lend("peer", Capacity(1000), 5)
+    [Grant(resource='w1', amount=Capacity(millicores=1000, memory_mb=0, accelerators=0, slots=0))]
+    """
+
+    members: dict[str, SharedCapacity] = attrs.field(factory=dict)
+    wants: dict[str, Want] = attrs.field(factory=dict)
+
+    def add(self, name: str, total: Capacity) -> None:
+        """Add a resource, or update what a known one has."""
+        member = self.members.get(name)
+        if member is None:
+            self.members[name] = SharedCapacity(total)
+        else:
+            member.total = total
+
+    def remove(self, name: str) -> None:
+        """Forget a resource."""
+        self.members.pop(name, None)
+
+    def assign(self, names: set[str]) -> None:
+        """Set which resources are assigned to this instance.
+
+        What runs on a resource that moves away stays held until it ends.
+        """
+        for name, member in self.members.items():
+            is_assigned = name in names
+            if member.is_assigned and not is_assigned:
+                member.borrowed = member.used
+                member.lent.clear()
+            if is_assigned and not member.is_assigned:
+                member.borrowed = NOTHING
+                member.is_recalled = False
+            member.is_assigned = is_assigned
+
+    def can_ever_hold(self, demand: Capacity) -> bool:
+        """Tell whether any known resource is large enough for ``demand``."""
+        return any(member.total.holds(demand) for member in self.members.values())
+
+    def place(
+        self,
+        demand: Capacity,
+        count: int,
+        order: Callable[[str], float] | None = None,
+        limit: Callable[[str], int] | None = None,
+    ) -> list[tuple[str, int]]:
+        """Take room for up to ``count`` copies of ``demand``.
+
+        Parameters
+        ----------
+        demand : Capacity
+            What one copy needs.
+        count : int
+            How many copies are wanted.
+        order : callable, optional
+            Preference by resource name, lower first; resources with equal preference are
+            filled from the one with the most room, which keeps the messages few.
+        limit : callable, optional
+            Largest number of copies that a resource may take now.
+
+        Returns
+        -------
+        list of (str, int)
+            Resource and number of copies, for each resource that takes any.
+        """
+        candidates = []
+        for name, member in self.members.items():
+            if not member.is_open or member.is_recalled:
+                continue
+            fits = member.free().count_of(demand)
+            if limit is not None:
+                fits = min(fits, limit(name))
+            if fits > 0:
+                candidates.append((order(name) if order else 0.0, -fits, name))
+        placed = []
+        for _, negative_fits, name in sorted(candidates):
+            if count == 0:
+                break
+            taken = min(-negative_fits, count)
+            self.members[name].used = self.members[name].used + demand * taken
+            placed.append((name, taken))
+            count -= taken
+        return placed
+
+    def release(self, name: str, amount: Capacity) -> None:
+        """Give back room that this instance's own work held."""
+        member = self.members.get(name)
+        if member is not None:
+            member.used = (member.used - amount).clipped()
+
+    def lend(self, peer: str, demand: Capacity, count: int) -> list[Grant]:
+        """Lend up to ``count`` copies of ``demand`` to ``peer`` from what is assigned here."""
+        grants = []
+        for name, member in self.members.items():
+            if count == 0:
+                break
+            if not member.is_assigned or not member.is_open:
+                continue
+            fits = min(member.free().count_of(demand), count)
+            if fits > 0:
+                amount = demand * fits
+                member.lent[peer] = member.lent.get(peer, NOTHING) + amount
+                grants.append(Grant(name, amount))
+                count -= fits
+        return grants
+
+    def borrow(self, grants: Iterable[Grant]) -> None:
+        """Take what a peer has lent."""
+        for grant in grants:
+            member = self.members.get(grant.resource)
+            if member is not None and not member.is_assigned:
+                member.borrowed = member.borrowed + grant.amount
+                member.is_recalled = False
+
+    def recall(self, names: Iterable[str]) -> None:
+        """Stop new work on borrowed resources that their lender needs."""
+        for name in names:
+            member = self.members.get(name)
+            if member is not None and not member.is_assigned:
+                member.is_recalled = True
+
+    def give_back(self, only_recalled: bool = False) -> list[Grant]:
+        """Return the borrowed parts that nothing runs on, and stop counting them as ours."""
+        grants = []
+        for name, member in self.members.items():
+            if member.is_assigned or (only_recalled and not member.is_recalled):
+                continue
+            idle = (member.borrowed - member.used).clipped()
+            if idle != NOTHING:
+                member.borrowed = member.borrowed - idle
+                grants.append(Grant(name, idle))
+        return grants
+
+    def take_back(self, peer: str, grants: Iterable[Grant]) -> None:
+        """Record that ``peer`` has returned what it borrowed."""
+        for grant in grants:
+            member = self.members.get(grant.resource)
+            if member is None or peer not in member.lent:
+                continue
+            left = (member.lent[peer] - grant.amount).clipped()
+            if left == NOTHING:
+                del member.lent[peer]
+            else:
+                member.lent[peer] = left
+
+    def report(self, name: str, usage: dict[str, Capacity]) -> None:
+        """Record what a resource reports in use by others than this instance."""
+        member = self.members.get(name)
+        if member is not None:
+            member.reported = usage
+
+    def drop_peer(self, peer: str) -> None:
+        """Forget the loans of a peer that has died; what it still runs is reported."""
+        self.wants.pop(peer, None)
+        for member in self.members.values():
+            member.lent.pop(peer, None)
+
+    def borrowers(self) -> set[str]:
+        """Return the peers to which anything is lent."""
+        return {peer for member in self.members.values() for peer in member.lent}
+
+    def lent_resources(self) -> set[str]:
+        """Return the resources of which anything is lent."""
+        return {name for name, member in self.members.items() if member.lent}
+
+    def want(self, peer: str, demand: Capacity, count: int, now: float) -> None:
+        """Remember what a peer asks for; a count of zero withdraws it."""
+        if count <= 0:
+            self.wants.pop(peer, None)
+            return
+        self.wants[peer] = Want(demand, count, now + WANT_LIFETIME_SECONDS)
+
+    def serve_wants(self, now: float) -> dict[str, list[Grant]]:
+        """Lend to peers that asked, in turn, and return the grants by peer."""
+        granted: dict[str, list[Grant]] = {}
+        for peer, want in list(self.wants.items()):
+            if want.expires_at <= now:
+                del self.wants[peer]
+                continue
+            grants = self.lend(peer, want.demand, want.count)
+            if not grants:
+                continue
+            granted[peer] = grants
+            taken = sum(grant.amount.count_of(want.demand) for grant in grants)
+            left = want.count - taken
+            if left <= 0:
+                del self.wants[peer]
+            else:
+                # The peer that was just served goes to the end of the turn.
+                del self.wants[peer]
+                self.wants[peer] = attrs.evolve(want, count=left)
+        return granted
--- /dev/null
+++ b/packages/core/cranberryshore/requests/gate.py
@@ -0,0 +1,212 @@
+"""The request gate aggregate: one service's upstream slots and waiting requests."""
+
+from collections.abc import Callable
+
+import attrs
+
+from cranberryshore.dispatch import effects as out
+from cranberryshore.dispatch.lending import Backlog, Lending
+from cranberryshore.errors import ErrorType, Refusal, RunClaim
+from cranberryshore.limits.fair_queue import FairQueue
+from cranberryshore.placement.shared_pool import Grant, SharedPool
+from cranberryshore.work.capacity import Capacity
+
+ONE_SLOT = Capacity(slots=1)
+SMOOTHING = 0.05
+SHORTEST_RETRY_MS = 20
+FAILURE_PAUSE_SECONDS = 1.0
+SLOW_FACTOR = 1.5
+
+
+@attrs.frozen
+class GateSettings:
+    """Limits of one service.
+
+    Parameters
+    ----------
+    queue_limit : int
+        Largest number of requests that wait for a slot.
+    longest_wait_ms : int
+        Largest estimated wait at which an ordinary request is still accepted.
+    """
+
+    queue_limit: int = 2000
+    longest_wait_ms: int = 10_000
+
+
+@attrs.define(eq=False)
+class Ticket:
+    """One request that waits for a slot or holds one.
+
+    ``refusal`` is set if the request is given up, which is always before it was forwarded.
+    """
+
+    id: int
+    team: str
+    is_urgent: bool
+    arrived_at: float
+    deadline_at: float
+    upstream: str | None = None
+    refusal: Refusal | None = None
+
+    @property
+    def is_waiting(self) -> bool:
+        """Tell whether the request still waits."""
+        return self.upstream is None and self.refusal is None
+
+
+@attrs.frozen
+class Admitted(out.Effect):
+    """A ticket has a slot or a refusal; whoever waits for it goes on now."""
+
+    ticket: Ticket
+
+
+@attrs.define
+class UpstreamRecord:
+    """Recent behaviour of one upstream."""
+
+    service_ms: float = 0.0
+    paused_until: float = 0.0
+
+
+@attrs.define
+class RequestGate:
+    """Hands out the slots of one service's upstreams in the zone.
+
+    Each upstream is assigned to one entry instance, which alone hands out its slots; peers
+    borrow slots when they have a backlog. A request is never forwarded without a slot, so an
+    upstream holds no hidden queue.
+    """
+
+    settings: GateSettings
+    pool: SharedPool = attrs.field(factory=SharedPool)
+    queue: FairQueue[Ticket] = attrs.field(
+        factory=lambda: FairQueue(is_live=lambda ticket: ticket.is_waiting)
+    )
+    records: dict[str, UpstreamRecord] = attrs.field(factory=dict)
+    assigned: frozenset[str] = frozenset()
+    service_ms: float = 10.0
+    waiting: int = 0
+    lending: Lending = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self.lending = Lending(self.pool)
+
+    def set_upstreams(self, slots: dict[str, int]) -> None:
+        """Set the upstreams that may receive new requests, with their slots."""
+        for name, count in slots.items():
+            self.pool.add(name, Capacity(slots=count))
+            self.records.setdefault(name, UpstreamRecord())
+        for name, member in list(self.pool.members.items()):
+            member.is_open = name in slots
+            if not member.is_open and member.used.slots == 0:
+                self.pool.remove(name)
+                self.records.pop(name, None)
+        self.pool.assign(set(self.assigned))
+
+    def assign(self, names: frozenset[str]) -> None:
+        """Set which upstreams are assigned to this instance."""
+        self.assigned = names
+        self.pool.assign(set(names))
+
+    def arrive(self, ticket: Ticket, now: float) -> list[out.Effect]:
+        """Accept, queue or refuse a request."""
+        ticket.refusal = self._refusal(ticket, now)
+        if ticket.refusal is not None:
+            return [Admitted(ticket)]
+        self.waiting += 1
+        self.queue.push(ticket.team, ticket.is_urgent, ticket)
+        return self.advance(now)
+
+    def finish(self, upstream: str, now: float, service_ms: float, is_ok: bool) -> list[out.Effect]:
+        """Give back the slot of a request that has ended."""
+        self.pool.release(upstream, ONE_SLOT)
+        record = self.records.get(upstream)
+        if record is not None and not is_ok:
+            record.paused_until = now + FAILURE_PAUSE_SECONDS
+        elif record is not None:
+            record.service_ms += SMOOTHING * (service_ms - record.service_ms)
+            self.service_ms += SMOOTHING * (service_ms - self.service_ms)
+        return self.advance(now)
+
+    def abandon(self, ticket: Ticket, now: float) -> list[out.Effect]:
+        """Withdraw a request whose caller has gone before it got a slot."""
+        if not ticket.is_waiting:
+            return []
+        return self._give_up(ticket, ErrorType.CANCELLED, "The caller went away.", None)
+
+    def advance(self, now: float) -> list[out.Effect]:
+        """Give free slots to waiting requests and balance room with the peers."""
+        effects: list[out.Effect] = []
+        backlog = None
+        while (head := self.queue.peek()) is not None:
+            team, is_urgent, ticket = head
+            if ticket.deadline_at <= now:
+                detail = "The request's time passed while it waited for a slot."
+                effects += self._give_up(ticket, ErrorType.DEADLINE_PASSED, detail, None)
+                continue
+            placed = self.pool.place(ONE_SLOT, 1, self._preference, self._allowance(now))
+            if not placed:
+                backlog = Backlog(ONE_SLOT, self.waiting)
+                break
+            ticket.upstream = placed[0][0]
+            self.queue.charge(team, is_urgent, 1.0)
+            self.queue.pop(team, is_urgent)
+            self.waiting -= 1
+            effects.append(Admitted(ticket))
+        return effects + self.lending.balance(backlog, now)
+
+    def tick(self, now: float) -> list[out.Effect]:
+        """Give up what has waited past its deadline, wherever it stands in the queue."""
+        effects: list[out.Effect] = []
+        for ticket in list(self.queue.entries()):
+            if ticket.is_waiting and ticket.deadline_at <= now:
+                detail = "The request's time passed while it waited for a slot."
+                effects += self._give_up(ticket, ErrorType.DEADLINE_PASSED, detail, None)
+        return effects + self.advance(now)
+
+    def loan_granted(self, grants: tuple[Grant, ...], now: float) -> list[out.Effect]:
+        """Use slots that a peer has lent."""
+        self.pool.borrow(grants)
+        return self.advance(now)
+
+    def wait_ms(self) -> float:
+        """Estimate the wait of a newly accepted request in milliseconds."""
+        slots = sum(
+            member.total.slots
+            for member in self.pool.members.values()
+            if member.is_open and member.is_assigned
+        )
+        return self.waiting * self.service_ms / slots if slots else 0.0
+
+    def _give_up(
+        self, ticket: Ticket, type: ErrorType, detail: str, retry_after_ms: int | None
+    ) -> list[out.Effect]:
+        ticket.refusal = Refusal(type, RunClaim.NOT_RUN, detail, retry_after_ms)
+        self.waiting -= 1
+        return [Admitted(ticket)]
+
+    def _refusal(self, ticket: Ticket, now: float) -> Refusal | None:
+        if not any(member.is_open for member in self.pool.members.values()):
+            detail = "No upstream of this service is known in this zone."
+            return Refusal(ErrorType.NO_UPSTREAM, RunClaim.NOT_RUN, detail, 1000)
+        wait_ms = self.wait_ms()
+        retry_ms = max(int(wait_ms / 2), SHORTEST_RETRY_MS)
+        if self.waiting >= self.settings.queue_limit:
+            detail = f"{self.waiting} requests wait already."
+            return Refusal(ErrorType.QUEUE_FULL, RunClaim.NOT_RUN, detail, retry_ms)
+        left_ms = (ticket.deadline_at - now) * 1000
+        if not ticket.is_urgent and wait_ms + self.service_ms > left_ms:
+            detail = f"The wait is about {wait_ms:.0f} ms, past the request's deadline."
+            return Refusal(ErrorType.DEADLINE_UNMEETABLE, RunClaim.NOT_RUN, detail, retry_ms)
+        return None
+
+    def _preference(self, name: str) -> float:
+        return 1.0 if self.records[name].service_ms > SLOW_FACTOR * self.service_ms else 0.0
+
+    def _allowance(self, now: float) -> Callable[[str], int]:
+        def allowance(name: str) -> int:
+            return 0 if self.records[name].paused_until > now else 1_000_000
+
+        return allowance
--- /dev/null
+++ b/packages/core/cranberryshore/settings/__init__.py
@@ -0,0 +1,28 @@
+"""Settings files: JSON with comments, checked as a whole."""
+
+from cranberryshore.settings.check import check_document, parse_document
+from cranberryshore.settings.schema import (
+    Address,
+    DaemonSettings,
+    LimitSettings,
+    LogSettings,
+    PlatformSettings,
+    Role,
+    TimingSettings,
+    TokenSettings,
+    load_daemon_settings,
+)
+
+__all__ = [
+    "Address",
+    "DaemonSettings",
+    "LimitSettings",
+    "LogSettings",
+    "PlatformSettings",
+    "Role",
+    "TimingSettings",
+    "TokenSettings",
+    "check_document",
+    "load_daemon_settings",
+    "parse_document",
+]
--- /dev/null
+++ b/packages/core/cranberryshore/settings/schema.py
@@ -0,0 +1,170 @@
+"""Settings of the entry daemon."""
+
+from enum import Enum
+from typing import Annotated
+
+import attrs
+from msgspec import Meta
+from result import Err, Ok, Result
+
+from cranberryshore.dispatch.settings import DispatchSettings
+from cranberryshore.errors import SettingsError
+from cranberryshore.settings.check import check_document, parse_document
+
+Name = Annotated[str, Meta(pattern=r"^[a-z0-9]([a-z0-9-]{0,38}[a-z0-9])?$")]
+Port = Annotated[int, Meta(ge=1, le=65535)]
+Host = Annotated[str, Meta(pattern=r"^[0-9]{1,3}(\.[0-9]{1,3}){3}$")]
+Url = Annotated[str, Meta(pattern=r"^http://[0-9.]+:[0-9]+$")]
+Digest = Annotated[str, Meta(pattern=r"^[0-9a-f]{64}$")]
+Seconds = Annotated[float, Meta(gt=0, le=3600)]
+Count = Annotated[int, Meta(ge=1, le=10_000_000)]
+
+
+class Role(Enum):
+    """What the bearer of a token may do."""
+
+    CALLER = "caller"
+    OPERATOR = "operator"
+
+
+@attrs.frozen
+class Address:
+    """An IP number and a port."""
+
+    host: Host
+    port: Port
+
+    def __str__(self) -> str:
+        return f"{self.host}:{self.port}"
+
+
+@attrs.frozen
+class TokenSettings:
+    """One token, known by its SHA-256 digest, and what its bearer may do."""
+
+    name: Name
+    sha256: Digest
+    role: Role = Role.CALLER
+    teams: tuple[Name, ...] = ("default",)
+
+
+@attrs.frozen
+class PlatformSettings:
+    """Where the platform's services answer."""
+
+    store_url: Url
+    instance_list_url: Url
+    instance_list_poll_seconds: Seconds = 1.0
+    call_timeout_seconds: Seconds = 1.0
+
+
+@attrs.frozen
+class TimingSettings:
+    """Periods of the daemon's own work.
+
+    Parameters
+    ----------
+    heartbeat_seconds : float
+        Time between two heartbeats to the zone's peers.
+    tick_seconds : float
+        Time between two looks for passed deadlines.
+    worker_lost_seconds : float
+        Silence after which a worker's tasks are given up.
+    drain_seconds : float
+        Longest time that a leaving instance works off its queue.
+    closure_seconds : float
+        Silence of an issuer after which a peer may close its ownership.
+    readiness_grace_seconds : float
+        Least time between the end of readiness and the end of listening.
+    """
+
+    heartbeat_seconds: Seconds = 0.3
+    tick_seconds: Seconds = 0.05
+    worker_lost_seconds: Seconds = 3.0
+    drain_seconds: Seconds = 20.0
+    closure_seconds: Seconds = 3.0
+    readiness_grace_seconds: Seconds = 1.0
+
+
+@attrs.frozen
+class LimitSettings:
+    """Limits on what callers may send."""
+
+    body_bytes: Count = 9_000_000
+    wait_ms: Count = 30_000
+    issued_ids: Count = 1000
+    key_bindings_per_second: Annotated[float, Meta(gt=0, le=500)] = 20.0
+
+
+@attrs.frozen
+class LogSettings:
+    """Form and amount of the log."""
+
+    is_json: bool = False
+    level: Annotated[str, Meta(pattern="^(debug|info|warning|error)$")] = "info"
+
+
+@attrs.frozen
+class DaemonSettings:
+    """Everything that an entry daemon is told.
+
+    Parameters
+    ----------
+    instance, zone : str
+        Names of this instance and of its availability zone.
+    listen : Address
+        Where callers and operators connect.
+    peer_listen : Address
+        Where peers connect.
+    platform : PlatformSettings
+        Where the platform's services answer.
+    tokens : tuple of TokenSettings
+        Known callers and operators.
+    seeds : tuple of Address
+        Peer addresses to greet at start, besides those of the instance list.
+    """
+
+    instance: Name
+    zone: Name
+    listen: Address
+    peer_listen: Address
+    platform: PlatformSettings
+    tokens: tuple[TokenSettings, ...]
+    seeds: tuple[Address, ...] = ()
+    timing: TimingSettings = TimingSettings()
+    limits: LimitSettings = LimitSettings()
+    dispatch: DispatchSettings = DispatchSettings()
+    log: LogSettings = LogSettings()
+    records_trace: bool = False
+
+
+def load_daemon_settings(text: str) -> Result[DaemonSettings, list[SettingsError]]:
+    """Parse and check the text of a daemon's settings file.
+
+    Examples
+    --------
+    >>> str(load_daemon_settings("{").unwrap_err()[0].path)
+    '$'
+    """
+    document = parse_document(text)
+    if isinstance(document, Err):
+        return document
+    return check_document(document.ok_value, DaemonSettings).and_then(_check_whole)
+
+
+def _check_whole(settings: DaemonSettings) -> Result[DaemonSettings, list[SettingsError]]:
+    names = [token.name for token in settings.tokens]
+    faults = []
+    for index, name in enumerate(names):
+        if name in names[:index]:
+            path = f"$.tokens[{index}].name"
+            faults.append(SettingsError(path, repr(name), "a name that no other token has"))
+    if settings.listen == settings.peer_listen:
+        value = str(settings.peer_listen)
+        faults.append(SettingsError("$.peer_listen", value, "another address than listen"))
+    timing = settings.timing
+    if timing.closure_seconds <= 2 * timing.heartbeat_seconds:
+        value = str(timing.closure_seconds)
+        expected = "more than two heartbeat periods"
+        faults.append(SettingsError("$.timing.closure_seconds", value, expected))
+    return Err(faults) if faults else Ok(settings)
--- /dev/null
+++ b/packages/core/cranberryshore/timeline/event.py
@@ -0,0 +1,66 @@
+"""Events of the time line."""
+
+from enum import Enum
+
+import attrs
+
+from cranberryshore.timeline.clock import Stamp
+
+
+class EventKind(Enum):
+    """What happened."""
+
+    PROCESS_STARTED = "process_started"
+    PROCESS_DRAINING = "process_draining"
+    PROCESS_STOPPED = "process_stopped"
+    JOB_SUBMITTED = "job_submitted"
+    JOB_ACCEPTED = "job_accepted"
+    JOB_REFUSED = "job_refused"
+    JOB_ANSWERED = "job_answered"
+    JOB_CANCELLED = "job_cancelled"
+    JOB_TRUTH = "job_truth"
+    TASKS_STARTED = "tasks_started"
+    TASKS_STOPPED = "tasks_stopped"
+    REQUEST_FORWARDED = "request_forwarded"
+    REQUEST_ANSWERED = "request_answered"
+    REQUEST_REFUSED = "request_refused"
+    CONFIGURATION_ACCEPTED = "configuration_accepted"
+    CONFIGURATION_APPLIED = "configuration_applied"
+    MEMBER_JOINED = "member_joined"
+    MEMBER_SUSPECTED = "member_suspected"
+    MEMBER_LEFT = "member_left"
+    OWNER_REGISTERED = "owner_registered"
+    OWNER_CLOSED = "owner_closed"
+    OWNER_RETIRED = "owner_retired"
+    WORKER_ADDED = "worker_added"
+    WORKER_LOST = "worker_lost"
+    STORE_UNREACHABLE = "store_unreachable"
+    STORE_REACHABLE = "store_reachable"
+
+
+@attrs.frozen
+class Event:
+    """One event of one process.
+
+    Parameters
+    ----------
+    stamp : Stamp
+        Hybrid logical time.
+    process : str
+        Incarnation of the process.
+    kind : EventKind
+        What happened.
+    subject : str
+        Id of the job or request, or name of the member, worker or resource.
+    detail : str
+        One short sentence or value.
+    count : int
+        Number of tasks concerned, where that applies.
+    """
+
+    stamp: Stamp
+    process: str
+    kind: EventKind
+    subject: str = ""
+    detail: str = ""
+    count: int = 0
--- /dev/null
+++ b/packages/core/cranberryshore/work/__init__.py
@@ -0,0 +1,18 @@
+"""Jobs, tasks, and capacities."""
+
+from cranberryshore.work.capacity import MILLICORES_PER_PROCESSOR, NOTHING, Capacity
+from cranberryshore.work.job import Job, JobState, TaskResult, TaskState
+from cranberryshore.work.task import JobRequest, TaskSpec, check_job_request
+
+__all__ = [
+    "MILLICORES_PER_PROCESSOR",
+    "NOTHING",
+    "Capacity",
+    "Job",
+    "JobRequest",
+    "JobState",
+    "TaskResult",
+    "TaskSpec",
+    "TaskState",
+    "check_job_request",
+]
--- /dev/null
+++ b/packages/core/cranberryshore/work/capacity.py
@@ -0,0 +1,92 @@
+"""Amounts of processors, memory, accelerators and request slots."""
+
+import attrs
+
+MILLICORES_PER_PROCESSOR = 1000
+COUNT_WITHOUT_DEMAND = 1_000_000
+
+
+@attrs.frozen
+class Capacity:
+    """An amount of each resource of a worker or an upstream.
+
+    Examples
+    --------
+    >>> whole = Capacity(4000, 8192, 1)
+    >>> whole.count_of(Capacity(1000, 1024, 0))
+    4
+    >>> (whole - Capacity(1000, 1024, 0)).millicores
+    3000
+    """
+
+    millicores: int = 0
+    memory_mb: int = 0
+    accelerators: int = 0
+    slots: int = 0
+
+    def __add__(self, other: "Capacity") -> "Capacity":
+        return Capacity(
+            self.millicores + other.millicores,
+            self.memory_mb + other.memory_mb,
+            self.accelerators + other.accelerators,
+            self.slots + other.slots,
+        )
+
+    def __sub__(self, other: "Capacity") -> "Capacity":
+        return Capacity(
+            self.millicores - other.millicores,
+            self.memory_mb - other.memory_mb,
+            self.accelerators - other.accelerators,
+            self.slots - other.slots,
+        )
+
+    def __mul__(self, count: int) -> "Capacity":
+        return Capacity(
+            self.millicores * count,
+            self.memory_mb * count,
+            self.accelerators * count,
+            self.slots * count,
+        )
+
+    def holds(self, demand: "Capacity") -> bool:
+        """Tell whether ``demand`` fits."""
+        return (
+            self.millicores >= demand.millicores
+            and self.memory_mb >= demand.memory_mb
+            and self.accelerators >= demand.accelerators
+            and self.slots >= demand.slots
+        )
+
+    def count_of(self, demand: "Capacity") -> int:
+        """Return how many copies of ``demand`` fit side by side."""
+        fits = COUNT_WITHOUT_DEMAND
+        if demand.millicores:
+            fits = min(fits, self.millicores // demand.millicores)
+        if demand.memory_mb:
+            fits = min(fits, self.memory_mb // demand.memory_mb)
+        if demand.accelerators:
+            fits = min(fits, self.accelerators // demand.accelerators)
+        if demand.slots:
+            fits = min(fits, self.slots // demand.slots)
+        return max(fits, 0)
+
+    def clipped(self) -> "Capacity":
+        """Return the same amount with negative parts set to zero."""
+        return Capacity(
+            max(self.millicores, 0),
+            max(self.memory_mb, 0),
+            max(self.accelerators, 0),
+            max(self.slots, 0),
+        )
+
+    def maximum(self, other: "Capacity") -> "Capacity":
+        """Return the larger amount of each resource."""
+        return Capacity(
+            max(self.millicores, other.millicores),
+            max(self.memory_mb, other.memory_mb),
+            max(self.accelerators, other.accelerators),
+            max(self.slots, other.slots),
+        )
+
+
+NOTHING = Capacity()
--- /dev/null
+++ b/packages/core/cranberryshore/work/job.py
@@ -0,0 +1,167 @@
+"""The job aggregate: its tasks' states and its one outcome."""
+
+from enum import Enum
+
+import attrs
+
+from cranberryshore.errors import ErrorType, Refusal, RunClaim
+from cranberryshore.identity.submission_id import SubmissionId
+from cranberryshore.work.task import JobRequest, TaskSpec
+
+
+class TaskState(Enum):
+    """State of one task at its issuer."""
+
+    WAITING = "waiting"
+    STARTED = "started"
+    DONE = "done"
+    FAILED = "failed"
+    LOST = "lost"
+
+
+class JobState(Enum):
+    """State of a job as its caller sees it."""
+
+    QUEUED = "queued"
+    RUNNING = "running"
+    COMPLETE = "complete"
+    FAILED = "failed"
+
+
+@attrs.frozen
+class TaskResult:
+    """What a worker reports of one finished task."""
+
+    index: int
+    is_ok: bool
+    output: str = ""
+    run_ms: int = 0
+
+
+@attrs.define
+class Job:
+    """One accepted submission.
+
+    A task is handed out at most once: from ``WAITING`` to ``STARTED``, and back only when the
+    worker has refused it and therefore never ran it. The outcome is set once.
+
+    Parameters
+    ----------
+    id : SubmissionId
+        Identifier of the submission.
+    caller : str
+        Name of the caller, the only one that receives the answer.
+    request : JobRequest
+        What was submitted.
+    accepted_at : float
+        Time of acceptance in seconds on the issuer's clock.
+    """
+
+    id: SubmissionId
+    caller: str
+    request: JobRequest
+    accepted_at: float
+    states: list[TaskState] = attrs.field(init=False)
+    workers: dict[int, str] = attrs.field(init=False, factory=dict)
+    outputs: dict[int, str] = attrs.field(init=False, factory=dict)
+    waiting: list[int] = attrs.field(init=False)
+    failure: Refusal | None = None
+    settled_at: float | None = None
+
+    def __attrs_post_init__(self) -> None:
+        count = len(self.request.tasks)
+        self.states = [TaskState.WAITING] * count
+        self.waiting = list(range(count - 1, -1, -1))
+
+    @property
+    def is_settled(self) -> bool:
+        """Tell whether the outcome is known."""
+        return self.settled_at is not None
+
+    @property
+    def is_complete(self) -> bool:
+        """Tell whether every task has delivered its output."""
+        return self.is_settled and self.failure is None
+
+    @property
+    def state(self) -> JobState:
+        """Return the state that the caller sees."""
+        if self.is_settled:
+            return JobState.COMPLETE if self.failure is None else JobState.FAILED
+        return JobState.RUNNING if self.workers or self.outputs else JobState.QUEUED
+
+    @property
+    def has_started(self) -> bool:
+        """Tell whether any task may have been started."""
+        return any(state is not TaskState.WAITING for state in self.states)
+
+    def hand_out(self, count: int, worker: str) -> list[int]:
+        """Take up to ``count`` waiting tasks for ``worker`` and return their indexes."""
+        if self.is_settled:
+            return []
+        indexes = [self.waiting.pop() for _ in range(min(count, len(self.waiting)))]
+        for index in indexes:
+            self.states[index] = TaskState.STARTED
+            self.workers[index] = worker
+        return indexes
+
+    def take_back(self, index: int) -> bool:
+        """Put a task that its worker refused to start back among the waiting ones."""
+        if self.is_settled or self.states[index] is not TaskState.STARTED:
+            return False
+        self.states[index] = TaskState.WAITING
+        self.workers.pop(index, None)
+        self.waiting.append(index)
+        return True
+
+    def finish(self, result: TaskResult, now: float) -> bool:
+        """Record a task's result; return whether it was news.
+
+        A failed task settles the whole job as failed.
+        """
+        if self.states[result.index] is not TaskState.STARTED:
+            return False
+        self.workers.pop(result.index, None)
+        if not result.is_ok:
+            self.states[result.index] = TaskState.FAILED
+            detail = f"Task {result.index} ran and failed: {result.output[:200]}"
+            self.fail(Refusal(ErrorType.TASK_FAILED, RunClaim.RAN_AND_FAILED, detail), now)
+            return True
+        self.states[result.index] = TaskState.DONE
+        if self.is_settled:
+            return True
+        self.outputs[result.index] = result.output
+        if len(self.outputs) == len(self.states):
+            self.settled_at = now
+        return True
+
+    def lose(self, index: int, failure: Refusal, now: float) -> None:
+        """Record that a started task's fate cannot be learnt, which fails the job."""
+        self.states[index] = TaskState.LOST
+        self.workers.pop(index, None)
+        self.fail(failure, now)
+
+    def fail(self, failure: Refusal, now: float) -> None:
+        """Settle the job as failed unless it is settled already."""
+        if self.is_settled:
+            return
+        self.failure = failure
+        self.settled_at = now
+        self.outputs.clear()
+
+    def next_run(self, limit: int) -> tuple[TaskSpec, int]:
+        """Return the next waiting task's specification and how many waiting ones share it."""
+        spec = self.request.tasks[self.waiting[-1]]
+        count = 0
+        for index in reversed(self.waiting):
+            if count == limit or self.request.tasks[index].demand != spec.demand:
+                break
+            count += 1
+        return spec, count
+
+    def running_by_worker(self) -> dict[str, list[int]]:
+        """Return the started tasks that have not reported, by worker."""
+        grouped: dict[str, list[int]] = {}
+        for index, worker in self.workers.items():
+            grouped.setdefault(worker, []).append(index)
+        return grouped
--- /dev/null
+++ b/packages/daemon/cranberryshored/config/editor.py
@@ -0,0 +1,176 @@
+"""Accepting operators' changes by compare-and-swap."""
+
+from time import time
+from typing import Any
+
+import attrs
+import msgspec
+from result import Err, Ok, Result
+from structlog.typing import FilteringBoundLogger
+
+from cranberryshore.config import Resource, ResourceKind, check_resource, resource_key
+from cranberryshore.errors import ErrorType, Refusal, RunClaim
+from cranberryshore.messages import decode_json, encode_json
+from cranberryshore.timeline import EventKind, Recorder
+from cranberryshored.platform import Entry, Store, StoreFailure, StoreUnavailable
+
+RETRY_MS = 1000
+
+
+@attrs.frozen
+class Accepted:
+    """An accepted change and the store's revision that carries it."""
+
+    resource: Resource | None
+    revision: int
+
+
+@attrs.frozen
+class Proposal:
+    """What an operator asks for.
+
+    Parameters
+    ----------
+    kind, name : ResourceKind, str
+        Which resource.
+    spec : dict or None
+        New specification; ``None`` deletes.
+    expected_generation : int or None
+        Generation that the operator has seen; 0 if none existed; ``None`` for any.
+    operator, change_id : str
+        Who asks, and the identifier by which the change's fate is read back.
+    """
+
+    kind: ResourceKind
+    name: str
+    spec: dict[str, Any] | None
+    expected_generation: int | None
+    operator: str
+    change_id: str
+
+
+@attrs.define(eq=False)
+class ConfigEditor:
+    """Writes changes so that of two conflicting operators one wins and the other is told."""
+
+    store: Store
+    recorder: Recorder
+    log: FilteringBoundLogger
+
+    async def change(self, proposal: Proposal) -> Result[Accepted, Refusal]:
+        """Check and write one change; the outcome is true also after a lost reply."""
+        if proposal.spec is not None:
+            checked = check_resource(proposal.kind, proposal.name, proposal.spec)
+            if isinstance(checked, Err):
+                detail = "; ".join(str(fault) for fault in checked.err_value)
+                return Err(Refusal(ErrorType.MALFORMED, RunClaim.NOT_RUN, detail))
+        key = resource_key(proposal.kind, proposal.name)
+        read = await self.store.get(key)
+        if isinstance(read, Err):
+            return Err(_store_refusal(read.err_value))
+        entry = read.ok_value
+        current = _resource(entry)
+        if current is not None and current.change_id == proposal.change_id:
+            return Ok(Accepted(current, entry.revision))
+        refusal = _generation_refusal(proposal, current)
+        if refusal is not None:
+            return Err(refusal)
+        accepted = await self._write(proposal, key, entry, current)
+        if isinstance(accepted, Ok):
+            self.recorder.record(
+                time(),
+                EventKind.CONFIGURATION_ACCEPTED,
+                key,
+                f"revision {accepted.ok_value.revision} by {proposal.operator}",
+            )
+        return accepted
+
+    async def _write(
+        self, proposal: Proposal, key: str, entry: Entry | None, current: Resource | None
+    ) -> Result[Accepted, Refusal]:
+        expected = 0 if entry is None else entry.revision
+        generation = 0 if current is None else current.generation
+        resource = None
+        if proposal.spec is None:
+            written = await self.store.delete(key, expected)
+        else:
+            resource = Resource(
+                proposal.kind,
+                proposal.name,
+                proposal.spec,
+                generation + 1,
+                proposal.operator,
+                proposal.change_id,
+                time(),
+            )
+            written = await self.store.put(key, encode_json(resource).decode(), expected)
+        if isinstance(written, Ok):
+            return Ok(Accepted(resource, written.ok_value))
+        return await self._read_back(proposal, key, written.err_value)
+
+    async def _read_back(
+        self, proposal: Proposal, key: str, error: StoreFailure
+    ) -> Result[Accepted, Refusal]:
+        """Learn the truth after a conflict or a lost reply."""
+        read = await self.store.get(key)
+        if isinstance(read, Err):
+            return Err(_uncertain())
+        entry = read.ok_value
+        found = _resource(entry)
+        if proposal.spec is None and entry is None:
+            return Ok(Accepted(None, 0))
+        if found is not None and found.change_id == proposal.change_id:
+            return Ok(Accepted(found, entry.revision))
+        if isinstance(error, StoreUnavailable):
+            # The write may still be under way to the store.
+            return Err(_uncertain())
+        return Err(_conflict(proposal, found))
+
+
+def _resource(entry: Entry | None) -> Resource | None:
+    if entry is None:
+        return None
+    try:
+        return decode_json(entry.value.encode(), Resource)
+    except (msgspec.DecodeError, ValueError):
+        return None
+
+
+def _generation_refusal(proposal: Proposal, current: Resource | None) -> Refusal | None:
+    if proposal.spec is None and current is None:
+        detail = f"There is no {proposal.kind.value} {proposal.name}."
+        return Refusal(ErrorType.NOT_FOUND, RunClaim.NOT_RUN, detail)
+    generation = 0 if current is None else current.generation
+    if proposal.expected_generation in (None, generation):
+        return None
+    return _conflict(proposal, current)
+
+
+def _conflict(proposal: Proposal, current: Resource | None) -> Refusal:
+    if current is None:
+        detail = f"The {proposal.kind.value} {proposal.name} was deleted meanwhile."
+        return Refusal(ErrorType.CONFLICT, RunClaim.NOT_RUN, detail)
+    wanted = proposal.spec or {}
+    names = sorted(
+        name
+        for name in wanted.keys() | current.spec.keys()
+        if wanted.get(name) != current.spec.get(name)
+    )
+    differing = ", ".join(
+        f"{name} is {current.spec.get(name)!r}, not {wanted.get(name)!r}" for name in names
+    )
+    detail = (
+        f"{current.changed_by} changed it at {current.changed_at:.3f} to generation "
+        f"{current.generation}; differing: {differing or 'nothing'}."
+    )
+    return Refusal(ErrorType.CONFLICT, RunClaim.NOT_RUN, detail)
+
+
+def _store_refusal(error: StoreFailure) -> Refusal:
+    detail = f"The store does not answer ({error}); nothing was changed."
+    return Refusal(ErrorType.STORE_UNAVAILABLE, RunClaim.NOT_RUN, detail, RETRY_MS)
+
+
+def _uncertain() -> Refusal:
+    detail = "The store did not confirm the change; ask again with the same Change-Id."
+    return Refusal(ErrorType.CHANGE_UNCERTAIN, RunClaim.MAY_HAVE_RUN, detail, RETRY_MS)
--- /dev/null
+++ b/packages/daemon/cranberryshored/jobs/service.py
@@ -0,0 +1,216 @@
+"""The dispatcher with its surroundings: carries out what it decides."""
+
+import asyncio
+from time import time
+
+import attrs
+from structlog.typing import FilteringBoundLogger
+
+from cranberryshore.dispatch import (
+    AskPeers,
+    Dispatcher,
+    Effect,
+    GiveBack,
+    Input,
+    JobForgotten,
+    JobSettled,
+    LendTo,
+    OwnerClosed,
+    OwnerRetired,
+    RecallLoans,
+    StartTasks,
+    StopTasks,
+    TasksFinished,
+    TasksRejected,
+    Tick,
+    Trace,
+    UsageReported,
+    WorkerLost,
+    WorkerOpened,
+)
+from cranberryshore.messages import (
+    JobAnswer,
+    LoanAsk,
+    LoanGrants,
+    LoanRecall,
+    LoanReturns,
+    Opened,
+    OwnerReport,
+    Rejected,
+    RejectReason,
+    Results,
+    Start,
+    Stop,
+    Usage,
+)
+from cranberryshore.messages.peer import JOBS_SCOPE
+from cranberryshore.ownership import OwnedWorker
+from cranberryshore.timeline import EventKind, Recorder
+from cranberryshore.work import Job
+from cranberryshored.jobs.closures import Closures
+from cranberryshored.jobs.workers import WorkerLinks
+from cranberryshored.loans import LoanExchange
+from cranberryshored.metrics import Metrics
+
+
+@attrs.define(eq=False)
+class JobService:
+    """Feeds the dispatcher with what happens and carries out its effects.
+
+    Parameters
+    ----------
+    dispatcher : Dispatcher
+        Decides; performs no input or output.
+    loans : LoanExchange
+        Sends loan messages to the zone's peers.
+    retired : asyncio.Event
+        Set when the incarnation has been closed by a peer and must be replaced.
+    """
+
+    dispatcher: Dispatcher
+    loans: LoanExchange
+    recorder: Recorder
+    metrics: Metrics
+    log: FilteringBoundLogger
+    tick_seconds: float
+    links: WorkerLinks | None = None
+    closures: Closures | None = None
+    trace: Trace | None = None
+    retired: asyncio.Event = attrs.field(factory=asyncio.Event)
+    waiters: dict[str, list[asyncio.Future]] = attrs.field(factory=dict)
+    task: asyncio.Task | None = None
+
+    async def start(self) -> None:
+        """Begin to look for passed deadlines and silent workers."""
+        self.task = asyncio.create_task(self._run())
+
+    async def close(self) -> None:
+        """Stop."""
+        if self.task is not None:
+            self.task.cancel()
+            await asyncio.gather(self.task, return_exceptions=True)
+
+    def handle(self, input: Input) -> list[Effect]:
+        """Feed one input to the dispatcher, carry out the effects and return them."""
+        now = asyncio.get_running_loop().time()
+        if self.trace is not None:
+            self.trace.record(input, now)
+        effects = self.dispatcher.handle(input, now)
+        for effect in effects:
+            self._carry_out(effect)
+        return effects
+
+    async def wait(self, job: Job, seconds: float) -> None:
+        """Wait until a job is settled, at most ``seconds``."""
+        if job.is_settled or seconds <= 0:
+            return
+        future = asyncio.get_running_loop().create_future()
+        self.waiters.setdefault(str(job.id), []).append(future)
+        await asyncio.wait([future], timeout=seconds)
+
+    def answer(self, job: Job) -> JobAnswer:
+        """Return what the caller learns of a job: whole outputs or none."""
+        count = len(job.states)
+        outputs = None
+        if job.is_complete:
+            outputs = tuple(job.outputs[index] for index in range(count))
+        return JobAnswer(str(job.id), job.state, count, outputs, job.failure)
+
+    def worker_opened(self, worker: OwnedWorker, frame: Opened) -> None:
+        """See :class:`WorkerEvents`."""
+        self.log.info("Session open.", worker=worker.name)
+        self.handle(WorkerOpened(worker.name, frame.worker_incarnation, frame.known))
+
+    def worker_silent(self, worker: OwnedWorker) -> None:
+        """See :class:`WorkerEvents`."""
+        self.recorder.record(time(), EventKind.WORKER_LOST, worker.name, worker.incarnation)
+        self.log.warning("Worker lost.", worker=worker.name)
+        self.handle(WorkerLost(worker.name, worker.incarnation))
+
+    def worker_results(self, worker: OwnedWorker, frame: Results) -> None:
+        """See :class:`WorkerEvents`."""
+        late = self.dispatcher.late_results
+        self.handle(TasksFinished(worker.name, frame.results))
+        self.metrics.wasted.labels("late_result").inc(self.dispatcher.late_results - late)
+
+    def worker_rejected(self, worker: OwnedWorker, frame: Rejected) -> None:
+        """See :class:`WorkerEvents`."""
+        self.metrics.wasted.labels(f"rejected_{frame.reason.value}").inc()
+        if frame.reason is RejectReason.OWNER_CLOSED:
+            self.owner_refused(worker)
+        self.handle(TasksRejected(worker.name, frame.tasks))
+
+    def worker_usage(self, worker: OwnedWorker, frame: Usage) -> None:
+        """See :class:`WorkerEvents`."""
+        own = self.dispatcher.owner
+        others = {owner: held for owner, held in frame.by_owner.items() if owner != own}
+        self.handle(UsageReported(worker.name, others))
+
+    def worker_report(self, worker: OwnedWorker, frame: OwnerReport) -> None:
+        """See :class:`WorkerEvents`."""
+        self.closures.on_report(worker, frame)
+
+    def owner_refused(self, worker: OwnedWorker) -> None:
+        """See :class:`WorkerEvents`."""
+        self.handle(OwnerClosed(self.dispatcher.owner))
+
+    def _carry_out(self, effect: Effect) -> None:
+        if isinstance(effect, StartTasks):
+            self._start_tasks(effect)
+        elif isinstance(effect, StopTasks):
+            self._stop_tasks(effect)
+        elif isinstance(effect, JobSettled):
+            self._settled(effect)
+        elif isinstance(effect, AskPeers):
+            self.loans.ask(LoanAsk(JOBS_SCOPE, effect.demand, effect.count))
+        elif isinstance(effect, LendTo):
+            self.loans.lend(effect.peer, LoanGrants(JOBS_SCOPE, effect.grants))
+        elif isinstance(effect, GiveBack):
+            self.loans.give_back(LoanReturns(JOBS_SCOPE, effect.grants))
+        elif isinstance(effect, RecallLoans):
+            recall = LoanRecall(JOBS_SCOPE, tuple(sorted(effect.workers)))
+            self.loans.recall(effect.peers, recall)
+        elif isinstance(effect, JobForgotten):
+            self._wake(str(effect.id))
+        elif isinstance(effect, OwnerRetired):
+            self.recorder.record(time(), EventKind.OWNER_RETIRED, effect.owner)
+            self.log.warning("Ownership was closed by a peer.", owner=effect.owner)
+            self.retired.set()
+
+    def _start_tasks(self, effect: StartTasks) -> None:
+        link = self.links.open_link(OwnedWorker(effect.worker, effect.incarnation))
+        batch = effect.batch
+        count = len(batch.tasks)
+        self.recorder.record(time(), EventKind.TASKS_STARTED, batch.job, effect.worker, count)
+        if link is not None:
+            link.send(Start((batch,)))
+
+    def _stop_tasks(self, effect: StopTasks) -> None:
+        link = self.links.links.get(effect.worker)
+        self.recorder.record(time(), EventKind.TASKS_STOPPED, effect.job, effect.worker)
+        if link is not None:
+            link.send(Stop((effect.job,)))
+
+    def _settled(self, effect: JobSettled) -> None:
+        key = str(effect.id)
+        job = self.dispatcher.jobs[key]
+        seconds = job.settled_at - job.accepted_at
+        outcome = "complete" if job.failure is None else job.failure.type.value
+        self.metrics.jobs.labels(outcome).inc()
+        self.metrics.job_seconds.observe(seconds)
+        detail = outcome if job.failure is None else f"{outcome}: {job.failure.claim.value}"
+        self.recorder.record(time(), EventKind.JOB_ANSWERED, key, detail, len(job.states))
+        self._wake(key)
+
+    def _wake(self, key: str) -> None:
+        for future in self.waiters.pop(key, ()):
+            if not future.done():
+                future.set_result(None)
+
+    async def _run(self) -> None:
+        loop = asyncio.get_running_loop()
+        while True:
+            await asyncio.sleep(self.tick_seconds)
+            self.handle(Tick())
+            self.links.check_silence(loop.time())
+            self.metrics.queued_tasks.set(self.dispatcher.filling.waiting_tasks)
--- /dev/null
+++ b/packages/daemon/cranberryshored/loans.py
@@ -0,0 +1,57 @@
+"""Loan messages between the entry instances of the zone."""
+
+from typing import Protocol
+
+import attrs
+
+from cranberryshore.identity import parse_incarnation
+from cranberryshore.membership import PeerTable
+from cranberryshore.messages import LoanAsk, LoanGrants, LoanRecall, LoanReturns
+from cranberryshored.peers import PeerTransport
+
+
+class Assignments(Protocol):
+    """Knows which instance each worker or upstream is assigned to."""
+
+    def assigned_to(self, scope: str, resource: str) -> str | None:
+        """Return the incarnation that a resource is assigned to."""
+        ...
+
+
+@attrs.define(eq=False)
+class LoanExchange:
+    """Sends the loan messages of all scopes."""
+
+    table: PeerTable
+    transport: PeerTransport
+    assignments: Assignments
+
+    def ask(self, message: LoanAsk) -> None:
+        """Ask every live peer of the zone."""
+        for peer in self.table.live():
+            self.transport.send(peer.address, str(peer.incarnation), message)
+
+    def lend(self, peer: str, message: LoanGrants) -> None:
+        """Lend to one peer."""
+        self._send(peer, message)
+
+    def recall(self, peers: frozenset[str], message: LoanRecall) -> None:
+        """Tell borrowers that their loans are needed."""
+        for peer in sorted(peers):
+            self._send(peer, message)
+
+    def give_back(self, message: LoanReturns) -> None:
+        """Return grants to whoever the resources are assigned to."""
+        by_peer: dict[str, list] = {}
+        for grant in message.grants:
+            owner = self.assignments.assigned_to(message.scope, grant.resource)
+            if owner is not None:
+                by_peer.setdefault(owner, []).append(grant)
+        for peer, grants in by_peer.items():
+            self._send(peer, LoanReturns(message.scope, tuple(grants)))
+
+    def _send(self, peer: str, message: LoanGrants | LoanReturns | LoanRecall) -> None:
+        incarnation = parse_incarnation(peer)
+        known = self.table.peers.get(incarnation) if incarnation is not None else None
+        if known is not None:
+            self.transport.send(known.address, peer, message)
--- /dev/null
+++ b/packages/daemon/cranberryshored/main.py
@@ -0,0 +1,52 @@
+"""Entry point of ``cranberryshored``."""
+
+import asyncio
+import sys
+from argparse import ArgumentParser
+from pathlib import Path
+from signal import SIGINT, SIGTERM
+
+from aiomisc import entrypoint
+from result import Err
+
+from cranberryshore.settings import DaemonSettings, load_daemon_settings
+from cranberryshored.app import Daemon
+from cranberryshored.log import configure_log
+
+EXIT_BAD_SETTINGS = 2
+WORKER_THREADS = 1
+
+
+async def _run(settings: DaemonSettings) -> None:
+    daemon = Daemon(settings)
+    stop = asyncio.Event()
+    loop = asyncio.get_running_loop()
+    for signal in (SIGTERM, SIGINT):
+        loop.add_signal_handler(signal, stop.set)
+    await daemon.start()
+    await stop.wait()
+    await daemon.close()
+
+
+def main() -> None:
+    """Read the settings and run until a signal says to leave."""
+    parser = ArgumentParser(prog="cranberryshored", description="Entry daemon of cranberryshore.")
+    parser.add_argument("--settings", required=True, type=Path, help="settings file")
+    arguments = parser.parse_args()
+    try:
+        text = arguments.settings.read_text(encoding="utf-8")
+    except OSError as error:
+        sys.exit(f"cranberryshored: {error}")
+    loaded = load_daemon_settings(text)
+    if isinstance(loaded, Err):
+        for fault in loaded.err_value:
+            print(f"{arguments.settings}: {fault}", file=sys.stderr)
+        sys.exit(EXIT_BAD_SETTINGS)
+    settings = loaded.ok_value
+    configure_log(settings.log, f"{settings.zone}.{settings.instance}")
+    with entrypoint(log_config=False, pool_size=WORKER_THREADS) as loop:
+        loop.run_until_complete(_run(settings))
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/packages/daemon/cranberryshored/metrics.py
@@ -0,0 +1,71 @@
+"""Metrics of the daemon for Prometheus."""
+
+import attrs
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
+
+RESPONSE_BUCKETS = (
+    0.002,
+    0.005,
+    0.01,
+    0.02,
+    0.05,
+    0.1,
+    0.2,
+    0.5,
+    1.0,
+    2.0,
+    5.0,
+    10.0,
+    30.0,
+)
+
+
+def _counter(name: str, text: str, *labels: str):
+    return attrs.field(
+        default=attrs.Factory(
+            lambda self: Counter(name, text, labels, registry=self.registry), takes_self=True
+        )
+    )
+
+
+def _gauge(name: str, text: str, *labels: str):
+    return attrs.field(
+        default=attrs.Factory(
+            lambda self: Gauge(name, text, labels, registry=self.registry), takes_self=True
+        )
+    )
+
+
+def _histogram(name: str, text: str, *labels: str):
+    return attrs.field(
+        default=attrs.Factory(
+            lambda self: Histogram(
+                name, text, labels, buckets=RESPONSE_BUCKETS, registry=self.registry
+            ),
+            takes_self=True,
+        )
+    )
+
+
+@attrs.define(slots=False)
+class Metrics:
+    """All metrics of one daemon, described in docs/OPERATIONS.md."""
+
+    registry: CollectorRegistry = attrs.field(factory=CollectorRegistry)
+    store_calls: Counter = _counter("cranberryshore_store_calls", "Store calls.", "kind")
+    messages: Counter = _counter("cranberryshore_messages", "Messages by kind.", "kind")
+    wasted: Counter = _counter("cranberryshore_wasted_messages", "Wasted messages.", "reason")
+    accepted: Counter = _counter("cranberryshore_accepted_tasks", "Accepted tasks.")
+    jobs: Counter = _counter("cranberryshore_jobs", "Settled jobs.", "outcome")
+    requests: Counter = _counter("cranberryshore_requests", "Requests.", "outcome")
+    refusals: Counter = _counter("cranberryshore_refusals", "Refusals.", "type")
+    job_seconds: Histogram = _histogram("cranberryshore_job_seconds", "Response time of jobs.")
+    request_seconds: Histogram = _histogram(
+        "cranberryshore_request_seconds", "Response time of requests.", "service"
+    )
+    queued_tasks: Gauge = _gauge("cranberryshore_queued_tasks", "Tasks that wait for room.")
+    queued_requests: Gauge = _gauge("cranberryshore_queued_requests", "Requests that wait.")
+    free_slots: Gauge = _gauge("cranberryshore_free_slots", "Free assigned slots.", "service")
+    revision: Gauge = _gauge("cranberryshore_configuration_revision", "Revision in force.")
+    live_peers: Gauge = _gauge("cranberryshore_live_peers", "Live peers of the zone.")
+    open_workers: Gauge = _gauge("cranberryshore_open_workers", "Workers with a session.")
--- /dev/null
+++ b/packages/daemon/cranberryshored/peers/__init__.py
@@ -0,0 +1,13 @@
+"""Exchange of messages with other entry daemons."""
+
+from cranberryshored.peers.calls import CallHandler, PeerCalls
+from cranberryshored.peers.membership import MembershipListener, MembershipService
+from cranberryshored.peers.transport import PeerTransport
+
+__all__ = [
+    "CallHandler",
+    "MembershipListener",
+    "MembershipService",
+    "PeerCalls",
+    "PeerTransport",
+]
--- /dev/null
+++ b/packages/daemon/cranberryshored/peers/calls.py
@@ -0,0 +1,79 @@
+"""Questions to peers and their answers."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from itertools import count
+from typing import Any
+
+import attrs
+from structlog.typing import FilteringBoundLogger
+
+from cranberryshore.messages import PeerCall, PeerReply, open_part
+from cranberryshore.messages.codec import close_part
+from cranberryshored.peers.transport import PeerTransport
+
+CallHandler = Callable[[Any], Awaitable[Any]]
+
+
+@attrs.define(eq=False)
+class PeerCalls:
+    """Pairs calls with replies by number; a late or doubled reply finds nobody waiting."""
+
+    transport: PeerTransport
+    own_address: str
+    log: FilteringBoundLogger
+    handlers: dict[type, CallHandler] = attrs.field(factory=dict)
+    numbers: count = attrs.field(factory=lambda: count(1))
+    waiting: dict[int, asyncio.Future] = attrs.field(factory=dict)
+    tasks: set[asyncio.Task] = attrs.field(factory=set)
+
+    async def start(self) -> None:
+        """Accept calls; the transport delivers them."""
+
+    async def close(self) -> None:
+        """Give up all calls."""
+        for task in self.tasks:
+            task.cancel()
+        await asyncio.gather(*self.tasks, return_exceptions=True)
+
+    async def call(self, address: str, target: str, question: Any, timeout: float) -> Any | None:
+        """Ask a peer; ``None`` if no answer came in ``timeout`` seconds."""
+        number = next(self.numbers)
+        future = asyncio.get_running_loop().create_future()
+        self.waiting[number] = future
+        part = close_part(question)
+        self.transport.send(
+            address, target, PeerCall(number, self.own_address, part.kind, part.body)
+        )
+        try:
+            async with asyncio.timeout(timeout):
+                return await future
+        except TimeoutError:
+            return None
+        finally:
+            del self.waiting[number]
+
+    def on_call(self, sender: str, call: PeerCall) -> None:
+        """Answer a peer's call."""
+        question = open_part(call.kind, call.body)
+        handler = self.handlers.get(type(question))
+        if handler is None:
+            self.log.warning("Unknown call.", kind=call.kind, sender=sender)
+            return
+        task = asyncio.create_task(self._answer(sender, call, handler, question))
+        self.tasks.add(task)
+        task.add_done_callback(self.tasks.discard)
+
+    def on_reply(self, reply: PeerReply) -> None:
+        """Hand an answer to whoever waits for it."""
+        future = self.waiting.get(reply.number)
+        if future is not None and not future.done():
+            future.set_result(open_part(reply.kind, reply.body))
+
+    async def _answer(
+        self, sender: str, call: PeerCall, handler: CallHandler, question: Any
+    ) -> None:
+        answer = await handler(question)
+        part = close_part(answer)
+        reply = PeerReply(call.number, part.kind, part.body)
+        self.transport.send(call.reply_to, sender, reply)
--- /dev/null
+++ b/packages/daemon/cranberryshored/platform/__init__.py
@@ -0,0 +1,40 @@
+"""Adapters to the platform: store, instance list, workers and upstreams."""
+
+from cranberryshored.platform.instance_list import (
+    HttpInstanceList,
+    InstanceKind,
+    InstanceList,
+    ListedInstance,
+    Listing,
+)
+from cranberryshored.platform.store import (
+    Entry,
+    HttpStore,
+    KeyListing,
+    Store,
+    StoreConflict,
+    StoreFailure,
+    StoreUnavailable,
+    WatchCompacted,
+    Watched,
+)
+from cranberryshored.platform.worker_link import WorkerEvents, WorkerLink
+
+__all__ = [
+    "Entry",
+    "HttpInstanceList",
+    "HttpStore",
+    "InstanceKind",
+    "InstanceList",
+    "KeyListing",
+    "ListedInstance",
+    "Listing",
+    "Store",
+    "StoreConflict",
+    "StoreFailure",
+    "StoreUnavailable",
+    "WatchCompacted",
+    "Watched",
+    "WorkerEvents",
+    "WorkerLink",
+]
--- /dev/null
+++ b/packages/daemon/cranberryshored/platform/store.py
@@ -0,0 +1,230 @@
+"""The platform's key-value service."""
+
+from typing import Protocol
+
+import attrs
+import msgspec
+from aiohttp import ClientError, ClientSession, ClientTimeout
+from result import Err, Ok, Result
+
+from cranberryshore.messages import decode_json
+from cranberryshored.metrics import Metrics
+from cranberryshored.platform.session import single_try_session
+
+HTTP_OK = 200
+HTTP_NOT_FOUND = 404
+HTTP_GONE = 410
+HTTP_PRECONDITION_FAILED = 412
+WATCH_GRACE_SECONDS = 2.0
+
+
+class StoreFailure:
+    """Base of all failures of the store."""
+
+
+@attrs.frozen
+class StoreConflict(StoreFailure):
+    """The key has another revision than expected; nothing was written."""
+
+    current: int
+
+
+@attrs.frozen
+class StoreUnavailable(StoreFailure):
+    """No answer: the store is down or slow, or its reply was lost.
+
+    A write that ends so may have taken effect; only reading back tells.
+    """
+
+    detail: str
+
+
+@attrs.frozen
+class WatchCompacted(StoreFailure):
+    """The store no longer holds the changes after the asked revision."""
+
+
+@attrs.frozen
+class Entry:
+    """One key as the store holds it; ``value`` is ``None`` in a watch for a deletion."""
+
+    key: str
+    revision: int
+    value: str | None
+
+
+@attrs.frozen
+class KeyListing:
+    """All keys under a prefix at a revision."""
+
+    revision: int
+    entries: tuple[Entry, ...]
+
+
+@attrs.frozen
+class Watched:
+    """Changes under a prefix up to a revision, in order."""
+
+    revision: int
+    changes: tuple[Entry, ...]
+
+
+class Store(Protocol):
+    """What the daemon needs of a key-value service."""
+
+    async def get(self, key: str) -> Result[Entry | None, StoreFailure]:
+        """Return a key's entry, or ``None`` if it does not exist."""
+        ...
+
+    async def put(
+        self, key: str, value: str, expected: int | None = None, lease: str = ""
+    ) -> Result[int, StoreFailure]:
+        """Write if the key's revision is ``expected`` (0: absent); return the new revision."""
+        ...
+
+    async def delete(self, key: str, expected: int | None = None) -> Result[int, StoreFailure]:
+        """Delete if the key's revision is ``expected``; return the store's revision."""
+        ...
+
+    async def list(self, prefix: str) -> Result[KeyListing, StoreFailure]:
+        """Return all entries under a prefix."""
+        ...
+
+    async def watch(self, prefix: str, after: int, wait_ms: int) -> Result[Watched, StoreFailure]:
+        """Return the changes after a revision, waiting up to ``wait_ms`` for the first."""
+        ...
+
+    async def grant_lease(self, ttl_seconds: int) -> Result[str, StoreFailure]:
+        """Return a new lease; keys attached to it vanish when it expires."""
+        ...
+
+
+@attrs.frozen
+class _Written:
+    revision: int
+
+
+@attrs.frozen
+class _Lease:
+    lease: str
+
+
+@attrs.define
+class HttpStore:
+    """Adapter to a store with the HTTP interface described in docs/API.md.
+
+    Parameters
+    ----------
+    url : str
+        Base address.
+    timeout_seconds : float
+        Longest wait for one call.
+    metrics : Metrics
+        Counts every call by kind.
+    """
+
+    url: str
+    timeout_seconds: float
+    metrics: Metrics
+    session: ClientSession | None = None
+
+    async def start(self) -> None:
+        """Open the connection pool."""
+        self.session = single_try_session()
+
+    async def close(self) -> None:
+        """Close the connection pool."""
+        if self.session is not None:
+            await self.session.close()
+
+    async def get(self, key: str) -> Result[Entry | None, StoreFailure]:
+        """See :class:`Store`."""
+        answer = await self._call("get", "GET", f"/v1/keys/{key}")
+        if isinstance(answer, Err):
+            return answer
+        status, body = answer.ok_value
+        if status == HTTP_NOT_FOUND:
+            return Ok(None)
+        return self._decoded(status, body, Entry)
+
+    async def put(
+        self, key: str, value: str, expected: int | None = None, lease: str = ""
+    ) -> Result[int, StoreFailure]:
+        """See :class:`Store`."""
+        query = {} if expected is None else {"expected": str(expected)}
+        if lease:
+            query["lease"] = lease
+        answer = await self._call("put", "PUT", f"/v1/keys/{key}", query, value.encode())
+        return self._written(answer)
+
+    async def delete(self, key: str, expected: int | None = None) -> Result[int, StoreFailure]:
+        """See :class:`Store`."""
+        query = {} if expected is None else {"expected": str(expected)}
+        answer = await self._call("delete", "DELETE", f"/v1/keys/{key}", query)
+        return self._written(answer)
+
+    async def list(self, prefix: str) -> Result[KeyListing, StoreFailure]:
+        """See :class:`Store`."""
+        answer = await self._call("list", "GET", "/v1/range", {"prefix": prefix})
+        if isinstance(answer, Err):
+            return answer
+        return self._decoded(*answer.ok_value, KeyListing)
+
+    async def watch(self, prefix: str, after: int, wait_ms: int) -> Result[Watched, StoreFailure]:
+        """See :class:`Store`."""
+        query = {"prefix": prefix, "after": str(after), "wait_ms": str(wait_ms)}
+        limit = wait_ms / 1000 + WATCH_GRACE_SECONDS
+        answer = await self._call("watch", "GET", "/v1/watch", query, timeout=limit)
+        if isinstance(answer, Err):
+            return answer
+        status, body = answer.ok_value
+        if status == HTTP_GONE:
+            return Err(WatchCompacted())
+        return self._decoded(status, body, Watched)
+
+    async def grant_lease(self, ttl_seconds: int) -> Result[str, StoreFailure]:
+        """See :class:`Store`."""
+        query = {"ttl_seconds": str(ttl_seconds)}
+        answer = await self._call("lease", "POST", "/v1/leases", query)
+        if isinstance(answer, Err):
+            return answer
+        return self._decoded(*answer.ok_value, _Lease).map(lambda lease: lease.lease)
+
+    async def _call(
+        self,
+        kind: str,
+        method: str,
+        path: str,
+        query: dict[str, str] | None = None,
+        body: bytes | None = None,
+        timeout: float | None = None,
+    ) -> Result[tuple[int, bytes], StoreFailure]:
+        self.metrics.store_calls.labels(kind).inc()
+        limit = ClientTimeout(total=timeout or self.timeout_seconds)
+        try:
+            async with self.session.request(
+                method, self.url + path, params=query, data=body, timeout=limit
+            ) as response:
+                return Ok((response.status, await response.read()))
+        except (TimeoutError, ClientError, OSError) as error:
+            return Err(StoreUnavailable(type(error).__name__))
+
+    def _written(
+        self, answer: Result[tuple[int, bytes], StoreFailure]
+    ) -> Result[int, StoreFailure]:
+        if isinstance(answer, Err):
+            return answer
+        status, body = answer.ok_value
+        if status == HTTP_PRECONDITION_FAILED:
+            return self._decoded(HTTP_OK, body, _Written).and_then(
+                lambda written: Err(StoreConflict(written.revision))
+            )
+        return self._decoded(status, body, _Written).map(lambda written: written.revision)
+
+    def _decoded(self, status: int, body: bytes, type_: type) -> Result:
+        if status != HTTP_OK:
+            return Err(StoreUnavailable(f"HTTP status {status}"))
+        try:
+            return Ok(decode_json(body, type_))
+        except (msgspec.DecodeError, ValueError) as error:
+            return Err(StoreUnavailable(str(error)))
--- /dev/null
+++ b/packages/daemon/cranberryshored/requests/forwarder.py
@@ -0,0 +1,123 @@
+"""Sending one request to one upstream."""
+
+import attrs
+from aiohttp import ClientConnectorError, ClientError, ClientSession, ClientTimeout, TCPConnector
+from multidict import CIMultiDict
+from result import Err, Ok, Result
+
+from cranberryshored.platform.session import single_try_session
+
+CONNECTIONS_PER_UPSTREAM = 60
+CONNECT_SECONDS = 0.5
+HOP_BY_HOP = frozenset(
+    {
+        "connection",
+        "keep-alive",
+        "proxy-authenticate",
+        "proxy-authorization",
+        "te",
+        "trailer",
+        "transfer-encoding",
+        "upgrade",
+        "content-length",
+        "host",
+        "authorization",
+    }
+)
+
+
+@attrs.frozen
+class IncomingRequest:
+    """A caller's request as it goes to an upstream.
+
+    Parameters
+    ----------
+    method, path : str
+        HTTP method and path with query below the service.
+    headers : CIMultiDict
+        Headers without those that concern one connection only.
+    body : bytes
+        Whole body.
+    is_idempotent : bool
+        Whether running it twice does no harm.
+    """
+
+    method: str
+    path: str
+    headers: CIMultiDict
+    body: bytes
+    is_idempotent: bool
+
+
+@attrs.frozen
+class Forwarded:
+    """The upstream's whole answer."""
+
+    status: int
+    headers: CIMultiDict
+    body: bytes
+
+
+@attrs.frozen
+class ForwardFailure:
+    """No whole answer.
+
+    ``was_sent`` is false only if no connection was made, so that nothing can have run.
+    """
+
+    was_sent: bool
+    is_timeout: bool
+    detail: str
+
+
+def end_to_end(headers: CIMultiDict) -> CIMultiDict:
+    """Return the headers that concern more than one connection.
+
+    Examples
+    --------
+    >>> dict(end_to_end(CIMultiDict({"Host": "a", "Accept": "b"})))
+    {'Accept': 'b'}
+    """
+    return CIMultiDict(
+        (name, value) for name, value in headers.items() if name.lower() not in HOP_BY_HOP
+    )
+
+
+@attrs.define
+class Forwarder:
+    """Connections to the zone's upstreams."""
+
+    session: ClientSession | None = None
+
+    async def start(self) -> None:
+        """Open the connection pool."""
+        connector = TCPConnector(limit=0, limit_per_host=CONNECTIONS_PER_UPSTREAM)
+        self.session = single_try_session(connector)
+
+    async def close(self) -> None:
+        """Close the connection pool."""
+        if self.session is not None:
+            await self.session.close()
+
+    async def forward(
+        self, address: str, request: IncomingRequest, seconds: float
+    ) -> Result[Forwarded, ForwardFailure]:
+        """Send a request once and return the whole answer."""
+        limit = ClientTimeout(total=seconds, sock_connect=CONNECT_SECONDS)
+        try:
+            async with self.session.request(
+                request.method,
+                f"http://{address}{request.path}",
+                headers=request.headers,
+                data=request.body or None,
+                timeout=limit,
+                allow_redirects=False,
+            ) as response:
+                body = await response.read()
+                return Ok(Forwarded(response.status, end_to_end(response.headers), body))
+        except ClientConnectorError as error:
+            return Err(ForwardFailure(False, False, str(error)))
+        except TimeoutError:
+            return Err(ForwardFailure(True, True, f"No answer within {seconds:.3f} s."))
+        except (ClientError, OSError) as error:
+            return Err(ForwardFailure(True, False, type(error).__name__))
--- /dev/null
+++ b/packages/daemon/cranberryshored/web/auth.py
@@ -0,0 +1,57 @@
+"""Callers and operators, known by their tokens."""
+
+from hashlib import sha256
+
+import attrs
+from aiohttp.web import Request
+
+from cranberryshore.errors import ErrorType, Refusal, RunClaim
+from cranberryshore.settings import Role, TokenSettings
+from cranberryshored.web.answers import RefusalError
+
+SCHEME = "Bearer "
+
+
+@attrs.frozen
+class Tokens:
+    """The tokens of the settings, by digest."""
+
+    by_digest: dict[str, TokenSettings]
+
+    def bearer(self, request: Request) -> TokenSettings:
+        """Return who makes a request; raises the refusal if the token is not known."""
+        header = request.headers.get("Authorization", "")
+        if not header.startswith(SCHEME):
+            raise RefusalError(_unauthenticated())
+        digest = sha256(header.removeprefix(SCHEME).encode()).hexdigest()
+        token = self.by_digest.get(digest)
+        if token is None:
+            raise RefusalError(_unauthenticated())
+        return token
+
+    def operator(self, request: Request) -> TokenSettings:
+        """Return the operator who makes a request; raises the refusal for anybody else."""
+        token = self.bearer(request)
+        if token.role is not Role.OPERATOR:
+            raise RefusalError(_forbidden("This is for operators."))
+        return token
+
+
+def check_team(token: TokenSettings, team: str) -> None:
+    """Raise the refusal unless the bearer may work for ``team``."""
+    if team not in token.teams:
+        raise RefusalError(_forbidden(f"{token.name} may not work for team {team}."))
+
+
+def tokens_of(settings: tuple[TokenSettings, ...]) -> Tokens:
+    """Return the lookup over the tokens of the settings."""
+    return Tokens({token.sha256: token for token in settings})
+
+
+def _unauthenticated() -> Refusal:
+    detail = "A valid token is needed: Authorization: Bearer TOKEN."
+    return Refusal(ErrorType.UNAUTHENTICATED, RunClaim.NOT_RUN, detail)
+
+
+def _forbidden(detail: str) -> Refusal:
+    return Refusal(ErrorType.FORBIDDEN, RunClaim.NOT_RUN, detail)
--- /dev/null
+++ b/packages/daemon/cranberryshored/web/observe.py
@@ -0,0 +1,130 @@
+"""Health, metrics, status and the time line over HTTP."""
+
+import asyncio
+from collections.abc import Callable
+
+import attrs
+from aiohttp.web import Request, Response, RouteTableDef
+from prometheus_client import generate_latest
+
+from cranberryshore.messages import TimelineAnswer, TimelineQuery
+from cranberryshore.timeline import Event, Recorder, merge_events
+from cranberryshored.metrics import Metrics
+from cranberryshored.peers import MembershipService, PeerCalls
+from cranberryshored.web.answers import json_answer
+from cranberryshored.web.auth import Tokens
+
+CALL_SECONDS = 1.0
+NOT_READY = 503
+
+
+@attrs.frozen
+class MemberStatus:
+    """One peer as this instance sees it."""
+
+    incarnation: str
+    state: str
+    revision: int
+
+
+@attrs.frozen
+class InstanceStatus:
+    """What an instance tells operators about itself."""
+
+    incarnation: str
+    zone: str
+    is_ready: bool
+    is_draining: bool
+    revision: int
+    follows_store: bool
+    open_workers: int
+    queued_tasks: int
+    running_jobs: int
+    peers: tuple[MemberStatus, ...]
+
+
+@attrs.frozen
+class Readiness:
+    """Whether this instance should receive work, and why not."""
+
+    is_ready: bool
+    reason: str
+
+
+@attrs.frozen
+class TimelineBody:
+    """Events of all reached processes of the zone."""
+
+    events: tuple[Event, ...]
+    dropped: int
+    unreached: tuple[str, ...]
+
+
+@attrs.define(eq=False)
+class ObserveRoutes:
+    """Handlers for health, metrics, status and time line."""
+
+    tokens: Tokens
+    metrics: Metrics
+    recorder: Recorder
+    membership: MembershipService
+    calls: PeerCalls
+    readiness: Callable[[], Readiness]
+    status: Callable[[], InstanceStatus]
+
+    def routes(self) -> RouteTableDef:
+        """Return the route table."""
+        self.calls.handlers[TimelineQuery] = self._on_query
+        table = RouteTableDef()
+        table.get("/healthz")(self.health)
+        table.get("/readyz")(self.ready)
+        table.get("/metrics")(self.show_metrics)
+        table.get("/v1/status")(self.show_status)
+        table.get("/v1/timeline")(self.timeline)
+        return table
+
+    async def health(self, request: Request) -> Response:
+        """Answer as long as the event loop runs."""
+        return Response(text="ok\n")
+
+    async def ready(self, request: Request) -> Response:
+        """Tell the balancer whether to send work here."""
+        readiness = self.readiness()
+        return json_answer(readiness, 200 if readiness.is_ready else NOT_READY)
+
+    async def show_metrics(self, request: Request) -> Response:
+        """Return all metrics in the text format of Prometheus."""
+        text = generate_latest(self.metrics.registry)
+        return Response(body=text, content_type="text/plain")
+
+    async def show_status(self, request: Request) -> Response:
+        """Return this instance's status."""
+        self.tokens.operator(request)
+        return json_answer(self.status())
+
+    async def timeline(self, request: Request) -> Response:
+        """Return the events about a subject, merged over all processes of the zone."""
+        self.tokens.operator(request)
+        subject = request.query.get("subject", "")
+        peers = self.membership.table.reachable()
+        question = TimelineQuery(subject)
+        answers = await asyncio.gather(
+            *(
+                self.calls.call(peer.address, str(peer.incarnation), question, CALL_SECONDS)
+                for peer in peers
+            )
+        )
+        parts = [self.recorder.about(subject)]
+        dropped = self.recorder.dropped
+        unreached = []
+        for peer, answer in zip(peers, answers, strict=True):
+            if isinstance(answer, TimelineAnswer):
+                parts.append(answer.events)
+                dropped += answer.dropped
+            else:
+                unreached.append(str(peer.incarnation))
+        merged = merge_events(parts)
+        return json_answer(TimelineBody(tuple(merged), dropped, tuple(unreached)))
+
+    async def _on_query(self, query: TimelineQuery) -> TimelineAnswer:
+        return TimelineAnswer(tuple(self.recorder.about(query.subject)), self.recorder.dropped)
--- /dev/null
+++ b/packages/daemon/cranberryshored/web/requests.py
@@ -0,0 +1,102 @@
+"""Requests to declared services over HTTP."""
+
+from itertools import count
+from time import time
+
+import attrs
+from aiohttp.web import Request, Response, RouteTableDef
+from result import Err
+
+from cranberryshore.errors import ErrorType, Refusal, RunClaim, malformed
+from cranberryshore.timeline import EventKind, Recorder
+from cranberryshored.requests import IncomingRequest, RequestService
+from cranberryshored.requests.forwarder import end_to_end
+from cranberryshored.web.answers import RefusalError, refusal_answer
+from cranberryshored.web.auth import Tokens, check_team
+from cranberryshored.web.input import header_number, read_body
+
+MAX_TIMEOUT_MS = 600_000
+CLASSES = {"urgent": True, "ordinary": False}
+BOOLEANS = {"yes": True, "no": False}
+DRAIN_RETRY_MS = 0
+
+
+@attrs.define(eq=False)
+class RequestRoutes:
+    """Handlers of the request interface."""
+
+    services: dict[str, RequestService]
+    tokens: Tokens
+    recorder: Recorder
+    is_draining: bool = False
+    numbers: count = attrs.field(factory=lambda: count(1))
+
+    def routes(self) -> RouteTableDef:
+        """Return the route table."""
+        table = RouteTableDef()
+        table.route("*", "/v1/services/{service}/{path:.*}")(self.serve)
+        return table
+
+    async def serve(self, request: Request) -> Response:
+        """Forward a request and answer with exactly what its upstream answered."""
+        token = self.tokens.bearer(request)
+        team = request.headers.get("Team", token.teams[0])
+        check_team(token, team)
+        service = self._service(request)
+        is_urgent = _choice(request, "Request-Class", CLASSES, False)
+        is_idempotent = _choice(request, "Idempotent", BOOLEANS, service.spec.is_idempotent)
+        timeout_ms = header_number(request, "Timeout-Ms", MAX_TIMEOUT_MS)
+        body = await read_body(request)
+        id = f"{self.recorder.process}.r{next(self.numbers)}"
+        incoming = IncomingRequest(
+            request.method,
+            _upstream_path(request),
+            end_to_end(request.headers),
+            body,
+            is_idempotent,
+        )
+        self.recorder.record(time(), EventKind.REQUEST_FORWARDED, id, service.name)
+        answer = await service.serve(incoming, team, is_urgent, timeout_ms)
+        if isinstance(answer, Err):
+            self._record_refusal(id, answer.err_value)
+            response = refusal_answer(answer.err_value)
+        else:
+            forwarded = answer.ok_value
+            self.recorder.record(time(), EventKind.REQUEST_ANSWERED, id, str(forwarded.status))
+            response = Response(
+                body=forwarded.body, status=forwarded.status, headers=forwarded.headers
+            )
+        response.headers["Request-Id"] = id
+        return response
+
+    def _service(self, request: Request) -> RequestService:
+        if self.is_draining:
+            detail = "This instance is leaving; ask another one."
+            raise RefusalError(
+                Refusal(ErrorType.DRAINING, RunClaim.NOT_RUN, detail, DRAIN_RETRY_MS)
+            )
+        name = request.match_info["service"]
+        service = self.services.get(name)
+        if service is None:
+            detail = f"No service {name} is declared."
+            raise RefusalError(Refusal(ErrorType.NOT_FOUND, RunClaim.NOT_RUN, detail))
+        return service
+
+    def _record_refusal(self, id: str, refusal: Refusal) -> None:
+        detail = f"{refusal.type.value}: {refusal.claim.value}"
+        self.recorder.record(time(), EventKind.REQUEST_REFUSED, id, detail)
+
+
+def _upstream_path(request: Request) -> str:
+    """Return path and query below the service, exactly as the caller has sent them."""
+    parts = request.raw_path.split("/", 4)
+    return "/" + parts[4]
+
+
+def _choice(request: Request, name: str, values: dict[str, bool], default: bool) -> bool:
+    text = request.headers.get(name)
+    if text is None:
+        return default
+    if text not in values:
+        raise RefusalError(malformed(name, text, " or ".join(values)))
+    return values[text]
--- /dev/null
+++ b/packages/standins/cranberryshore_standins/cluster.py
@@ -0,0 +1,333 @@
+"""A small deployment on this machine: entry daemons and stand-ins as separate processes."""
+
+import asyncio
+import os
+import socket
+import subprocess
+import sys
+import time
+from hashlib import sha256
+from pathlib import Path
+from signal import SIGCONT, SIGKILL, SIGSTOP, SIGTERM
+from typing import Any
+
+import attrs
+from aiohttp import ClientError, ClientSession, ClientTimeout
+
+from cranberryshore.messages import encode_json
+from cranberryshore.work import Capacity
+from cranberryshored.platform import InstanceKind, ListedInstance
+
+HOST = "127.0.0.1"
+START_SECONDS = 30.0
+STOP_SECONDS = 30.0
+OPERATOR_TOKEN = "operator-token"
+TEAMS = tuple(f"team-{number}" for number in range(8))
+
+
+def free_ports(count: int) -> list[int]:
+    """Return ports of the loopback address that nothing listens on."""
+    sockets = [socket.socket() for _ in range(count)]
+    for each in sockets:
+        each.bind((HOST, 0))
+    ports = [each.getsockname()[1] for each in sockets]
+    for each in sockets:
+        each.close()
+    return ports
+
+
+def caller_token(number: int) -> str:
+    """Return the token of a caller."""
+    return f"caller-{number}-token"
+
+
+def tokens(callers: int = 8) -> list[dict[str, Any]]:
+    """Return the token settings of one operator and of ``callers`` callers."""
+    found = [_token("operator", OPERATOR_TOKEN, "operator", TEAMS)]
+    for number in range(callers):
+        teams = ("default", *TEAMS)
+        found.append(_token(f"caller-{number}", caller_token(number), "caller", teams))
+    return found
+
+
+def _token(name: str, token: str, role: str, teams: tuple[str, ...]) -> dict[str, Any]:
+    digest = sha256(token.encode()).hexdigest()
+    return {"name": name, "sha256": digest, "role": role, "teams": list(teams)}
+
+
+@attrs.frozen
+class ClusterShape:
+    """How many of each process there are."""
+
+    zones: tuple[str, ...] = ("zone-a",)
+    entries: int = 3
+    workers: int = 3
+    upstreams: int = 2
+    slots: int = 8
+    worker_capacity: Capacity = Capacity(8000, 16384, 0)
+    service: str = "booking"
+    list_lag_seconds: float = 0.3
+    timing: dict[str, float] = attrs.field(factory=dict)
+    dispatch: dict[str, float] = attrs.field(factory=dict)
+
+
+@attrs.define
+class Node:
+    """One process of the deployment."""
+
+    name: str
+    zone: str
+    module: tuple[str, ...]
+    settings: dict[str, Any]
+    port: int
+    process: subprocess.Popen | None = None
+    listed: ListedInstance | None = None
+
+    @property
+    def url(self) -> str:
+        """Return the base address of the process's HTTP interface."""
+        return f"http://{HOST}:{self.port}"
+
+
+@attrs.define(eq=False)
+class Cluster:
+    """Starts, hurts and stops the processes of a deployment.
+
+    Only processes that it started itself are ever signalled.
+    """
+
+    shape: ClusterShape
+    folder: Path
+    nodes: dict[str, Node] = attrs.field(factory=dict)
+    session: ClientSession | None = None
+
+    def __attrs_post_init__(self) -> None:
+        shape = self.shape
+        per_zone = 2 * shape.entries + shape.workers + shape.upstreams
+        ports = iter(free_ports(2 + per_zone * len(shape.zones)))
+        listen = {"host": HOST, "port": next(ports)}
+        self._add("store", "", ("cranberryshore_standins", "store"), {"listen": listen})
+        list_port = next(ports)
+        for zone in shape.zones:
+            self._add_zone(zone, ports, list_port)
+        listed = [node.listed for node in self.nodes.values() if node.listed is not None]
+        settings = {
+            "listen": {"host": HOST, "port": list_port},
+            "lag_seconds": shape.list_lag_seconds,
+            "instances": listed,
+        }
+        self._add("list", "", ("cranberryshore_standins", "instance-list"), settings)
+
+    async def start(self) -> None:
+        """Start all processes and wait until the entry daemons are ready."""
+        self.session = ClientSession(timeout=ClientTimeout(total=5))
+        for node in self.nodes.values():
+            if not node.name.startswith("entry"):
+                self.launch(node.name)
+        for node in self.entries():
+            self.launch(node.name)
+        await asyncio.gather(*(self.wait_ready(node.name) for node in self.entries()))
+
+    async def close(self) -> None:
+        """Stop all processes: the daemons first and gracefully, then the stand-ins."""
+        await self.session.close()
+        running = [node for node in self.nodes.values() if node.process is not None]
+        for node in running:
+            node.process.send_signal(SIGCONT)
+        for is_entry in (True, False):
+            group = [node for node in running if node.name.startswith("entry") is is_entry]
+            for node in group:
+                node.process.send_signal(SIGTERM)
+            for node in group:
+                await self._wait_exit(node)
+
+    def entries(self, zone: str = "") -> list[Node]:
+        """Return the entry daemons, of one zone or of all."""
+        return [
+            node
+            for node in self.nodes.values()
+            if node.name.startswith("entry") and zone in ("", node.zone)
+        ]
+
+    def workers(self) -> list[Node]:
+        """Return the workers."""
+        return [node for node in self.nodes.values() if node.name.startswith("worker")]
+
+    def upstreams(self) -> list[Node]:
+        """Return the upstreams."""
+        return [node for node in self.nodes.values() if node.name.startswith("upstream")]
+
+    def launch(self, name: str) -> None:
+        """Start one process."""
+        node = self.nodes[name]
+        path = self.folder / f"{name}.json"
+        path.write_bytes(encode_json(node.settings))
+        log = (self.folder / f"{name}.log").open("ab")
+        arguments = ["--settings", str(path)] if node.name.startswith("entry") else [str(path)]
+        node.process = subprocess.Popen(
+            [sys.executable, "-m", *node.module, *arguments], stdout=log, stderr=log
+        )
+        log.close()
+
+    def kill(self, name: str) -> None:
+        """Kill one process at once."""
+        self._signal(name, SIGKILL)
+        self.nodes[name].process.wait()
+        self.nodes[name].process = None
+
+    def freeze(self, name: str) -> None:
+        """Stop one process until :meth:`wake`."""
+        self._signal(name, SIGSTOP)
+
+    def wake(self, name: str) -> None:
+        """Continue a frozen process."""
+        self._signal(name, SIGCONT)
+
+    def leave(self, name: str) -> None:
+        """Ask one process to leave."""
+        self._signal(name, SIGTERM)
+
+    async def wait_left(self, name: str) -> int:
+        """Wait until a process that was asked to leave has ended; return its exit status."""
+        node = self.nodes[name]
+        process = node.process
+        await self._wait_exit(node)
+        return process.returncode
+
+    async def wait_ready(self, name: str) -> None:
+        """Wait until an entry daemon is ready and has registered."""
+        node = self.nodes[name]
+        deadline = time.monotonic() + START_SECONDS
+        while time.monotonic() < deadline:
+            if await self._is_ready(node):
+                return
+            await asyncio.sleep(0.05)
+        raise TimeoutError(f"{name} is not ready; see {self.folder / name}.log")
+
+    async def switch(self, name: str, **faults: Any) -> None:
+        """Set the faults of a stand-in."""
+        async with self.session.post(f"{self.nodes[name].url}/switches", json=faults) as response:
+            response.raise_for_status()
+
+    async def fetch(self, name: str, path: str) -> Any:
+        """Return what a process answers at ``path``."""
+        headers = {"Authorization": f"Bearer {OPERATOR_TOKEN}"}
+        async with self.session.get(self.nodes[name].url + path, headers=headers) as response:
+            response.raise_for_status()
+            return await response.json()
+
+    async def declare(self, kind: str, name: str, spec: dict[str, Any]) -> None:
+        """Apply a resource and wait until every entry daemon has it in force."""
+        headers = {"Authorization": f"Bearer {OPERATOR_TOKEN}"}
+        url = f"{self.entries()[0].url}/v1/resources/{kind}/{name}"
+        async with self.session.put(url, json={"spec": spec}, headers=headers) as response:
+            body = await response.json()
+            response.raise_for_status()
+        for node in self.entries():
+            while (await self.fetch(node.name, "/v1/status"))["revision"] < body["revision"]:
+                await asyncio.sleep(0.02)
+
+    async def list_instance(self, instance: ListedInstance) -> None:
+        """Add or replace an entry of the instance list."""
+        url = f"{self.nodes['list'].url}/instances"
+        async with self.session.put(url, data=encode_json(instance)) as response:
+            response.raise_for_status()
+
+    def processor_seconds(self, name: str) -> float:
+        """Return the processor time that a process has used."""
+        pid = self.nodes[name].process.pid
+        fields = Path(f"/proc/{pid}/stat").read_text(encoding="ascii").rsplit(")", 1)[1].split()
+        return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+
+    def resident_mb(self, name: str) -> float:
+        """Return the resident memory of a process."""
+        pid = self.nodes[name].process.pid
+        pages = int(Path(f"/proc/{pid}/statm").read_text(encoding="ascii").split()[1])
+        return pages * os.sysconf("SC_PAGE_SIZE") / 1_000_000
+
+    def _add(self, name: str, zone: str, module: tuple[str, ...], settings: dict) -> Node:
+        node = Node(name, zone, module, settings, settings["listen"]["port"])
+        self.nodes[name] = node
+        return node
+
+    def _add_zone(self, zone: str, ports: Any, list_port: int) -> None:
+        shape = self.shape
+        for number in range(shape.entries):
+            name = f"entry-{zone}-{number}"
+            peer_port = next(ports)
+            settings = self._entry_settings(name, zone, next(ports), peer_port, list_port)
+            node = self._add(name, zone, ("cranberryshored.main",), settings)
+            address = f"{HOST}:{peer_port}"
+            node.listed = ListedInstance(InstanceKind.ENTRY, name, zone, address)
+        for number in range(shape.workers):
+            name = f"worker-{zone}-{number}"
+            port = next(ports)
+            settings = {
+                "listen": {"host": HOST, "port": port},
+                "name": name,
+                "incarnation": "run-1",
+                "capacity": shape.worker_capacity,
+            }
+            node = self._add(name, zone, ("cranberryshore_standins", "worker"), settings)
+            node.listed = ListedInstance(
+                InstanceKind.WORKER,
+                name,
+                zone,
+                f"{HOST}:{port}",
+                incarnation="run-1",
+                capacity=shape.worker_capacity,
+            )
+        for number in range(shape.upstreams):
+            name = f"upstream-{zone}-{number}"
+            port = next(ports)
+            listen = {"host": HOST, "port": port}
+            settings = {"listen": listen, "name": name, "slots": shape.slots}
+            node = self._add(name, zone, ("cranberryshore_standins", "upstream"), settings)
+            node.listed = ListedInstance(
+                InstanceKind.UPSTREAM, name, zone, f"{HOST}:{port}", service=shape.service
+            )
+
+    def _entry_settings(
+        self, name: str, zone: str, port: int, peer_port: int, list_port: int
+    ) -> dict[str, Any]:
+        return {
+            "instance": name,
+            "zone": zone,
+            "listen": {"host": HOST, "port": port},
+            "peer_listen": {"host": HOST, "port": peer_port},
+            "platform": {
+                "store_url": self.nodes["store"].url,
+                "instance_list_url": f"http://{HOST}:{list_port}",
+                "instance_list_poll_seconds": 0.3,
+            },
+            "tokens": tokens(),
+            "timing": self.shape.timing,
+            "dispatch": self.shape.dispatch,
+        }
+
+    def _signal(self, name: str, signal: int) -> None:
+        process = self.nodes[name].process
+        if process is not None and process.poll() is None:
+            process.send_signal(signal)
+
+    async def _wait_exit(self, node: Node) -> None:
+        deadline = time.monotonic() + STOP_SECONDS
+        while node.process.poll() is None and time.monotonic() < deadline:
+            await asyncio.sleep(0.02)
+        if node.process.poll() is None:
+            node.process.kill()
+            node.process.wait()
+        node.process = None
+
+    async def _is_ready(self, node: Node) -> bool:
+        if node.process is None or node.process.poll() is not None:
+            raise RuntimeError(f"{node.name} has ended; see {self.folder / node.name}.log")
+        try:
+            async with self.session.get(f"{node.url}/readyz") as response:
+                if response.status != 200:
+                    return False
+            status = await self.fetch(node.name, "/v1/status")
+        except (TimeoutError, ClientError):
+            return False
+        peers = sum(peer["state"] == "live" for peer in status["peers"])
+        return status["open_workers"] >= self.shape.workers and peers >= self.shape.entries - 1
