Command line, demonstration, and an end to a leave that hung

A stack dump showed an idle loop. pynng's arecv swallows a cancellation that meets an arriving message, so the receive task went on and close waited for it. Ruled out: web server, worker sessions and the store, which had all closed before the hang. Also the command line and the demonstration.

--- a/packages/bench/cranberryshore_bench/__init__.py
+++ b/packages/bench/cranberryshore_bench/__init__.py
@@ -1,1 +1,1 @@
-"""Package bench."""
+"""Load, demonstration and measurements on one machine."""
--- a/packages/cli/cranberryshore_cli/__init__.py
+++ b/packages/cli/cranberryshore_cli/__init__.py
@@ -1,5 +1,5 @@
 """Command line and client library of cranberryshore."""
 
-from cranberryshore_cli.client import Client, ClientFailure
+from cranberryshore_cli.client import Client, ClientFailure, Failure
 
-__all__ = ["Client", "ClientFailure"]
+__all__ = ["Client", "ClientFailure", "Failure"]
--- /dev/null
+++ b/packages/cli/cranberryshore_cli/exits.py
@@ -0,0 +1,23 @@
+"""Exit statuses of the command line."""
+
+from cranberryshore.errors import Refusal, RunClaim
+from cranberryshore_cli.client import ClientFailure
+
+OK = 0
+REFUSED = 1
+BAD_INPUT = 2
+UNREACHABLE = 3
+UNCERTAIN = 4
+
+
+def status_of(failure: Refusal | ClientFailure) -> int:
+    """Return the exit status for a failure.
+
+    Examples
+    --------
+    >>> status_of(ClientFailure("no route"))
+    3
+    """
+    if isinstance(failure, ClientFailure):
+        return UNREACHABLE
+    return UNCERTAIN if failure.claim is RunClaim.MAY_HAVE_RUN else REFUSED
--- /dev/null
+++ b/packages/cli/cranberryshore_cli/job_commands.py
@@ -0,0 +1,190 @@
+"""Commands for jobs: submit, status, cancel, timeline, explain."""
+
+from pathlib import Path
+from typing import Any, ClassVar
+
+import msgspec
+from cleo.helpers import argument, option
+from result import Err, Result
+
+from cranberryshore.messages import JobAnswer
+from cranberryshore.settings import check_document, parse_document
+from cranberryshore.timeline import Event, explain_events
+from cranberryshore.work import JobRequest, JobState, check_job_request
+from cranberryshore_cli.client import Client, Failure
+from cranberryshore_cli.command import RemoteCommand
+from cranberryshore_cli.exits import OK, REFUSED, status_of
+
+DEFAULT_WAIT_MS = "10000"
+
+
+class JobCommand(RemoteCommand):
+    """A command whose result is a job."""
+
+    def show(self, value: JobAnswer) -> None:
+        """Print the job's state."""
+        self.line(f"{value.id}: {value.state.value}")
+        if value.failure is not None:
+            self.line(f"{value.failure.detail} (claim: {value.failure.claim.value})")
+        for index, output in enumerate(value.outputs or ()):
+            self.line(f"{index}: {output}")
+
+    def status_of_value(self, value: JobAnswer) -> int:
+        """Return 0 unless the job has failed."""
+        if value.state is not JobState.FAILED:
+            return OK
+        return REFUSED if value.failure is None else status_of(value.failure)
+
+
+class SubmitCommand(JobCommand):
+    """Submits the job in a file."""
+
+    name = "submit"
+    description = "Submit the job in a file."
+    help = """Example file (JSON with comments):
+
+  {"tasks": [{"demand": {"millicores": 1000, "memory_mb": 256}, "expected_ms": 200}]}
+
+An id is obtained first and printed, so that the job can be submitted again under it with
+<info>--id</info> if the answer is lost; it never runs twice. With <info>--key</info> the key is
+bound to an id through the store."""
+    arguments: ClassVar = [argument("file", "File with the job.")]
+    options: ClassVar = [
+        *RemoteCommand.options,
+        option("id", None, "Submission id obtained earlier.", flag=False),
+        option("key", None, "Idempotency key of your own.", flag=False),
+        option("wait-ms", None, "How long to wait.", flag=False, default=DEFAULT_WAIT_MS),
+    ]
+
+    def handle(self) -> int:
+        """Run the command."""
+        path = Path(self.argument("file"))
+        if not path.is_file():
+            return self.fault(f"There is no file {path}.")
+        document = parse_document(path.read_text(encoding="utf-8"))
+        if isinstance(document, Err):
+            return self.fault(str(document.err_value[0]))
+        checked = check_document(document.ok_value, JobRequest)
+        if isinstance(checked, Err):
+            return self.fault("; ".join(str(fault) for fault in checked.err_value))
+        bounded = check_job_request(checked.ok_value)
+        if isinstance(bounded, Err):
+            return self.fault(bounded.err_value.detail)
+        return self.ask(lambda client: self._submit(client, bounded.ok_value))
+
+    async def _submit(self, client: Client, request: JobRequest) -> Result[Any, Failure]:
+        wait_ms = int(self.option("wait-ms"))
+        if self.option("key"):
+            return await client.submit_by_key(self.option("key"), request, wait_ms)
+        id = self.option("id")
+        if not id:
+            obtained = await client.obtain_ids(1)
+            if isinstance(obtained, Err):
+                return obtained
+            id = obtained.ok_value[0]
+            self.line_error(f"id {id}")
+        return await client.submit(id, request, wait_ms)
+
+
+class StatusCommand(JobCommand):
+    """Shows a job, or the instance and its peers."""
+
+    name = "status"
+    description = "Show a job, or without an id the instance and its peers."
+    arguments: ClassVar = [argument("id", "Submission id.", optional=True)]
+    options: ClassVar = [
+        *RemoteCommand.options,
+        option("wait-ms", None, "How long to wait.", flag=False, default="0"),
+    ]
+
+    def handle(self) -> int:
+        """Run the command."""
+        id = self.argument("id")
+        if id is None:
+            return self.ask(lambda client: client.show("/v1/status"))
+        return self.ask(lambda client: client.query(id, int(self.option("wait-ms"))))
+
+    def show(self, value: JobAnswer | dict[str, Any]) -> None:
+        """Print a job or an instance."""
+        if isinstance(value, JobAnswer):
+            super().show(value)
+            return
+        rows = [[name, value[name]] for name in value if name != "peers"]
+        self.table_of(["instance", ""], rows)
+        peers = [[peer["incarnation"], peer["state"], peer["revision"]] for peer in value["peers"]]
+        self.table_of(["peer", "state", "revision"], peers)
+
+    def status_of_value(self, value: JobAnswer | dict[str, Any]) -> int:
+        """Return 0 unless a job has failed."""
+        return super().status_of_value(value) if isinstance(value, JobAnswer) else OK
+
+
+class CancelCommand(JobCommand):
+    """Withdraws a job."""
+
+    name = "cancel"
+    description = "Withdraw a job."
+    arguments: ClassVar = [argument("id", "Submission id.")]
+
+    def handle(self) -> int:
+        """Run the command."""
+        return self.ask(lambda client: client.cancel(self.argument("id")))
+
+    def status_of_value(self, value: JobAnswer) -> int:
+        """Return 0: the job is settled, as cancelled or as it was before."""
+        return OK
+
+
+class TimelineCommand(RemoteCommand):
+    """Shows events over all processes of the zone."""
+
+    name = "timeline"
+    description = "Show the events about a subject over all processes of the zone."
+    options: ClassVar = [
+        *RemoteCommand.options,
+        option("job", None, "Submission id, request id or member.", flag=False, default=""),
+    ]
+
+    def handle(self) -> int:
+        """Run the command."""
+        return self.ask(lambda client: client.show(f"/v1/timeline?subject={self.option('job')}"))
+
+    def show(self, value: dict[str, Any]) -> None:
+        """Print a table."""
+        rows = [
+            [
+                f"{event['stamp']['wall_ms']}.{event['stamp']['count']}",
+                event["process"],
+                event["kind"],
+                event["subject"],
+                event["detail"],
+                event["count"] or "",
+            ]
+            for event in value["events"]
+        ]
+        self.table_of(["time", "process", "event", "subject", "detail", "tasks"], rows)
+        if value["dropped"]:
+            self.line(f"Not whole: {value['dropped']} older events were dropped.")
+        for name in value["unreached"]:
+            self.line(f"Not whole: {name} did not answer.")
+
+
+class ExplainCommand(RemoteCommand):
+    """Tells in sentences why a subject ended as it did."""
+
+    name = "explain"
+    description = "Tell in sentences why a job, request or resource ended as it did."
+    arguments: ClassVar = [argument("subject", "Submission id, request id or resource key.")]
+
+    def handle(self) -> int:
+        """Run the command."""
+        path = f"/v1/timeline?subject={self.argument('subject')}"
+        return self.ask(lambda client: client.show(path))
+
+    def show(self, value: dict[str, Any]) -> None:
+        """Print the sentences."""
+        events = msgspec.convert(value["events"], list[Event])
+        for sentence in explain_events(events):
+            self.line(sentence)
+        for name in value["unreached"]:
+            self.line(f"{name} did not answer, so this may not be all.")
--- /dev/null
+++ b/packages/cli/cranberryshore_cli/main.py
@@ -0,0 +1,54 @@
+"""Entry point of ``cranberryshore``."""
+
+import sys
+from importlib.metadata import version
+
+from cleo.application import Application
+
+from cranberryshore_cli.job_commands import (
+    CancelCommand,
+    ExplainCommand,
+    StatusCommand,
+    SubmitCommand,
+    TimelineCommand,
+)
+from cranberryshore_cli.local_commands import CheckSettingsCommand, VersionCommand
+from cranberryshore_cli.resource_commands import (
+    ApplyCommand,
+    DeleteCommand,
+    GetCommand,
+    RolloutCommand,
+    WatchCommand,
+)
+
+COMMANDS = (
+    ApplyCommand,
+    GetCommand,
+    DeleteCommand,
+    WatchCommand,
+    RolloutCommand,
+    SubmitCommand,
+    StatusCommand,
+    CancelCommand,
+    TimelineCommand,
+    ExplainCommand,
+    CheckSettingsCommand,
+    VersionCommand,
+)
+
+
+def application() -> Application:
+    """Return the command line with all commands."""
+    app = Application("cranberryshore", version("cranberryshore-cli"))
+    for command in COMMANDS:
+        app.add(command())
+    return app
+
+
+def main() -> None:
+    """Run the command line."""
+    sys.exit(application().run())
+
+
+if __name__ == "__main__":
+    main()
--- /dev/null
+++ b/packages/cli/cranberryshore_cli/resource_commands.py
@@ -0,0 +1,236 @@
+"""Commands for resources: apply, get, delete, watch, rollout."""
+
+import asyncio
+from pathlib import Path
+from typing import Any, ClassVar
+from uuid import uuid4
+
+from cleo.helpers import argument, option
+from result import Err, Ok, Result
+
+from cranberryshore.errors import ErrorType, Refusal, RunClaim
+from cranberryshore.messages import encode_json
+from cranberryshore.settings import parse_document
+from cranberryshore_cli.client import Client, Failure
+from cranberryshore_cli.command import RemoteCommand
+from cranberryshore_cli.exits import OK
+
+UNCERTAIN_TRIES = 5
+UNCERTAIN_PAUSE_SECONDS = 1.0
+ROLLOUT_PAUSE_SECONDS = 0.2
+WATCH_WAIT_MS = 20_000
+
+
+class ApplyCommand(RemoteCommand):
+    """Declares or changes the resource in a file."""
+
+    name = "apply"
+    description = "Declare or change the resource in a file."
+    help = """Example file (JSON with comments):
+
+  {"kind": "service", "name": "booking", "spec": {"timeout_ms": 5000}}
+
+The change is accepted only if the resource still has the generation that was read, or the one
+given by <info>--generation</info>. Exit status 1: refused; 4: not yet known."""
+    arguments: ClassVar = [argument("file", "File with the resource.")]
+    options: ClassVar = [
+        *RemoteCommand.options,
+        option("generation", None, "Generation that must still hold.", flag=False),
+        option("change-id", None, "Identifier of the change, to ask again.", flag=False),
+    ]
+
+    def handle(self) -> int:
+        """Run the command."""
+        path = Path(self.argument("file"))
+        if not path.is_file():
+            return self.fault(f"There is no file {path}.")
+        document = parse_document(path.read_text(encoding="utf-8"))
+        if isinstance(document, Err):
+            return self.fault(str(document.err_value[0]))
+        resource = document.ok_value
+        if not isinstance(resource, dict) or not {"kind", "name", "spec"} <= resource.keys():
+            return self.fault("The file must hold an object with kind, name and spec.")
+        return self.ask(lambda client: self._apply(client, resource))
+
+    def show(self, value: dict[str, Any]) -> None:
+        """Print what was accepted."""
+        resource = value["resource"]
+        self.line(
+            f"{resource['kind']} {resource['name']}: generation {resource['generation']} "
+            f"accepted as revision {value['revision']}"
+        )
+
+    async def _apply(self, client: Client, resource: dict[str, Any]) -> Result[Any, Failure]:
+        body: dict[str, Any] = {"spec": resource["spec"]}
+        if self.option("generation") is not None:
+            body["expected_generation"] = int(self.option("generation"))
+        change_id = self.option("change-id") or uuid4().hex
+        path = f"/v1/resources/{resource['kind']}/{resource['name']}"
+        for _ in range(UNCERTAIN_TRIES):
+            answer = await client.call(
+                "PUT", path, dict, encode_json(body), {"Change-Id": change_id}
+            )
+            if not _is_uncertain(answer):
+                return answer
+            await asyncio.sleep(UNCERTAIN_PAUSE_SECONDS)
+        return answer
+
+
+class GetCommand(RemoteCommand):
+    """Shows the resources in force."""
+
+    name = "get"
+    description = "Show the resources in force."
+    arguments: ClassVar = [
+        argument("kind", "Only this kind.", optional=True),
+        argument("resource", "Only this name.", optional=True),
+    ]
+
+    def handle(self) -> int:
+        """Run the command."""
+        return self.ask(self._get)
+
+    def show(self, value: dict[str, Any]) -> None:
+        """Print a table."""
+        rows = [
+            [item["kind"], item["name"], item["generation"], item["changed_by"], item["spec"]]
+            for item in value["resources"]
+        ]
+        self.table_of(["kind", "name", "generation", "changed by", "spec"], rows)
+        self.line(f"revision {value['revision']}")
+
+    async def _get(self, client: Client) -> Result[Any, Failure]:
+        answer = await client.show("/v1/resources")
+        return answer.map(self._selected)
+
+    def _selected(self, value: dict[str, Any]) -> dict[str, Any]:
+        kind, name = self.argument("kind"), self.argument("resource")
+        chosen = [
+            item
+            for item in value["resources"]
+            if kind in (None, item["kind"]) and name in (None, item["name"])
+        ]
+        return {**value, "resources": chosen}
+
+
+class DeleteCommand(RemoteCommand):
+    """Deletes a resource."""
+
+    name = "delete"
+    description = "Delete a resource."
+    arguments: ClassVar = [
+        argument("kind", "Kind of the resource."),
+        argument("resource", "Name of the resource."),
+    ]
+
+    def handle(self) -> int:
+        """Run the command."""
+        path = f"/v1/resources/{self.argument('kind')}/{self.argument('resource')}"
+        return self.ask(lambda client: client.call("DELETE", path, dict))
+
+    def show(self, value: dict[str, Any]) -> None:
+        """Print what was accepted."""
+        self.line(f"deleted as revision {value['revision']}")
+
+
+class WatchCommand(RemoteCommand):
+    """Follows changes of resources."""
+
+    name = "watch"
+    description = "Follow changes of resources, one line each."
+    options: ClassVar = [
+        *RemoteCommand.options,
+        option("after", None, "Revision after which to begin.", flag=False, default="0"),
+        option("once", None, "Print what is there and stop."),
+    ]
+
+    def handle(self) -> int:
+        """Run the command."""
+        return self.ask(self._watch)
+
+    def show(self, value: dict[str, Any]) -> None:
+        """Print where to go on."""
+        self.line(f"revision {value['revision']}")
+
+    async def _watch(self, client: Client) -> Result[Any, Failure]:
+        after = int(self.option("after"))
+        wait_ms = 0 if self.option("once") else WATCH_WAIT_MS
+        while True:
+            answer = await client.show(f"/v1/watch?after={after}&wait_ms={wait_ms}")
+            if isinstance(answer, Err):
+                return answer
+            for change in answer.ok_value["changes"]:
+                self.line(_change_line(change))
+            after = answer.ok_value["revision"]
+            if self.option("once"):
+                return answer
+
+
+class RolloutCommand(RemoteCommand):
+    """Shows which instances have a revision in force."""
+
+    name = "rollout"
+    description = "Show which instances have a revision in force."
+    arguments: ClassVar = [argument("revision", "Revision that apply has printed.")]
+    options: ClassVar = [
+        *RemoteCommand.options,
+        option(
+            "wait",
+            None,
+            "Wait until all reachable instances have it, at most this many s.",
+            flag=False,
+            default="0",
+        ),
+    ]
+
+    def handle(self) -> int:
+        """Run the command."""
+        if not self.argument("revision").isdigit():
+            return self.fault("The revision must be a number.")
+        return self.ask(self._rollout)
+
+    def show(self, value: dict[str, Any]) -> None:
+        """Print a table."""
+        revision = int(self.argument("revision"))
+        rows = [
+            [item["incarnation"], item["revision"], item["revision"] >= revision]
+            for item in value["instances"]
+        ]
+        rows += [[address, "?", "cannot be asked"] for address in value["unreached"]]
+        self.table_of(["instance", "revision", "in force"], rows)
+
+    def status_of_value(self, value: dict[str, Any]) -> int:
+        """Return 0 only if every instance has the revision in force."""
+        return OK if self._is_done(value) and not value["unreached"] else 1
+
+    def _is_done(self, value: dict[str, Any]) -> bool:
+        revision = int(self.argument("revision"))
+        return all(item["revision"] >= revision for item in value["instances"])
+
+    async def _rollout(self, client: Client) -> Result[Any, Failure]:
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + float(self.option("wait"))
+        while True:
+            answer = await client.show("/v1/rollout")
+            is_done = isinstance(answer, Ok) and self._is_done(answer.ok_value)
+            if is_done or loop.time() >= deadline:
+                return answer
+            await asyncio.sleep(ROLLOUT_PAUSE_SECONDS)
+
+
+def _is_uncertain(answer: Result[Any, Failure]) -> bool:
+    if not isinstance(answer, Err) or not isinstance(answer.err_value, Refusal):
+        return False
+    refusal = answer.err_value
+    is_store = refusal.type in (ErrorType.CHANGE_UNCERTAIN, ErrorType.STORE_UNAVAILABLE)
+    return is_store and refusal.claim is RunClaim.MAY_HAVE_RUN
+
+
+def _change_line(change: dict[str, Any]) -> str:
+    resource = change["resource"]
+    if resource is None:
+        return f"{change['revision']} {change['key']} deleted"
+    return (
+        f"{change['revision']} {change['key']} generation {resource['generation']} "
+        f"by {resource['changed_by']}"
+    )
--- a/packages/core/cranberryshore/config/resource.py
+++ b/packages/core/cranberryshore/config/resource.py
@@ -37,7 +37,7 @@
 
 @attrs.frozen
 class WorkerPoolSpec:
-    """Limits of the queue in front of a zone's workers."""
+    """Limits of the queue in front of a zone's workers; the resource is named as the zone."""
 
     queued_tasks: Limit = 50_000
     longest_wait_ms: Milliseconds = 30_000
--- a/packages/core/cranberryshore/dispatch/dispatcher.py
+++ b/packages/core/cranberryshore/dispatch/dispatcher.py
@@ -73,6 +73,7 @@
             into.PeerDead: self._peer_dead,
             into.PeerDemand: self._peer_demand,
             into.QuotasSet: self._quotas_set,
+            into.LimitsSet: self._limits_set,
             into.OwnerClosed: self._owner_closed,
             into.Drain: self._drain,
             into.Tick: self._tick,
@@ -262,6 +263,15 @@
         self.quotas.limits = dict(input.limits)
         return []
 
+    def _limits_set(self, input: into.LimitsSet, now: float) -> list[out.Effect]:
+        self.settings = attrs.evolve(
+            self.settings,
+            queued_tasks=input.queued_tasks,
+            longest_wait_ms=input.longest_wait_ms,
+        )
+        self.admission.settings = self.settings
+        return []
+
     def _owner_closed(self, input: into.OwnerClosed, now: float) -> list[out.Effect]:
         """Refuse what has not started, and leave the rest to the workers' records."""
         if input.owner != self.owner:
--- a/packages/core/cranberryshore/dispatch/inputs.py
+++ b/packages/core/cranberryshore/dispatch/inputs.py
@@ -155,6 +155,14 @@
     limits: dict[str, int]
 
 
+@attrs.frozen
+class LimitsSet(Input):
+    """The configuration sets the limits of the queue."""
+
+    queued_tasks: int
+    longest_wait_ms: int
+
+
 @attrs.frozen
 class OwnerClosed(Input):
     """A worker refuses this owner, because a peer has closed it in the store."""
--- a/packages/core/cranberryshore/messages/codec.py
+++ b/packages/core/cranberryshore/messages/codec.py
@@ -39,6 +39,8 @@
         peer.CancelCall,
         peer.TimelineQuery,
         peer.ConfigQuery,
+        peer.RolloutQuery,
+        peer.RolloutAnswer,
         peer.JobAnswer,
         peer.TimelineAnswer,
         peer.ConfigAnswer,
--- a/packages/core/cranberryshore/messages/peer.py
+++ b/packages/core/cranberryshore/messages/peer.py
@@ -111,6 +111,19 @@
     after: int
 
 
+@attrs.frozen
+class RolloutQuery:
+    """Question for the revision in force."""
+
+
+@attrs.frozen
+class RolloutAnswer:
+    """The revision in force in one instance."""
+
+    incarnation: str
+    revision: int
+
+
 @attrs.frozen
 class JobAnswer:
     """What a caller learns of its job.
--- a/packages/core/cranberryshore/timeline/__init__.py
+++ b/packages/core/cranberryshore/timeline/__init__.py
@@ -2,6 +2,15 @@
 
 from cranberryshore.timeline.clock import HybridClock, Stamp
 from cranberryshore.timeline.event import Event, EventKind
+from cranberryshore.timeline.explain import explain_events
 from cranberryshore.timeline.recorder import Recorder, merge_events
 
-__all__ = ["Event", "EventKind", "HybridClock", "Recorder", "Stamp", "merge_events"]
+__all__ = [
+    "Event",
+    "EventKind",
+    "HybridClock",
+    "Recorder",
+    "Stamp",
+    "explain_events",
+    "merge_events",
+]
--- a/packages/daemon/cranberryshored/app.py
+++ b/packages/daemon/cranberryshored/app.py
@@ -10,6 +10,7 @@
 from cranberryshore.dispatch import (
     Dispatcher,
     Drain,
+    LimitsSet,
     LoanGranted,
     LoanReturned,
     LoansRecalled,
@@ -181,6 +182,7 @@
             self.calls,
             self.readiness,
             self.status,
+            self.peer_addresses,
         )
         tables = [
             routes.routes()
@@ -268,6 +270,14 @@
             peers,
         )
 
+    def peer_addresses(self) -> set[str]:
+        """Return the peer addresses of all other instances of all zones."""
+        addresses = set(self.membership.candidates)
+        addresses |= {peer.address for peer in self.table.reachable()}
+        for others in self.router.other_zones.values():
+            addresses.update(others)
+        return addresses - {str(self.settings.peer_listen)}
+
     def assigned_to(self, scope: str, resource: str) -> str | None:
         """See :class:`Assignments`."""
         return self.zone.assigned_to(scope, resource)
@@ -356,6 +366,9 @@
                 declared[resource.name] = checked.ok_value
             elif resource.kind is ResourceKind.CALLER_POLICY:
                 quotas[resource.name] = checked.ok_value.quota_millicores
+            elif resource.kind is ResourceKind.WORKER_POOL and resource.name == self.settings.zone:
+                spec = checked.ok_value
+                self.jobs.handle(LimitsSet(spec.queued_tasks, spec.longest_wait_ms))
         for name, spec in declared.items():
             self._declare(name, spec)
         for name in self.services.keys() - declared.keys():
--- a/packages/daemon/cranberryshored/peers/transport.py
+++ b/packages/daemon/cranberryshored/peers/transport.py
@@ -5,7 +5,7 @@
 from typing import Any
 
 import attrs
-from pynng import Closed, NNGException, Pull0, Push0, TryAgain
+from pynng import Canceled, Closed, NNGException, Pull0, Push0, TryAgain
 from structlog.typing import FilteringBoundLogger
 
 from cranberryshore.messages import PeerMessage, decode_envelope, encode_envelope, open_part
@@ -44,6 +44,7 @@
     pull: Pull0 | None = None
     pushes: dict[str, Push0] = attrs.field(factory=dict)
     outbox: dict[tuple[str, str], list[Any]] = attrs.field(factory=dict)
+    is_closing: bool = False
     task: asyncio.Task | None = None
 
     async def start(self) -> None:
@@ -58,6 +59,8 @@
     async def close(self) -> None:
         """Send what is due and close all sockets."""
         self._flush()
+        # pynng swallows a cancellation that meets an arriving message, so a flag ends the loop.
+        self.is_closing = True
         if self.task is not None:
             self.task.cancel()
             await asyncio.gather(self.task, return_exceptions=True)
@@ -105,10 +108,10 @@
             self.log.warning("Send failed.", address=address, error=str(error))
 
     async def _receive(self) -> None:
-        while True:
+        while not self.is_closing:
             try:
                 data = await self.pull.arecv()
-            except Closed:
+            except (Closed, Canceled):
                 return
             self.metrics.messages.labels("peer_in").inc()
             self._open(data)
--- a/packages/daemon/cranberryshored/web/observe.py
+++ b/packages/daemon/cranberryshored/web/observe.py
@@ -7,7 +7,7 @@
 from aiohttp.web import Request, Response, RouteTableDef
 from prometheus_client import generate_latest
 
-from cranberryshore.messages import TimelineAnswer, TimelineQuery
+from cranberryshore.messages import RolloutAnswer, RolloutQuery, TimelineAnswer, TimelineQuery
 from cranberryshore.timeline import Event, Recorder, merge_events
 from cranberryshored.metrics import Metrics
 from cranberryshored.peers import MembershipService, PeerCalls
@@ -51,6 +51,14 @@
     reason: str
 
 
+@attrs.frozen
+class RolloutBody:
+    """Instances of all zones: those that answered, and the addresses that did not."""
+
+    instances: tuple[RolloutAnswer, ...]
+    unreached: tuple[str, ...]
+
+
 @attrs.frozen
 class TimelineBody:
     """Events of all reached processes of the zone."""
@@ -71,15 +79,18 @@
     calls: PeerCalls
     readiness: Callable[[], Readiness]
     status: Callable[[], InstanceStatus]
+    addresses: Callable[[], set[str]]
 
     def routes(self) -> RouteTableDef:
         """Return the route table."""
         self.calls.handlers[TimelineQuery] = self._on_query
+        self.calls.handlers[RolloutQuery] = self._on_rollout_query
         table = RouteTableDef()
         table.get("/healthz")(self.health)
         table.get("/readyz")(self.ready)
         table.get("/metrics")(self.show_metrics)
         table.get("/v1/status")(self.show_status)
+        table.get("/v1/rollout")(self.rollout)
         table.get("/v1/timeline")(self.timeline)
         return table
 
@@ -102,6 +113,23 @@
         self.tokens.operator(request)
         return json_answer(self.status())
 
+    async def rollout(self, request: Request) -> Response:
+        """Return the revision in force in every instance of all zones that can be asked."""
+        self.tokens.operator(request)
+        addresses = sorted(self.addresses())
+        question = RolloutQuery()
+        answers = await asyncio.gather(
+            *(self.calls.call(address, "", question, CALL_SECONDS) for address in addresses)
+        )
+        instances = [await self._on_rollout_query(question)]
+        unreached = []
+        for address, answer in zip(addresses, answers, strict=True):
+            if isinstance(answer, RolloutAnswer):
+                instances.append(answer)
+            else:
+                unreached.append(address)
+        return json_answer(RolloutBody(tuple(instances), tuple(unreached)))
+
     async def timeline(self, request: Request) -> Response:
         """Return the events about a subject, merged over all processes of the zone."""
         self.tokens.operator(request)
@@ -126,5 +154,9 @@
         merged = merge_events(parts)
         return json_answer(TimelineBody(tuple(merged), dropped, tuple(unreached)))
 
+    async def _on_rollout_query(self, query: RolloutQuery) -> RolloutAnswer:
+        status = self.status()
+        return RolloutAnswer(status.incarnation, status.revision)
+
     async def _on_query(self, query: TimelineQuery) -> TimelineAnswer:
         return TimelineAnswer(tuple(self.recorder.about(query.subject)), self.recorder.dropped)
