Histories in virtual time, and a false *not run* that they found

The owner's record in the store had dropped the replaced worker, so the closer never counted the lost knowledge as a doubt. Ruled out: the fence at the workers (the starts came before it), the forwarding and the caller's resubmission. Change: dropped workers stay in the record as past workers, with the sequence number from which on ids are newer and so cannot concern them. Also the proof package: the product's own daemons in virtual time between fakes, drawn faults, a checker that shares no code with the product. Conclusion: the record must never forget where tasks may have run.

--- a/packages/bench/cranberryshore_bench/driver.py
+++ b/packages/bench/cranberryshore_bench/driver.py
@@ -112,6 +112,8 @@
             if _is_final(answer):
                 break
             await asyncio.sleep(_pause_seconds(answer))
+            if isinstance(answer, Refusal) and answer.claim is RunClaim.NOT_RUN:
+                id = await self._id()
         record = _job_record(id, answer, arrival, began, loop.time() - began, submissions)
         self.jobs.append(record)
         return record
--- a/packages/core/cranberryshore/dispatch/effects.py
+++ b/packages/core/cranberryshore/dispatch/effects.py
@@ -61,7 +61,11 @@
 
 @attrs.frozen
 class JobRefused(Effect):
-    """A submission was not accepted; nothing of it is kept and its id may be used again."""
+    """A submission was not accepted, and never will be under this id.
+
+    If the id could be used again, a copy of the submission that was delayed on its way could
+    run after its caller had been told that it did not.
+    """
 
     id: SubmissionId
     refusal: Refusal
--- a/packages/core/cranberryshore/dispatch/workers.py
+++ b/packages/core/cranberryshore/dispatch/workers.py
@@ -34,6 +34,7 @@
             self.pool.remove(name)
             self.states[name] = WorkerState(incarnation)
             self.health.workers.pop(name, None)
+        self.states[name].is_leaving = False
         self.pool.add(name, total)
         self._refresh(name)
         self.pool.assign(set(self.assigned))
--- a/packages/core/cranberryshore/identity/ledger.py
+++ b/packages/core/cranberryshore/identity/ledger.py
@@ -95,12 +95,6 @@
         batch.used.add(id.sequence)
         return Claim(ClaimKind.FRESH, id)
 
-    def release(self, id: SubmissionId) -> None:
-        """Make a used id fresh again, because its submission was refused and never kept."""
-        batch = self._batch_of(id.sequence)
-        if batch is not None:
-            batch.used.discard(id.sequence)
-
     def is_unused(self, id: SubmissionId, now: float) -> bool:
         """Tell whether ``id`` was issued, still lives and has not been used."""
         self._drop_expired(now)
--- a/packages/core/cranberryshore/ownership/__init__.py
+++ b/packages/core/cranberryshore/ownership/__init__.py
@@ -4,6 +4,7 @@
 from cranberryshore.ownership.record import (
     OwnedWorker,
     OwnerRecord,
+    PastWorker,
     TaskRecord,
     TaskRecordState,
     owner_key,
@@ -13,6 +14,7 @@
     "Closure",
     "OwnedWorker",
     "OwnerRecord",
+    "PastWorker",
     "TaskRecord",
     "TaskRecordState",
     "Truth",
--- a/packages/core/cranberryshore/ownership/closure.py
+++ b/packages/core/cranberryshore/ownership/closure.py
@@ -5,6 +5,7 @@
 import attrs
 
 from cranberryshore.errors import ErrorType, Refusal, RunClaim
+from cranberryshore.identity.submission_id import SubmissionId
 from cranberryshore.ownership.record import OwnedWorker, TaskRecord, TaskRecordState
 
 ASK_AGAIN_MS = 500
@@ -55,11 +56,14 @@
     owner : str
         The closed incarnation.
     workers : frozenset of OwnedWorker
-        Workers named by the closed record.
+        All workers named by the closed record, past ones included.
+    below : dict
+        For each past worker, the sequence number from which on ids are sure to be newer.
     """
 
     owner: str
     workers: frozenset[OwnedWorker]
+    below: dict[OwnedWorker, int] = attrs.field(factory=dict)
     reports: dict[OwnedWorker, dict[str, dict[int, TaskRecord]]] = attrs.field(factory=dict)
     gone: set[OwnedWorker] = attrs.field(factory=set)
 
@@ -76,19 +80,18 @@
         if worker not in self.reports:
             self.gone.add(worker)
 
-    def missing(self) -> set[OwnedWorker]:
-        """Return the workers that have neither reported nor are known to be gone."""
-        return set(self.workers) - self.reports.keys() - self.gone
+    def missing(self, id: SubmissionId) -> set[OwnedWorker]:
+        """Return the workers that may know of ``id``, have not reported and are not gone."""
+        return self._concerned(id) - self.reports.keys() - self.gone
 
-    def is_running(self, job: str) -> bool:
+    def is_running(self, id: SubmissionId) -> bool:
         """Tell whether any worker reports a task of the job as running."""
-        return any(
-            record.state is TaskRecordState.RUNNING for record in self._records(job).values()
-        )
+        records = self._records(str(id))
+        return any(record.state is TaskRecordState.RUNNING for record in records.values())
 
-    def truth(self, job: str, caller: str) -> Truth:
-        """Return what can be told to ``caller`` about ``job`` now."""
-        records = self._records(job)
+    def truth(self, id: SubmissionId, caller: str) -> Truth:
+        """Return what can be told to ``caller`` about a job now."""
+        records = self._records(str(id))
         if any(record.caller != caller for record in records.values()):
             detail = "This id was not issued to this caller."
             return _failed(ErrorType.ID_NOT_ISSUED, RunClaim.NOT_RUN, detail)
@@ -99,10 +102,18 @@
         count = next(iter(records.values())).task_count if records else None
         if count is not None and len(records) == count:
             return self._whole_truth(records, states)
-        if self.missing():
+        if self.missing(id):
             detail = "The issuer has died and not all of its workers have been asked yet."
             return _pending(detail, ASK_AGAIN_MS)
-        return self._partial_truth(records)
+        return self._partial_truth(id, records)
+
+    def _concerned(self, id: SubmissionId) -> set[OwnedWorker]:
+        """Return the workers on which tasks of ``id`` can have been started."""
+        return {
+            worker
+            for worker in self.workers
+            if worker not in self.below or id.sequence < self.below[worker]
+        }
 
     def _records(self, job: str) -> dict[int, TaskRecord]:
         records: dict[int, TaskRecord] = {}
@@ -119,12 +130,13 @@
         outputs = tuple(records[index].output for index in sorted(records))
         return Truth(TruthKind.COMPLETE, outputs)
 
-    def _partial_truth(self, records: dict[int, TaskRecord]) -> Truth:
+    def _partial_truth(self, id: SubmissionId, records: dict[int, TaskRecord]) -> Truth:
         if records:
             detail = "The issuer died before it had started all of the job's tasks."
             return _failed(ErrorType.OWNER_LOST, RunClaim.MAY_HAVE_RUN, detail)
-        if self.gone:
-            names = ", ".join(sorted(worker.name for worker in self.gone))
+        gone = self.gone & self._concerned(id)
+        if gone:
+            names = ", ".join(sorted(worker.name for worker in gone))
             detail = f"The issuer has died, and so has what its workers knew: {names}."
             return _failed(ErrorType.OWNER_LOST, RunClaim.MAY_HAVE_RUN, detail)
         detail = "The issuer died before any task was started, and none will be; use a new id."
--- a/packages/core/cranberryshore/ownership/record.py
+++ b/packages/core/cranberryshore/ownership/record.py
@@ -28,6 +28,18 @@
     incarnation: str
 
 
+@attrs.frozen(order=True)
+class PastWorker:
+    """A worker incarnation that an owner has used and will never use again.
+
+    Ids with a sequence number of ``below`` or more were issued after the worker was dropped, so
+    their tasks cannot have been started there.
+    """
+
+    worker: OwnedWorker
+    below: int
+
+
 @attrs.frozen
 class OwnerRecord:
     """What the store holds of one incarnation.
@@ -40,6 +52,7 @@
 
     owner: str
     workers: tuple[OwnedWorker, ...] = ()
+    past: tuple[PastWorker, ...] = ()
     is_closed: bool = False
     closed_by: str = ""
 
@@ -47,9 +60,21 @@
         """Return the closed record."""
         return attrs.evolve(self, is_closed=True, closed_by=by)
 
-    def with_workers(self, workers: frozenset[OwnedWorker]) -> "OwnerRecord":
-        """Return the record with another set of workers."""
-        return attrs.evolve(self, workers=tuple(sorted(workers)))
+    def with_workers(self, workers: frozenset[OwnedWorker], next_sequence: int) -> "OwnerRecord":
+        """Return the record with another set of workers; dropped ones become past workers.
+
+        Examples
+        --------
+        >>> one, two = OwnedWorker("w", "run-1"), OwnedWorker("w", "run-2")
+        >>> record = OwnerRecord("a.e1.0", (one,)).with_workers(frozenset({two}), 7)
+        >>> record.past
+        (PastWorker(worker=OwnedWorker(name='w', incarnation='run-1'), below=7),)
+        """
+        dropped = set(self.workers) - workers
+        past = {entry.worker: entry for entry in self.past if entry.worker not in workers}
+        for worker in dropped:
+            past[worker] = PastWorker(worker, next_sequence)
+        return attrs.evolve(self, workers=tuple(sorted(workers)), past=tuple(sorted(past.values())))
 
 
 class TaskRecordState(Enum):
--- a/packages/daemon/cranberryshored/app.py
+++ b/packages/daemon/cranberryshored/app.py
@@ -48,10 +48,9 @@
 from cranberryshored.loans import LoanExchange
 from cranberryshored.log import part_log
 from cranberryshored.metrics import Metrics
-from cranberryshored.peers import MembershipService, PeerCalls, PeerTransport
-from cranberryshored.platform import HttpInstanceList, HttpStore
-from cranberryshored.requests import Forwarder, RequestService
-from cranberryshored.web import WebServer
+from cranberryshored.peers import MembershipService, PeerCalls
+from cranberryshored.requests import RequestService
+from cranberryshored.surroundings import Surroundings
 from cranberryshored.web.auth import tokens_of
 from cranberryshored.web.jobs import JobRoutes
 from cranberryshored.web.observe import InstanceStatus, MemberStatus, ObserveRoutes, Readiness
@@ -70,21 +69,25 @@
     ----------
     settings : DaemonSettings
         Checked settings.
+    metrics : Metrics
+        Where everything is counted.
+    surroundings : Surroundings
+        What the daemon is connected to.
     """
 
     settings: DaemonSettings
-    metrics: Metrics = attrs.field(factory=Metrics)
+    metrics: Metrics
+    surroundings: Surroundings
     services: dict[str, RequestService] = attrs.field(factory=dict)
     is_draining: bool = False
     log: FilteringBoundLogger = attrs.field(factory=lambda: part_log("daemon"))
 
     def __attrs_post_init__(self) -> None:
-        settings = self.settings
-        platform = settings.platform
-        timeout = platform.call_timeout_seconds
-        self.store = HttpStore(platform.store_url, timeout, self.metrics)
-        self.instance_list = HttpInstanceList(platform.instance_list_url, timeout)
-        self.ownership = OwnershipService(settings, self.store, part_log("ownership"))
+        settings, around = self.settings, self.surroundings
+        self.store, self.instance_list = around.store, around.instance_list
+        self.ownership = OwnershipService(
+            settings, self.store, part_log("ownership"), around.unix_time, around.random
+        )
         self.recorder = Recorder(str(self.ownership.incarnation))
         self._build_peers()
         self._build_jobs()
@@ -105,13 +108,8 @@
 
     def _build_peers(self) -> None:
         settings = self.settings
-        self.transport = PeerTransport(
-            str(settings.peer_listen),
-            lambda: str(self.ownership.incarnation),
-            self._deliver,
-            self.recorder,
-            self.metrics,
-            part_log("peers"),
+        self.transport = self.surroundings.transport(
+            lambda: str(self.ownership.incarnation), self._deliver, self.recorder
         )
         self.calls = PeerCalls(self.transport, str(settings.peer_listen), part_log("peers"))
         self.table = PeerTable(self.ownership.incarnation)
@@ -134,9 +132,19 @@
         if settings.records_trace:
             self.jobs.trace = Trace()
         self.jobs.links = WorkerLinks(
-            timing.worker_lost_seconds, self.jobs, self.metrics, part_log("workers")
+            timing.worker_lost_seconds,
+            self.jobs,
+            self.metrics,
+            part_log("workers"),
+            self.surroundings.worker_session,
+        )
+        self.closures = Closures(
+            self.store,
+            self.jobs.links,
+            self.recorder,
+            part_log("closures"),
+            self.surroundings.unix_time,
         )
-        self.closures = Closures(self.store, self.jobs.links, self.recorder, part_log("closures"))
         self.jobs.closures = self.closures
         self.router = JobRouter(
             self.jobs,
@@ -150,7 +158,7 @@
         self._name_owner()
 
     def _build_requests_and_config(self) -> None:
-        self.forwarder = Forwarder()
+        self.forwarder = self.surroundings.forwarder
         self.state = ConfigState()
         self.follower = ConfigFollower(
             self.state,
@@ -168,9 +176,9 @@
         settings = self.settings
         tokens = tokens_of(settings.tokens)
         rate = settings.limits.key_bindings_per_second
-        bindings = KeyBindings(self.store, self.ownership, TokenBucket(rate, rate))
+        self.bindings = KeyBindings(self.store, self.ownership, TokenBucket(rate, rate))
         self.request_routes = RequestRoutes(self.services, tokens, self.recorder)
-        job_routes = JobRoutes(self.router, self.ownership, bindings, tokens, settings.limits)
+        job_routes = JobRoutes(self.router, self.ownership, self.bindings, tokens, settings.limits)
         resource_routes = ResourceRoutes(
             self.follower, self.editor, tokens, settings.limits.wait_ms
         )
@@ -188,7 +196,7 @@
             routes.routes()
             for routes in (self.request_routes, job_routes, resource_routes, observe_routes)
         ]
-        self.web = WebServer(settings.listen, settings.limits.body_bytes, tables, part_log("web"))
+        self.web = self.surroundings.web(tables)
 
     async def start(self) -> None:
         """Start all parts; listening for callers comes last."""
--- a/packages/daemon/cranberryshored/jobs/closures.py
+++ b/packages/daemon/cranberryshored/jobs/closures.py
@@ -1,6 +1,7 @@
 """Closing the ownership of dead peers and telling the truth about their jobs."""
 
 import asyncio
+from collections.abc import Callable
 from time import time
 
 import attrs
@@ -52,6 +53,7 @@
     links: WorkerLinks
     recorder: Recorder
     log: FilteringBoundLogger
+    unix_time: Callable[[], float]
     closed_by: str = ""
     live_workers: dict[str, str] | None = None
     closures: dict[str, Closure] = attrs.field(factory=dict)
@@ -68,9 +70,9 @@
                 if isinstance(opened, Err):
                     return opened.err_value
                 closure = self.closures[owner] = opened.ok_value
-        if closure.missing() or closure.is_running(str(id)):
-            await self._ask(closure)
-        truth = closure.truth(str(id), caller)
+        if closure.missing(id) or closure.is_running(id):
+            await self._ask(closure, id)
+        truth = closure.truth(id, caller)
         self.recorder.record(time(), EventKind.JOB_TRUTH, str(id), truth.kind.value)
         return truth
 
@@ -89,7 +91,9 @@
             return Err(_expired())
         self.recorder.record(time(), EventKind.OWNER_CLOSED, str(issuer))
         self.log.info("Ownership closed.", owner=str(issuer))
-        return Ok(Closure(str(issuer), frozenset(record.ok_value.workers)))
+        closed = record.ok_value
+        below = {entry.worker: entry.below for entry in closed.past}
+        return Ok(Closure(str(issuer), frozenset(closed.workers) | below.keys(), below))
 
     async def _closed_record(self, issuer: Incarnation) -> Result[OwnerRecord | None, StoreFailure]:
         """Return the issuer's closed record; ``None`` if it is past its retention or unreadable."""
@@ -100,7 +104,7 @@
             if isinstance(read, Err):
                 return read
             entry = read.ok_value
-            if entry is None and time() - issuer.started_at > RECORD_RETENTION_SECONDS:
+            if entry is None and self.unix_time() - issuer.started_at > RECORD_RETENTION_SECONDS:
                 return Ok(None)
             record = OwnerRecord(str(issuer)) if entry is None else _decode(entry.value)
             if record is None:
@@ -114,16 +118,16 @@
                 return Ok(closed)
         return outcome
 
-    async def _ask(self, closure: Closure) -> None:
+    async def _ask(self, closure: Closure, id: SubmissionId) -> None:
         """Ask the workers that have not reported, or run tasks, and wait a little for them."""
-        for worker in closure.workers:
+        for worker in sorted(closure.workers):
             link = self.links.open_link(worker)
             if link is not None:
                 link.ask_report(closure.owner)
             elif self._is_gone(worker):
                 closure.on_gone(worker)
         deadline = asyncio.get_running_loop().time() + REPORT_WAIT_SECONDS
-        while closure.missing():
+        while closure.missing(id):
             left = deadline - asyncio.get_running_loop().time()
             if left <= 0:
                 return
--- a/packages/daemon/cranberryshored/jobs/ownership.py
+++ b/packages/daemon/cranberryshored/jobs/ownership.py
@@ -1,8 +1,8 @@
 """Ownership of this instance: its incarnation's record in the store."""
 
 import asyncio
-from random import SystemRandom
-from time import time
+from collections.abc import Callable
+from random import Random
 
 import attrs
 import msgspec
@@ -32,6 +32,8 @@
     settings: DaemonSettings
     store: Store
     log: FilteringBoundLogger
+    unix_time: Callable[[], float]
+    random: Random
     incarnation: Incarnation = attrs.field(init=False)
     ledger: SubmissionLedger = attrs.field(init=False)
     record: OwnerRecord = attrs.field(init=False)
@@ -45,7 +47,9 @@
     def renew(self) -> None:
         """Take a new incarnation, with no workers yet."""
         settings = self.settings
-        self.incarnation = new_incarnation(settings.zone, settings.instance, time(), SystemRandom())
+        self.incarnation = new_incarnation(
+            settings.zone, settings.instance, self.unix_time(), self.random
+        )
         self.ledger = SubmissionLedger(self.incarnation)
         self.record = OwnerRecord(str(self.incarnation))
         self.revision = 0
@@ -57,7 +61,7 @@
         """Write the record with ``workers``; only then may tasks be started there."""
         async with self.lock:
             incarnation = self.incarnation
-            wanted = self.record.with_workers(workers)
+            wanted = self.record.with_workers(workers, self.ledger.next_sequence)
             if self.is_registered and wanted == self.record:
                 return Ok(None)
             written = await self._write(wanted, self.revision)
--- a/packages/daemon/cranberryshored/jobs/router.py
+++ b/packages/daemon/cranberryshored/jobs/router.py
@@ -28,6 +28,7 @@
 
 CALL_SECONDS = 2.0
 RETRY_MS = 500
+REMEMBERED_REFUSALS = 100_000
 TRUTH_POLL_SECONDS = 0.2
 
 Answer = Result[JobAnswer, Refusal]
@@ -55,6 +56,7 @@
     closures: Closures
     log: FilteringBoundLogger
     other_zones: dict[str, list[str]] = attrs.field(factory=dict)
+    refused: dict[str, Refusal] = attrs.field(factory=dict)
 
     def register(self) -> None:
         """Answer these calls when peers make them."""
@@ -94,6 +96,8 @@
         if job is not None:
             return self._answer_to(caller, id)
         claim = self.ownership.ledger.claim(id, caller, now)
+        if claim.kind is ClaimKind.USED:
+            return Err(self._unknown_refusal(id))
         if claim.kind is not ClaimKind.FRESH:
             return Err(_claim_refusal(claim.kind))
         return self._accept(Submit(id, caller, request))
@@ -104,7 +108,7 @@
         recorder.record(time(), EventKind.JOB_SUBMITTED, key, submit.caller, count)
         for effect in self.jobs.handle(submit):
             if isinstance(effect, JobRefused) and effect.id == submit.id:
-                self.ownership.ledger.release(submit.id)
+                self._remember_refusal(key, effect.refusal)
                 reason = effect.refusal.type.value
                 metrics.refusals.labels(reason).inc()
                 recorder.record(time(), EventKind.JOB_REFUSED, key, reason, count)
@@ -122,6 +126,11 @@
             return await self.query(id, caller, 0)
         return self._answer_to(caller, id)
 
+    def _remember_refusal(self, key: str, refusal: Refusal) -> None:
+        self.refused[key] = refusal
+        if len(self.refused) > REMEMBERED_REFUSALS:
+            del self.refused[next(iter(self.refused))]
+
     def _answer_to(self, caller: str, id: SubmissionId) -> Answer:
         job = self.jobs.dispatcher.jobs.get(str(id))
         if job is None:
@@ -132,6 +141,9 @@
 
     def _unknown_refusal(self, id: SubmissionId) -> Refusal:
         """Return the refusal for an id of this incarnation without a retained job."""
+        refusal = self.refused.get(str(id))
+        if refusal is not None:
+            return refusal
         now = asyncio.get_running_loop().time()
         if self.ownership.ledger.is_unused(id, now):
             detail = "Nothing has been submitted under this id."
--- a/packages/daemon/cranberryshored/jobs/workers.py
+++ b/packages/daemon/cranberryshored/jobs/workers.py
@@ -1,5 +1,6 @@
 """Sessions with all workers that this instance's owner record names."""
 
+from collections.abc import Awaitable, Callable
 from itertools import count
 
 import attrs
@@ -21,13 +22,14 @@
     events: WorkerEvents
     metrics: Metrics
     log: FilteringBoundLogger
+    open_session: Callable[[], Awaitable[ClientSession]]
     session: ClientSession | None = None
     links: dict[str, WorkerLink] = attrs.field(factory=dict)
     sessions: count = attrs.field(factory=lambda: count(1))
 
     async def start(self) -> None:
         """Open the connection pool."""
-        self.session = ClientSession()
+        self.session = await self.open_session()
 
     async def close(self) -> None:
         """End all sessions."""
--- a/packages/daemon/cranberryshored/loans.py
+++ b/packages/daemon/cranberryshored/loans.py
@@ -7,7 +7,7 @@
 from cranberryshore.identity import parse_incarnation
 from cranberryshore.membership import PeerTable
 from cranberryshore.messages import LoanAsk, LoanGrants, LoanRecall, LoanReturns
-from cranberryshored.peers import PeerTransport
+from cranberryshored.peers import Transport
 
 
 class Assignments(Protocol):
@@ -23,7 +23,7 @@
     """Sends the loan messages of all scopes."""
 
     table: PeerTable
-    transport: PeerTransport
+    transport: Transport
     assignments: Assignments
 
     def ask(self, message: LoanAsk) -> None:
--- a/packages/daemon/cranberryshored/main.py
+++ b/packages/daemon/cranberryshored/main.py
@@ -12,13 +12,16 @@
 from cranberryshore.settings import DaemonSettings, load_daemon_settings
 from cranberryshored.app import Daemon
 from cranberryshored.log import configure_log
+from cranberryshored.metrics import Metrics
+from cranberryshored.surroundings import real_surroundings
 
 EXIT_BAD_SETTINGS = 2
 WORKER_THREADS = 1
 
 
 async def _run(settings: DaemonSettings) -> None:
-    daemon = Daemon(settings)
+    metrics = Metrics()
+    daemon = Daemon(settings, metrics, real_surroundings(settings, metrics))
     stop = asyncio.Event()
     loop = asyncio.get_running_loop()
     for signal in (SIGTERM, SIGINT):
--- a/packages/daemon/cranberryshored/peers/calls.py
+++ b/packages/daemon/cranberryshored/peers/calls.py
@@ -10,7 +10,7 @@
 
 from cranberryshore.messages import PeerCall, PeerReply, open_part
 from cranberryshore.messages.codec import close_part
-from cranberryshored.peers.transport import PeerTransport
+from cranberryshored.peers.transport import Transport
 
 CallHandler = Callable[[Any], Awaitable[Any]]
 
@@ -19,7 +19,7 @@
 class PeerCalls:
     """Pairs calls with replies by number; a late or doubled reply finds nobody waiting."""
 
-    transport: PeerTransport
+    transport: Transport
     own_address: str
     log: FilteringBoundLogger
     handlers: dict[type, CallHandler] = attrs.field(factory=dict)
--- a/packages/daemon/cranberryshored/peers/membership.py
+++ b/packages/daemon/cranberryshored/peers/membership.py
@@ -18,7 +18,7 @@
 from cranberryshore.messages import Heartbeat, KnownPeer, Leave
 from cranberryshore.settings import DaemonSettings
 from cranberryshore.timeline import EventKind
-from cranberryshored.peers.transport import PeerTransport
+from cranberryshored.peers.transport import Transport
 
 
 class MembershipListener(Protocol):
@@ -55,7 +55,7 @@
 
     settings: DaemonSettings
     table: PeerTable
-    transport: PeerTransport
+    transport: Transport
     listener: MembershipListener
     log: FilteringBoundLogger
     candidates: set[str] = attrs.field(factory=set)
--- a/packages/daemon/cranberryshored/peers/transport.py
+++ b/packages/daemon/cranberryshored/peers/transport.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
-from typing import Any
+from typing import Any, Protocol
 
 import attrs
 from pynng import Canceled, Closed, NNGException, Pull0, Push0, TryAgain
@@ -18,6 +18,24 @@
 MAX_MESSAGE_BYTES = 16_000_000
 
 
+class Transport(Protocol):
+    """What the daemon needs to exchange messages with peers."""
+
+    recorder: Recorder
+
+    async def start(self) -> None:
+        """Listen."""
+        ...
+
+    async def close(self) -> None:
+        """Send what is due and stop."""
+        ...
+
+    def send(self, address: str, target: str, message: PeerMessage) -> None:
+        """Queue a message for the process at ``address``."""
+        ...
+
+
 @attrs.define(eq=False)
 class PeerTransport:
     """Sends typed messages to peers and hands received ones to ``deliver``.
--- a/packages/daemon/cranberryshored/platform/instance_list.py
+++ b/packages/daemon/cranberryshored/platform/instance_list.py
@@ -67,6 +67,14 @@
 class InstanceList(Protocol):
     """What the daemon needs of the instance list."""
 
+    async def start(self) -> None:
+        """Open connections."""
+        ...
+
+    async def close(self) -> None:
+        """Close connections."""
+        ...
+
     async def fetch(self, since: int) -> Result[Listing | None, StoreUnavailable]:
         """Return the list if its version is not ``since``."""
         ...
--- a/packages/daemon/cranberryshored/platform/store.py
+++ b/packages/daemon/cranberryshored/platform/store.py
@@ -72,6 +72,14 @@
 class Store(Protocol):
     """What the daemon needs of a key-value service."""
 
+    async def start(self) -> None:
+        """Open connections."""
+        ...
+
+    async def close(self) -> None:
+        """Close connections."""
+        ...
+
     async def get(self, key: str) -> Result[Entry | None, StoreFailure]:
         """Return a key's entry, or ``None`` if it does not exist."""
         ...
--- a/packages/daemon/cranberryshored/requests/forwarder.py
+++ b/packages/daemon/cranberryshored/requests/forwarder.py
@@ -1,5 +1,7 @@
 """Sending one request to one upstream."""
 
+from typing import Protocol
+
 import attrs
 from aiohttp import ClientConnectorError, ClientError, ClientSession, ClientTimeout, TCPConnector
 from multidict import CIMultiDict
@@ -83,8 +85,26 @@
     )
 
 
+class Forwarder(Protocol):
+    """What the daemon needs to reach upstreams."""
+
+    async def start(self) -> None:
+        """Open connections."""
+        ...
+
+    async def close(self) -> None:
+        """Close connections."""
+        ...
+
+    async def forward(
+        self, address: str, request: IncomingRequest, seconds: float
+    ) -> Result[Forwarded, ForwardFailure]:
+        """Send a request once and return the whole answer."""
+        ...
+
+
 @attrs.define
-class Forwarder:
+class HttpForwarder:
     """Connections to the zone's upstreams."""
 
     session: ClientSession | None = None
@@ -102,7 +122,7 @@
     async def forward(
         self, address: str, request: IncomingRequest, seconds: float
     ) -> Result[Forwarded, ForwardFailure]:
-        """Send a request once and return the whole answer."""
+        """See :class:`Forwarder`."""
         limit = ClientTimeout(total=seconds, sock_connect=CONNECT_SECONDS)
         try:
             async with self.session.request(
--- a/packages/daemon/cranberryshored/web/__init__.py
+++ b/packages/daemon/cranberryshored/web/__init__.py
@@ -1,5 +1,5 @@
 """The HTTP interface for callers and operators."""
 
-from cranberryshored.web.server import WebServer
+from cranberryshored.web.server import Web, WebServer
 
-__all__ = ["WebServer"]
+__all__ = ["Web", "WebServer"]
--- a/packages/daemon/cranberryshored/web/server.py
+++ b/packages/daemon/cranberryshored/web/server.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Awaitable, Callable
+from typing import Protocol
 
 import attrs
 from aiohttp.web import (
@@ -30,6 +31,20 @@
 }
 
 
+class Web(Protocol):
+    """What the daemon needs of its web server."""
+
+    in_flight: int
+
+    async def start(self) -> None:
+        """Begin to listen."""
+        ...
+
+    async def close(self) -> None:
+        """Stop listening."""
+        ...
+
+
 @attrs.define(eq=False)
 class WebServer:
     """Listens for callers and operators."""
--- a/packages/daemon/cranberryshored/zone.py
+++ b/packages/daemon/cranberryshored/zone.py
@@ -128,10 +128,11 @@
 
     def _take_workers(self, workers: list[ListedInstance]) -> None:
         self.closures.live_workers = {item.name: item.incarnation for item in workers}
-        for item in workers:
-            if item.is_leaving:
+        live = {item.name: item for item in workers if not item.is_leaving}
+        for item in self.workers.values():
+            if item.name not in live:
                 self.jobs.handle(WorkerLost(item.name, item.incarnation, is_leaving=True))
-        self.workers = {item.name: item for item in workers if not item.is_leaving}
+        self.workers = live
         self.workers_changed.set()
 
     async def _keep_record(self) -> None:
--- /dev/null
+++ b/packages/proof/cranberryshore_proof/callers.py
@@ -0,0 +1,298 @@
+"""Callers and operators that behave badly in allowed ways."""
+
+import asyncio
+from collections.abc import Awaitable, Callable
+from itertools import count
+from random import Random
+from typing import Any
+
+import attrs
+from multidict import CIMultiDict
+from result import Err, Ok, Result
+
+from cranberryshore.config import ResourceKind
+from cranberryshore.errors import Refusal, RunClaim
+from cranberryshore.identity import parse_submission_id
+from cranberryshore.messages import JobAnswer
+from cranberryshore.work import Capacity, JobRequest, JobState, TaskSpec
+from cranberryshore_proof.history import ChangeHistory, JobHistory, RequestHistory, SeenAnswer
+from cranberryshore_proof.world import SERVICE, EntryNode, World
+from cranberryshored.config.editor import Proposal
+from cranberryshored.requests import IncomingRequest
+
+CALL_SECONDS = 3.0
+QUERY_WAIT_MS = 2000
+MOST_CALLS = 12
+CHANGED_NAME = SERVICE
+
+
+@attrs.define(eq=False)
+class Caller:
+    """One caller: submits, resubmits through other instances, queries, cancels."""
+
+    name: str
+    zone: str
+    world: World
+    random: Random
+    numbers: count = attrs.field(factory=count)
+
+    async def run(self, until: float) -> None:
+        """Make jobs and requests until a time."""
+        loop = asyncio.get_running_loop()
+        tasks = []
+        while loop.time() < until:
+            await asyncio.sleep(self.random.expovariate(8.0))
+            action = self._job if self.random.random() < 0.5 else self._request
+            tasks.append(asyncio.create_task(action()))
+        await asyncio.gather(*tasks)
+
+    async def settle(self) -> None:
+        """Ask once more for every job, now that all faults have ended."""
+        for job in self.world.history.jobs:
+            if job.caller == self.name and job.id and not job.key:
+                await self._query(job, self._entry())
+
+    def _entry(self) -> EntryNode:
+        is_away = self.random.random() < 0.15
+        zone_entries = self.world.zone_entries(self.zone)
+        return self.random.choice(self.world.entries if is_away else zone_entries)
+
+    async def _job(self) -> None:
+        payloads = tuple(
+            f"run_ms={self.random.choice((20, 80, 300, 900))}"
+            for _ in range(self.random.randint(1, 6))
+        )
+        job = JobHistory("", self.name, payloads)
+        if self.random.random() < 0.15:
+            job.key = f"{self.name}-{next(self.numbers)}"
+        else:
+            id = await self._obtain()
+            if id is None:
+                return
+            job.id = id
+        self.world.history.jobs.append(job)
+        if self.random.random() < 0.1:
+            # Two copies at once, through two instances.
+            await asyncio.gather(self._until_final(job), self._until_final(job))
+        else:
+            await self._until_final(job)
+
+    async def _obtain(self) -> str | None:
+        entry = self._entry()
+
+        async def issue() -> str | None:
+            daemon = entry.daemon
+            if not daemon.ownership.is_registered or daemon.is_draining:
+                return None
+            now = asyncio.get_running_loop().time()
+            return str(daemon.ownership.ledger.issue(self.name, 1, now)[0])
+
+        return await self._call(entry, issue)
+
+    async def _until_final(self, job: JobHistory) -> None:
+        for _ in range(MOST_CALLS):
+            entry = self._entry()
+            answer = await self._submit(job, entry)
+            if answer is not None and answer.state in ("queued", "running"):
+                if self.random.random() < 0.05:
+                    await self._cancel(job, answer, self._entry())
+                answer = await self._query(job, self._entry())
+            if answer is not None and answer.is_final:
+                return
+            await asyncio.sleep(self.random.uniform(0.05, 0.5))
+
+    async def _submit(self, job: JobHistory, entry: EntryNode) -> SeenAnswer | None:
+        tasks = tuple(TaskSpec(Capacity(1000, 512, 0), 100, payload) for payload in job.payloads)
+        request = JobRequest(tasks)
+        job.sent.append(asyncio.get_running_loop().time())
+
+        async def submit() -> Result[JobAnswer, Refusal]:
+            daemon = entry.daemon
+            if not job.key:
+                id = parse_submission_id(job.id).unwrap()
+                return await daemon.router.submit(id, self.name, request)
+            bound = await daemon.bindings.bind(self.name, job.key)
+            if isinstance(bound, Err):
+                return bound
+            return await daemon.router.submit(bound.ok_value, self.name, request)
+
+        return self._note(job, await self._call(entry, submit))
+
+    async def _query(self, job: JobHistory, entry: EntryNode) -> SeenAnswer | None:
+        text = job.id or next((seen.id for seen in job.answers if seen.id), "")
+        if not text:
+            return None
+        id = parse_submission_id(text).unwrap()
+
+        async def query() -> Result[JobAnswer, Refusal]:
+            return await entry.daemon.router.query(id, self.name, QUERY_WAIT_MS)
+
+        return self._note(job, await self._call(entry, query), text)
+
+    async def _cancel(self, job: JobHistory, answer: SeenAnswer, entry: EntryNode) -> None:
+        id = parse_submission_id(answer.id).unwrap()
+
+        async def cancel() -> Result[JobAnswer, Refusal]:
+            return await entry.daemon.router.cancel(id, self.name)
+
+        self._note(job, await self._call(entry, cancel), answer.id)
+
+    def _note(
+        self, job: JobHistory, result: Result[JobAnswer, Refusal] | None, id: str = ""
+    ) -> SeenAnswer | None:
+        if result is None:
+            job.unanswered += 1
+            return None
+        seen = _seen(asyncio.get_running_loop().time(), result, id or job.id)
+        job.answers.append(seen)
+        return seen
+
+    async def _request(self) -> None:
+        entry = self._entry()
+        nonce = f"{self.name}-r{next(self.numbers)}"
+        is_idempotent = self.random.random() < 0.4
+        now = asyncio.get_running_loop().time()
+        seen = RequestHistory(nonce, is_idempotent, entry.name, now)
+        self.world.history.requests.append(seen)
+        ms = self.random.choice((5, 50, 400, 1500))
+        body = f"{nonce} {ms}".encode()
+        incoming = IncomingRequest("POST", "/seat", CIMultiDict(), body, is_idempotent)
+
+        async def serve() -> Any:
+            daemon = entry.daemon
+            service = daemon.services.get(SERVICE)
+            if service is None or daemon.request_routes.is_draining:
+                return Err(None)
+            return await service.serve(incoming, "default", False, 2500)
+
+        result = await self._call(entry, serve)
+        if result is None:
+            return
+        seen.answered = asyncio.get_running_loop().time()
+        if isinstance(result, Ok):
+            seen.body = result.ok_value.body.decode()
+        elif result.err_value is not None:
+            seen.claim = result.err_value.claim.value
+        else:
+            seen.claim = "not_run"
+
+    async def _call(self, entry: EntryNode, action: Callable[[], Awaitable[Any]]) -> Any | None:
+        return await call_entry(self.world, self.name, entry, action)
+
+
+@attrs.define(eq=False)
+class Operator:
+    """One of several operators who change the same resource."""
+
+    name: str
+    world: World
+    random: Random
+    numbers: count = attrs.field(factory=count)
+
+    async def run(self, until: float) -> None:
+        """Make changes until a time."""
+        loop = asyncio.get_running_loop()
+        while loop.time() < until:
+            await asyncio.sleep(self.random.expovariate(1.0))
+            await self._change()
+
+    async def _change(self) -> None:
+        entry = self.random.choice(self.world.entries)
+        if entry.daemon is None:
+            return
+        resource = entry.daemon.state.resources.get(f"config/service/{CHANGED_NAME}")
+        generation = 0 if resource is None else resource.generation
+        value = self.random.randint(1000, 9000)
+        change_id = f"{self.name}-{next(self.numbers)}"
+        proposal = Proposal(
+            ResourceKind.SERVICE,
+            CHANGED_NAME,
+            {"timeout_ms": value},
+            generation,
+            self.name,
+            change_id,
+        )
+        for _ in range(4):
+            result = await call_entry(
+                self.world, self.name, entry, lambda node=entry: node.daemon.editor.change(proposal)
+            )
+            if self._note(proposal, value, result):
+                return
+            entry = self.random.choice(self.world.entries)
+            await asyncio.sleep(0.5)
+
+    def _note(self, proposal: Proposal, value: int, result: Any) -> bool:
+        """Record the outcome; return whether it is certain."""
+        now = asyncio.get_running_loop().time()
+        revision = generation = 0
+        outcome = "unknown"
+        if isinstance(result, Ok):
+            outcome = "accepted"
+            revision = result.ok_value.revision
+            generation = result.ok_value.resource.generation
+        elif isinstance(result, Err) and result.err_value.claim is RunClaim.NOT_RUN:
+            outcome = "refused"
+        self.world.history.changes.append(
+            ChangeHistory(
+                now,
+                self.name,
+                proposal.change_id,
+                value,
+                proposal.expected_generation,
+                outcome,
+                revision,
+                generation,
+            )
+        )
+        return outcome != "unknown"
+
+
+async def call_entry(
+    world: World, caller: str, entry: EntryNode, action: Callable[[], Awaitable[Any]]
+) -> Any | None:
+    """Run ``action`` in an entry instance and return its result; ``None`` if none came."""
+    future = asyncio.get_running_loop().create_future()
+    network = world.network
+
+    async def handle() -> None:
+        daemon = entry.daemon
+        if daemon is None:
+            return
+        daemon.web.in_flight += 1
+        try:
+            result = await action()
+        finally:
+            daemon.web.in_flight -= 1
+        network.send(entry.name, caller, lambda: _settle(future, result))
+
+    network.send(caller, entry.name, lambda: network.spawn(entry.name, handle()))
+    try:
+        async with asyncio.timeout(CALL_SECONDS):
+            return await future
+    except TimeoutError:
+        return None
+
+
+def _settle(future: asyncio.Future, value: Any) -> None:
+    if not future.done():
+        future.set_result(value)
+
+
+def _seen(at: float, result: Result[JobAnswer, Refusal], id: str) -> SeenAnswer:
+    if isinstance(result, Err):
+        refusal = result.err_value
+        is_final = refusal.claim is not RunClaim.MAY_HAVE_RUN or refusal.retry_after_ms is None
+        return SeenAnswer(
+            at, "refused", None, refusal.claim.value, refusal.type.value, is_final, id
+        )
+    answer = result.ok_value
+    failure = answer.failure
+    return SeenAnswer(
+        at,
+        answer.state.value,
+        answer.outputs,
+        None if failure is None else failure.claim.value,
+        None if failure is None else failure.type.value,
+        answer.state in (JobState.COMPLETE, JobState.FAILED),
+        answer.id,
+    )
--- /dev/null
+++ b/packages/proof/cranberryshore_proof/fake_upstreams.py
@@ -0,0 +1,88 @@
+"""Upstreams at the daemon's forwarding interface, over the virtual network."""
+
+import asyncio
+
+import attrs
+from multidict import CIMultiDict
+from result import Err, Ok, Result
+
+from cranberryshore_proof.network import Network
+from cranberryshored.requests import Forwarded, ForwardFailure, IncomingRequest
+
+CONNECT_SECONDS = 0.5
+
+
+@attrs.define(eq=False)
+class UpstreamNode:
+    """One upstream: runs every request that arrives and records it."""
+
+    name: str
+    network: Network
+    runs: list[tuple[float, str]] = attrs.field(factory=list)
+    breaks: int = 0
+
+    async def run(self, request: IncomingRequest) -> bytes | None:
+        """Run a request; ``None`` if the connection breaks before the answer."""
+        nonce, ms = request.body.decode().split()
+        self.runs.append((asyncio.get_running_loop().time(), nonce))
+        await asyncio.sleep(float(ms) / 1000)
+        if self.breaks > 0:
+            self.breaks -= 1
+            return None
+        return nonce.encode()
+
+
+@attrs.define(eq=False)
+class FakeForwarder:
+    """One daemon's connections to the upstreams."""
+
+    node: str
+    network: Network
+    upstreams: dict[str, UpstreamNode]
+
+    async def start(self) -> None:
+        """Do nothing."""
+
+    async def close(self) -> None:
+        """Do nothing."""
+
+    async def forward(
+        self, address: str, request: IncomingRequest, seconds: float
+    ) -> Result[Forwarded, ForwardFailure]:
+        """Send a request once."""
+        upstream = self.upstreams[address]
+        if address in self.network.dead:
+            return Err(ForwardFailure(False, False, "refused"))
+        loop = asyncio.get_running_loop()
+        connected, answered = loop.create_future(), loop.create_future()
+
+        async def serve() -> None:
+            body = await upstream.run(request)
+            self.network.send(address, self.node, lambda: _settle(answered, body))
+
+        def arrive() -> None:
+            self.network.spawn(address, serve())
+
+        def accept() -> None:
+            self.network.send(address, self.node, lambda: _settle(connected, b""))
+
+        self.network.send(self.node, address, accept)
+        try:
+            async with asyncio.timeout(min(CONNECT_SECONDS, seconds)):
+                await connected
+        except TimeoutError:
+            return Err(ForwardFailure(False, False, "no connection"))
+        self.network.send(self.node, address, arrive)
+        try:
+            async with asyncio.timeout(seconds):
+                body = await answered
+        except TimeoutError:
+            return Err(ForwardFailure(True, True, "no answer"))
+        if body is None:
+            return Err(ForwardFailure(True, False, "broken"))
+        return Ok(Forwarded(200, CIMultiDict(), body))
+
+
+def _settle(future: asyncio.Future, value: bytes | None) -> None:
+    if not future.done():
+        future.set_result(value)
--- /dev/null
+++ b/packages/proof/cranberryshore_proof/fake_workers.py
@@ -0,0 +1,193 @@
+"""Workers at the daemon's session interface, over the virtual network."""
+
+import asyncio
+from collections.abc import Callable
+from typing import Any
+
+import attrs
+from aiohttp import ClientConnectionError, WSMsgType
+
+from cranberryshore.messages import (
+    Ack,
+    CloseOwner,
+    Open,
+    Opened,
+    Start,
+    Stop,
+    decode_frames,
+    encode_frames,
+)
+from cranberryshore_proof.network import Network
+from cranberryshore_standins.worker_model import WorkerModel
+
+END_SECONDS = 0.005
+USAGE_SECONDS = 0.5
+
+
+@attrs.frozen
+class SocketMessage:
+    """One message as the session's reader sees it."""
+
+    type: WSMsgType
+    data: str = ""
+
+
+@attrs.define(eq=False)
+class FakeSocket:
+    """The daemon's end of a session.
+
+    A session outlives a cut: what was written into it arrives later, even after the daemon has
+    opened another one.
+    """
+
+    node: str
+    worker: "WorkerNode"
+    network: Network
+    run: int
+    inbox: asyncio.Queue = attrs.field(factory=asyncio.Queue)
+    opened: Open | None = None
+    is_closed: bool = False
+
+    async def send_str(self, text: str) -> None:
+        """Send one message to the worker."""
+        if self.is_closed:
+            raise ClientConnectionError("closed")
+        self.network.send(self.node, self.worker.name, lambda: self.worker.receive(self, text))
+
+    def reply(self, frames: list[Any]) -> None:
+        """Send frames from the worker to the daemon."""
+        text = encode_frames(frames)
+        message = SocketMessage(WSMsgType.TEXT, text)
+        self.network.send(self.worker.name, self.node, lambda: self.inbox.put_nowait(message))
+
+    def break_off(self) -> None:
+        """Let the daemon see the end of the connection."""
+        if self.node not in self.network.dead:
+            self.inbox.put_nowait(SocketMessage(WSMsgType.CLOSED))
+
+    async def __aenter__(self) -> "FakeSocket":
+        return self
+
+    async def __aexit__(self, *error: object) -> None:
+        self.is_closed = True
+
+    def __aiter__(self) -> "FakeSocket":
+        return self
+
+    async def __anext__(self) -> SocketMessage:
+        message = await self.inbox.get()
+        if message.type is WSMsgType.CLOSED:
+            raise StopAsyncIteration
+        return message
+
+
+@attrs.define(eq=False)
+class WorkerNode:
+    """One worker; all of its runs are kept for the checks."""
+
+    name: str
+    network: Network
+    make_model: Callable[[int], WorkerModel]
+    models: list[WorkerModel] = attrs.field(factory=list)
+    sockets: dict[str, FakeSocket] = attrs.field(factory=dict)
+
+    @property
+    def model(self) -> WorkerModel:
+        """Return the present run."""
+        return self.models[-1]
+
+    def launch(self) -> None:
+        """Start a run."""
+        run = self.network.begin_run(self.name)
+        self.models.append(self.make_model(run))
+        self.network.spawn(self.name, self._run())
+
+    def kill(self) -> None:
+        """End the run; the daemons see their sessions break."""
+        self.network.end_run(self.name)
+        for socket in self.sockets.values():
+            socket.break_off()
+        self.sockets.clear()
+
+    def receive(self, socket: FakeSocket, text: str) -> None:
+        """Handle a message of a session."""
+        now = asyncio.get_running_loop().time()
+        for frame in decode_frames(text):
+            self._on_frame(socket, frame, now)
+
+    def _on_frame(self, socket: FakeSocket, frame: Any, now: float) -> None:
+        if isinstance(frame, Open):
+            answer = self.model.open(frame)
+            if isinstance(answer, Opened):
+                socket.opened = frame
+                self.sockets[frame.owner] = socket
+                unsent = self.model.unsent(frame.owner)
+                socket.reply([answer, *unsent, self.model.usage()])
+            else:
+                socket.reply([answer])
+            return
+        if socket.opened is None:
+            return
+        owner, session = socket.opened.owner, socket.opened.session
+        if isinstance(frame, Start):
+            for batch in frame.batches:
+                refused = self.model.start(owner, session, batch, now)
+                if refused:
+                    socket.reply(refused)
+        elif isinstance(frame, Stop):
+            for job in frame.jobs:
+                self.model.stop(owner, job)
+        elif isinstance(frame, Ack):
+            self.model.acknowledge(owner, frame.through)
+        elif isinstance(frame, CloseOwner):
+            socket.reply([self.model.close_owner(frame.number, frame.owner)])
+
+    async def _run(self) -> None:
+        loop = asyncio.get_running_loop()
+        usage_at = 0.0
+        while True:
+            await asyncio.sleep(END_SECONDS)
+            if self.name in self.network.frozen:
+                continue
+            now = loop.time()
+            self.model.end_tasks(now)
+            for owner, frame in self.model.take_results().items():
+                if owner in self.sockets:
+                    self.sockets[owner].reply([frame])
+            if now >= usage_at:
+                usage_at = now + USAGE_SECONDS
+                for socket in self.sockets.values():
+                    socket.reply([self.model.usage()])
+
+
+@attrs.define(eq=False)
+class FakeWorkerSession:
+    """One daemon's connection pool for worker sessions."""
+
+    node: str
+    network: Network
+    workers: dict[str, WorkerNode]
+
+    async def ws_connect(self, url: str, **options: object) -> FakeSocket:
+        """Connect to the worker at an address; waits while the way there is cut."""
+        name = url.removeprefix("http://").split("/")[0]
+        worker = self.workers[name]
+        if name in self.network.dead:
+            await asyncio.sleep(0.001)
+            raise ClientConnectionError("refused")
+        future = asyncio.get_running_loop().create_future()
+
+        def at_worker() -> None:
+            self.network.send(name, self.node, lambda: _done(future))
+
+        self.network.send(self.node, name, at_worker)
+        await future
+        return FakeSocket(self.node, worker, self.network, self.network.runs[name])
+
+    async def close(self) -> None:
+        """Do nothing."""
+
+
+def _done(future: asyncio.Future) -> None:
+    if not future.done():
+        future.set_result(None)
