--- /dev/null
+++ b/packages/daemon/cranberryshored/tests/test_processes.py
@@ -0,0 +1,156 @@
+"""Failure tests against separate processes."""
+
+import asyncio
+import tempfile
+from collections import Counter
+from pathlib import Path
+from unittest import IsolatedAsyncioTestCase
+
+from result import Err, Ok
+
+from cranberryshore.errors import ErrorType, Refusal, RunClaim
+from cranberryshore.work import Capacity, JobRequest, JobState, TaskSpec
+from cranberryshore_cli import Client
+from cranberryshore_standins.cluster import Cluster, ClusterShape, caller_token
+
+SHAPE = ClusterShape(entries=2, workers=2, upstreams=2)
+FINAL = (JobState.COMPLETE, JobState.FAILED)
+
+
+ONE = Capacity(1000, 100, 0)
+
+
+def job(count: int, run_ms: int, demand: Capacity = ONE) -> JobRequest:
+    return JobRequest(tuple(TaskSpec(demand, run_ms) for _ in range(count)))
+
+
+class ProcessesTest(IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):
+        self.folder = tempfile.TemporaryDirectory()
+        self.cluster = Cluster(SHAPE, Path(self.folder.name))
+        await self.cluster.start()
+        await self.cluster.declare("service", "booking", {"timeout_ms": 5000})
+        self.entries = self.cluster.entries()
+        self.clients = [Client(node.url, caller_token(0)) for node in self.entries]
+        for client in self.clients:
+            await client.start()
+
+    async def asyncTearDown(self):
+        for client in self.clients:
+            await client.close()
+        await self.cluster.close()
+        self.folder.cleanup()
+
+    async def starts(self) -> Counter:
+        counts: Counter = Counter()
+        for node in self.cluster.workers():
+            log = await self.cluster.fetch(node.name, "/log")
+            counts.update((job_id, index) for _, _, job_id, index in log["starts"])
+        return counts
+
+    async def until_final(self, client: Client, id: str, request: JobRequest):
+        """Submit again as long as the answer asks to come back for the outcome."""
+        while True:
+            result = await client.submit(id, request, wait_ms=2000)
+            if isinstance(result, Ok) and result.ok_value.state in FINAL:
+                return result.ok_value
+            refusal = result.err_value if isinstance(result, Err) else None
+            if isinstance(refusal, Refusal) and refusal.claim is RunClaim.NOT_RUN:
+                return refusal
+            await asyncio.sleep(0.2)
+
+    async def test_killed_issuer_leaves_the_truth_with_the_workers(self):
+        ids = (await self.clients[0].obtain_ids(2)).unwrap()
+        request = job(4, 1500)
+        (await self.clients[0].submit(ids[0], request)).unwrap()
+        await asyncio.sleep(0.2)
+        self.cluster.kill(self.entries[0].name)
+        answer = await self.until_final(self.clients[1], ids[0], request)
+        self.assertIs(answer.state, JobState.COMPLETE)
+        self.assertEqual(len(answer.outputs), 4)
+        unused = await self.until_final(self.clients[1], ids[1], request)
+        self.assertIs(unused.failure.claim, RunClaim.NOT_RUN)
+        counts = await self.starts()
+        self.assertEqual(set(counts.values()), {1})
+        self.assertEqual({id for id, _ in counts}, {ids[0]})
+
+    async def test_frozen_issuer_cannot_start_what_was_told_not_run(self):
+        ids = (await self.clients[0].obtain_ids(2)).unwrap()
+        request = job(2, 50)
+        self.cluster.freeze(self.entries[0].name)
+        # This copy lies in the frozen process's buffers.
+        late = asyncio.create_task(self.clients[0].submit(ids[0], request, wait_ms=1000))
+        answer = await self.until_final(self.clients[1], ids[0], request)
+        self.assertIs(answer.failure.claim, RunClaim.NOT_RUN)
+        self.cluster.wake(self.entries[0].name)
+        result = await late
+        claim = result.err_value.claim if isinstance(result, Err) else result.ok_value.failure.claim
+        self.assertIs(claim, RunClaim.NOT_RUN)
+        self.assertEqual(await self.starts(), Counter())
+
+    async def test_leaving_instance_answers_all_that_is_in_flight(self):
+        ids = (await self.clients[0].obtain_ids(3)).unwrap()
+        waiting = [
+            asyncio.create_task(self.clients[0].submit(id, job(6, 400), wait_ms=9000)) for id in ids
+        ]
+        headers = {"Authorization": f"Bearer {caller_token(0)}"}
+        url = f"{self.entries[0].url}/v1/services/booking/seat?nonce=n&ms=900"
+        request = asyncio.create_task(self.cluster.session.get(url, headers=headers))
+        await asyncio.sleep(0.2)
+        self.cluster.leave(self.entries[0].name)
+        answers = [await task for task in waiting]
+        self.assertEqual({answer.unwrap().state for answer in answers}, {JobState.COMPLETE})
+        self.assertEqual((await request).status, 200)
+        self.assertEqual(await self.cluster.wait_left(self.entries[0].name), 0)
+
+    async def test_broken_request_runs_once_if_marked(self):
+        # Cause: aiohttp repeats GET requests on its own when a kept-alive connection breaks.
+        headers = {"Authorization": f"Bearer {caller_token(0)}", "Idempotent": "no"}
+        for number in range(6):
+            for node in self.cluster.upstreams():
+                await self.cluster.switch(node.name, break_after=number % 2)
+            url = f"{self.entries[0].url}/v1/services/booking/seat?nonce=n{number}&ms=5"
+            async with self.cluster.session.get(url, headers=headers) as response:
+                body = await response.json()
+                if response.status != 200:
+                    self.assertEqual(body["error"]["claim"], "may_have_run")
+        runs: Counter = Counter()
+        for node in self.cluster.upstreams():
+            log = await self.cluster.fetch(node.name, "/log")
+            runs.update(nonce for _, nonce in log["runs"])
+        self.assertEqual(set(runs.values()), {1})
+
+    async def test_key_binds_once_through_any_instance_and_a_lost_reply(self):
+        await self.cluster.switch("store", lose_replies=1)
+        first = await self.clients[0].submit_by_key("order-7", job(2, 50), 3000)
+        second = await self.clients[1].submit_by_key("order-7", job(2, 50), 3000)
+        self.assertEqual(first.unwrap(), second.unwrap())
+        self.assertEqual(set((await self.starts()).values()), {1})
+
+    async def test_store_outage_leaves_the_work_going_and_changes_uncertain_at_most(self):
+        ids = (await self.clients[0].obtain_ids(1)).unwrap()
+        await self.cluster.switch("store", down=True)
+        answer = await self.clients[1].submit(ids[0], job(3, 50), 3000)
+        self.assertIs(answer.unwrap().state, JobState.COMPLETE)
+        refused = await self.clients[0].submit_by_key("k", job(1, 50))
+        self.assertIs(refused.unwrap_err().type, ErrorType.STORE_UNAVAILABLE)
+        await self.cluster.switch("store", down=False)
+
+    async def test_bad_input_is_refused_with_its_place_and_nothing_is_lost(self):
+        client = self.clients[0]
+        id = (await client.obtain_ids(1)).unwrap()[0]
+        for body in (b"{", b'{"tasks": 1}', b'{"tasks": [{}]}', b'{"tusks": []}', b"\xff"):
+            refused = await client.call("PUT", f"/v1/jobs/{id}", dict, body)
+            self.assertIs(refused.unwrap_err().type, ErrorType.MALFORMED, body)
+        refused = await client.submit(id, job(1, 50, Capacity(10**6, 1, 0)))
+        self.assertIs(refused.unwrap_err().type, ErrorType.NEVER_FITS)
+        for path in ("/v1/jobs/x", "/v1/jobs/%00", "/nowhere", "/v1/services/none/x"):
+            self.assertTrue((await client.call("GET", path, dict)).is_err())
+        stranger = Client(client.url, "wrong")
+        await stranger.start()
+        refused = await stranger.obtain_ids(1)
+        await stranger.close()
+        self.assertIs(refused.unwrap_err().type, ErrorType.UNAUTHENTICATED)
+        refused = await client.show("/v1/status")
+        self.assertIs(refused.unwrap_err().type, ErrorType.FORBIDDEN)
+        self.assertTrue((await client.obtain_ids(1)).is_ok())
