Loans counted by the loans, not by lagging reports; benchmark in virtual time

A lender took the larger of what it had lent and what the worker reported in use, and the report lags by up to 0.5 s, so returned room stayed locked. Also, a borrower whose request had been served asked again only after 0.5 s. Ruled out: fairness and the urgent class (the same with one team), the message delay (0.6 ms). Change: live peers count by their loans, reports count for dead owners only, and whoever holds room on a resource that moves tells the new assignee. A borrower asks again as soon as its backlog exceeds what is left of its request.

--- a/packages/core/cranberryshore/dispatch/__init__.py
+++ b/packages/core/cranberryshore/dispatch/__init__.py
@@ -15,6 +15,7 @@
     StopTasks,
     TaskBatch,
     TaskStart,
+    TellHeld,
 )
 from cranberryshore.dispatch.inputs import (
     Assigned,
@@ -23,6 +24,7 @@
     Input,
     LimitsSet,
     LoanGranted,
+    LoanHeld,
     LoanReturned,
     LoansRecalled,
     LoanWanted,
@@ -57,6 +59,7 @@
     "LendTo",
     "LimitsSet",
     "LoanGranted",
+    "LoanHeld",
     "LoanReturned",
     "LoanWanted",
     "LoansRecalled",
@@ -73,6 +76,7 @@
     "TaskStart",
     "TasksFinished",
     "TasksRejected",
+    "TellHeld",
     "Tick",
     "Trace",
     "TraceEntry",
--- a/packages/core/cranberryshore/dispatch/dispatcher.py
+++ b/packages/core/cranberryshore/dispatch/dispatcher.py
@@ -66,6 +66,7 @@
             into.TasksRejected: self._tasks_rejected,
             into.UsageReported: self._usage_reported,
             into.Assigned: self._assigned,
+            into.LoanHeld: self._loan_held,
             into.LoanWanted: self._loan_wanted,
             into.LoanGranted: self._loan_granted,
             into.LoanReturned: self._loan_returned,
@@ -231,7 +232,11 @@
         return []
 
     def _assigned(self, input: into.Assigned, now: float) -> list[out.Effect]:
-        self.workers.assign(input.workers)
+        held = self.workers.assign(input.assignment)
+        return [out.TellHeld(tuple(held))] if held else []
+
+    def _loan_held(self, input: into.LoanHeld, now: float) -> list[out.Effect]:
+        self.workers.pool.hold(input.peer, input.grants)
         return []
 
     def _loan_wanted(self, input: into.LoanWanted, now: float) -> list[out.Effect]:
@@ -240,6 +245,8 @@
 
     def _loan_granted(self, input: into.LoanGranted, now: float) -> list[out.Effect]:
         self.workers.pool.borrow(input.grants)
+        if self.filling.backlog is not None:
+            self.lending.on_granted(self.filling.backlog.demand, input.grants)
         return []
 
     def _loan_returned(self, input: into.LoanReturned, now: float) -> list[out.Effect]:
--- a/packages/core/cranberryshore/dispatch/effects.py
+++ b/packages/core/cranberryshore/dispatch/effects.py
@@ -94,6 +94,13 @@
     grants: tuple[Grant, ...]
 
 
+@attrs.frozen
+class TellHeld(Effect):
+    """Tell new assignees what this instance holds on their resources."""
+
+    grants: tuple[Grant, ...]
+
+
 @attrs.frozen
 class RecallLoans(Effect):
     """Tell the peers that borrow from this instance that it needs its room."""
--- a/packages/core/cranberryshore/dispatch/inputs.py
+++ b/packages/core/cranberryshore/dispatch/inputs.py
@@ -3,6 +3,7 @@
 import attrs
 
 from cranberryshore.identity.submission_id import SubmissionId
+from cranberryshore.placement.assignment import Assignment
 from cranberryshore.placement.shared_pool import Grant
 from cranberryshore.work.capacity import Capacity
 from cranberryshore.work.job import TaskResult
@@ -97,7 +98,15 @@
 class Assigned(Input):
     """The workers assigned to this instance have changed."""
 
-    workers: frozenset[str]
+    assignment: Assignment
+
+
+@attrs.frozen
+class LoanHeld(Input):
+    """A peer tells what it holds on workers that have just been assigned here."""
+
+    peer: str
+    grants: tuple[Grant, ...]
 
 
 @attrs.frozen
--- a/packages/core/cranberryshore/dispatch/lending.py
+++ b/packages/core/cranberryshore/dispatch/lending.py
@@ -1,12 +1,15 @@
 """Asking peers for room, lending to them, and returning what is no longer needed."""
 
+from collections.abc import Iterable
+
 import attrs
 
 from cranberryshore.dispatch import effects as out
-from cranberryshore.placement.shared_pool import SharedPool
+from cranberryshore.placement.shared_pool import Grant, SharedPool
 from cranberryshore.work.capacity import NOTHING, Capacity
 
 ASK_AGAIN_SECONDS = 0.5
+LEAST_ASK_SECONDS = 0.002
 RECALL_AGAIN_SECONDS = 0.5
 
 
@@ -28,7 +31,7 @@
 
     pool: SharedPool
     asked_at: float | None = None
-    asked_count: int = 0
+    asked_left: int = 0
     recalled_at: float = float("-inf")
 
     def balance(self, backlog: Backlog | None, now: float) -> list[out.Effect]:
@@ -46,10 +49,9 @@
 
     def _seek(self, backlog: Backlog, now: float) -> list[out.Effect]:
         effects = self._give_back(only_recalled=True)
-        is_due = self.asked_at is None or now - self.asked_at >= ASK_AGAIN_SECONDS
-        if is_due or backlog.count > 2 * self.asked_count:
+        if self._is_ask_due(backlog, now):
             self.asked_at = now
-            self.asked_count = backlog.count
+            self.asked_left = backlog.count
             effects.append(out.AskPeers(backlog.demand, backlog.count))
         peers = self.pool.borrowers()
         if peers and now - self.recalled_at >= RECALL_AGAIN_SECONDS:
@@ -58,6 +60,16 @@
             effects.append(out.RecallLoans(frozenset(peers), names))
         return effects
 
+    def on_granted(self, demand: Capacity, grants: Iterable[Grant]) -> None:
+        """Count what peers have lent against what was asked for."""
+        copies = sum(grant.amount.count_of(demand) for grant in grants)
+        self.asked_left = max(self.asked_left - copies, 0)
+
+    def _is_ask_due(self, backlog: Backlog, now: float) -> bool:
+        if self.asked_at is None or now - self.asked_at >= ASK_AGAIN_SECONDS:
+            return True
+        return backlog.count > self.asked_left and now - self.asked_at >= LEAST_ASK_SECONDS
+
     def _give_back(self, only_recalled: bool) -> list[out.Effect]:
         grants = self.pool.give_back(only_recalled)
         return [out.GiveBack(tuple(grants))] if grants else []
--- a/packages/core/cranberryshore/dispatch/tests/test_dispatcher.py
+++ b/packages/core/cranberryshore/dispatch/tests/test_dispatcher.py
@@ -24,6 +24,7 @@
 )
 from cranberryshore.errors import ErrorType, RunClaim
 from cranberryshore.identity import Incarnation, SubmissionId
+from cranberryshore.placement import Assignment
 from cranberryshore.work import Capacity, JobRequest, TaskResult, TaskSpec
 
 OWNER = Incarnation("a", "e1", "0" * 16)
@@ -53,7 +54,7 @@
         for name in ("w1", "w2"):
             self.handle(WorkerAdded(name, "run-1", Capacity(4000, 8000, 0)))
             self.handle(WorkerOpened(name, "run-1", ()))
-        self.handle(Assigned(frozenset({"w1", "w2"})))
+        self.handle(Assigned(Assignment("me", {"w1": "me", "w2": "me"})))
 
     def handle(self, input):
         self.trace.record(input, self.now)
--- a/packages/core/cranberryshore/dispatch/tests/test_stateful.py
+++ b/packages/core/cranberryshore/dispatch/tests/test_stateful.py
@@ -24,7 +24,7 @@
     WorkerOpened,
 )
 from cranberryshore.identity import Incarnation, SubmissionId
-from cranberryshore.placement import Grant
+from cranberryshore.placement import Assignment, Grant
 from cranberryshore.work import Capacity, JobRequest, TaskResult, TaskSpec
 
 OWNER = Incarnation("a", "e1", "0" * 16)
@@ -47,7 +47,7 @@
         for name in WORKERS:
             self.handle(WorkerAdded(name, "run-1", TOTAL))
             self.handle(WorkerOpened(name, "run-1", ()))
-        self.handle(Assigned(frozenset({"w1", "w2"})))
+        self.handle(Assigned(Assignment("me", {"w1": "me", "w2": "me"})))
 
     def handle(self, input):
         self.now += 0.01
@@ -100,7 +100,7 @@
 
     @rule(names=st.sets(st.sampled_from(WORKERS)))
     def assign(self, names):
-        self.handle(Assigned(frozenset(names)))
+        self.handle(Assigned(Assignment("me", dict.fromkeys(names, "me"))))
 
     @rule(count=st.integers(0, 6))
     def want(self, count):
--- a/packages/core/cranberryshore/dispatch/workers.py
+++ b/packages/core/cranberryshore/dispatch/workers.py
@@ -2,8 +2,9 @@
 
 import attrs
 
+from cranberryshore.placement.assignment import Assignment
 from cranberryshore.placement.health import PoolHealth
-from cranberryshore.placement.shared_pool import SharedPool
+from cranberryshore.placement.shared_pool import Grant, SharedPool
 from cranberryshore.work.capacity import Capacity
 
 
@@ -24,7 +25,7 @@
     pool: SharedPool = attrs.field(factory=SharedPool)
     health: PoolHealth = attrs.field(factory=PoolHealth)
     states: dict[str, WorkerState] = attrs.field(factory=dict)
-    assigned: frozenset[str] = frozenset()
+    assignment: Assignment = Assignment()
 
     def add(self, name: str, incarnation: str, total: Capacity) -> bool:
         """Add a worker; return whether it replaces another incarnation of the same name."""
@@ -37,7 +38,7 @@
         self.states[name].is_leaving = False
         self.pool.add(name, total)
         self._refresh(name)
-        self.pool.assign(set(self.assigned))
+        self.pool.assign(self.assignment)
         return is_replaced
 
     def open(self, name: str, incarnation: str) -> bool:
@@ -61,10 +62,10 @@
         self._refresh(name)
         return True
 
-    def assign(self, names: frozenset[str]) -> None:
-        """Set which workers are assigned to this instance."""
-        self.assigned = names
-        self.pool.assign(set(names))
+    def assign(self, assignment: Assignment) -> list[Grant]:
+        """Put an assignment in force; return what must be told to new assignees."""
+        self.assignment = assignment
+        return self.pool.assign(assignment)
 
     def block(self, name: str, until: float) -> None:
         """Place nothing on a worker until a time, because it refused to start tasks."""
@@ -94,7 +95,7 @@
         for name, member in self.pool.members.items():
             if not (member.is_assigned and member.is_open and member.total.holds(demand)):
                 continue
-            free = member.free().millicores
+            free = member.free(self.pool.live).millicores
             if free > best_free:
                 best, best_free = name, free
         return best
--- a/packages/core/cranberryshore/messages/codec.py
+++ b/packages/core/cranberryshore/messages/codec.py
@@ -19,6 +19,7 @@
     | peer.LoanGrants
     | peer.LoanReturns
     | peer.LoanRecall
+    | peer.LoansHeld
     | peer.PeerCall
     | peer.PeerReply
 )
@@ -32,6 +33,7 @@
         peer.LoanGrants,
         peer.LoanReturns,
         peer.LoanRecall,
+        peer.LoansHeld,
         peer.PeerCall,
         peer.PeerReply,
         peer.SubmitCall,
--- a/packages/core/cranberryshore/messages/peer.py
+++ b/packages/core/cranberryshore/messages/peer.py
@@ -63,6 +63,14 @@
     grants: tuple[Grant, ...]
 
 
+@attrs.frozen
+class LoansHeld:
+    """The sender holds this on resources that have just been assigned to the receiver."""
+
+    scope: str
+    grants: tuple[Grant, ...]
+
+
 @attrs.frozen
 class LoanRecall:
     """The sender needs what it has lent of these resources."""
--- a/packages/core/cranberryshore/placement/__init__.py
+++ b/packages/core/cranberryshore/placement/__init__.py
@@ -1,10 +1,11 @@
 """Sharing of workers and upstreams between the entry instances of an availability zone."""
 
-from cranberryshore.placement.assignment import assign_balanced
+from cranberryshore.placement.assignment import Assignment, assign_balanced
 from cranberryshore.placement.health import PoolHealth, WorkerHealth
 from cranberryshore.placement.shared_pool import Grant, SharedCapacity, SharedPool, Want
 
 __all__ = [
+    "Assignment",
     "Grant",
     "PoolHealth",
     "SharedCapacity",
--- a/packages/core/cranberryshore/placement/assignment.py
+++ b/packages/core/cranberryshore/placement/assignment.py
@@ -4,9 +4,39 @@
 from hashlib import blake2b
 from math import ceil
 
+import attrs
+
 SCORE_BYTES = 8
 
 
+@attrs.frozen
+class Assignment:
+    """Which instance each resource is assigned to, as one instance sees it.
+
+    Parameters
+    ----------
+    own : str
+        Key of the instance that holds this view.
+    assignees : dict
+        Instance by resource.
+    live : frozenset of str
+        Keys of the instances that take part.
+
+    Examples
+    --------
+    >>> Assignment("e1", {"w1": "e1", "w2": "e2"}).is_own("w2")
+    False
+    """
+
+    own: str = ""
+    assignees: dict[str, str] = attrs.field(factory=dict)
+    live: frozenset[str] = frozenset()
+
+    def is_own(self, resource: str) -> bool:
+        """Tell whether a resource is assigned to this instance."""
+        return self.own != "" and self.assignees.get(resource) == self.own
+
+
 def _score(resource: str, instance: str) -> bytes:
     return blake2b(f"{resource}|{instance}".encode(), digest_size=SCORE_BYTES).digest()
 
--- a/packages/core/cranberryshore/placement/shared_pool.py
+++ b/packages/core/cranberryshore/placement/shared_pool.py
@@ -9,6 +9,7 @@
 
 import attrs
 
+from cranberryshore.placement.assignment import Assignment
 from cranberryshore.work.capacity import NOTHING, Capacity
 
 WANT_LIFETIME_SECONDS = 1.0
@@ -42,7 +43,11 @@
     is_assigned : bool
         Whether this instance is the one that knows what is free.
     is_open : bool
-        Whether new work may be placed: connected, not leaving, not recalled.
+        Whether new work may be placed: connected and not leaving.
+    is_recalled : bool
+        Whether the lender needs what it has lent.
+    assignee : str
+        Instance that the resource is assigned to.
     borrowed : Capacity
         What the assigned peer has lent to this instance.
     used : Capacity
@@ -57,19 +62,26 @@
     is_assigned: bool = False
     is_open: bool = True
     is_recalled: bool = False
+    assignee: str = ""
     borrowed: Capacity = NOTHING
     used: Capacity = NOTHING
     lent: dict[str, Capacity] = attrs.field(factory=dict)
     reported: dict[str, Capacity] = attrs.field(factory=dict)
 
-    def free(self) -> Capacity:
-        """Return what may be handed out now; parts may be negative."""
+    def free(self, live: frozenset[str]) -> Capacity:
+        """Return what may be handed out now; parts may be negative.
+
+        What a live peer holds is known from the loans. Reports lag, so they count only for
+        owners that are not live and whose loans nobody returns.
+        """
         if not self.is_assigned:
             return self.borrowed - self.used
         free = self.total - self.used
-        for peer in self.lent.keys() | self.reported.keys():
-            held = self.lent.get(peer, NOTHING).maximum(self.reported.get(peer, NOTHING))
-            free = free - held
+        for amount in self.lent.values():
+            free = free - amount
+        for owner, amount in self.reported.items():
+            if owner not in live:
+                free = free - amount
         return free
 
 
@@ -81,7 +93,8 @@
     --------
     >>> pool = SharedPool()
     >>> pool.add("w1", Capacity(4000))
-    >>> pool.assign({"w1"})
+    >>> pool.assign(Assignment("e1", {"w1": "e1"}))
+    []
     >>> pool.place(Capacity(1000), 3)
     [('w1', 3)]
     >>> pool.lend("peer", Capacity(1000), 5)
@@ -90,6 +103,7 @@
 
     members: dict[str, SharedCapacity] = attrs.field(factory=dict)
     wants: dict[str, Want] = attrs.field(factory=dict)
+    live: frozenset[str] = frozenset()
 
     def add(self, name: str, total: Capacity) -> None:
         """Add a resource, or update what a known one has."""
@@ -103,20 +117,38 @@
         """Forget a resource."""
         self.members.pop(name, None)
 
-    def assign(self, names: set[str]) -> None:
-        """Set which resources are assigned to this instance.
+    def assign(self, assignment: Assignment) -> list[Grant]:
+        """Put an assignment in force.
 
-        What runs on a resource that moves away stays held until it ends.
+        Returns
+        -------
+        list of Grant
+            What this instance holds on resources that have moved to another assignee, which
+            must be told, since only it can count what is free there.
         """
+        held = []
         for name, member in self.members.items():
-            is_assigned = name in names
-            if member.is_assigned and not is_assigned:
+            is_own = assignment.is_own(name)
+            assignee = assignment.assignees.get(name, "")
+            if member.is_assigned and not is_own:
                 member.borrowed = member.used
                 member.lent.clear()
-            if is_assigned and not member.is_assigned:
+            if is_own and not member.is_assigned:
                 member.borrowed = NOTHING
                 member.is_recalled = False
-            member.is_assigned = is_assigned
+            if assignee != member.assignee and not is_own and member.borrowed != NOTHING:
+                held.append(Grant(name, member.borrowed))
+            member.is_assigned = is_own
+            member.assignee = assignee
+        self.live = assignment.live
+        return held
+
+    def hold(self, peer: str, grants: Iterable[Grant]) -> None:
+        """Record what a peer holds on resources that have just been assigned here."""
+        for grant in grants:
+            member = self.members.get(grant.resource)
+            if member is not None and member.is_assigned:
+                member.lent[peer] = grant.amount
 
     def can_ever_hold(self, demand: Capacity) -> bool:
         """Tell whether any known resource is large enough for ``demand``."""
@@ -152,7 +184,7 @@
         for name, member in self.members.items():
             if not member.is_open or member.is_recalled:
                 continue
-            fits = member.free().count_of(demand)
+            fits = member.free(self.live).count_of(demand)
             if limit is not None:
                 fits = min(fits, limit(name))
             if fits > 0:
@@ -181,7 +213,7 @@
                 break
             if not member.is_assigned or not member.is_open:
                 continue
-            fits = min(member.free().count_of(demand), count)
+            fits = min(member.free(self.live).count_of(demand), count)
             if fits > 0:
                 amount = demand * fits
                 member.lent[peer] = member.lent.get(peer, NOTHING) + amount
--- a/packages/core/cranberryshore/placement/tests/test_placement.py
+++ b/packages/core/cranberryshore/placement/tests/test_placement.py
@@ -3,7 +3,7 @@
 from hypothesis import given, settings
 from hypothesis import strategies as st
 
-from cranberryshore.placement import PoolHealth, SharedPool, assign_balanced
+from cranberryshore.placement import Assignment, PoolHealth, SharedPool, assign_balanced
 from cranberryshore.work import Capacity
 
 ONE = Capacity(1000, 0, 0)
@@ -29,8 +29,8 @@
         lender, borrower = SharedPool(), SharedPool()
         for pool in (lender, borrower):
             pool.add("w", Capacity(4000))
-        lender.assign({"w"})
-        borrower.assign(set())
+        lender.assign(Assignment("e1", {"w": "e1"}))
+        borrower.assign(Assignment("e2", {"w": "e1"}))
         for step, count in steps:
             if step == "p":
                 lender.place(ONE, count)
@@ -46,7 +46,7 @@
                 lender.take_back("b", borrower.give_back())
             used = lender.members["w"].used + borrower.members["w"].used
             self.assertLessEqual(used.millicores, 4000)
-            self.assertGreaterEqual(lender.members["w"].free().millicores, 0)
+            self.assertGreaterEqual(lender.members["w"].free(frozenset()).millicores, 0)
 
 
 class HealthTest(TestCase):
--- a/packages/core/cranberryshore/requests/gate.py
+++ b/packages/core/cranberryshore/requests/gate.py
@@ -8,6 +8,7 @@
 from cranberryshore.dispatch.lending import Backlog, Lending
 from cranberryshore.errors import ErrorType, Refusal, RunClaim
 from cranberryshore.limits.fair_queue import FairQueue
+from cranberryshore.placement.assignment import Assignment
 from cranberryshore.placement.shared_pool import Grant, SharedPool
 from cranberryshore.work.capacity import Capacity
 
@@ -85,7 +86,7 @@
         factory=lambda: FairQueue(is_live=lambda ticket: ticket.is_waiting)
     )
     records: dict[str, UpstreamRecord] = attrs.field(factory=dict)
-    assigned: frozenset[str] = frozenset()
+    assignment: Assignment = Assignment()
     service_ms: float = 10.0
     waiting: int = 0
     lending: Lending = attrs.field(init=False)
@@ -103,12 +104,13 @@
             if not member.is_open and member.used.slots == 0:
                 self.pool.remove(name)
                 self.records.pop(name, None)
-        self.pool.assign(set(self.assigned))
+        self.pool.assign(self.assignment)
 
-    def assign(self, names: frozenset[str]) -> None:
-        """Set which upstreams are assigned to this instance."""
-        self.assigned = names
-        self.pool.assign(set(names))
+    def assign(self, assignment: Assignment) -> list[out.Effect]:
+        """Put an assignment in force."""
+        self.assignment = assignment
+        held = self.pool.assign(assignment)
+        return [out.TellHeld(tuple(held))] if held else []
 
     def arrive(self, ticket: Ticket, now: float) -> list[out.Effect]:
         """Accept, queue or refuse a request."""
@@ -169,6 +171,7 @@
     def loan_granted(self, grants: tuple[Grant, ...], now: float) -> list[out.Effect]:
         """Use slots that a peer has lent."""
         self.pool.borrow(grants)
+        self.lending.on_granted(ONE_SLOT, grants)
         return self.advance(now)
 
     def wait_ms(self) -> float:
--- a/packages/core/cranberryshore/requests/tests/test_gate.py
+++ b/packages/core/cranberryshore/requests/tests/test_gate.py
@@ -2,6 +2,7 @@
 
 from cranberryshore.dispatch import AskPeers, LendTo
 from cranberryshore.errors import ErrorType
+from cranberryshore.placement import Assignment
 from cranberryshore.requests import Admitted, GateSettings, RequestGate, Ticket
 from cranberryshore.work import Capacity
 
@@ -10,7 +11,7 @@
     def setUp(self):
         self.gate = RequestGate(GateSettings(queue_limit=3, longest_wait_ms=1000))
         self.gate.set_upstreams({"u1": 1, "u2": 1})
-        self.gate.assign(frozenset({"u1", "u2"}))
+        self.gate.assign(Assignment("me", {"u1": "me", "u2": "me"}))
         self.numbers = iter(range(100))
 
     def arrive(self, urgent=False, deadline=9.0, now=0.0):
--- a/packages/daemon/cranberryshored/app.py
+++ b/packages/daemon/cranberryshored/app.py
@@ -12,6 +12,7 @@
     Drain,
     LimitsSet,
     LoanGranted,
+    LoanHeld,
     LoanReturned,
     LoansRecalled,
     LoanWanted,
@@ -30,6 +31,7 @@
     LoanGrants,
     LoanRecall,
     LoanReturns,
+    LoansHeld,
     PeerCall,
     PeerMessage,
     PeerReply,
@@ -361,6 +363,8 @@
             self.jobs.handle(LoanGranted(sender, message.grants))
         elif isinstance(message, LoanReturns):
             self.jobs.handle(LoanReturned(sender, message.grants))
+        elif isinstance(message, LoansHeld):
+            self.jobs.handle(LoanHeld(sender, message.grants))
         elif isinstance(message, LoanRecall):
             self.jobs.handle(LoansRecalled(sender, frozenset(message.resources)))
 
--- a/packages/daemon/cranberryshored/jobs/service.py
+++ b/packages/daemon/cranberryshored/jobs/service.py
@@ -22,6 +22,7 @@
     StopTasks,
     TasksFinished,
     TasksRejected,
+    TellHeld,
     Tick,
     Trace,
     UsageReported,
@@ -34,6 +35,7 @@
     LoanGrants,
     LoanRecall,
     LoanReturns,
+    LoansHeld,
     Opened,
     OwnerReport,
     Rejected,
@@ -167,6 +169,8 @@
             self.loans.lend(effect.peer, LoanGrants(JOBS_SCOPE, effect.grants))
         elif isinstance(effect, GiveBack):
             self.loans.give_back(LoanReturns(JOBS_SCOPE, effect.grants))
+        elif isinstance(effect, TellHeld):
+            self.loans.tell_held(LoansHeld(JOBS_SCOPE, effect.grants))
         elif isinstance(effect, RecallLoans):
             recall = LoanRecall(JOBS_SCOPE, tuple(sorted(effect.workers)))
             self.loans.recall(effect.peers, recall)
--- a/packages/daemon/cranberryshored/loans.py
+++ b/packages/daemon/cranberryshored/loans.py
@@ -6,7 +6,8 @@
 
 from cranberryshore.identity import parse_incarnation
 from cranberryshore.membership import PeerTable
-from cranberryshore.messages import LoanAsk, LoanGrants, LoanRecall, LoanReturns
+from cranberryshore.messages import LoanAsk, LoanGrants, LoanRecall, LoanReturns, LoansHeld
+from cranberryshore.placement import Grant
 from cranberryshored.peers import Transport
 
 
@@ -42,15 +43,23 @@
 
     def give_back(self, message: LoanReturns) -> None:
         """Return grants to whoever the resources are assigned to."""
-        by_peer: dict[str, list] = {}
+        for peer, grants in self._by_assignee(message):
+            self._send(peer, LoanReturns(message.scope, grants))
+
+    def tell_held(self, message: LoansHeld) -> None:
+        """Tell new assignees what this instance holds on their resources."""
+        for peer, grants in self._by_assignee(message):
+            self._send(peer, LoansHeld(message.scope, grants))
+
+    def _by_assignee(self, message: LoanReturns | LoansHeld) -> list[tuple[str, tuple[Grant, ...]]]:
+        by_peer: dict[str, list[Grant]] = {}
         for grant in message.grants:
-            owner = self.assignments.assigned_to(message.scope, grant.resource)
-            if owner is not None:
-                by_peer.setdefault(owner, []).append(grant)
-        for peer, grants in by_peer.items():
-            self._send(peer, LoanReturns(message.scope, tuple(grants)))
+            assignee = self.assignments.assigned_to(message.scope, grant.resource)
+            if assignee is not None:
+                by_peer.setdefault(assignee, []).append(grant)
+        return [(peer, tuple(grants)) for peer, grants in by_peer.items()]
 
-    def _send(self, peer: str, message: LoanGrants | LoanReturns | LoanRecall) -> None:
+    def _send(self, peer: str, message: LoanGrants | LoanReturns | LoansHeld | LoanRecall) -> None:
         incarnation = parse_incarnation(peer)
         known = self.table.peers.get(incarnation) if incarnation is not None else None
         if known is not None:
--- a/packages/daemon/cranberryshored/requests/service.py
+++ b/packages/daemon/cranberryshored/requests/service.py
@@ -10,10 +10,18 @@
 from structlog.typing import FilteringBoundLogger
 
 from cranberryshore.config import ServiceSpec
-from cranberryshore.dispatch import AskPeers, Effect, GiveBack, LendTo, RecallLoans
+from cranberryshore.dispatch import AskPeers, Effect, GiveBack, LendTo, RecallLoans, TellHeld
 from cranberryshore.errors import ErrorType, Refusal, RunClaim
 from cranberryshore.limits import RetryBudget
-from cranberryshore.messages import LoanAsk, LoanGrants, LoanRecall, LoanReturns, PeerMessage
+from cranberryshore.messages import (
+    LoanAsk,
+    LoanGrants,
+    LoanRecall,
+    LoanReturns,
+    LoansHeld,
+    PeerMessage,
+)
+from cranberryshore.placement import Assignment
 from cranberryshore.requests import Admitted, GateSettings, RequestGate, Ticket
 from cranberryshore.timeline import EventKind, Recorder
 from cranberryshored.loans import LoanExchange
@@ -90,9 +98,9 @@
         self.gate.set_upstreams(dict.fromkeys(addresses, self.spec.slots_per_upstream))
         self.advance()
 
-    def assign(self, names: frozenset[str]) -> None:
-        """Set which upstreams are assigned to this instance."""
-        self.gate.assign(names)
+    def assign(self, assignment: Assignment) -> None:
+        """Put an assignment of the upstreams in force."""
+        self._carry_out(self.gate.assign(assignment))
         self.advance()
 
     def advance(self) -> None:
@@ -110,7 +118,9 @@
         if isinstance(message, LoanAsk):
             self.gate.pool.want(sender, message.demand, message.count, now)
         elif isinstance(message, LoanGrants):
-            self.gate.pool.borrow(message.grants)
+            self._carry_out(self.gate.loan_granted(message.grants, now))
+        elif isinstance(message, LoansHeld):
+            self.gate.pool.hold(sender, message.grants)
         elif isinstance(message, LoanReturns):
             self.gate.pool.take_back(sender, message.grants)
         elif isinstance(message, LoanRecall):
@@ -239,6 +249,8 @@
                 self.loans.lend(effect.peer, LoanGrants(self.scope, effect.grants))
             elif isinstance(effect, GiveBack):
                 self.loans.give_back(LoanReturns(self.scope, effect.grants))
+            elif isinstance(effect, TellHeld):
+                self.loans.tell_held(LoansHeld(self.scope, effect.grants))
             elif isinstance(effect, RecallLoans):
                 names = tuple(sorted(effect.workers))
                 self.loans.recall(effect.peers, LoanRecall(self.scope, names))
--- a/packages/daemon/cranberryshored/zone.py
+++ b/packages/daemon/cranberryshored/zone.py
@@ -11,7 +11,7 @@
 from cranberryshore.identity import Incarnation
 from cranberryshore.messages.peer import JOBS_SCOPE
 from cranberryshore.ownership import OwnedWorker
-from cranberryshore.placement import assign_balanced
+from cranberryshore.placement import Assignment, assign_balanced
 from cranberryshore.settings import DaemonSettings
 from cranberryshored.jobs import Closures, JobRouter, JobService, OwnershipService
 from cranberryshored.jobs.ownership import Closed
@@ -91,13 +91,14 @@
         own = str(self.ownership.incarnation)
         if not self.membership.is_draining:
             participants.add(own)
-        assigned = assign_balanced(self.workers.keys(), participants)
-        self.assignments[JOBS_SCOPE] = assigned
-        self.jobs.handle(Assigned(_assigned_here(assigned, own)))
+        live = frozenset(participants)
+        assignees = assign_balanced(self.workers.keys(), participants)
+        self.assignments[JOBS_SCOPE] = assignees
+        self.jobs.handle(Assigned(Assignment(own, assignees, live)))
         for service in self.services.values():
-            assigned = assign_balanced(service.addresses.keys(), participants)
-            self.assignments[service.scope] = assigned
-            service.assign(_assigned_here(assigned, own))
+            assignees = assign_balanced(service.addresses.keys(), participants)
+            self.assignments[service.scope] = assignees
+            service.assign(Assignment(own, assignees, live))
 
     def set_service_upstreams(self, service: RequestService) -> None:
         """Give a service its upstreams from the list."""
@@ -225,10 +226,6 @@
             await self.jobs.links.disconnect(name)
 
 
-def _assigned_here(assignment: dict[str, str], own: str) -> frozenset[str]:
-    return frozenset(name for name, owner in assignment.items() if owner == own)
-
-
 def _is_worker(item: ListedInstance, zone: str) -> bool:
     return item.kind is InstanceKind.WORKER and item.zone == zone
 
--- a/packages/proof/cranberryshore_proof/fake_workers.py
+++ b/packages/proof/cranberryshore_proof/fake_workers.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from contextvars import Context, copy_context
 from typing import Any
 
 import attrs
@@ -20,8 +21,8 @@
 from cranberryshore_proof.network import Network
 from cranberryshore_standins.worker_model import WorkerModel
 
-END_SECONDS = 0.005
 USAGE_SECONDS = 0.5
+CLOCK_RESOLUTION_SECONDS = 1e-6
 
 
 @attrs.frozen
@@ -90,6 +91,7 @@
     make_model: Callable[[int], WorkerModel]
     models: list[WorkerModel] = attrs.field(factory=list)
     sockets: dict[str, FakeSocket] = attrs.field(factory=dict)
+    context: Context = attrs.field(factory=Context)
 
     @property
     def model(self) -> WorkerModel:
@@ -130,10 +132,12 @@
             return
         owner, session = socket.opened.owner, socket.opened.session
         if isinstance(frame, Start):
+            before = len(self.model.starts)
             for batch in frame.batches:
                 refused = self.model.start(owner, session, batch, now)
                 if refused:
                     socket.reply(refused)
+            self._schedule_ends(before)
         elif isinstance(frame, Stop):
             for job in frame.jobs:
                 self.model.stop(owner, job)
@@ -143,19 +147,26 @@
             socket.reply([self.model.close_owner(frame.number, frame.owner)])
 
     async def _run(self) -> None:
-        loop = asyncio.get_running_loop()
-        usage_at = 0.0
+        self.context = copy_context()
         while True:
-            await asyncio.sleep(END_SECONDS)
-            now = loop.time()
-            self.model.end_tasks(now)
-            for owner, frame in self.model.take_results().items():
-                if owner in self.sockets:
-                    self.sockets[owner].reply([frame])
-            if now >= usage_at:
-                usage_at = now + USAGE_SECONDS
-                for socket in self.sockets.values():
-                    socket.reply([self.model.usage()])
+            for socket in self.sockets.values():
+                socket.reply([self.model.usage()])
+            await asyncio.sleep(USAGE_SECONDS)
+
+    def _schedule_ends(self, before: int) -> None:
+        """Look again when each newly started task ends."""
+        loop = asyncio.get_running_loop()
+        model = self.model
+        for ending in model.started_since(before):
+            loop.call_at(ending, self._end_tasks, model, context=self.context)
+
+    def _end_tasks(self, model: WorkerModel) -> None:
+        if model is not self.model or self.name in self.network.dead:
+            return
+        model.end_tasks(asyncio.get_running_loop().time() + CLOCK_RESOLUTION_SECONDS)
+        for owner, frame in model.take_results().items():
+            if owner in self.sockets:
+                self.sockets[owner].reply([frame])
 
 
 @attrs.define(eq=False)
--- a/packages/proof/cranberryshore_proof/network.py
+++ b/packages/proof/cranberryshore_proof/network.py
@@ -9,7 +9,7 @@
 
 from cranberryshore_proof.virtual_loop import CURRENT_NODE, VirtualLoop
 
-DELAY_SECONDS = (0.0002, 0.001)
+DEFAULT_DELAY_SECONDS = (0.0002, 0.001)
 PENDING_MESSAGES = 2000
 
 
@@ -22,6 +22,7 @@
     """
 
     random: Random
+    delay_seconds: tuple[float, float] = DEFAULT_DELAY_SECONDS
     cuts: set[frozenset[str]] = attrs.field(factory=set)
     frozen: set[str] = attrs.field(factory=set)
     runs: dict[str, int] = attrs.field(factory=dict)
@@ -45,7 +46,7 @@
             return
         loop = asyncio.get_running_loop()
         key = (source, target)
-        at = loop.time() + self.random.uniform(*DELAY_SECONDS)
+        at = loop.time() + self.random.uniform(*self.delay_seconds)
         at = max(at, self.arrival.get(key, 0.0))
         self.arrival[key] = at
         target_run = self.runs.get(target, 0)
--- a/packages/proof/cranberryshore_proof/world.py
+++ b/packages/proof/cranberryshore_proof/world.py
@@ -1,11 +1,13 @@
 """A deployment in virtual time: the product's own daemons between fakes of everything else."""
 
 import asyncio
+from collections.abc import Callable
 from random import Random
 from typing import Any
 
 import attrs
 
+from cranberryshore.dispatch import DispatchSettings
 from cranberryshore.messages import PeerMessage
 from cranberryshore.settings import (
     Address,
@@ -26,7 +28,7 @@
     LeavingSeen,
     TaskStartSeen,
 )
-from cranberryshore_proof.network import Network
+from cranberryshore_proof.network import DEFAULT_DELAY_SECONDS, Network
 from cranberryshore_standins.worker_model import WorkerModel
 from cranberryshored.app import Daemon
 from cranberryshored.metrics import Metrics
@@ -34,10 +36,6 @@
 from cranberryshored.surroundings import Surroundings
 
 ZONES = ("zone-a", "zone-b")
-ENTRIES_PER_ZONE = 3
-WORKERS_PER_ZONE = 3
-UPSTREAMS_PER_ZONE = 2
-WORKER = Capacity(4000, 8192, 0)
 PEER_PORT = 7000
 UNIX_START = 1_790_000_000.0
 LARGEST_SKEW_SECONDS = 5.0
@@ -46,6 +44,19 @@
 DRAIN_SECONDS = 6.0
 
 
+@attrs.frozen
+class WorldShape:
+    """How many of each node there are, and how far apart."""
+
+    zones: tuple[str, ...] = ZONES
+    entries: int = 3
+    workers: int = 3
+    upstreams: int = 2
+    worker: Capacity = Capacity(4000, 8192, 0)
+    delay_seconds: tuple[float, float] = DEFAULT_DELAY_SECONDS
+    dispatch: DispatchSettings = DispatchSettings()
+
+
 @attrs.define(eq=False)
 class FakeTransport:
     """Messages between daemons over the virtual network."""
@@ -123,6 +134,7 @@
             platform,
             (TokenSettings("caller", "0" * 64),),
             timing=TimingSettings(drain_seconds=DRAIN_SECONDS),
+            dispatch=self.world.shape.dispatch,
         )
 
     def launch(self) -> None:
@@ -170,6 +182,7 @@
     """All nodes, and what was seen of them."""
 
     seed: int
+    shape: WorldShape = WorldShape()
     random: Random = attrs.field(init=False)
     network: Network = attrs.field(init=False)
     store: StoreNode = attrs.field(factory=StoreNode)
@@ -182,8 +195,8 @@
 
     def __attrs_post_init__(self) -> None:
         self.random = Random(f"world-{self.seed}")
-        self.network = Network(Random(f"network-{self.seed}"))
-        for zone in ZONES:
+        self.network = Network(Random(f"network-{self.seed}"), self.shape.delay_seconds)
+        for zone in self.shape.zones:
             self._add_zone(zone)
 
     async def start(self) -> None:
@@ -240,19 +253,26 @@
         self.listing.publish(asyncio.get_running_loop().time(), self.instances)
 
     def _add_zone(self, zone: str) -> None:
-        for number in range(ENTRIES_PER_ZONE):
+        for number in range(self.shape.entries):
             skew = self.random.uniform(-LARGEST_SKEW_SECONDS, LARGEST_SKEW_SECONDS)
             name = f"entry-{zone}-{number}"
             entry = EntryNode(name, zone, len(self.entries), self, skew)
             self.entries.append(entry)
             self.instances[name] = ListedInstance(InstanceKind.ENTRY, name, zone, entry.address)
-        for number in range(WORKERS_PER_ZONE):
+        for number in range(self.shape.workers):
             name = f"worker-{zone}-{number}"
-            self.workers[name] = WorkerNode(name, self.network, _model_maker(name))
+            self.workers[name] = WorkerNode(
+                name, self.network, _model_maker(name, self.shape.worker)
+            )
             self.instances[name] = ListedInstance(
-                InstanceKind.WORKER, name, zone, name, incarnation="run-1", capacity=WORKER
+                InstanceKind.WORKER,
+                name,
+                zone,
+                name,
+                incarnation="run-1",
+                capacity=self.shape.worker,
             )
-        for number in range(UPSTREAMS_PER_ZONE):
+        for number in range(self.shape.upstreams):
             name = f"upstream-{zone}-{number}"
             self.upstreams[name] = UpstreamNode(name, self.network)
             self.instances[name] = ListedInstance(
@@ -278,5 +298,5 @@
                 self.history.samples.append(sample)
 
 
-def _model_maker(name: str):
-    return lambda run: WorkerModel(name, f"run-{run}", WORKER)
+def _model_maker(name: str, capacity: Capacity) -> Callable[[int], WorkerModel]:
+    return lambda run: WorkerModel(name, f"run-{run}", capacity)
--- a/packages/standins/cranberryshore_standins/worker.py
+++ b/packages/standins/cranberryshore_standins/worker.py
@@ -76,7 +76,7 @@
 
     async def show_log(self, request: Request) -> Response:
         """Return every start, for checks."""
-        starts = [attrs.astuple(entry) for entry in self.model.starts]
+        starts = [attrs.astuple(entry)[:4] for entry in self.model.starts]
         return Response(
             body=encode_json({"starts": starts, "duplicates": self.model.duplicates}),
             content_type="application/json",
--- a/packages/standins/cranberryshore_standins/worker_model.py
+++ b/packages/standins/cranberryshore_standins/worker_model.py
@@ -48,6 +48,7 @@
     owner: str
     job: str
     index: int
+    ends_at: float = 0.0
 
 
 @attrs.define
@@ -158,6 +159,10 @@
             batches[name] = frame
         return batches
 
+    def started_since(self, count: int) -> list[float]:
+        """Return when the tasks end that were started after the first ``count``."""
+        return [entry.ends_at for entry in self.starts[count:]]
+
     def usage(self) -> Usage:
         """Return what each owner holds."""
         held: dict[str, Capacity] = {}
@@ -203,8 +208,8 @@
         )
         payload = task.spec.payload
         state.tasks[key] = HeldTask(attrs.evolve(record, output=payload), demand, now)
-        self.starts.append(StartLogEntry(now, owner, batch.job, task.index))
         seconds = run_ms_of(payload, task.spec.expected_ms) / 1000 * self.faults.slow_factor
+        self.starts.append(StartLogEntry(now, owner, batch.job, task.index, now + seconds))
         heappush(self.endings, Ending(now + seconds, owner, batch.job, task.index))
         return None
 
