--- a/packages/daemon/cranberryshored/peers/transport.py
+++ b/packages/daemon/cranberryshored/peers/transport.py
@@ -120,6 +120,7 @@
                 push.dial(f"tcp://{address}", block=False)
             push.send(data, block=False)
             self.metrics.messages.labels("peer_out").inc()
+            self.metrics.peer_bytes.inc(len(data))
         except TryAgain:
             self.metrics.wasted.labels("peer_dropped").inc()
         except NNGException as error:
