--- a/packages/bench/cranberryshore_bench/process_bench.py
+++ b/packages/bench/cranberryshore_bench/process_bench.py
@@ -1,7 +1,6 @@
 """Costs of real processes: processor time, memory, control traffic, configuration."""
 
 import asyncio
-import os
 import subprocess
 import sys
 import tempfile
@@ -23,6 +22,7 @@
     Node,
     caller_token,
     free_ports,
+    processor_seconds,
 )
 
 JOB_TASKS = 120
@@ -30,7 +30,7 @@
 JOB_PARALLEL = 6
 REQUEST_COUNT = 3000
 REQUEST_PARALLEL = 16
-REQUEST_ROUNDS = 3
+REQUEST_ROUNDS = 5
 IDLE_SECONDS = 8.0
 CHANGES = 200
 FROZEN_SECONDS = 3.0
@@ -93,9 +93,9 @@
             before = cluster.processor_seconds(entry.name)
             await _send_requests(f"{entry.url}/v1/services/booking/seat", REQUEST_COUNT)
             ours.append(cluster.processor_seconds(entry.name) - before)
-            before = _seconds_of(bare.pid)
+            before = processor_seconds(bare.pid)
             await _send_requests(f"http://{HOST}:{port}/seat", REQUEST_COUNT)
-            theirs.append(_seconds_of(bare.pid) - before)
+            theirs.append(processor_seconds(bare.pid) - before)
     finally:
         bare.terminate()
         bare.wait()
@@ -110,11 +110,6 @@
     ]
 
 
-def _seconds_of(pid: int) -> float:
-    fields = Path(f"/proc/{pid}/stat").read_text(encoding="ascii").rsplit(")", 1)[1].split()
-    return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
-
-
 async def _metrics(cluster: Cluster, node: Node) -> str:
     async with cluster.session.get(f"{node.url}/metrics") as response:
         return await response.text()
--- a/packages/core/cranberryshore/dispatch/lending.py
+++ b/packages/core/cranberryshore/dispatch/lending.py
@@ -32,6 +32,11 @@
     asked_at: float | None = None
     asked_left: int = 0
 
+    def is_idle(self) -> bool:
+        """Tell whether there is nothing to ask for, to return, to lend or to withdraw."""
+        pool = self.pool
+        return self.asked_at is None and not pool.borrowed_names and not pool.wants
+
     def balance(self, backlog: Backlog | None, now: float) -> list[out.Effect]:
         """Return the messages to peers that the present backlog calls for."""
         if backlog is not None:
--- a/packages/core/cranberryshore/dispatch/workers.py
+++ b/packages/core/cranberryshore/dispatch/workers.py
@@ -95,7 +95,7 @@
         for name, member in self.pool.members.items():
             if not (member.is_assigned and member.is_open and member.total.holds(demand)):
                 continue
-            free = member.free(self.pool.live).millicores
+            free = self.pool.free(name).millicores
             if free > best_free:
                 best, best_free = name, free
         return best
--- a/packages/core/cranberryshore/placement/shared_pool.py
+++ b/packages/core/cranberryshore/placement/shared_pool.py
@@ -107,6 +107,18 @@
     members: dict[str, SharedCapacity] = attrs.field(factory=dict)
     wants: dict[str, Want] = attrs.field(factory=dict)
     live: frozenset[str] = frozenset()
+    borrowed_names: set[str] = attrs.field(factory=set)
+    room: dict[str, Capacity] = attrs.field(factory=dict)
+
+    def free(self, name: str) -> Capacity:
+        """Return what may be handed out of a resource now; parts may be negative.
+
+        The value is kept in ``room`` until the resource changes.
+        """
+        free = self.room.get(name)
+        if free is None:
+            free = self.room[name] = self.members[name].free(self.live)
+        return free
 
     def add(self, name: str, total: Capacity) -> None:
         """Add a resource, or update what a known one has."""
@@ -115,10 +127,13 @@
             self.members[name] = SharedCapacity(total)
         else:
             member.total = total
+            self.room.pop(name, None)
 
     def remove(self, name: str) -> None:
         """Forget a resource."""
         self.members.pop(name, None)
+        self.room.pop(name, None)
+        self.borrowed_names.discard(name)
 
     def assign(self, assignment: Assignment) -> list[Grant]:
         """Put an assignment in force.
@@ -145,6 +160,12 @@
             member.is_assigned = is_own
             member.assignee = assignee
         self.live = assignment.live
+        self.room.clear()
+        self.borrowed_names = {
+            name
+            for name, member in self.members.items()
+            if not member.is_assigned and member.borrowed != NOTHING
+        }
         return held
 
     def hold(self, peer: str, grants: Iterable[Grant]) -> None:
@@ -153,6 +174,7 @@
             member = self.members.get(grant.resource)
             if member is not None and member.is_assigned:
                 member.lent[peer] = grant.amount
+                self.room.pop(grant.resource, None)
 
     def can_ever_hold(self, demand: Capacity) -> bool:
         """Tell whether any known resource is large enough for ``demand``."""
@@ -188,26 +210,34 @@
         for name, member in self.members.items():
             if not member.is_open or member.is_recalled:
                 continue
-            fits = member.free(self.live).count_of(demand)
-            if limit is not None:
+            fits = self.free(name).count_of(demand)
+            if fits > 0 and limit is not None:
                 fits = min(fits, limit(name))
             if fits > 0:
                 candidates.append((order(name) if order else 0.0, -fits, name))
+        if count == 1 and candidates:
+            candidates = [min(candidates)]
         placed = []
         for _, negative_fits, name in sorted(candidates):
             if count == 0:
                 break
             taken = min(-negative_fits, count)
-            self.members[name].used = self.members[name].used + demand * taken
+            self._take(name, demand * taken)
             placed.append((name, taken))
             count -= taken
         return placed
 
+    def _take(self, name: str, amount: Capacity) -> None:
+        member = self.members[name]
+        member.used = member.used + amount
+        self.room[name] = self.free(name) - amount
+
     def release(self, name: str, amount: Capacity) -> None:
         """Give back room that this instance's own work held."""
         member = self.members.get(name)
         if member is not None:
             member.used = (member.used - amount).clipped()
+            self.room.pop(name, None)
 
     def lend(self, peer: str, demand: Capacity, count: int) -> list[Grant]:
         """Lend up to ``count`` copies of ``demand`` to ``peer`` from what is assigned here."""
@@ -217,11 +247,12 @@
                 break
             if not member.is_assigned or not member.is_open:
                 continue
-            fits = min(member.free(self.live).count_of(demand), count)
+            fits = min(self.free(name).count_of(demand), count)
             if fits > 0:
                 amount = demand * fits
                 member.lent[peer] = member.lent.get(peer, NOTHING) + amount
                 member.recalled_from.discard(peer)
+                self.room.pop(name, None)
                 grants.append(Grant(name, amount))
                 count -= fits
         return grants
@@ -233,6 +264,8 @@
             if member is not None and not member.is_assigned:
                 member.borrowed = member.borrowed + grant.amount
                 member.is_recalled = False
+                self.borrowed_names.add(grant.resource)
+                self.room.pop(grant.resource, None)
 
     def recall(self, names: Iterable[str]) -> None:
         """Stop new work on borrowed resources that their lender needs."""
@@ -244,12 +277,16 @@
     def give_back(self, only_recalled: bool = False) -> list[Grant]:
         """Return the borrowed parts that nothing runs on, and stop counting them as ours."""
         grants = []
-        for name, member in self.members.items():
-            if member.is_assigned or (only_recalled and not member.is_recalled):
+        for name in sorted(self.borrowed_names):
+            member = self.members[name]
+            if only_recalled and not member.is_recalled:
                 continue
             idle = (member.borrowed - member.used).clipped()
             if idle != NOTHING:
                 member.borrowed = member.borrowed - idle
+                self.room.pop(name, None)
+                if member.borrowed == NOTHING:
+                    self.borrowed_names.discard(name)
                 grants.append(Grant(name, idle))
         return grants
 
@@ -260,6 +297,7 @@
             if member is None or peer not in member.lent:
                 continue
             left = (member.lent[peer] - grant.amount).clipped()
+            self.room.pop(grant.resource, None)
             if left == NOTHING:
                 del member.lent[peer]
                 member.recalled_from.discard(peer)
@@ -271,10 +309,12 @@
         member = self.members.get(name)
         if member is not None:
             member.reported = usage
+            self.room.pop(name, None)
 
     def drop_peer(self, peer: str) -> None:
         """Forget the loans of a peer that has died; what it still runs is reported."""
         self.wants.pop(peer, None)
+        self.room.clear()
         for member in self.members.values():
             member.lent.pop(peer, None)
 
--- a/packages/core/cranberryshore/placement/tests/test_placement.py
+++ b/packages/core/cranberryshore/placement/tests/test_placement.py
@@ -46,7 +46,9 @@
                 lender.take_back("b", borrower.give_back())
             used = lender.members["w"].used + borrower.members["w"].used
             self.assertLessEqual(used.millicores, 4000)
-            self.assertGreaterEqual(lender.members["w"].free(frozenset()).millicores, 0)
+            for pool in (lender, borrower):
+                self.assertEqual(pool.free("w"), pool.members["w"].free(pool.live))
+            self.assertGreaterEqual(lender.free("w").millicores, 0)
 
 
 class HealthTest(TestCase):
--- a/packages/core/cranberryshore/requests/gate.py
+++ b/packages/core/cranberryshore/requests/gate.py
@@ -117,6 +117,9 @@
         ticket.refusal = self._refusal(ticket, now)
         if ticket.refusal is not None:
             return [Admitted(ticket)]
+        if self.waiting == 0 and self._place(ticket, now):
+            # Nobody waits, so there is no order to keep.
+            return [Admitted(ticket)]
         self.waiting += 1
         self.queue.push(ticket.team, ticket.is_urgent, ticket)
         return self.advance(now)
@@ -141,6 +144,8 @@
     def advance(self, now: float) -> list[out.Effect]:
         """Give free slots to waiting requests and balance room with the peers."""
         effects: list[out.Effect] = []
+        if self.waiting == 0 and self.lending.is_idle():
+            return effects
         backlog = None
         while (head := self.queue.peek()) is not None:
             team, is_urgent, ticket = head
@@ -148,17 +153,21 @@
                 detail = "The request's time passed while it waited for a slot."
                 effects += self._give_up(ticket, ErrorType.DEADLINE_PASSED, detail, None)
                 continue
-            placed = self.pool.place(ONE_SLOT, 1, self._preference, self._allowance(now))
-            if not placed:
+            if not self._place(ticket, now):
                 backlog = Backlog(ONE_SLOT, self.waiting)
                 break
-            ticket.upstream = placed[0][0]
             self.queue.charge(team, is_urgent, 1.0)
             self.queue.pop(team, is_urgent)
             self.waiting -= 1
             effects.append(Admitted(ticket))
         return effects + self.lending.balance(backlog, now)
 
+    def _place(self, ticket: Ticket, now: float) -> bool:
+        placed = self.pool.place(ONE_SLOT, 1, self._preference, self._allowance(now))
+        if placed:
+            ticket.upstream = placed[0][0]
+        return bool(placed)
+
     def tick(self, now: float) -> list[out.Effect]:
         """Give up what has waited past its deadline, wherever it stands in the queue."""
         effects: list[out.Effect] = []
--- a/packages/core/cranberryshore/timeline/event.py
+++ b/packages/core/cranberryshore/timeline/event.py
@@ -21,7 +21,6 @@
     JOB_TRUTH = "job_truth"
     TASKS_STARTED = "tasks_started"
     TASKS_STOPPED = "tasks_stopped"
-    REQUEST_FORWARDED = "request_forwarded"
     REQUEST_ANSWERED = "request_answered"
     REQUEST_REFUSED = "request_refused"
     CONFIGURATION_ACCEPTED = "configuration_accepted"
--- a/packages/daemon/cranberryshored/requests/forwarder.py
+++ b/packages/daemon/cranberryshored/requests/forwarder.py
@@ -6,11 +6,13 @@
 from aiohttp import ClientConnectorError, ClientError, ClientSession, ClientTimeout, TCPConnector
 from multidict import CIMultiDict
 from result import Err, Ok, Result
+from yarl import URL
 
 from cranberryshored.platform.session import single_try_session
 
 CONNECTIONS_PER_UPSTREAM = 60
 CONNECT_SECONDS = 0.5
+NO_AUTO_HEADERS = ("User-Agent", "Accept", "Accept-Encoding")
 HOP_BY_HOP = frozenset(
     {
         "connection",
@@ -80,9 +82,11 @@
     >>> dict(end_to_end(CIMultiDict({"Host": "a", "Accept": "b"})))
     {'Accept': 'b'}
     """
-    return CIMultiDict(
-        (name, value) for name, value in headers.items() if name.lower() not in HOP_BY_HOP
-    )
+    kept = CIMultiDict(headers)
+    for name in HOP_BY_HOP:
+        if name in kept:
+            kept.popall(name)
+    return kept
 
 
 class Forwarder(Protocol):
@@ -124,14 +128,17 @@
     ) -> Result[Forwarded, ForwardFailure]:
         """See :class:`Forwarder`."""
         limit = ClientTimeout(total=seconds, sock_connect=CONNECT_SECONDS)
+        # The path goes on exactly as the caller has sent it.
+        url = URL(f"http://{address}{request.path}", encoded=True)
         try:
             async with self.session.request(
                 request.method,
-                f"http://{address}{request.path}",
+                url,
                 headers=request.headers,
                 data=request.body or None,
                 timeout=limit,
                 allow_redirects=False,
+                skip_auto_headers=NO_AUTO_HEADERS,
             ) as response:
                 body = await response.read()
                 return Ok(Forwarded(response.status, end_to_end(response.headers), body))
--- a/packages/daemon/cranberryshored/requests/service.py
+++ b/packages/daemon/cranberryshored/requests/service.py
@@ -2,7 +2,6 @@
 
 import asyncio
 from itertools import count
-from time import time
 from typing import Protocol
 
 import attrs
@@ -23,7 +22,7 @@
 )
 from cranberryshore.placement import Assignment
 from cranberryshore.requests import Admitted, GateSettings, RequestGate, Ticket
-from cranberryshore.timeline import EventKind, Recorder
+from cranberryshore.timeline import Recorder
 from cranberryshored.loans import LoanExchange
 from cranberryshored.metrics import Metrics
 from cranberryshored.requests.forwarder import (
@@ -49,7 +48,7 @@
         ...
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, slots=False)
 class RequestService:
     """Serves one declared service in this zone.
 
@@ -80,6 +79,10 @@
 
     def __attrs_post_init__(self) -> None:
         self.gate = RequestGate(self._gate_settings())
+        self.seconds = self.metrics.request_seconds.labels(self.name)
+        self.refused = self.metrics.requests.labels("refused")
+        self.answered = self.metrics.requests.labels("answered")
+        self.forwarded = self.metrics.messages.labels("upstream")
 
     @property
     def scope(self) -> str:
@@ -139,12 +142,12 @@
             answer = await self._attempts(request, team, is_urgent, deadline_at)
         finally:
             self.in_flight -= 1
-        self.metrics.request_seconds.labels(self.name).observe(self._now() - arrived_at)
+        self.seconds.observe(self._now() - arrived_at)
         if isinstance(answer, Err):
             self.metrics.refusals.labels(answer.err_value.type.value).inc()
-            self.metrics.requests.labels("refused").inc()
+            self.refused.inc()
         else:
-            self.metrics.requests.labels("answered").inc()
+            self.answered.inc()
         return answer
 
     async def _attempts(
@@ -224,7 +227,7 @@
             ended = self._now()
             service_ms = (ended - started) * 1000
             self._carry_out(self.gate.finish(upstream, ended, service_ms, is_ok))
-        self.metrics.messages.labels("upstream").inc()
+        self.forwarded.inc()
         return outcome
 
     def _may_retry(
@@ -282,9 +285,3 @@
         return Refusal(ErrorType.UPSTREAM_TIMEOUT, RunClaim.MAY_HAVE_RUN, detail)
     detail = f"The upstream broke off: {failure.detail}."
     return Refusal(ErrorType.UPSTREAM_LOST, RunClaim.MAY_HAVE_RUN, detail)
-
-
-def record_request(recorder: Recorder, id: str, service: str, outcome: str) -> None:
-    """Record a request's end on the time line."""
-    kind = EventKind.REQUEST_ANSWERED if outcome.isdigit() else EventKind.REQUEST_REFUSED
-    recorder.record(time(), kind, id, f"{service} {outcome}")
--- a/packages/daemon/cranberryshored/web/auth.py
+++ b/packages/daemon/cranberryshored/web/auth.py
@@ -14,19 +14,24 @@
 
 @attrs.frozen
 class Tokens:
-    """The tokens of the settings, by digest."""
+    """The tokens of the settings, by digest, and by header once a valid one was seen."""
 
     by_digest: dict[str, TokenSettings]
+    by_header: dict[str, TokenSettings] = attrs.field(factory=dict)
 
     def bearer(self, request: Request) -> TokenSettings:
         """Return who makes a request; raises the refusal if the token is not known."""
         header = request.headers.get("Authorization", "")
+        known = self.by_header.get(header)
+        if known is not None:
+            return known
         if not header.startswith(SCHEME):
             raise RefusalError(_unauthenticated())
         digest = sha256(header.removeprefix(SCHEME).encode()).hexdigest()
         token = self.by_digest.get(digest)
         if token is None:
             raise RefusalError(_unauthenticated())
+        self.by_header[header] = token
         return token
 
     def operator(self, request: Request) -> TokenSettings:
--- a/packages/daemon/cranberryshored/web/input.py
+++ b/packages/daemon/cranberryshored/web/input.py
@@ -15,6 +15,8 @@
 
 async def read_body(request: Request) -> bytes:
     """Return the whole body; raises the refusal if it is too large."""
+    if not request.can_read_body:
+        return b""
     try:
         return await request.read()
     except HTTPRequestEntityTooLarge as error:
--- a/packages/daemon/cranberryshored/web/requests.py
+++ b/packages/daemon/cranberryshored/web/requests.py
@@ -55,14 +55,14 @@
             body,
             is_idempotent,
         )
-        self.recorder.record(time(), EventKind.REQUEST_FORWARDED, id, service.name)
         answer = await service.serve(incoming, team, is_urgent, timeout_ms)
         if isinstance(answer, Err):
-            self._record_refusal(id, answer.err_value)
+            self._record_refusal(id, service.name, answer.err_value)
             response = refusal_answer(answer.err_value)
         else:
             forwarded = answer.ok_value
-            self.recorder.record(time(), EventKind.REQUEST_ANSWERED, id, str(forwarded.status))
+            detail = f"{service.name} with status {forwarded.status}"
+            self.recorder.record(time(), EventKind.REQUEST_ANSWERED, id, detail)
             response = Response(
                 body=forwarded.body, status=forwarded.status, headers=forwarded.headers
             )
@@ -82,8 +82,8 @@
             raise RefusalError(Refusal(ErrorType.NOT_FOUND, RunClaim.NOT_RUN, detail))
         return service
 
-    def _record_refusal(self, id: str, refusal: Refusal) -> None:
-        detail = f"{refusal.type.value}: {refusal.claim.value}"
+    def _record_refusal(self, id: str, service: str, refusal: Refusal) -> None:
+        detail = f"{service}, {refusal.type.value}: {refusal.claim.value}"
         self.recorder.record(time(), EventKind.REQUEST_REFUSED, id, detail)
 
 
--- a/packages/standins/cranberryshore_standins/cluster.py
+++ b/packages/standins/cranberryshore_standins/cluster.py
@@ -21,6 +21,7 @@
 HOST = "127.0.0.1"
 START_SECONDS = 30.0
 STOP_SECONDS = 30.0
+NANOSECONDS = 1e9
 OPERATOR_TOKEN = "operator-token"
 TEAMS = tuple(f"team-{number}" for number in range(8))
 
@@ -50,6 +51,13 @@
     return found
 
 
+def processor_seconds(pid: int) -> float:
+    """Return the processor time that the threads of a process have used."""
+    threads = Path(f"/proc/{pid}/task").glob("*/schedstat")
+    texts = [thread.read_text(encoding="ascii") for thread in threads]
+    return sum(int(text.split()[0]) for text in texts) / NANOSECONDS
+
+
 def _token(name: str, token: str, role: str, teams: tuple[str, ...]) -> dict[str, Any]:
     digest = sha256(token.encode()).hexdigest()
     return {"name": name, "sha256": digest, "role": role, "teams": list(teams)}
@@ -235,9 +243,7 @@
 
     def processor_seconds(self, name: str) -> float:
         """Return the processor time that a process has used."""
-        pid = self.nodes[name].process.pid
-        fields = Path(f"/proc/{pid}/stat").read_text(encoding="ascii").rsplit(")", 1)[1].split()
-        return (int(fields[11]) + int(fields[12])) / os.sysconf("SC_CLK_TCK")
+        return processor_seconds(self.nodes[name].process.pid)
 
     def resident_mb(self, name: str) -> float:
         """Return the resident memory of a process."""
