Quotas over all zones, and lighter heartbeats

Cause: demands travelled with the heartbeats within a zone only, so a team could use its quota once in each zone; and with 200 teams they would have cost 3 KB a heartbeat. Ruled out: a store call per task or per second (calls are counted); splitting the quota evenly between zones (a team active in one zone would get a part only). Change: demands of teams with a quota travel on their own, changes only, twice a second; one instance of each zone tells the sum to two of each other zone, which pass it on. Known peers travel with every tenth heartbeat. Conclusion: the quota holds within what demands shift in half a second.

--- a/packages/core/cranberryshore/dispatch/dispatcher.py
+++ b/packages/core/cranberryshore/dispatch/dispatcher.py
@@ -263,7 +263,7 @@
         return []
 
     def _peer_demand(self, input: into.PeerDemand, now: float) -> list[out.Effect]:
-        self.quotas.hear(input.peer, input.demands)
+        self.quotas.hear(input.peer, input.demands, input.is_whole)
         return []
 
     def _quotas_set(self, input: into.QuotasSet, now: float) -> list[out.Effect]:
--- a/packages/core/cranberryshore/dispatch/inputs.py
+++ b/packages/core/cranberryshore/dispatch/inputs.py
@@ -151,10 +151,14 @@
 
 @attrs.frozen
 class PeerDemand(Input):
-    """A peer reports its demand by team, in millicores running and waiting."""
+    """A peer or another zone reports its demand by team, in millicores.
+
+    ``is_whole`` tells that teams which are not named have none.
+    """
 
     peer: str
     demands: dict[str, int]
+    is_whole: bool = True
 
 
 @attrs.frozen
--- a/packages/core/cranberryshore/errors/refusal.py
+++ b/packages/core/cranberryshore/errors/refusal.py
@@ -25,7 +25,6 @@
     QUEUE_FULL = "queue_full"
     DEADLINE_UNMEETABLE = "deadline_unmeetable"
     DEADLINE_PASSED = "deadline_passed"
-    QUOTA_EXCEEDED = "quota_exceeded"
     DRAINING = "draining"
     NOT_READY = "not_ready"
     ID_NOT_ISSUED = "id_not_issued"
@@ -59,7 +58,6 @@
     ErrorType.QUEUE_FULL: 503,
     ErrorType.DEADLINE_UNMEETABLE: 503,
     ErrorType.DEADLINE_PASSED: 504,
-    ErrorType.QUOTA_EXCEEDED: 429,
     ErrorType.DRAINING: 503,
     ErrorType.NOT_READY: 503,
     ErrorType.ID_NOT_ISSUED: 409,
--- a/packages/core/cranberryshore/limits/quota.py
+++ b/packages/core/cranberryshore/limits/quota.py
@@ -7,10 +7,11 @@
 class QuotaBook:
     """Splits each team's quota between the instances that use it.
 
-    Every instance reports its use and demand with its heartbeats. The limit of an instance is
-    the team's limit divided in proportion to the instances' demands as last heard. Between two
-    heartbeats the sum of the limits can exceed the quota by at most what the demands have
-    shifted in that time; where a peer falls silent its share stays reserved until it is dead.
+    Every instance reports its demand to the peers of its zone, and one instance of each zone the
+    zone's sum to the other zones. The limit of an instance is the team's limit divided in
+    proportion to the demands as last heard. Between two reports the sum of the limits can exceed
+    the quota by at most what the demands have shifted in that time. Where a peer falls silent
+    its share stays reserved until it is dead; that of a zone that is cut off stays reserved.
 
     Parameters
     ----------
@@ -30,9 +31,11 @@
     limits: dict[str, int] = attrs.field(factory=dict)
     peers: dict[str, dict[str, int]] = attrs.field(factory=dict)
 
-    def hear(self, peer: str, demands: dict[str, int]) -> None:
+    def hear(self, peer: str, demands: dict[str, int], is_whole: bool = True) -> None:
         """Record a peer's demand by team: millicores running and waiting."""
-        self.peers[peer] = demands
+        held = {} if is_whole else self.peers.get(peer, {})
+        merged = {**held, **demands}
+        self.peers[peer] = {team: amount for team, amount in merged.items() if amount > 0}
 
     def drop_peer(self, peer: str) -> None:
         """Forget a dead peer."""
--- a/packages/core/cranberryshore/messages/codec.py
+++ b/packages/core/cranberryshore/messages/codec.py
@@ -14,6 +14,7 @@
 
 PeerMessage = (
     peer.Heartbeat
+    | peer.Demands
     | peer.Leave
     | peer.LoanAsk
     | peer.LoanGrants
@@ -28,6 +29,7 @@
     type_.__name__: type_
     for type_ in (
         peer.Heartbeat,
+        peer.Demands,
         peer.Leave,
         peer.LoanAsk,
         peer.LoanGrants,
--- a/packages/core/cranberryshore/messages/peer.py
+++ b/packages/core/cranberryshore/messages/peer.py
@@ -23,16 +23,37 @@
 
 @attrs.frozen
 class Heartbeat:
-    """Sent periodically to every peer of the zone, and rarely to one per other zone."""
+    """Sent periodically to every peer of the zone; ``known`` is there now and then only."""
 
     address: str
     is_draining: bool
     config_revision: int
-    demands: dict[str, int]
     follows_store: bool = False
     known: tuple[KnownPeer, ...] = ()
 
 
+@attrs.frozen
+class Demands:
+    """Demand of one source by team, in millicores running and waiting.
+
+    Parameters
+    ----------
+    source : str
+        Incarnation of an instance, or ``zone:`` and the name of an availability zone.
+    changed : dict
+        Demand of the teams for which it has changed; zero removes a team.
+    is_whole : bool
+        Whether ``changed`` holds all teams with a demand, so that others are zero.
+    relayed_by : str
+        Instance that passes on what came from another zone; empty at the origin.
+    """
+
+    source: str
+    changed: dict[str, int]
+    is_whole: bool
+    relayed_by: str = ""
+
+
 @attrs.frozen
 class Leave:
     """The sender stops now."""
--- a/packages/daemon/cranberryshored/app.py
+++ b/packages/daemon/cranberryshored/app.py
@@ -17,7 +17,6 @@
     LoansRecalled,
     LoanWanted,
     OwnerClosed,
-    PeerDemand,
     QuotasSet,
     Trace,
 )
@@ -25,6 +24,7 @@
 from cranberryshore.limits import TokenBucket
 from cranberryshore.membership import PeerTable
 from cranberryshore.messages import (
+    Demands,
     Heartbeat,
     Leave,
     LoanAsk,
@@ -52,6 +52,7 @@
 from cranberryshored.log import part_log
 from cranberryshored.metrics import Metrics
 from cranberryshored.peers import MembershipService, PeerCalls
+from cranberryshored.quotas import QuotaExchange
 from cranberryshored.requests import RequestService
 from cranberryshored.surroundings import Surroundings
 from cranberryshored.web.auth import tokens_of
@@ -107,6 +108,7 @@
             part_log("zone"),
             self._retire,
         )
+        self.quotas = QuotaExchange(self.jobs, self.membership, self.transport, self.router)
         self._build_web()
 
     def _build_peers(self) -> None:
@@ -300,18 +302,10 @@
         self.metrics.live_peers.set(len(self.table.live()))
         self.zone.membership_changed(gone)
 
-    def peer_demands(self, peer: Incarnation, demands: dict[str, int]) -> None:
-        """See :class:`MembershipListener`."""
-        self.jobs.handle(PeerDemand(str(peer), demands))
-
     def peer_revision(self, peer: Incarnation, revision: int, follows_store: bool) -> None:
         """See :class:`MembershipListener`."""
         self.follower.on_peer_revision(peer, revision, follows_store)
 
-    def own_demands(self) -> dict[str, int]:
-        """See :class:`MembershipListener`."""
-        return self.jobs.dispatcher.demands()
-
     def own_revision(self) -> int:
         """See :class:`MembershipListener`."""
         return self.state.revision
@@ -332,6 +326,7 @@
             self.membership,
             self.follower,
             self.zone,
+            self.quotas,
             self.web,
         ]
 
@@ -343,6 +338,8 @@
     def _deliver(self, sender: str, message: PeerMessage) -> None:
         if isinstance(message, Heartbeat):
             self.membership.on_heartbeat(sender, message)
+        elif isinstance(message, Demands):
+            self.quotas.on_demands(message)
         elif isinstance(message, Leave):
             self.membership.on_leave(sender)
         elif isinstance(message, PeerCall):
--- a/packages/daemon/cranberryshored/peers/membership.py
+++ b/packages/daemon/cranberryshored/peers/membership.py
@@ -20,6 +20,8 @@
 from cranberryshore.timeline import EventKind
 from cranberryshored.peers.transport import Transport
 
+BEATS_PER_GOSSIP = 10
+
 
 class MembershipListener(Protocol):
     """Who learns of changes and fills in heartbeats."""
@@ -28,18 +30,10 @@
         """The set of live peers has changed."""
         ...
 
-    def peer_demands(self, peer: Incarnation, demands: dict[str, int]) -> None:
-        """A peer has reported its demand by team."""
-        ...
-
     def peer_revision(self, peer: Incarnation, revision: int, follows_store: bool) -> None:
         """A peer has reported its configuration revision and whether it hears the store."""
         ...
 
-    def own_demands(self) -> dict[str, int]:
-        """Return this instance's demand by team."""
-        ...
-
     def own_revision(self) -> int:
         """Return this instance's configuration revision."""
         ...
@@ -61,6 +55,7 @@
     candidates: set[str] = attrs.field(factory=set)
     is_draining: bool = False
     started_at: float = 0.0
+    beats: int = 0
     task: asyncio.Task | None = None
 
     async def start(self) -> None:
@@ -89,7 +84,6 @@
         changes = self.table.hear(incarnation, message.address, message.is_draining, now)
         for known in message.known:
             self.candidates.add(known.address)
-        self.listener.peer_demands(incarnation, message.demands)
         self.listener.peer_revision(incarnation, message.config_revision, message.follows_store)
         self._tell(changes)
 
@@ -121,12 +115,14 @@
         """Send one heartbeat to every peer of the zone."""
         own_address = str(self.settings.peer_listen)
         reachable = self.table.reachable()
-        known = tuple(KnownPeer(str(peer.incarnation), peer.address) for peer in reachable)
+        known: tuple[KnownPeer, ...] = ()
+        if self.beats % BEATS_PER_GOSSIP == 0:
+            known = tuple(KnownPeer(str(peer.incarnation), peer.address) for peer in reachable)
+        self.beats += 1
         heartbeat = Heartbeat(
             own_address,
             self.is_draining,
             self.listener.own_revision(),
-            self.listener.own_demands(),
             self.listener.follows_store(),
             known,
         )
