--- a/packages/core/cranberryshore/dispatch/dispatcher.py
+++ b/packages/core/cranberryshore/dispatch/dispatcher.py
@@ -49,6 +49,7 @@
     late_results: int = 0
     rejected_starts: int = 0
     settled: dict[str, float] = attrs.field(factory=dict)
+    settled_tasks: int = 0
     handlers: dict[type, Callable] = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
@@ -132,6 +133,7 @@
             job.fail(refusal, now)
         self.filling.forget_waiting(job)
         self.settled[str(job.id)] = now
+        self.settled_tasks += len(job.states)
         return [*stops, out.JobSettled(job.id)]
 
     def _cancel(self, input: into.Cancel, now: float) -> list[out.Effect]:
@@ -193,12 +195,15 @@
             self._release(job, result.index, input.worker)
             self._learn(job, result, input.worker, now)
             if was_settled:
-                self.late_results += 1
+                self.late_results += not result.is_stopped
             elif job.is_settled:
                 effects += self._settle(job, None, now)
+            job.compact()
         return effects
 
     def _learn(self, job: Job, result: TaskResult, worker: str, now: float) -> None:
+        if result.is_stopped:
+            return
         if result.is_ok:
             expected = job.request.tasks[result.index].expected_ms
             self.workers.health.on_success(worker, result.run_ms, expected)
@@ -332,11 +337,15 @@
 
     def _forget_old(self, now: float) -> None:
         horizon = now - self.settings.retention_seconds
-        excess = len(self.settled) - self.settings.retained_jobs
         for job_id, settled_at in list(self.settled.items()):
-            if settled_at > horizon and excess <= 0:
+            is_over = (
+                len(self.settled) > self.settings.retained_jobs
+                or self.settled_tasks > self.settings.retained_tasks
+            )
+            if settled_at > horizon and not is_over:
                 break
-            if not self.jobs[job_id].workers:
+            job = self.jobs[job_id]
+            if not job.workers:
+                self.settled_tasks -= len(job.states)
                 del self.jobs[job_id]
                 del self.settled[job_id]
-            excess -= 1
--- a/packages/core/cranberryshore/dispatch/tests/test_dispatcher.py
+++ b/packages/core/cranberryshore/dispatch/tests/test_dispatcher.py
@@ -89,6 +89,16 @@
         self.assertEqual(sorted(stops), ["w1", "w2"])
         self.assertIs(self.job(0).failure.claim, RunClaim.RAN_AND_FAILED)
 
+    def test_stopped_tasks_give_their_room_back(self):
+        # Cause: stopped tasks reported nothing, and their room was never free again.
+        starts = started(self.submit(0, request(8)))
+        self.finish(starts[:1], is_ok=False)
+        for worker, job, index in starts[1:]:
+            stopped = TaskResult(index, False, is_stopped=True)
+            self.handle(TasksFinished(worker, ((job, stopped),)))
+        self.assertEqual(len(started(self.submit(1, request(8)))), 8)
+        self.assertEqual(self.dispatcher.late_results, 0)
+
     def test_late_and_doubled_results_change_nothing(self):
         starts = started(self.submit(0, request(1)))
         self.finish(starts)
--- a/packages/core/cranberryshore/dispatch/tests/test_stateful.py
+++ b/packages/core/cranberryshore/dispatch/tests/test_stateful.py
@@ -128,7 +128,7 @@
     def answers_are_whole(self):
         for job in self.dispatcher.jobs.values():
             if job.is_complete:
-                assert len(job.outputs) == len(job.states)
+                assert len(job.outputs) == len(job.states) and None not in job.outputs
             if job.is_settled and not job.is_complete:
                 assert not job.outputs
 
--- a/packages/core/cranberryshore/work/job.py
+++ b/packages/core/cranberryshore/work/job.py
@@ -16,6 +16,7 @@
     STARTED = "started"
     DONE = "done"
     FAILED = "failed"
+    STOPPED = "stopped"
     LOST = "lost"
 
 
@@ -30,12 +31,16 @@
 
 @attrs.frozen
 class TaskResult:
-    """What a worker reports of one finished task."""
+    """What a worker reports of one task that has ended.
+
+    ``is_stopped`` tells that it ended because the owner stopped it.
+    """
 
     index: int
     is_ok: bool
     output: str = ""
     run_ms: int = 0
+    is_stopped: bool = False
 
 
 @attrs.define
@@ -63,7 +68,8 @@
     accepted_at: float
     states: list[TaskState] = attrs.field(init=False)
     workers: dict[int, str] = attrs.field(init=False, factory=dict)
-    outputs: dict[int, str] = attrs.field(init=False, factory=dict)
+    outputs: list[str | None] = attrs.field(init=False)
+    done_count: int = 0
     waiting: list[int] = attrs.field(init=False)
     failure: Refusal | None = None
     settled_at: float | None = None
@@ -71,6 +77,7 @@
     def __attrs_post_init__(self) -> None:
         count = len(self.request.tasks)
         self.states = [TaskState.WAITING] * count
+        self.outputs = [None] * count
         self.waiting = list(range(count - 1, -1, -1))
 
     @property
@@ -88,7 +95,7 @@
         """Return the state that the caller sees."""
         if self.is_settled:
             return JobState.COMPLETE if self.failure is None else JobState.FAILED
-        return JobState.RUNNING if self.workers or self.outputs else JobState.QUEUED
+        return JobState.RUNNING if self.workers or self.done_count else JobState.QUEUED
 
     @property
     def has_started(self) -> bool:
@@ -122,6 +129,9 @@
         if self.states[result.index] is not TaskState.STARTED:
             return False
         self.workers.pop(result.index, None)
+        if result.is_stopped:
+            self.states[result.index] = TaskState.STOPPED
+            return True
         if not result.is_ok:
             self.states[result.index] = TaskState.FAILED
             detail = f"Task {result.index} ran and failed: {result.output[:200]}"
@@ -131,7 +141,8 @@
         if self.is_settled:
             return True
         self.outputs[result.index] = result.output
-        if len(self.outputs) == len(self.states):
+        self.done_count += 1
+        if self.done_count == len(self.states):
             self.settled_at = now
         return True
 
@@ -159,6 +170,12 @@
             count += 1
         return spec, count
 
+    def compact(self) -> None:
+        """Drop what a settled job of which nothing runs needs no longer: what its tasks asked."""
+        if self.is_settled and not self.workers:
+            self.request = attrs.evolve(self.request, tasks=())
+            self.waiting = []
+
     def running_by_worker(self) -> dict[str, list[int]]:
         """Return the started tasks that have not reported, by worker."""
         grouped: dict[str, list[int]] = {}
--- a/packages/daemon/cranberryshored/jobs/service.py
+++ b/packages/daemon/cranberryshored/jobs/service.py
@@ -115,7 +115,7 @@
         count = len(job.states)
         outputs = None
         if job.is_complete:
-            outputs = tuple(job.outputs[index] for index in range(count))
+            outputs = tuple(job.outputs)
         return JobAnswer(str(job.id), job.state, count, outputs, job.failure)
 
     def worker_opened(self, worker: OwnedWorker, frame: Opened) -> None:
--- a/packages/proof/cranberryshore_proof/fake_workers.py
+++ b/packages/proof/cranberryshore_proof/fake_workers.py
@@ -141,6 +141,7 @@
         elif isinstance(frame, Stop):
             for job in frame.jobs:
                 self.model.stop(owner, job)
+            self._end_tasks(self.model)
         elif isinstance(frame, Ack):
             self.model.acknowledge(owner, frame.through)
         elif isinstance(frame, CloseOwner):
--- a/packages/proof/cranberryshore_proof/mutate.py
+++ b/packages/proof/cranberryshore_proof/mutate.py
@@ -36,7 +36,7 @@
 
 
 def _answer_in_parts(self: JobService, job: Job) -> JobAnswer:
-    outputs = tuple(job.outputs.values()) or None
+    outputs = tuple(output for output in job.outputs if output is not None) or None
     return JobAnswer(str(job.id), job.state, len(job.states), outputs, job.failure)
 
 
--- /dev/null
+++ b/packages/proof/cranberryshore_proof/tests/test_room.py
@@ -0,0 +1,54 @@
+import asyncio
+import logging
+from random import Random
+from unittest import TestCase
+
+import structlog
+
+from cranberryshore_proof.callers import Caller
+from cranberryshore_proof.faults import Fault, FaultKind
+from cranberryshore_proof.play import Player
+from cranberryshore_proof.virtual_loop import VirtualLoop
+from cranberryshore_proof.world import World
+
+FAULTS = (
+    Fault(FaultKind.FAIL_WORKER, 0.5, 1.0, 0, 0),
+    Fault(FaultKind.FREEZE_WORKER, 1.0, 2.0, 1, 0),
+    Fault(FaultKind.CUT_ENTRY_WORKER, 2.0, 1.0, 0, 2),
+    Fault(FaultKind.FREEZE_ENTRY, 2.5, 1.0, 1, 0),
+)
+
+
+async def _run(world: World) -> list[int]:
+    await world.start()
+    await asyncio.sleep(3.0)
+    began = asyncio.get_running_loop().time()
+    callers = [Caller(f"c{n}", "zone-a", world, Random(n)) for n in range(3)]
+    player = Player(world)
+    await asyncio.gather(
+        player.play(FAULTS, began), *(caller.run(began + 5.0) for caller in callers)
+    )
+    await player.end()
+    await asyncio.sleep(6.0)
+    pools = [entry.daemon.jobs.dispatcher.workers.pool for entry in world.entries]
+    return [
+        amount.millicores
+        for pool in pools
+        for member in pool.members.values()
+        for amount in (member.used, member.borrowed, *member.lent.values())
+    ]
+
+
+class RoomTest(TestCase):
+    def test_all_room_is_free_again_once_all_work_has_ended(self):
+        quiet = structlog.make_filtering_bound_logger(logging.CRITICAL)
+        structlog.configure(wrapper_class=quiet)
+        for seed in range(3):
+            loop = VirtualLoop()
+            held = loop.run_until_complete(_run(World(seed)))
+            for task in asyncio.all_tasks(loop):
+                task.cancel()
+            loop.run_until_complete(asyncio.sleep(0))
+            loop.close()
+            with self.subTest(seed=seed):
+                self.assertEqual(sum(held), 0)
--- a/packages/standins/cranberryshore_standins/worker.py
+++ b/packages/standins/cranberryshore_standins/worker.py
@@ -24,7 +24,7 @@
 from cranberryshore_standins.worker_model import WorkerFaults, WorkerModel
 
 END_SECONDS = 0.002
-USAGE_SECONDS = 0.5
+USAGE_SECONDS = 1.0
 RETENTION_SECONDS = 120.0
 MAX_FRAME_BYTES = 16_000_000
 
--- a/packages/standins/cranberryshore_standins/worker_model.py
+++ b/packages/standins/cranberryshore_standins/worker_model.py
@@ -118,11 +118,13 @@
         return [Rejected(fault, tuple(tasks)) for fault, tasks in refused.items()]
 
     def stop(self, owner: str, job: str) -> None:
-        """Stop all running tasks of a job; they report nothing."""
-        for key, held in self._owner(owner).tasks.items():
+        """Stop all running tasks of a job; their results say so."""
+        state = self._owner(owner)
+        for key, held in state.tasks.items():
             if key[0] == job and held.record.state is TaskRecordState.RUNNING:
                 held.record = attrs.evolve(held.record, state=TaskRecordState.STOPPED)
                 self.used = self.used - held.demand
+                state.ready.append((job, TaskResult(key[1], False, is_stopped=True)))
 
     def acknowledge(self, owner: str, through: int) -> None:
         """Drop results that the owner has received."""
