Evidence of promises, and the report on it

Ruled out: a store call per promise, and a log that dies with its instance. Change: each incarnation counts promises and outcomes by minute, kind, team and service, keeps those not kept in full, and writes sealed batches to the store every 30 s, an empty one first so that a writer that dies early is known. cranberryshore report sums them up and says every gap: missing, damaged, or a writer that ended without its last batch.

--- a/Makefile
+++ b/Makefile
@@ -24,6 +24,7 @@
 	$(BIN)/black --check --quiet .
 	$(BIN)/ruff check --quiet .
 	$(BIN)/python scripts/run_doctests.py
+	$(BIN)/python scripts/write_capacity.py --check
 
 demo: setup
 	$(BIN)/python -m cranberryshore_bench.demo --seed $(SEED)
--- a/packages/cli/cranberryshore_cli/job_commands.py
+++ b/packages/cli/cranberryshore_cli/job_commands.py
@@ -1,5 +1,6 @@
 """Commands for jobs: submit, status, cancel, timeline, explain."""
 
+from datetime import datetime
 from pathlib import Path
 from typing import Any, ClassVar
 
@@ -188,3 +189,59 @@
             self.line(sentence)
         for name in value["unreached"]:
             self.line(f"{name} did not answer, so this may not be all.")
+
+
+class ReportCommand(RemoteCommand):
+    """Shows what was promised and whether it was kept."""
+
+    name = "report"
+    description = "Show what was promised in a time, and whether it was kept."
+    help = """Times are Unix seconds or ISO 8601, such as 2026-12-03T20:00. Evidence is written
+every half minute; what a crash took before its write is shown as a gap. Exit status 1 if any
+promise was broken or any evidence is missing."""
+    options: ClassVar = [
+        *RemoteCommand.options,
+        option("from", None, "Begin of the time.", flag=False),
+        option("to", None, "End of the time; now if not given.", flag=False),
+        option("team", None, "Only this team.", flag=False),
+    ]
+
+    def handle(self) -> int:
+        """Run the command."""
+        since, until = _unix_time(self.option("from")), _unix_time(self.option("to"))
+        if since is None:
+            return self.fault("--from must be a time.")
+        path = f"/v1/report?from={since}" + (f"&to={until}" if until is not None else "")
+        if self.option("team"):
+            path += f"&team={self.option('team')}"
+        return self.ask(lambda client: client.show(path))
+
+    def show(self, value: dict[str, Any]) -> None:
+        """Print tables."""
+        names = ["kind", "team", "service", "promised", "kept", "broken", "unknown"]
+        names += ["p50_seconds", "p99_seconds"]
+        self.table_of(names, [[row[name] for name in names] for row in value["rows"]])
+        for noted in value["exceptions"]:
+            self.line(
+                f"{noted['at']:.3f} {noted['kind']} {noted['subject']} of {noted['team']}: "
+                f"{noted['outcome']}. {noted['detail']}"
+            )
+        if value["exceptions_dropped"]:
+            self.line(f"{value['exceptions_dropped']} more are in the counts only.")
+        for gap in value["gaps"]:
+            until = "unknown" if gap["until"] is None else f"{gap['until']:.3f}"
+            self.line(f"gap of {gap['writer']} from {gap['since']:.3f} to {until}: {gap['reason']}")
+
+    def status_of_value(self, value: dict[str, Any]) -> int:
+        """Return 0 only if nothing was broken and no evidence is missing."""
+        is_broken = any(row["broken"] for row in value["rows"])
+        return REFUSED if is_broken or value["gaps"] else OK
+
+
+def _unix_time(text: str | None) -> int | None:
+    if text is None or text.isdigit():
+        return None if text is None else int(text)
+    try:
+        return int(datetime.fromisoformat(text).timestamp())
+    except ValueError:
+        return None
--- a/packages/cli/cranberryshore_cli/main.py
+++ b/packages/cli/cranberryshore_cli/main.py
@@ -8,6 +8,7 @@
 from cranberryshore_cli.job_commands import (
     CancelCommand,
     ExplainCommand,
+    ReportCommand,
     StatusCommand,
     SubmitCommand,
     TimelineCommand,
@@ -32,6 +33,7 @@
     CancelCommand,
     TimelineCommand,
     ExplainCommand,
+    ReportCommand,
     CheckSettingsCommand,
     VersionCommand,
 )
--- a/packages/cli/cranberryshore_cli/resource_commands.py
+++ b/packages/cli/cranberryshore_cli/resource_commands.py
@@ -138,9 +138,11 @@
 
     name = "watch"
     description = "Follow changes of resources, one line each."
+    help = """Without <info>--after</info> it begins with all resources in force. Where the changes
+after a revision are no longer remembered it says so and lists all resources again."""
     options: ClassVar = [
         *RemoteCommand.options,
-        option("after", None, "Revision after which to begin.", flag=False, default="0"),
+        option("after", None, "Revision after which to begin.", flag=False),
         option("once", None, "Print what is there and stop."),
     ]
 
@@ -153,10 +155,17 @@
         self.line(f"revision {value['revision']}")
 
     async def _watch(self, client: Client) -> Result[Any, Failure]:
-        after = int(self.option("after"))
         wait_ms = 0 if self.option("once") else WATCH_WAIT_MS
+        after = self.option("after")
         while True:
-            answer = await client.show(f"/v1/watch?after={after}&wait_ms={wait_ms}")
+            if after is None:
+                answer = await self._list(client)
+            else:
+                answer = await client.show(f"/v1/watch?after={after}&wait_ms={wait_ms}")
+            if _is_gap(answer):
+                self.line_error(f"Gap: {answer.err_value.detail}")
+                after = None
+                continue
             if isinstance(answer, Err):
                 return answer
             for change in answer.ok_value["changes"]:
@@ -165,6 +174,23 @@
             if self.option("once"):
                 return answer
 
+    async def _list(self, client: Client) -> Result[Any, Failure]:
+        """Return all resources in force in the form of changes."""
+        listed = await client.show("/v1/resources")
+        return listed.map(
+            lambda value: {
+                "revision": value["revision"],
+                "changes": [
+                    {
+                        "revision": value["revision"],
+                        "key": f"config/{item['kind']}/{item['name']}",
+                        "resource": item,
+                    }
+                    for item in value["resources"]
+                ],
+            }
+        )
+
 
 class RolloutCommand(RemoteCommand):
     """Shows which instances have a revision in force."""
@@ -226,6 +252,12 @@
     return is_store and refusal.claim is RunClaim.MAY_HAVE_RUN
 
 
+def _is_gap(answer: Result[Any, Failure]) -> bool:
+    if not isinstance(answer, Err) or not isinstance(answer.err_value, Refusal):
+        return False
+    return answer.err_value.type is ErrorType.WATCH_GAP
+
+
 def _change_line(change: dict[str, Any]) -> str:
     resource = change["resource"]
     if resource is None:
--- a/packages/cli/cranberryshore_cli/tests/test_commands.py
+++ b/packages/cli/cranberryshore_cli/tests/test_commands.py
@@ -84,5 +84,10 @@
         self.assertIn("started 2 tasks on worker-zone-a-0", out)
         status, out, _ = await self.run_command("status")
         self.assertEqual(status, 0)
+        status, out, _ = await self.run_command("report", "--from", "0", "--json")
+        rows = {row["kind"]: row for row in json.loads(out)["rows"]}
+        self.assertEqual((rows["job"]["promised"], rows["job"]["kept"]), (1, 1))
+        status, out, _ = await self.run_command("report", "--from", "2020-01-01")
+        self.assertEqual((status, "default" in out), (0, True))
         status, _, error = await self.run_command("submit", self.write("x.json", {"tasks": [1]}))
         self.assertEqual((status, "$.tasks[0]" in error), (2, True))
--- a/packages/core/cranberryshore/dispatch/dispatcher.py
+++ b/packages/core/cranberryshore/dispatch/dispatcher.py
@@ -306,7 +306,7 @@
         for index, worker in job.workers.items():
             self._release(job, index, worker)
         del self.jobs[str(job.id)]
-        return out.JobForgotten(job.id)
+        return out.JobForgotten(job.id, job.request.team)
 
     def _drain(self, input: into.Drain, now: float) -> list[out.Effect]:
         self.is_draining = True
--- a/packages/core/cranberryshore/dispatch/effects.py
+++ b/packages/core/cranberryshore/dispatch/effects.py
@@ -114,6 +114,7 @@
     """A job whose owner was closed; from now on the workers' records tell its outcome."""
 
     id: SubmissionId
+    team: str
 
 
 @attrs.frozen
--- /dev/null
+++ b/packages/core/cranberryshore/evidence/__init__.py
@@ -0,0 +1,32 @@
+"""What was promised and whether it was kept, in bounded memory and written in batches."""
+
+from cranberryshore.evidence.batch import (
+    Batch,
+    Cell,
+    CellKey,
+    EvidenceException,
+    Outcome,
+    PromiseKind,
+    SealedBatch,
+    open_batch,
+    seal_batch,
+)
+from cranberryshore.evidence.book import EvidenceBook
+from cranberryshore.evidence.report import Gap, Report, ReportRow, make_report
+
+__all__ = [
+    "Batch",
+    "Cell",
+    "CellKey",
+    "EvidenceBook",
+    "EvidenceException",
+    "Gap",
+    "Outcome",
+    "PromiseKind",
+    "Report",
+    "ReportRow",
+    "SealedBatch",
+    "make_report",
+    "open_batch",
+    "seal_batch",
+]
--- /dev/null
+++ b/packages/core/cranberryshore/evidence/book.py
@@ -0,0 +1,124 @@
+"""The evidence book aggregate: notes promises and outcomes between two writes."""
+
+from bisect import bisect_left
+
+import attrs
+
+from cranberryshore.evidence.batch import (
+    BUCKET_SECONDS,
+    Batch,
+    Cell,
+    CellKey,
+    EvidenceException,
+    Outcome,
+    PromiseKind,
+)
+
+SECONDS_A_MINUTE = 60
+EXCEPTIONS_PER_BATCH = 500
+CELLS_PER_BATCH = 4000
+OTHER_TEAMS = "(others)"
+
+
+@attrs.define
+class EvidenceBook:
+    """Counts promises and outcomes in bounded memory.
+
+    Parameters
+    ----------
+    writer : str
+        Incarnation in whose name batches are written.
+    since : float
+        Unix time from which on everything is noted.
+
+    Examples
+    --------
+    >>> book = EvidenceBook("a.e1.0", since=0.0)
+    >>> book.promise(PromiseKind.JOB, "desk", "", now=1.0)
+    >>> book.settle(PromiseKind.JOB, "desk", "", Outcome.KEPT, now=2.0, seconds=0.3)
+    >>> batch = book.take(now=3.0)
+    >>> batch.cells[0].promised, batch.cells[0].kept, batch.open_promises
+    (1, 1, 0)
+    """
+
+    writer: str
+    since: float
+    sequence: int = 0
+    cells: dict[CellKey, Cell] = attrs.field(factory=dict)
+    exceptions: list[EvidenceException] = attrs.field(factory=list)
+    dropped: int = 0
+    open_promises: int = 0
+    minute: int = -1
+    current: dict[tuple[PromiseKind, str, str], Cell] = attrs.field(factory=dict)
+
+    def promise(self, kind: PromiseKind, team: str, service: str, now: float) -> None:
+        """Note a promise."""
+        self._cell(kind, team, service, now).promised += 1
+        self.open_promises += 1
+
+    def settle(
+        self,
+        kind: PromiseKind,
+        team: str,
+        service: str,
+        outcome: Outcome,
+        now: float,
+        seconds: float | None = None,
+        subject: str = "",
+        detail: str = "",
+    ) -> None:
+        """Note the outcome of a promise; one that was not kept is noted in full."""
+        cell = self._cell(kind, team, service, now)
+        self.open_promises -= 1
+        if seconds is not None:
+            cell.times[bisect_left(BUCKET_SECONDS, seconds)] += 1
+        if outcome is Outcome.KEPT:
+            cell.kept += 1
+            return
+        if outcome is Outcome.BROKEN:
+            cell.broken += 1
+        else:
+            cell.unknown += 1
+        if len(self.exceptions) < EXCEPTIONS_PER_BATCH:
+            noted = EvidenceException(now, kind, subject, team, outcome, detail)
+            self.exceptions.append(noted)
+        else:
+            self.dropped += 1
+
+    def take(self, now: float, is_last: bool = False) -> Batch:
+        """Return everything noted since the last batch and begin the next one."""
+        batch = Batch(
+            self.writer,
+            self.sequence,
+            self.since,
+            now,
+            tuple(self.cells.values()),
+            tuple(self.exceptions),
+            self.dropped,
+            self.open_promises,
+            is_last,
+        )
+        self.sequence += 1
+        self.since = now
+        self.cells, self.exceptions, self.dropped = {}, [], 0
+        self.current = {}
+        return batch
+
+    def _cell(self, kind: PromiseKind, team: str, service: str, now: float) -> Cell:
+        minute = int(now // SECONDS_A_MINUTE)
+        if minute != self.minute:
+            self.minute = minute
+            self.current = {}
+        cell = self.current.get((kind, team, service))
+        if cell is None:
+            key = CellKey(minute, kind.value, team, service)
+            cell = self.current[(kind, team, service)] = self._find_cell(key)
+        return cell
+
+    def _find_cell(self, key: CellKey) -> Cell:
+        if key not in self.cells and len(self.cells) >= CELLS_PER_BATCH:
+            key = attrs.evolve(key, team=OTHER_TEAMS)
+        cell = self.cells.get(key)
+        if cell is None:
+            cell = self.cells[key] = Cell(key)
+        return cell
--- a/packages/core/cranberryshore/settings/schema.py
+++ b/packages/core/cranberryshore/settings/schema.py
@@ -76,6 +76,8 @@
         Silence of an issuer after which a peer may close its ownership.
     readiness_grace_seconds : float
         Least time between the end of readiness and the end of listening.
+    evidence_seconds : float
+        Time between two writes of evidence to the store.
     """
 
     heartbeat_seconds: Seconds = 0.3
@@ -84,6 +86,7 @@
     drain_seconds: Seconds = 20.0
     closure_seconds: Seconds = 3.0
     readiness_grace_seconds: Seconds = 1.0
+    evidence_seconds: Seconds = 30.0
 
 
 @attrs.frozen
--- a/packages/daemon/cranberryshored/app.py
+++ b/packages/daemon/cranberryshored/app.py
@@ -40,6 +40,7 @@
 from cranberryshore.settings import DaemonSettings
 from cranberryshore.timeline import EventKind, Recorder
 from cranberryshored.config import ConfigEditor, ConfigFollower
+from cranberryshored.evidence import EvidenceService
 from cranberryshored.jobs import (
     Closures,
     JobRouter,
@@ -93,6 +94,13 @@
             settings, self.store, part_log("ownership"), around.unix_time, around.random
         )
         self.recorder = Recorder(str(self.ownership.incarnation))
+        self.evidence = EvidenceService(
+            self.store,
+            lambda: str(self.ownership.incarnation),
+            around.unix_time,
+            settings.timing.evidence_seconds,
+            part_log("evidence"),
+        )
         self._build_peers()
         self._build_jobs()
         self._build_requests_and_config()
@@ -133,6 +141,7 @@
             self.metrics,
             part_log("jobs"),
             timing.tick_seconds,
+            self.evidence,
         )
         if settings.records_trace:
             self.jobs.trace = Trace()
@@ -175,7 +184,9 @@
             part_log("configuration"),
             self._configure,
         )
-        self.editor = ConfigEditor(self.store, self.recorder, part_log("configuration"))
+        self.editor = ConfigEditor(
+            self.store, self.recorder, part_log("configuration"), self.evidence, self.lagging
+        )
 
     def _build_web(self) -> None:
         settings = self.settings
@@ -196,6 +207,7 @@
             self.readiness,
             self.status,
             self.peer_addresses,
+            self.evidence,
         )
         tables = [
             routes.routes()
@@ -248,6 +260,7 @@
         self.jobs.handle(Drain(is_final=True))
         while loop.time() < started + timing.drain_seconds and self._is_busy():
             await asyncio.sleep(DRAIN_POLL_SECONDS)
+        self.evidence.drained(loop.time() - started, not self._is_busy())
 
     def readiness(self) -> Readiness:
         """Tell whether the balancer should send work here."""
@@ -291,6 +304,16 @@
             addresses.update(others)
         return addresses - {str(self.settings.peer_listen)}
 
+    def lagging(self, revision: int) -> list[str]:
+        """Return the live instances of the zone that do not have a revision in force."""
+        late = [
+            str(peer.incarnation)
+            for peer in self.table.live()
+            if self.follower.ahead.get(peer.incarnation, 0) < revision
+        ]
+        own = [str(self.ownership.incarnation)] if self.state.revision < revision else []
+        return own + late
+
     def assigned_to(self, scope: str, resource: str) -> str | None:
         """See :class:`Assignments`."""
         return self.zone.assigned_to(scope, resource)
@@ -327,6 +350,7 @@
             self.follower,
             self.zone,
             self.quotas,
+            self.evidence,
             self.web,
         ]
 
@@ -398,6 +422,7 @@
                 self.metrics,
                 part_log("requests"),
                 self.zone,
+                self.evidence,
             )
             self.zone.set_service_upstreams(service)
         else:
@@ -413,6 +438,7 @@
             self.jobs.retired.clear()
             self.ownership.renew()
             self._name_owner()
+            self.evidence.renew()
             self.zone.workers_changed.set()
 
     def _name_owner(self) -> None:
--- a/packages/daemon/cranberryshored/config/editor.py
+++ b/packages/daemon/cranberryshored/config/editor.py
@@ -1,5 +1,6 @@
 """Accepting operators' changes by compare-and-swap."""
 
+from collections.abc import Callable
 from time import time
 from typing import Any
 
@@ -12,6 +13,7 @@
 from cranberryshore.errors import ErrorType, Refusal, RunClaim
 from cranberryshore.messages import decode_json, encode_json
 from cranberryshore.timeline import EventKind, Recorder
+from cranberryshored.evidence import EvidenceService
 from cranberryshored.platform import Entry, Store, StoreFailure, StoreUnavailable
 
 RETRY_MS = 1000
@@ -56,6 +58,8 @@
     store: Store
     recorder: Recorder
     log: FilteringBoundLogger
+    evidence: EvidenceService
+    lagging: Callable[[int], list[str]]
 
     async def change(self, proposal: Proposal) -> Result[Accepted, Refusal]:
         """Check and write one change; the outcome is true also after a lost reply."""
@@ -83,6 +87,10 @@
                 key,
                 f"revision {accepted.ok_value.revision} by {proposal.operator}",
             )
+            revision = accepted.ok_value.revision
+            self.evidence.configuration_accepted(
+                proposal.operator, revision, lambda: self.lagging(revision)
+            )
         return accepted
 
     async def _write(
--- /dev/null
+++ b/packages/daemon/cranberryshored/evidence.py
@@ -0,0 +1,246 @@
+"""Writing the evidence book to the store in batches, and reading reports back."""
+
+import asyncio
+from collections import deque
+from collections.abc import Callable
+
+import attrs
+from result import Err, Ok, Result
+from structlog.typing import FilteringBoundLogger
+
+from cranberryshore.errors import ErrorType, Refusal, RunClaim
+from cranberryshore.evidence import (
+    Batch,
+    EvidenceBook,
+    Outcome,
+    PromiseKind,
+    Report,
+    make_report,
+    open_batch,
+    seal_batch,
+)
+from cranberryshore.identity import parse_incarnation
+from cranberryshore.work import Job
+from cranberryshored.platform import Store, StoreConflict
+
+EVIDENCE_PREFIX = "evidence/"
+RETENTION_SECONDS = 30 * 86_400
+LEASE_RENEWAL_SECONDS = 3600
+SECONDS_AN_HOUR = 3600
+MOST_LISTED_HOURS = 24
+PENDING_BATCHES = 20
+EMPTY_BATCH_SECONDS = 60.0
+STORE_RETRY_MS = 1000
+IN_FORCE_SECONDS = 10.0
+
+
+def batch_key(batch: Batch) -> str:
+    """Return the store key of a batch: by the hour in which it ends, then by writer.
+
+    Examples
+    --------
+    >>> batch_key(Batch("a.e1.00", 7, 0.0, 7300.0, (), (), 0, 0, False))
+    'evidence/0000002/a.e1.00/000007'
+    """
+    hour = int(batch.until // SECONDS_AN_HOUR)
+    return f"{EVIDENCE_PREFIX}{hour:07}/{batch.writer}/{batch.sequence:06}"
+
+
+@attrs.define(eq=False)
+class EvidenceService:
+    """Notes what this instance promises, and writes it down.
+
+    A batch is written every ``period_seconds`` if there is anything in it, and every
+    ``EMPTY_BATCH_SECONDS`` otherwise, so that a writer that falls silent is noticed. While the
+    store is out, batches wait in bounded number, and then the book goes on counting.
+    """
+
+    store: Store
+    writer: Callable[[], str]
+    unix_time: Callable[[], float]
+    period_seconds: float
+    log: FilteringBoundLogger
+    book: EvidenceBook = attrs.field(init=False)
+    pending: deque[Batch] = attrs.field(factory=deque)
+    lease: str = ""
+    lease_until: float = 0.0
+    task: asyncio.Task | None = None
+    checks: set[asyncio.Task] = attrs.field(factory=set)
+    lock: asyncio.Lock = attrs.field(factory=asyncio.Lock)
+
+    def __attrs_post_init__(self) -> None:
+        self.book = EvidenceBook(self.writer(), self.unix_time())
+
+    async def start(self) -> None:
+        """Begin to write; the first batch is empty and makes the writer known."""
+        self.pending.append(self.book.take(self.unix_time()))
+        self.task = asyncio.create_task(self._run())
+
+    async def close(self) -> None:
+        """Write the last batch and stop."""
+        for task in (self.task, *self.checks):
+            if task is not None:
+                task.cancel()
+                await asyncio.gather(task, return_exceptions=True)
+        self.pending.append(self.book.take(self.unix_time(), is_last=True))
+        await self._write_pending()
+
+    def renew(self) -> None:
+        """Begin a book for a new incarnation."""
+        self.pending.append(self.book.take(self.unix_time(), is_last=True))
+        self.book = EvidenceBook(self.writer(), self.unix_time())
+        self.pending.append(self.book.take(self.unix_time()))
+
+    def job_accepted(self, team: str) -> None:
+        """Note that a job was accepted: it will be answered whole or truthfully failed."""
+        self.book.promise(PromiseKind.JOB, team, "", self.unix_time())
+
+    def job_settled(self, job: Job) -> None:
+        """Note how an accepted job ended."""
+        seconds = job.settled_at - job.accepted_at
+        outcome = _job_outcome(job)
+        detail = "" if job.failure is None else job.failure.detail
+        now, team = self.unix_time(), job.request.team
+        self.book.settle(PromiseKind.JOB, team, "", outcome, now, seconds, str(job.id), detail)
+
+    def job_left_to_workers(self, id: str, team: str) -> None:
+        """Note that the outcome of a job is left to the workers' records."""
+        detail = "The ownership was closed by a peer; the workers' records tell the outcome."
+        now = self.unix_time()
+        self.book.settle(PromiseKind.JOB, team, "", Outcome.UNKNOWN, now, None, id, detail)
+
+    def refused(self, team: str, service: str = "") -> None:
+        """Note a refusal as not run, which is kept by what refuses."""
+        now = self.unix_time()
+        self.book.promise(PromiseKind.REFUSAL, team, service, now)
+        self.book.settle(PromiseKind.REFUSAL, team, service, Outcome.KEPT, now)
+
+    def request_arrived(self, team: str, service: str) -> None:
+        """Note a request: it will be answered, or its fate told truthfully."""
+        self.book.promise(PromiseKind.REQUEST, team, service, self.unix_time())
+
+    def request_ended(
+        self, team: str, service: str, seconds: float, refusal: Refusal | None
+    ) -> None:
+        """Note how a request ended."""
+        outcome, detail = Outcome.KEPT, ""
+        if refusal is not None and refusal.claim is RunClaim.MAY_HAVE_RUN:
+            outcome, detail = Outcome.UNKNOWN, refusal.detail
+        now, kind = self.unix_time(), PromiseKind.REQUEST
+        self.book.settle(kind, team, service, outcome, now, seconds, service, detail)
+        if refusal is not None and outcome is Outcome.KEPT:
+            self.refused(team, service)
+
+    def configuration_accepted(
+        self, operator: str, revision: int, lagging: Callable[[], list[str]]
+    ) -> None:
+        """Note an accepted change, and look after 10 s who does not have it in force."""
+        self.book.promise(PromiseKind.CONFIGURATION, operator, "", self.unix_time())
+        task = asyncio.create_task(self._check_configuration(operator, revision, lagging))
+        self.checks.add(task)
+        task.add_done_callback(self.checks.discard)
+
+    def drained(self, seconds: float, is_clean: bool) -> None:
+        """Note how the leave of this instance ended."""
+        now = self.unix_time()
+        outcome = Outcome.KEPT if is_clean else Outcome.BROKEN
+        self.book.promise(PromiseKind.DRAIN, "", "", now)
+        detail = "" if is_clean else "Work was under way at the end of the drain time."
+        kind = PromiseKind.DRAIN
+        self.book.settle(kind, "", "", outcome, now, seconds, self.book.writer, detail)
+
+    async def report(self, since: float, until: float, team: str | None) -> Result[Report, Refusal]:
+        """Return what was promised in a time, from the batches of all instances."""
+        self.pending.append(self.book.take(self.unix_time()))
+        await self._write_pending()
+        batches, damaged = [], []
+        for prefix in _prefixes(since, min(until, self.unix_time())):
+            listed = await self.store.list(prefix)
+            if isinstance(listed, Err):
+                return Err(_unavailable())
+            for entry in listed.ok_value.entries:
+                batch = open_batch(entry.value)
+                if batch is None:
+                    damaged.append(entry.key)
+                else:
+                    batches.append(batch)
+        return Ok(make_report(batches, damaged, since, until, team, self.unix_time()))
+
+    async def _check_configuration(
+        self, operator: str, revision: int, lagging: Callable[[], list[str]]
+    ) -> None:
+        await asyncio.sleep(IN_FORCE_SECONDS)
+        late = lagging()
+        outcome = Outcome.BROKEN if late else Outcome.KEPT
+        detail = f"Not in force after 10 s in {', '.join(late)}." if late else ""
+        now, subject = self.unix_time(), str(revision)
+        kind = PromiseKind.CONFIGURATION
+        self.book.settle(kind, operator, "", outcome, now, None, subject, detail)
+
+    async def _run(self) -> None:
+        while True:
+            await self._write_pending()
+            await asyncio.sleep(self.period_seconds)
+            is_due = self.unix_time() - self.book.since >= EMPTY_BATCH_SECONDS
+            has_room = len(self.pending) < PENDING_BATCHES
+            if has_room and (self.book.cells or is_due):
+                self.pending.append(self.book.take(self.unix_time()))
+
+    async def _write_pending(self) -> None:
+        async with self.lock:
+            while self.pending:
+                batch = self.pending[0]
+                if not await self._write(batch):
+                    return
+                self.pending.popleft()
+
+    async def _write(self, batch: Batch) -> bool:
+        if parse_incarnation(batch.writer) is None:
+            return True
+        lease = await self._lease()
+        if not lease:
+            return False
+        written = await self.store.put(batch_key(batch), seal_batch(batch), 0, lease)
+        # A conflict means that an earlier try took effect and only its reply was lost.
+        return isinstance(written, Ok) or isinstance(written.err_value, StoreConflict)
+
+    async def _lease(self) -> str:
+        now = asyncio.get_running_loop().time()
+        if now < self.lease_until:
+            return self.lease
+        granted = await self.store.grant_lease(RETENTION_SECONDS)
+        if isinstance(granted, Err):
+            return ""
+        self.lease, self.lease_until = granted.ok_value, now + LEASE_RENEWAL_SECONDS
+        return self.lease
+
+
+def _prefixes(since: float, until: float) -> list[str]:
+    """Return the key prefixes under which batches of a time stand.
+
+    A batch stands under the hour in which it ends, which may be the one after.
+    """
+    first = int(since // SECONDS_AN_HOUR)
+    last = int(until // SECONDS_AN_HOUR) + 1
+    if last - first > MOST_LISTED_HOURS:
+        return [EVIDENCE_PREFIX]
+    return [f"{EVIDENCE_PREFIX}{hour:07}/" for hour in range(first, last + 1)]
+
+
+def _job_outcome(job: Job) -> Outcome:
+    """Return whether the promise of an accepted job was kept.
+
+    It was if the job is complete, if a task of its own failed, or if the caller withdrew it. It
+    was broken if the job was accepted and then not run, and is unknown if it may have run.
+    """
+    failure = job.failure
+    if failure is None or failure.claim is RunClaim.RAN_AND_FAILED:
+        return Outcome.KEPT
+    if failure.type is ErrorType.CANCELLED:
+        return Outcome.KEPT
+    return Outcome.BROKEN if failure.claim is RunClaim.NOT_RUN else Outcome.UNKNOWN
+
+
+def _unavailable() -> Refusal:
+    detail = "The store that holds the evidence does not answer."
+    return Refusal(ErrorType.STORE_UNAVAILABLE, RunClaim.NOT_RUN, detail, STORE_RETRY_MS)
--- a/packages/daemon/cranberryshored/jobs/router.py
+++ b/packages/daemon/cranberryshored/jobs/router.py
@@ -111,9 +111,11 @@
                 self._remember_refusal(key, effect.refusal)
                 reason = effect.refusal.type.value
                 metrics.refusals.labels(reason).inc()
+                self.jobs.evidence.refused(submit.request.team)
                 recorder.record(time(), EventKind.JOB_REFUSED, key, reason, count)
                 return Err(effect.refusal)
         metrics.accepted.inc(count)
+        self.jobs.evidence.job_accepted(submit.request.team)
         recorder.record(time(), EventKind.JOB_ACCEPTED, key, submit.caller, count)
         return self._answer_to(submit.caller, submit.id)
 
--- a/packages/daemon/cranberryshored/jobs/service.py
+++ b/packages/daemon/cranberryshored/jobs/service.py
@@ -49,6 +49,7 @@
 from cranberryshore.ownership import OwnedWorker
 from cranberryshore.timeline import EventKind, Recorder
 from cranberryshore.work import Job
+from cranberryshored.evidence import EvidenceService
 from cranberryshored.jobs.closures import Closures
 from cranberryshored.jobs.workers import WorkerLinks
 from cranberryshored.loans import LoanExchange
@@ -75,6 +76,7 @@
     metrics: Metrics
     log: FilteringBoundLogger
     tick_seconds: float
+    evidence: EvidenceService
     links: WorkerLinks | None = None
     closures: Closures | None = None
     trace: Trace | None = None
@@ -175,6 +177,7 @@
             recall = LoanRecall(JOBS_SCOPE, tuple(sorted(effect.workers)))
             self.loans.recall(effect.peer, recall)
         elif isinstance(effect, JobForgotten):
+            self.evidence.job_left_to_workers(str(effect.id), effect.team)
             self._wake(str(effect.id))
         elif isinstance(effect, OwnerRetired):
             self.recorder.record(time(), EventKind.OWNER_RETIRED, effect.owner)
@@ -202,6 +205,7 @@
         outcome = "complete" if job.failure is None else job.failure.type.value
         self.metrics.jobs.labels(outcome).inc()
         self.metrics.job_seconds.observe(seconds)
+        self.evidence.job_settled(job)
         detail = outcome if job.failure is None else f"{outcome}: {job.failure.claim.value}"
         self.recorder.record(time(), EventKind.JOB_ANSWERED, key, detail, len(job.states))
         self._wake(key)
--- a/packages/daemon/cranberryshored/requests/service.py
+++ b/packages/daemon/cranberryshored/requests/service.py
@@ -23,6 +23,7 @@
 from cranberryshore.placement import Assignment
 from cranberryshore.requests import Admitted, GateSettings, RequestGate, Ticket
 from cranberryshore.timeline import Recorder
+from cranberryshored.evidence import EvidenceService
 from cranberryshored.loans import LoanExchange
 from cranberryshored.metrics import Metrics
 from cranberryshored.requests.forwarder import (
@@ -70,6 +71,7 @@
     metrics: Metrics
     log: FilteringBoundLogger
     freshness: Freshness
+    evidence: EvidenceService
     gate: RequestGate = attrs.field(init=False)
     addresses: dict[str, str] = attrs.field(factory=dict)
     futures: dict[int, asyncio.Future] = attrs.field(factory=dict)
@@ -138,11 +140,15 @@
         arrived_at = self._now()
         deadline_at = arrived_at + limit_ms / 1000
         self.in_flight += 1
+        self.evidence.request_arrived(team, self.name)
         try:
             answer = await self._attempts(request, team, is_urgent, deadline_at)
         finally:
             self.in_flight -= 1
-        self.seconds.observe(self._now() - arrived_at)
+        seconds = self._now() - arrived_at
+        self.seconds.observe(seconds)
+        refusal = answer.err_value if isinstance(answer, Err) else None
+        self.evidence.request_ended(team, self.name, seconds, refusal)
         if isinstance(answer, Err):
             self.metrics.refusals.labels(answer.err_value.type.value).inc()
             self.refused.inc()
--- a/packages/daemon/cranberryshored/web/observe.py
+++ b/packages/daemon/cranberryshored/web/observe.py
@@ -9,13 +9,16 @@
 
 from cranberryshore.messages import RolloutAnswer, RolloutQuery, TimelineAnswer, TimelineQuery
 from cranberryshore.timeline import Event, Recorder, merge_events
+from cranberryshored.evidence import EvidenceService
 from cranberryshored.metrics import Metrics
 from cranberryshored.peers import MembershipService, PeerCalls
-from cranberryshored.web.answers import json_answer
+from cranberryshored.web.answers import json_answer, result_answer
 from cranberryshored.web.auth import Tokens
+from cranberryshored.web.input import query_number
 
 CALL_SECONDS = 1.0
 NOT_READY = 503
+MAX_UNIX_TIME = 10**10
 
 
 @attrs.frozen
@@ -80,6 +83,7 @@
     readiness: Callable[[], Readiness]
     status: Callable[[], InstanceStatus]
     addresses: Callable[[], set[str]]
+    evidence: EvidenceService
 
     def routes(self) -> RouteTableDef:
         """Return the route table."""
@@ -91,6 +95,7 @@
         table.get("/metrics")(self.show_metrics)
         table.get("/v1/status")(self.show_status)
         table.get("/v1/rollout")(self.rollout)
+        table.get("/v1/report")(self.report)
         table.get("/v1/timeline")(self.timeline)
         return table
 
@@ -130,6 +135,14 @@
                 unreached.append(address)
         return json_answer(RolloutBody(tuple(instances), tuple(unreached)))
 
+    async def report(self, request: Request) -> Response:
+        """Return what was promised in a time and whether it was kept, over all instances."""
+        self.tokens.operator(request)
+        since = query_number(request, "from", 0, MAX_UNIX_TIME)
+        until = query_number(request, "to", MAX_UNIX_TIME, MAX_UNIX_TIME)
+        team = request.query.get("team")
+        return result_answer(await self.evidence.report(since, until, team))
+
     async def timeline(self, request: Request) -> Response:
         """Return the events about a subject, merged over all processes of the zone."""
         self.tokens.operator(request)
