Traces that can be fetched and replayed; smaller parts

Ruled out: keeping the trace without its beginning, which cannot be replayed; the daemon says so instead.

--- a/packages/bench/cranberryshore_bench/demo.py
+++ b/packages/bench/cranberryshore_bench/demo.py
@@ -92,6 +92,16 @@
     return faults
 
 
+async def _print_report(cluster: Cluster) -> None:
+    """Print what the first instance of each zone has on record."""
+    print("on record at the first instance of each zone:")
+    for zone in SHAPE.zones:
+        report = await cluster.fetch(cluster.entries(zone)[0].name, "/v1/report")
+    for row in report["rows"]:
+        outcome = f"kept {row['kept']}, broken {row['broken']}, unknown {row['unknown']}"
+        print(f"  {row['kind']} {row['team']}: promised {row['promised']}, {outcome}")
+
+
 def _print_outcomes(drivers: list[Driver]) -> int:
     jobs = [job for driver in drivers for job in driver.jobs]
     requests = [request for driver in drivers for request in driver.requests]
@@ -125,6 +135,7 @@
             tasks = _print_outcomes(drivers)
             await _print_daemons(cluster, tasks)
             faults = await _unaccounted(cluster, drivers)
+            await _print_report(cluster)
             for driver in drivers:
                 await driver.close()
         finally:
--- a/packages/cli/cranberryshore_cli/command.py
+++ b/packages/cli/cranberryshore_cli/command.py
@@ -4,6 +4,7 @@
 import json
 import os
 from collections.abc import Awaitable, Callable
+from pathlib import Path
 from typing import Any, ClassVar
 
 from cleo.commands.command import Command
@@ -11,6 +12,7 @@
 from result import Err, Result
 
 from cranberryshore.messages import encode_json
+from cranberryshore.settings import parse_document
 from cranberryshore_cli.client import Client, Failure
 from cranberryshore_cli.exits import BAD_INPUT, OK, status_of
 
@@ -47,6 +49,14 @@
         self.show(value)
         return self.status_of_value(value)
 
+    def read_file(self) -> Result[Any, str]:
+        """Return the parsed document in the argument ``file``, or what is wrong with it."""
+        path = Path(self.argument("file"))
+        if not path.is_file():
+            return Err(f"There is no file {path}.")
+        document = parse_document(path.read_text(encoding="utf-8"))
+        return document.map_err(lambda faults: str(faults[0]))
+
     def show(self, value: Any) -> None:
         """Print a result for people."""
         self.line(json.dumps(json.loads(encode_json(value)), indent=2))
--- a/packages/cli/cranberryshore_cli/job_commands.py
+++ b/packages/cli/cranberryshore_cli/job_commands.py
@@ -1,7 +1,6 @@
 """Commands for jobs: submit, status, cancel, timeline, explain."""
 
 from datetime import datetime
-from pathlib import Path
 from typing import Any, ClassVar
 
 import msgspec
@@ -9,7 +8,7 @@
 from result import Err, Result
 
 from cranberryshore.messages import JobAnswer
-from cranberryshore.settings import check_document, parse_document
+from cranberryshore.settings import check_document
 from cranberryshore.timeline import Event, explain_events
 from cranberryshore.work import JobRequest, JobState, check_job_request
 from cranberryshore_cli.client import Client, Failure
@@ -59,12 +58,9 @@
 
     def handle(self) -> int:
         """Run the command."""
-        path = Path(self.argument("file"))
-        if not path.is_file():
-            return self.fault(f"There is no file {path}.")
-        document = parse_document(path.read_text(encoding="utf-8"))
+        document = self.read_file()
         if isinstance(document, Err):
-            return self.fault(str(document.err_value[0]))
+            return self.fault(document.err_value)
         checked = check_document(document.ok_value, JobRequest)
         if isinstance(checked, Err):
             return self.fault("; ".join(str(fault) for fault in checked.err_value))
--- a/packages/cli/cranberryshore_cli/resource_commands.py
+++ b/packages/cli/cranberryshore_cli/resource_commands.py
@@ -1,7 +1,6 @@
 """Commands for resources: apply, get, delete, watch, rollout."""
 
 import asyncio
-from pathlib import Path
 from typing import Any, ClassVar
 from uuid import uuid4
 
@@ -10,7 +9,6 @@
 
 from cranberryshore.errors import ErrorType, Refusal, RunClaim
 from cranberryshore.messages import encode_json
-from cranberryshore.settings import parse_document
 from cranberryshore_cli.client import Client, Failure
 from cranberryshore_cli.command import RemoteCommand
 from cranberryshore_cli.exits import OK
@@ -41,12 +39,9 @@
 
     def handle(self) -> int:
         """Run the command."""
-        path = Path(self.argument("file"))
-        if not path.is_file():
-            return self.fault(f"There is no file {path}.")
-        document = parse_document(path.read_text(encoding="utf-8"))
+        document = self.read_file()
         if isinstance(document, Err):
-            return self.fault(str(document.err_value[0]))
+            return self.fault(document.err_value)
         resource = document.ok_value
         if not isinstance(resource, dict) or not {"kind", "name", "spec"} <= resource.keys():
             return self.fault("The file must hold an object with kind, name and spec.")
--- a/packages/core/cranberryshore/dispatch/__init__.py
+++ b/packages/core/cranberryshore/dispatch/__init__.py
@@ -29,6 +29,7 @@
     LoansRecalled,
     LoanWanted,
     OwnerClosed,
+    OwnerNamed,
     PeerDead,
     PeerDemand,
     QuotasSet,
@@ -41,7 +42,7 @@
     WorkerLost,
     WorkerOpened,
 )
-from cranberryshore.dispatch.trace import Trace, TraceEntry, replay
+from cranberryshore.dispatch.trace import Trace, TraceEntry, decode_trace, encode_trace, replay
 
 __all__ = [
     "AskPeers",
@@ -64,6 +65,7 @@
     "LoanWanted",
     "LoansRecalled",
     "OwnerClosed",
+    "OwnerNamed",
     "OwnerRetired",
     "PeerDead",
     "PeerDemand",
@@ -84,5 +86,7 @@
     "WorkerAdded",
     "WorkerLost",
     "WorkerOpened",
+    "decode_trace",
+    "encode_trace",
     "replay",
 ]
--- a/packages/core/cranberryshore/dispatch/admission.py
+++ b/packages/core/cranberryshore/dispatch/admission.py
@@ -34,11 +34,6 @@
     settings: DispatchSettings
     workers: WorkerSet
     run_ratio: float = 1.0
-    accepted: int = 0
-
-    def on_accept(self, job: Job) -> None:
-        """Count an accepted job."""
-        self.accepted += 1
 
     def on_result(self, run_ms: float, expected_ms: float) -> None:
         """Learn how far declared run times are off."""
--- a/packages/core/cranberryshore/dispatch/dispatcher.py
+++ b/packages/core/cranberryshore/dispatch/dispatcher.py
@@ -77,6 +77,7 @@
             into.QuotasSet: self._quotas_set,
             into.LimitsSet: self._limits_set,
             into.OwnerClosed: self._owner_closed,
+            into.OwnerNamed: self._owner_named,
             into.Drain: self._drain,
             into.Tick: self._tick,
         }
@@ -111,7 +112,6 @@
         if refusal is not None:
             return [out.JobRefused(input.id, refusal)]
         self.jobs[str(input.id)] = job
-        self.admission.on_accept(job)
         self.filling.add(job)
         return []
 
@@ -301,6 +301,10 @@
                 effects += self._settle(job, refusal, now)
         return effects
 
+    def _owner_named(self, input: into.OwnerNamed, now: float) -> list[out.Effect]:
+        self.owner = input.owner
+        return []
+
     def _forget(self, job: Job) -> out.Effect:
         self.filling.forget_waiting(job)
         for index, worker in job.workers.items():
--- a/packages/core/cranberryshore/dispatch/inputs.py
+++ b/packages/core/cranberryshore/dispatch/inputs.py
@@ -183,6 +183,13 @@
     owner: str
 
 
+@attrs.frozen
+class OwnerNamed(Input):
+    """The process has taken an incarnation, in whose name it may start jobs from now on."""
+
+    owner: str
+
+
 @attrs.frozen
 class Drain(Input):
     """The instance leaves: nothing is accepted any more.
--- a/packages/core/cranberryshore/dispatch/tests/test_dispatcher.py
+++ b/packages/core/cranberryshore/dispatch/tests/test_dispatcher.py
@@ -10,6 +10,7 @@
     JobRefused,
     JobSettled,
     OwnerClosed,
+    OwnerNamed,
     StartTasks,
     StopTasks,
     Submit,
@@ -20,6 +21,8 @@
     WorkerAdded,
     WorkerLost,
     WorkerOpened,
+    decode_trace,
+    encode_trace,
     replay,
 )
 from cranberryshore.errors import ErrorType, RunClaim
@@ -189,7 +192,7 @@
         effects = self.handle(OwnerClosed(str(OWNER)))
         self.assertIn(JobForgotten(SubmissionId(OWNER, 0), "default"), effects)
         self.assertIs(self.job(2).failure.claim, RunClaim.NOT_RUN)
-        self.dispatcher.owner = "a.e1.1111111111111111"
+        self.handle(OwnerNamed("a.e1.1111111111111111"))
         self.assertEqual(started(self.handle(Tick())), [])
 
     def test_final_drain_refuses_what_waits(self):
@@ -207,4 +210,7 @@
         self.now = 0.1
         self.finish(starts)
         self.handle(WorkerLost("w2", "run-1"))
-        self.assertEqual(replay(self.settings, str(OWNER), self.trace.entries), self.effects)
+        entries = decode_trace(encode_trace(self.trace.entries)).unwrap()
+        dispatcher, effects = replay(self.settings, str(OWNER), entries)
+        self.assertEqual(effects, self.effects)
+        self.assertEqual(dispatcher.jobs, self.dispatcher.jobs)
--- a/packages/core/cranberryshore/dispatch/trace.py
+++ b/packages/core/cranberryshore/dispatch/trace.py
@@ -1,15 +1,25 @@
-"""Recorded inputs of a dispatcher and their replay."""
+"""Recorded inputs of a dispatcher, their text form and their replay."""
 
 from collections import deque
 from collections.abc import Iterable
+from typing import Any
 
 import attrs
+import msgspec
+from result import Err, Ok, Result
 
+from cranberryshore.dispatch import inputs
 from cranberryshore.dispatch.dispatcher import Dispatcher, DispatchSettings
 from cranberryshore.dispatch.effects import Effect
 from cranberryshore.dispatch.inputs import Input
+from cranberryshore.errors import Refusal, malformed
 
 TRACE_ENTRIES = 20_000
+INPUT_TYPES: dict[str, type] = {
+    name: value
+    for name, value in vars(inputs).items()
+    if isinstance(value, type) and issubclass(value, Input) and value is not Input
+}
 
 
 @attrs.frozen
@@ -20,27 +30,82 @@
     input: Input
 
 
+@attrs.frozen
+class TextEntry:
+    """Text form of an entry; ``kind`` names the type of ``input``."""
+
+    now: float
+    kind: str
+    input: Any
+
+
 @attrs.define
 class Trace:
-    """The latest inputs of a dispatcher, in bounded memory."""
+    """The latest inputs of a dispatcher, in bounded memory.
+
+    ``dropped`` counts the older ones that the bound has pushed out; a trace that lacks its
+    beginning cannot be replayed.
+    """
 
     entries: deque[TraceEntry] = attrs.field(factory=lambda: deque(maxlen=TRACE_ENTRIES))
+    dropped: int = 0
 
     def record(self, input: Input, now: float) -> None:
         """Append one input."""
+        self.dropped += len(self.entries) == self.entries.maxlen
         self.entries.append(TraceEntry(now, input))
 
 
+def encode_trace(entries: Iterable[TraceEntry]) -> bytes:
+    """Return the text form of a trace.
+
+    Examples
+    --------
+    >>> encode_trace([TraceEntry(1.0, inputs.Tick())])
+    b'[{"now":1.0,"kind":"Tick","input":{}}]'
+    """
+    texts = [TextEntry(entry.now, type(entry.input).__name__, entry.input) for entry in entries]
+    return msgspec.json.encode(texts)
+
+
+def decode_trace(data: bytes) -> Result[list[TraceEntry], Refusal]:
+    """Return the entries of a trace's text form, or what is wrong with it.
+
+    Examples
+    --------
+    >>> decode_trace(encode_trace([TraceEntry(1.0, inputs.Tick())])).unwrap()
+    [TraceEntry(now=1.0, input=Tick())]
+    >>> decode_trace(b"[{}]").is_err()
+    True
+    """
+    try:
+        texts = msgspec.json.decode(data, type=list[TextEntry])
+        return Ok(
+            [
+                TraceEntry(text.now, msgspec.convert(text.input, INPUT_TYPES[text.kind]))
+                for text in texts
+            ]
+        )
+    except (msgspec.DecodeError, KeyError, ValueError) as error:
+        return Err(malformed("trace", f"{len(data)} bytes", str(error)))
+
+
 def replay(
     settings: DispatchSettings, owner: str, entries: Iterable[TraceEntry]
-) -> list[tuple[Effect, ...]]:
-    """Return the effects of each recorded input on a new dispatcher.
+) -> tuple[Dispatcher, list[tuple[Effect, ...]]]:
+    """Feed recorded inputs to a new dispatcher.
+
+    Returns
+    -------
+    tuple
+        The dispatcher in its final state, and the effects of each input.
 
     Examples
     --------
-    >>> from cranberryshore.dispatch.inputs import Tick
-    >>> replay(DispatchSettings(), "a.e1.0000000000000000", [TraceEntry(1.0, Tick())])
+    >>> entries = [TraceEntry(1.0, inputs.Tick())]
+    >>> replay(DispatchSettings(), "a.e1.0000000000000000", entries)[1]
     [()]
     """
     dispatcher = Dispatcher(settings, owner)
-    return [tuple(dispatcher.handle(entry.input, entry.now)) for entry in entries]
+    effects = [tuple(dispatcher.handle(entry.input, entry.now)) for entry in entries]
+    return dispatcher, effects
--- a/packages/core/cranberryshore/evidence/report.py
+++ b/packages/core/cranberryshore/evidence/report.py
@@ -93,11 +93,7 @@
         ]
         if batch.until >= since and batch.since <= until:
             dropped += batch.dropped
-    gaps = [
-        gap
-        for gap in find_gaps(held, damaged, now)
-        if gap.since <= until and (gap.until is None or gap.until >= since)
-    ]
+    gaps = _gaps_within(find_gaps(held, damaged, now), since, until)
     rows = tuple(_row(key, cell) for key, cell in sorted(sums.items()))
     ordered = tuple(sorted(exceptions, key=lambda noted: noted.at))
     return Report(since, until, rows, ordered, dropped, tuple(gaps))
@@ -130,6 +126,10 @@
     return gaps
 
 
+def _gaps_within(gaps: Iterable[Gap], since: float, until: float) -> list[Gap]:
+    return [gap for gap in gaps if gap.since <= until and (gap.until is None or gap.until >= since)]
+
+
 def _concerns(cell: Cell, since: float, until: float, team: str | None) -> bool:
     begin = cell.key.minute * SECONDS_A_MINUTE
     is_in_time = begin + SECONDS_A_MINUTE > since and begin <= until
--- a/packages/core/cranberryshore/requests/gate.py
+++ b/packages/core/cranberryshore/requests/gate.py
@@ -27,12 +27,9 @@
     ----------
     queue_limit : int
         Largest number of requests that wait for a slot.
-    longest_wait_ms : int
-        Largest estimated wait at which an ordinary request is still accepted.
     """
 
     queue_limit: int = 2000
-    longest_wait_ms: int = 10_000
 
 
 @attrs.define(eq=False)
@@ -192,6 +189,11 @@
         )
         return self.waiting * self.service_ms / slots if slots else 0.0
 
+    def free_slots(self) -> int:
+        """Return the free slots of the upstreams assigned to this instance."""
+        members = self.pool.members.items()
+        return sum(self.pool.free(name).slots for name, member in members if member.is_assigned)
+
     def _give_up(
         self, ticket: Ticket, type: ErrorType, detail: str, retry_after_ms: int | None
     ) -> list[out.Effect]:
--- a/packages/core/cranberryshore/requests/tests/test_gate.py
+++ b/packages/core/cranberryshore/requests/tests/test_gate.py
@@ -9,7 +9,7 @@
 
 class GateTest(TestCase):
     def setUp(self):
-        self.gate = RequestGate(GateSettings(queue_limit=3, longest_wait_ms=1000))
+        self.gate = RequestGate(GateSettings(queue_limit=3))
         self.gate.set_upstreams({"u1": 1, "u2": 1})
         self.gate.assign(Assignment("me", {"u1": "me", "u2": "me"}))
         self.numbers = iter(range(100))
--- a/packages/daemon/cranberryshored/app.py
+++ b/packages/daemon/cranberryshored/app.py
@@ -6,41 +6,22 @@
 import attrs
 from structlog.typing import FilteringBoundLogger
 
-from cranberryshore.config import ConfigState, ResourceKind, ServiceSpec, check_resource
+from cranberryshore.config import ConfigState, ServiceSpec
 from cranberryshore.dispatch import (
     Dispatcher,
     Drain,
-    LimitsSet,
-    LoanGranted,
-    LoanHeld,
-    LoanReturned,
-    LoansRecalled,
-    LoanWanted,
     OwnerClosed,
-    QuotasSet,
+    OwnerNamed,
     Trace,
 )
 from cranberryshore.identity import Incarnation
 from cranberryshore.limits import TokenBucket
 from cranberryshore.membership import PeerTable
-from cranberryshore.messages import (
-    Demands,
-    Heartbeat,
-    Leave,
-    LoanAsk,
-    LoanGrants,
-    LoanRecall,
-    LoanReturns,
-    LoansHeld,
-    PeerCall,
-    PeerMessage,
-    PeerReply,
-)
-from cranberryshore.messages.peer import JOBS_SCOPE
 from cranberryshore.settings import DaemonSettings
 from cranberryshore.timeline import EventKind, Recorder
-from cranberryshored.config import ConfigEditor, ConfigFollower
+from cranberryshored.config import ConfigApplier, ConfigEditor, ConfigFollower
 from cranberryshored.evidence import EvidenceService
+from cranberryshored.inbox import PeerInbox
 from cranberryshored.jobs import (
     Closures,
     JobRouter,
@@ -56,6 +37,7 @@
 from cranberryshored.quotas import QuotaExchange
 from cranberryshored.requests import RequestService
 from cranberryshored.surroundings import Surroundings
+from cranberryshored.tasks import end_tasks
 from cranberryshored.web.auth import tokens_of
 from cranberryshored.web.jobs import JobRoutes
 from cranberryshored.web.observe import InstanceStatus, MemberStatus, ObserveRoutes, Readiness
@@ -117,12 +99,23 @@
             self._retire,
         )
         self.quotas = QuotaExchange(self.jobs, self.membership, self.transport, self.router)
+        self.inbox = PeerInbox(self.membership, self.calls, self.quotas, self.jobs, self.services)
+        self.applier = ConfigApplier(
+            settings.zone,
+            self.state,
+            self.services,
+            self.jobs,
+            self._make_service,
+            part_log("configuration"),
+        )
         self._build_web()
 
     def _build_peers(self) -> None:
         settings = self.settings
         self.transport = self.surroundings.transport(
-            lambda: str(self.ownership.incarnation), self._deliver, self.recorder
+            lambda: str(self.ownership.incarnation),
+            lambda sender, message: self.inbox.deliver(sender, message),
+            self.recorder,
         )
         self.calls = PeerCalls(self.transport, str(settings.peer_listen), part_log("peers"))
         self.table = PeerTable(self.ownership.incarnation)
@@ -208,6 +201,7 @@
             self.status,
             self.peer_addresses,
             self.evidence,
+            self.jobs.trace,
         )
         tables = [
             routes.routes()
@@ -227,8 +221,7 @@
     async def close(self) -> None:
         """Drain, then stop all parts."""
         await self.drain()
-        for task in (self.tick_task, self.retire_task):
-            task.cancel()
+        await end_tasks([self.tick_task, self.retire_task])
         await self.web.close()
         await self.ownership.close_record()
         for part in reversed(self._parts()):
@@ -359,74 +352,24 @@
             not job.is_settled for job in self.jobs.dispatcher.jobs.values()
         )
 
-    def _deliver(self, sender: str, message: PeerMessage) -> None:
-        if isinstance(message, Heartbeat):
-            self.membership.on_heartbeat(sender, message)
-        elif isinstance(message, Demands):
-            self.quotas.on_demands(message)
-        elif isinstance(message, Leave):
-            self.membership.on_leave(sender)
-        elif isinstance(message, PeerCall):
-            self.calls.on_call(sender, message)
-        elif isinstance(message, PeerReply):
-            self.calls.on_reply(message)
-        elif message.scope == JOBS_SCOPE:
-            self._deliver_job_loan(sender, message)
-        else:
-            service = self.services.get(message.scope.partition("/")[2])
-            if service is not None:
-                service.on_loan(sender, message)
-
-    def _deliver_job_loan(self, sender: str, message: PeerMessage) -> None:
-        if isinstance(message, LoanAsk):
-            self.jobs.handle(LoanWanted(sender, message.demand, message.count))
-        elif isinstance(message, LoanGrants):
-            self.jobs.handle(LoanGranted(sender, message.grants))
-        elif isinstance(message, LoanReturns):
-            self.jobs.handle(LoanReturned(sender, message.grants))
-        elif isinstance(message, LoansHeld):
-            self.jobs.handle(LoanHeld(sender, message.grants))
-        elif isinstance(message, LoanRecall):
-            self.jobs.handle(LoansRecalled(sender, frozenset(message.resources)))
-
     def _configure(self) -> None:
-        """Put the services and quotas of the configuration in force."""
-        quotas, declared = {}, {}
-        for resource in self.state.resources.values():
-            checked = check_resource(resource.kind, resource.name, resource.spec)
-            if checked.is_err():
-                self.log.warning("Resource is malformed.", name=resource.name)
-            elif resource.kind is ResourceKind.SERVICE:
-                declared[resource.name] = checked.ok_value
-            elif resource.kind is ResourceKind.CALLER_POLICY:
-                quotas[resource.name] = checked.ok_value.quota_millicores
-            elif resource.kind is ResourceKind.WORKER_POOL and resource.name == self.settings.zone:
-                spec = checked.ok_value
-                self.jobs.handle(LimitsSet(spec.queued_tasks, spec.longest_wait_ms))
-        for name, spec in declared.items():
-            self._declare(name, spec)
-        for name in self.services.keys() - declared.keys():
-            del self.services[name]
-        self.jobs.handle(QuotasSet(quotas))
+        self.applier.apply()
         self.zone.share_out()
 
-    def _declare(self, name: str, spec: ServiceSpec) -> None:
-        service = self.services.get(name)
-        if service is None:
-            service = self.services[name] = RequestService(
-                name,
-                spec,
-                self.forwarder,
-                self.loans,
-                self.recorder,
-                self.metrics,
-                part_log("requests"),
-                self.zone,
-                self.evidence,
-            )
-            self.zone.set_service_upstreams(service)
-        else:
-            service.set_spec(spec)
+    def _make_service(self, name: str, spec: ServiceSpec) -> RequestService:
+        service = RequestService(
+            name,
+            spec,
+            self.forwarder,
+            self.loans,
+            self.recorder,
+            self.metrics,
+            part_log("requests"),
+            self.zone,
+            self.evidence,
+        )
+        self.zone.set_service_upstreams(service)
+        return service
 
     def _retire(self) -> None:
         self.jobs.handle(OwnerClosed(str(self.ownership.incarnation)))
@@ -443,7 +386,7 @@
 
     def _name_owner(self) -> None:
         owner = str(self.ownership.incarnation)
-        self.jobs.dispatcher.owner = owner
+        self.jobs.handle(OwnerNamed(owner))
         self.table.own = self.ownership.incarnation
         self.closures.closed_by = owner
         self.recorder.process = owner
--- a/packages/daemon/cranberryshored/config/follower.py
+++ b/packages/daemon/cranberryshored/config/follower.py
@@ -17,6 +17,7 @@
 from cranberryshored.metrics import Metrics
 from cranberryshored.peers import MembershipService, PeerCalls
 from cranberryshored.platform import Entry, Store, StoreFailure, WatchCompacted
+from cranberryshored.tasks import end_tasks
 
 WATCHERS_PER_ZONE = 2
 WATCH_WAIT_MS = 10_000
@@ -63,9 +64,7 @@
 
     async def close(self) -> None:
         """Stop following."""
-        for task in self.tasks:
-            task.cancel()
-        await asyncio.gather(*self.tasks, return_exceptions=True)
+        await end_tasks(self.tasks)
 
     def on_peer_revision(self, peer: Incarnation, revision: int, follows_store: bool) -> None:
         """Note how far a peer is and whether it hears the store."""
--- a/packages/daemon/cranberryshored/evidence.py
+++ b/packages/daemon/cranberryshored/evidence.py
@@ -22,6 +22,7 @@
 from cranberryshore.identity import parse_incarnation
 from cranberryshore.work import Job
 from cranberryshored.platform import Store, StoreConflict
+from cranberryshored.tasks import end_tasks
 
 EVIDENCE_PREFIX = "evidence/"
 RETENTION_SECONDS = 30 * 86_400
@@ -78,10 +79,7 @@
 
     async def close(self) -> None:
         """Write the last batch and stop."""
-        for task in (self.task, *self.checks):
-            if task is not None:
-                task.cancel()
-                await asyncio.gather(task, return_exceptions=True)
+        await end_tasks([self.task, *self.checks])
         self.pending.append(self.book.take(self.unix_time(), is_last=True))
         await self._write_pending()
 
--- a/packages/daemon/cranberryshored/jobs/service.py
+++ b/packages/daemon/cranberryshored/jobs/service.py
@@ -54,6 +54,7 @@
 from cranberryshored.jobs.workers import WorkerLinks
 from cranberryshored.loans import LoanExchange
 from cranberryshored.metrics import Metrics
+from cranberryshored.tasks import end_tasks
 
 
 @attrs.define(eq=False)
@@ -90,9 +91,7 @@
 
     async def close(self) -> None:
         """Stop."""
-        if self.task is not None:
-            self.task.cancel()
-            await asyncio.gather(self.task, return_exceptions=True)
+        await end_tasks([self.task])
 
     def handle(self, input: Input) -> list[Effect]:
         """Feed one input to the dispatcher, carry out the effects and return them."""
--- a/packages/daemon/cranberryshored/metrics.py
+++ b/packages/daemon/cranberryshored/metrics.py
@@ -65,7 +65,9 @@
         "cranberryshore_request_seconds", "Response time of requests.", "service"
     )
     queued_tasks: Gauge = _gauge("cranberryshore_queued_tasks", "Tasks that wait for room.")
-    queued_requests: Gauge = _gauge("cranberryshore_queued_requests", "Requests that wait.")
+    queued_requests: Gauge = _gauge(
+        "cranberryshore_queued_requests", "Requests that wait.", "service"
+    )
     free_slots: Gauge = _gauge("cranberryshore_free_slots", "Free assigned slots.", "service")
     revision: Gauge = _gauge("cranberryshore_configuration_revision", "Revision in force.")
     live_peers: Gauge = _gauge("cranberryshore_live_peers", "Live peers of the zone.")
--- a/packages/daemon/cranberryshored/peers/calls.py
+++ b/packages/daemon/cranberryshored/peers/calls.py
@@ -11,6 +11,7 @@
 from cranberryshore.messages import PeerCall, PeerReply, open_part
 from cranberryshore.messages.codec import close_part
 from cranberryshored.peers.transport import Transport
+from cranberryshored.tasks import end_tasks
 
 CallHandler = Callable[[Any], Awaitable[Any]]
 
@@ -32,9 +33,7 @@
 
     async def close(self) -> None:
         """Give up all calls."""
-        for task in self.tasks:
-            task.cancel()
-        await asyncio.gather(*self.tasks, return_exceptions=True)
+        await end_tasks(self.tasks)
 
     async def call(self, address: str, target: str, question: Any, timeout: float) -> Any | None:
         """Ask a peer; ``None`` if no answer came in ``timeout`` seconds."""
--- a/packages/daemon/cranberryshored/peers/membership.py
+++ b/packages/daemon/cranberryshored/peers/membership.py
@@ -19,6 +19,7 @@
 from cranberryshore.settings import DaemonSettings
 from cranberryshore.timeline import EventKind
 from cranberryshored.peers.transport import Transport
+from cranberryshored.tasks import end_tasks
 
 BEATS_PER_GOSSIP = 10
 
@@ -65,9 +66,7 @@
 
     async def close(self) -> None:
         """Tell the peers that this instance leaves, and stop."""
-        if self.task is not None:
-            self.task.cancel()
-            await asyncio.gather(self.task, return_exceptions=True)
+        await end_tasks([self.task])
         for peer in self.table.reachable():
             self.transport.send(peer.address, str(peer.incarnation), Leave())
 
--- a/packages/daemon/cranberryshored/platform/worker_link.py
+++ b/packages/daemon/cranberryshored/platform/worker_link.py
@@ -25,6 +25,7 @@
 )
 from cranberryshore.ownership import OwnedWorker
 from cranberryshored.metrics import Metrics
+from cranberryshored.tasks import end_tasks
 
 RECONNECT_SECONDS = 0.2
 CONNECT_TIMEOUT_SECONDS = 1.0
@@ -105,9 +106,7 @@
 
     async def close(self) -> None:
         """End the session."""
-        if self.task is not None:
-            self.task.cancel()
-            await asyncio.gather(self.task, return_exceptions=True)
+        await end_tasks([self.task])
 
     def send(self, frame: Any) -> bool:
         """Queue a frame for the present session; return whether there is one."""
--- a/packages/daemon/cranberryshored/requests/service.py
+++ b/packages/daemon/cranberryshored/requests/service.py
@@ -82,6 +82,8 @@
     def __attrs_post_init__(self) -> None:
         self.gate = RequestGate(self._gate_settings())
         self.seconds = self.metrics.request_seconds.labels(self.name)
+        self.queued = self.metrics.queued_requests.labels(self.name)
+        self.free_slots = self.metrics.free_slots.labels(self.name)
         self.refused = self.metrics.requests.labels("refused")
         self.answered = self.metrics.requests.labels("answered")
         self.forwarded = self.metrics.messages.labels("upstream")
@@ -115,7 +117,8 @@
     def tick(self) -> None:
         """Give up requests whose time has passed."""
         self._carry_out(self.gate.tick(self._now()))
-        self.metrics.queued_requests.set(self.gate.waiting)
+        self.queued.set(self.gate.waiting)
+        self.free_slots.set(self.gate.free_slots())
 
     def on_loan(self, sender: str, message: PeerMessage) -> None:
         """Handle a peer's loan message."""
@@ -265,7 +268,7 @@
                 self.loans.recall(effect.peer, LoanRecall(self.scope, names))
 
     def _gate_settings(self) -> GateSettings:
-        return GateSettings(self.spec.queue_limit, self.spec.timeout_ms)
+        return GateSettings(self.spec.queue_limit)
 
     def _now(self) -> float:
         return asyncio.get_running_loop().time()
--- a/packages/daemon/cranberryshored/tests/test_processes.py
+++ b/packages/daemon/cranberryshored/tests/test_processes.py
@@ -8,12 +8,13 @@
 
 from result import Err, Ok
 
+from cranberryshore.dispatch import DispatchSettings, decode_trace, replay
 from cranberryshore.errors import ErrorType, Refusal, RunClaim
 from cranberryshore.work import Capacity, JobRequest, JobState, TaskSpec
 from cranberryshore_cli import Client
-from cranberryshore_standins.cluster import Cluster, ClusterShape, caller_token
+from cranberryshore_standins.cluster import OPERATOR_TOKEN, Cluster, ClusterShape, caller_token
 
-SHAPE = ClusterShape(entries=2, workers=2, upstreams=2)
+SHAPE = ClusterShape(entries=2, workers=2, upstreams=2, records_trace=True)
 FINAL = (JobState.COMPLETE, JobState.FAILED)
 
 
@@ -127,6 +128,29 @@
         self.assertEqual(first.unwrap(), second.unwrap())
         self.assertEqual(set((await self.starts()).values()), {1})
 
+    async def test_recorded_trace_replays_to_the_outcomes_that_were_told(self):
+        told = {}
+        for number, client in enumerate(self.clients):
+            for id in (await client.obtain_ids(6)).unwrap():
+                request = job(12, 60)
+                if number:
+                    request = JobRequest((*request.tasks, TaskSpec(ONE, 60, "fail")))
+                told[id] = (await client.submit(id, request, wait_ms=5000)).unwrap()
+        for node in self.entries:
+            async with self.cluster.session.get(
+                f"{node.url}/v1/trace", headers={"Authorization": f"Bearer {OPERATOR_TOKEN}"}
+            ) as response:
+                entries = decode_trace(await response.read()).unwrap()
+            dispatcher, _ = replay(DispatchSettings(), "", entries)
+            own = {id: answer for id, answer in told.items() if node.name in id}
+            self.assertEqual(len(own), 6)
+            for id, answer in own.items():
+                replayed = dispatcher.jobs[id]
+                self.assertIs(replayed.state, answer.state)
+                self.assertEqual(replayed.failure, answer.failure)
+                if answer.outputs is not None:
+                    self.assertEqual(tuple(replayed.outputs), answer.outputs)
+
     async def test_store_outage_leaves_the_work_going_and_changes_uncertain_at_most(self):
         ids = (await self.clients[0].obtain_ids(1)).unwrap()
         await self.cluster.switch("store", down=True)
--- a/packages/daemon/cranberryshored/web/observe.py
+++ b/packages/daemon/cranberryshored/web/observe.py
@@ -7,12 +7,14 @@
 from aiohttp.web import Request, Response, RouteTableDef
 from prometheus_client import generate_latest
 
+from cranberryshore.dispatch import Trace, encode_trace
+from cranberryshore.errors import ErrorType, Refusal, RunClaim
 from cranberryshore.messages import RolloutAnswer, RolloutQuery, TimelineAnswer, TimelineQuery
 from cranberryshore.timeline import Event, Recorder, merge_events
 from cranberryshored.evidence import EvidenceService
 from cranberryshored.metrics import Metrics
 from cranberryshored.peers import MembershipService, PeerCalls
-from cranberryshored.web.answers import json_answer, result_answer
+from cranberryshored.web.answers import json_answer, refusal_answer, result_answer
 from cranberryshored.web.auth import Tokens
 from cranberryshored.web.input import query_number
 
@@ -84,6 +86,7 @@
     status: Callable[[], InstanceStatus]
     addresses: Callable[[], set[str]]
     evidence: EvidenceService
+    trace: Trace | None
 
     def routes(self) -> RouteTableDef:
         """Return the route table."""
@@ -96,6 +99,7 @@
         table.get("/v1/status")(self.show_status)
         table.get("/v1/rollout")(self.rollout)
         table.get("/v1/report")(self.report)
+        table.get("/v1/trace")(self.show_trace)
         table.get("/v1/timeline")(self.timeline)
         return table
 
@@ -135,6 +139,15 @@
                 unreached.append(address)
         return json_answer(RolloutBody(tuple(instances), tuple(unreached)))
 
+    async def show_trace(self, request: Request) -> Response:
+        """Return the dispatcher's recorded inputs, if the settings ask to record them."""
+        self.tokens.operator(request)
+        if self.trace is None or self.trace.dropped:
+            detail = "No whole trace is recorded; see the setting records_trace."
+            return refusal_answer(Refusal(ErrorType.NOT_FOUND, RunClaim.NOT_RUN, detail))
+        body = encode_trace(self.trace.entries)
+        return Response(body=body, content_type="application/json")
+
     async def report(self, request: Request) -> Response:
         """Return what was promised in a time and whether it was kept, over all instances."""
         self.tokens.operator(request)
--- a/packages/daemon/cranberryshored/zone.py
+++ b/packages/daemon/cranberryshored/zone.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
+from time import time
 
 import attrs
 from result import Err
@@ -13,11 +14,13 @@
 from cranberryshore.ownership import OwnedWorker
 from cranberryshore.placement import Assignment, assign_balanced
 from cranberryshore.settings import DaemonSettings
+from cranberryshore.timeline import EventKind
 from cranberryshored.jobs import Closures, JobRouter, JobService, OwnershipService
 from cranberryshored.jobs.ownership import Closed
 from cranberryshored.peers import MembershipService
 from cranberryshored.platform import InstanceKind, InstanceList, ListedInstance
 from cranberryshored.requests import RequestService
+from cranberryshored.tasks import end_tasks
 
 RECORD_RETRY_SECONDS = 0.5
 ALIVE_PERIOD_SECONDS = 0.1
@@ -50,6 +53,7 @@
     workers: dict[str, ListedInstance] = attrs.field(factory=dict)
     upstreams: dict[str, ListedInstance] = attrs.field(factory=dict)
     assignments: dict[str, dict[str, str]] = attrs.field(factory=dict)
+    used_workers: set[OwnedWorker] = attrs.field(factory=set)
     tasks: list[asyncio.Task] = attrs.field(factory=list)
     asked_at: float = 0.0
     alive_at: float = 0.0
@@ -69,9 +73,7 @@
 
     async def close(self) -> None:
         """Stop following."""
-        for task in self.tasks:
-            task.cancel()
-        await asyncio.gather(*self.tasks, return_exceptions=True)
+        await end_tasks(self.tasks)
 
     def assigned_to(self, scope: str, resource: str) -> str | None:
         """Return the incarnation that a worker or upstream is assigned to."""
@@ -219,6 +221,10 @@
         owner = str(self.ownership.incarnation)
         for item in workers.values():
             worker = OwnedWorker(item.name, item.incarnation)
+            if worker not in self.used_workers:
+                self.used_workers.add(worker)
+                recorder = self.jobs.recorder
+                recorder.record(time(), EventKind.WORKER_ADDED, worker.name, worker.incarnation)
             self.jobs.handle(WorkerAdded(worker.name, worker.incarnation, item.capacity))
             await self.jobs.links.connect(worker, item.address, owner)
         used = {worker.name for worker in self._still_used()}
--- a/packages/standins/cranberryshore_standins/cluster.py
+++ b/packages/standins/cranberryshore_standins/cluster.py
@@ -75,6 +75,7 @@
     worker_capacity: Capacity = Capacity(8000, 16384, 0)
     service: str = "booking"
     list_lag_seconds: float = 0.3
+    records_trace: bool = False
     timing: dict[str, float] = attrs.field(factory=dict)
     dispatch: dict[str, float] = attrs.field(factory=dict)
 
@@ -309,6 +310,7 @@
             "tokens": tokens(),
             "timing": self.shape.timing,
             "dispatch": self.shape.dispatch,
+            "records_trace": self.shape.records_trace,
         }
 
     def _signal(self, name: str, signal: int) -> None:
--- a/scripts/write_capacity.py
+++ b/scripts/write_capacity.py
@@ -24,6 +24,7 @@
 RETAINED_TASKS = 200_000
 RUN_SECONDS = 0.2
 KEY_BUDGET = 20
+EVIDENCE_SECONDS = 30
 RACK = 8
 MICRO = 1e-6
 
@@ -97,6 +98,7 @@
         "config_reads": changes * (1 + 2 * ZONES),
         "watches": 2 * ZONES,
         "key_writes": instances * KEY_BUDGET,
+        "evidence_writes": instances / EVIDENCE_SECONDS,
     }
 
 
