--- a/packages/bench/cranberryshore_bench/core_slopes.py
+++ b/packages/bench/cranberryshore_bench/core_slopes.py
@@ -40,6 +40,10 @@
     return dispatcher
 
 
+def _output(index: int) -> str:
+    return f"{index:64}"
+
+
 def _play_jobs(dispatcher: Dispatcher, count: int, tasks: int) -> None:
     text = encode_json(JobRequest((TASK,) * tasks))
     for number in range(count):
@@ -48,7 +52,7 @@
         for effect in effects:
             if isinstance(effect, StartTasks):
                 results = tuple(
-                    (effect.batch.job, TaskResult(task.index, True, f"{number}" + "y" * 64, 100))
+                    (effect.batch.job, TaskResult(task.index, True, _output(task.index), 100))
                     for task in effect.batch.tasks
                 )
                 dispatcher.handle(TasksFinished(effect.worker, results), 0.0)
@@ -64,6 +68,17 @@
     return min(times)
 
 
+def reference_seconds() -> float:
+    """Return the processor time of a fixed loop, by which machines can be compared."""
+
+    def loop() -> None:
+        total = 0
+        for number in range(2_000_000):
+            total += number
+
+    return _best(loop)
+
+
 def workers_known() -> Slope:
     """Return the processor time of placing one job of 100 tasks, by workers known."""
     points = []
@@ -153,6 +168,36 @@
     return fit("one change put in force, by resources", "µs", points)
 
 
+def overloaded_results() -> Slope:
+    """Return the processor time of one result while all teams wait, by teams."""
+    points = []
+    for count in (25, 50, 100, 200):
+        dispatcher = _dispatcher(16)
+        running: list[tuple[str, str, int]] = []
+        for number in range(count * 12):
+            id = SubmissionId(OWNER, number)
+            request = JobRequest((TASK,) * 5, team=f"team-{number % count}")
+            running += _started(dispatcher.handle(Submit(id, "c", request), 0.0))
+
+        def finish(dispatcher: Dispatcher = dispatcher, running: list = running) -> None:
+            for _ in range(40):
+                worker, job, index = running.pop(0)
+                result = TasksFinished(worker, ((job, TaskResult(index, True, "", 100)),))
+                running.extend(_started(dispatcher.handle(result, 0.1)))
+
+        points.append((count, _best(finish) / 40 * MICROSECONDS))
+    return fit("one result under overload, by teams waiting", "µs", points)
+
+
+def _started(effects: list) -> list[tuple[str, str, int]]:
+    return [
+        (effect.worker, effect.batch.job, task.index)
+        for effect in effects
+        if isinstance(effect, StartTasks)
+        for task in effect.batch.tasks
+    ]
+
+
 def core_slopes() -> list[Slope]:
     """Measure all slopes of the decisions."""
     return [
@@ -160,6 +205,7 @@
         usage_reports(),
         retained_jobs(),
         teams(),
+        overloaded_results(),
         demand_bytes(),
         resources(),
     ]
--- a/packages/bench/cranberryshore_bench/slopes.py
+++ b/packages/bench/cranberryshore_bench/slopes.py
@@ -5,13 +5,23 @@
 from argparse import ArgumentParser
 from pathlib import Path
 
+import attrs
 import structlog
 
 from cranberryshore.messages import encode_json
-from cranberryshore_bench.core_slopes import core_slopes
+from cranberryshore_bench.core_slopes import core_slopes, reference_seconds
+from cranberryshore_bench.fit import Slope
 from cranberryshore_bench.process_slopes import process_slopes
 
 
+@attrs.frozen
+class SlopeRun:
+    """All slopes of one run, and the reference loop's time before and after it."""
+
+    reference_seconds: tuple[float, float]
+    slopes: tuple[Slope, ...]
+
+
 def main() -> None:
     """Measure, write and print."""
     parser = ArgumentParser(description=__doc__)
@@ -19,9 +29,12 @@
     arguments = parser.parse_args()
     quiet = structlog.make_filtering_bound_logger(logging.CRITICAL)
     structlog.configure(wrapper_class=quiet)
+    before = reference_seconds()
     slopes = [*core_slopes(), *asyncio.run(process_slopes())]
+    run = SlopeRun((before, reference_seconds()), tuple(slopes))
     arguments.out.parent.mkdir(exist_ok=True)
-    arguments.out.write_bytes(encode_json(slopes))
+    arguments.out.write_bytes(encode_json(run))
+    print(f"reference loop: {run.reference_seconds[0]:.3f} s, {run.reference_seconds[1]:.3f} s")
     for slope in slopes:
         print(
             f"{slope.name}: {slope.base:.4g} + {slope.slope:.4g} per unit, {slope.unit}, "
--- a/packages/core/cranberryshore/dispatch/filling.py
+++ b/packages/core/cranberryshore/dispatch/filling.py
@@ -1,5 +1,9 @@
 """Handing out waiting tasks to workers, in fair order and within quotas."""
 
+from collections.abc import Sequence
+from itertools import groupby
+from operator import attrgetter
+
 import attrs
 
 from cranberryshore.dispatch import effects as out
@@ -15,6 +19,8 @@
 TASKS_PER_TURN = 64
 RESERVE_AFTER_SECONDS = 0.5
 
+_demand_of = attrgetter("demand")
+
 
 @attrs.frozen
 class Reservation:
@@ -47,13 +53,12 @@
 
     def add(self, job: Job) -> None:
         """Queue a newly accepted job."""
-        for spec in job.request.tasks:
-            self._count_waiting(job, spec, 1)
+        self._count_waiting(job, job.request.tasks, 1)
         self.queue.push(job.request.team, job.request.urgent, job)
 
     def add_back(self, job: Job, index: int) -> None:
         """Queue a task again that its worker refused to start."""
-        self._count_waiting(job, job.request.tasks[index], 1)
+        self._count_waiting(job, (job.request.tasks[index],), 1)
         if len(job.waiting) == 1:
             self.queue.push(job.request.team, job.request.urgent, job, at_front=True)
 
@@ -61,8 +66,7 @@
         """Drop what still waits of a settled job."""
         if self.reservation is not None and self.reservation.job is job:
             self.reservation = None
-        for index in job.waiting:
-            self._count_waiting(job, job.request.tasks[index], -1)
+        self._count_waiting(job, [job.request.tasks[index] for index in job.waiting], -1)
         job.waiting.clear()
 
     def on_end(self, job: Job, demand: Capacity) -> None:
@@ -165,12 +169,11 @@
     ) -> list[out.StartTasks]:
         effects = []
         for worker, number in placed:
-            tasks = []
-            for index in job.hand_out(number, worker):
-                task = job.request.tasks[index]
-                self._count_waiting(job, task, -1)
-                tasks.append(out.TaskStart(index, task))
-            batch = out.TaskBatch(str(job.id), job.caller, len(job.states), tuple(tasks))
+            indexes = job.hand_out(number, worker)
+            specs = [job.request.tasks[index] for index in indexes]
+            self._count_waiting(job, specs, -1)
+            tasks = tuple(map(out.TaskStart, indexes, specs))
+            batch = out.TaskBatch(str(job.id), job.caller, len(job.states), tasks)
             incarnation = self.workers.states[worker].incarnation
             effects.append(out.StartTasks(worker, incarnation, batch))
             team = job.request.team
@@ -179,13 +182,21 @@
             self.queue.charge(team, job.request.urgent, _work(spec) * number)
         return effects
 
-    def _count_waiting(self, job: Job, spec: TaskSpec, sign: int) -> None:
+    def _count_waiting(self, job: Job, specs: Sequence[TaskSpec], sign: int) -> None:
+        """Count tasks that begin or end to wait, by runs of equal demands."""
         team = job.request.team
-        self.waiting_tasks += sign
-        self.waiting_millicore_ms += sign * _work(spec)
-        self.waiting[team] = self.waiting.get(team, 0) + sign * spec.demand.millicores
-        count = self.demand_counts.get(spec.demand, 0) + sign
+        self.waiting_tasks += sign * len(specs)
+        millicores = 0
+        for demand, run in groupby(specs, key=_demand_of):
+            alike = list(run)
+            millicores += demand.millicores * len(alike)
+            self.waiting_millicore_ms += sign * sum(map(_work, alike))
+            self._count_demand(demand, sign * len(alike))
+        self.waiting[team] = self.waiting.get(team, 0) + sign * millicores
+
+    def _count_demand(self, demand: Capacity, change: int) -> None:
+        count = self.demand_counts.get(demand, 0) + change
         if count:
-            self.demand_counts[spec.demand] = count
+            self.demand_counts[demand] = count
         else:
-            del self.demand_counts[spec.demand]
+            del self.demand_counts[demand]
--- a/packages/daemon/cranberryshored/jobs/workers.py
+++ b/packages/daemon/cranberryshored/jobs/workers.py
@@ -25,6 +25,7 @@
     open_session: Callable[[], Awaitable[ClientSession]]
     session: ClientSession | None = None
     links: dict[str, WorkerLink] = attrs.field(factory=dict)
+    checked_at: float = 0.0
     sessions: count = attrs.field(factory=lambda: count(1))
 
     async def start(self) -> None:
@@ -74,6 +75,9 @@
 
     def check_silence(self, now: float) -> None:
         """Report workers that have been silent for too long."""
+        if now - self.checked_at < SILENCE_CHECK_SECONDS:
+            return
+        self.checked_at = now
         for link in self.links.values():
             link.check_silence(now)
         self.metrics.open_workers.set(sum(link.is_open for link in self.links.values()))
--- a/scripts/write_capacity.py
+++ b/scripts/write_capacity.py
@@ -29,10 +29,10 @@
 MICRO = 1e-6
 
 
-def load() -> dict[str, dict]:
-    """Return the slopes by name."""
-    slopes = json.loads((DOCS / "slopes.json").read_text(encoding="utf-8"))
-    return {slope["name"]: slope for slope in slopes}
+def load() -> tuple[list[float], dict[str, dict]]:
+    """Return the reference loop's times and the slopes by name."""
+    run = json.loads((DOCS / "slopes.json").read_text(encoding="utf-8"))
+    return run["reference_seconds"], {slope["name"]: slope for slope in run["slopes"]}
 
 
 def at(slope: dict, size: float) -> float:
@@ -81,7 +81,7 @@
         "most_peers": (4.0 - traffic["base"]) / traffic["slope"],
         "demand_kb": demands * peers / 10 / 1000,
         "memory_mb": at(memory, workers_zone) + retained["slope"] * RETAINED_TASKS / 20,
-        "handout": at(slopes["hand-out to a team, by teams waiting"], TEAMS),
+        "overload": at(slopes["one result under overload, by teams waiting"], TEAMS),
         "change_ms": at(slopes["one change put in force, by resources"], RESOURCES) / 1000,
     }
 
@@ -159,7 +159,8 @@
 def main() -> int:
     """Write or check the page."""
     template = (DOCS / "CAPACITY.in.md").read_text(encoding="utf-8")
-    page = template.format(**values(load()))
+    reference, slopes = load()
+    page = template.format(reference=max(reference), **values(slopes))
     target = DOCS / "CAPACITY.md"
     if "--check" in sys.argv:
         agrees = target.exists() and target.read_text(encoding="utf-8") == page
