--- a/scripts/write_capacity.py
+++ b/scripts/write_capacity.py
@@ -26,6 +26,9 @@
 KEY_BUDGET = 20
 EVIDENCE_SECONDS = 30
 RACK = 8
+PROCESSOR_LIMIT = 3.0
+TRAFFIC_LIMIT = 4.0
+MEMORY_LIMIT = 128.0
 MICRO = 1e-6
 
 
@@ -61,6 +64,11 @@
     return "\n".join(rows)
 
 
+def verdict(value: float, limit: float) -> str:
+    """Return whether a limit is kept."""
+    return "kept" if value <= limit else "missed"
+
+
 def control_values(slopes: dict[str, dict]) -> dict[str, object]:
     """Return what control costs a daemon."""
     peers = ENTRIES - 1
@@ -71,16 +79,23 @@
     memory = slopes["idle memory, by worker sessions"]
     retained = slopes["memory of settled jobs of 20 tasks, by jobs retained"]
     others = by_peers["slope"] * peers
-    demands = at(slopes["message with all demands, by teams"], TEAMS)
+    demands = at(slopes["message with all demands, by teams"], TEAMS) * peers / 10 / 1000
+    idle = at(by_workers, workers_zone) + others
+    sent = at(traffic, peers) + demands
+    held = at(memory, workers_zone) + retained["slope"] * RETAINED_TASKS / 20
     return {
+        "idle_verdict": verdict(idle, PROCESSOR_LIMIT),
+        "traffic_verdict": verdict(sent, TRAFFIC_LIMIT),
+        "memory_verdict": verdict(held, MEMORY_LIMIT),
+        "sessions_assigned": workers_zone / ENTRIES,
         "peers": peers,
         "workers_zone": workers_zone,
-        "idle_percent": at(by_workers, workers_zone) + others,
-        "most_workers": (3.0 - by_workers["base"] - others) / by_workers["slope"],
+        "idle_percent": idle,
+        "most_workers": (PROCESSOR_LIMIT - by_workers["base"] - others) / by_workers["slope"],
         "traffic_kb": at(traffic, peers),
-        "most_peers": (4.0 - traffic["base"]) / traffic["slope"],
-        "demand_kb": demands * peers / 10 / 1000,
-        "memory_mb": at(memory, workers_zone) + retained["slope"] * RETAINED_TASKS / 20,
+        "most_peers": (TRAFFIC_LIMIT - traffic["base"]) / traffic["slope"],
+        "demand_kb": demands,
+        "memory_mb": held,
         "overload": at(slopes["one result under overload, by teams waiting"], TEAMS),
         "change_ms": at(slopes["one change put in force, by resources"], RESOURCES) / 1000,
     }
