--- a/packages/core/cranberryshore/dispatch/dispatcher.py
+++ b/packages/core/cranberryshore/dispatch/dispatcher.py
@@ -204,9 +204,10 @@
             self._learn(job, result, input.worker, now)
             if was_settled:
                 self.late_results += not result.is_stopped
+                job.compact()
             elif job.is_settled:
                 effects += self._settle(job, None, now)
-            job.compact()
+                job.compact()
         return effects
 
     def _learn(self, job: Job, result: TaskResult, worker: str, now: float) -> None:
