--- a/scripts/write_measurements.py
+++ b/scripts/write_measurements.py
@@ -53,10 +53,10 @@
   one instance has learnt is not told to the others.
 - Evidence, events and metrics are part of the forwarding cost; what was tried stands in the commit
   "Cheaper forwarding".
-- Processor time per task was 11.7 to 14.4 µs in a quieter hour. Measured in turn on the slow machine,
-  the commit that gave 12.2 µs then gives 30.1, 32.9 and 34.6 µs, and the present one 32.6, 34.7 and
-  37.5 µs: the code has become 7 % dearer, by evidence and the counting of demands, and the rest is
-  the machine.
+- Processor time per task was 11.7 to 14.4 µs in a quieter hour. Measured in turn on the slow
+  machine, the commit that gave 12.2 µs then gives 30.1, 32.9 and 34.6 µs, and the present one
+  32.6, 34.7 and 37.5 µs: the code has become 7 % dearer, by evidence and the counting of demands,
+  and the rest is the machine.
 
 ## All rows
 
