--- a/packages/bench/cranberryshore_bench/virtual_bench.py
+++ b/packages/bench/cranberryshore_bench/virtual_bench.py
@@ -24,7 +24,7 @@
     draw_jobs,
     draw_requests,
 )
-from cranberryshore_proof.virtual_loop import VirtualLoop
+from cranberryshore_proof.virtual_loop import run_virtual
 from cranberryshore_proof.world import SERVICE, EntryNode, World, WorldShape
 from cranberryshored.config.editor import Proposal
 from cranberryshored.requests import IncomingRequest
@@ -237,15 +237,7 @@
     disturb: Disturbance | None = None,
 ) -> Played:
     """Run the product on a trace in virtual time."""
-    loop = VirtualLoop()
-    try:
-        played = loop.run_until_complete(_play(World(seed, shape), arrivals, disturb))
-        for task in asyncio.all_tasks(loop):
-            task.cancel()
-        loop.run_until_complete(asyncio.sleep(0))
-    finally:
-        loop.close()
-    return played
+    return run_virtual(_play(World(seed, shape), arrivals, disturb))
 
 
 def _ratio_rows(
--- a/packages/proof/cranberryshore_proof/play.py
+++ b/packages/proof/cranberryshore_proof/play.py
@@ -13,7 +13,7 @@
 from cranberryshore_proof.fake_platform import STORE
 from cranberryshore_proof.faults import Fault, draw_faults
 from cranberryshore_proof.history import History
-from cranberryshore_proof.virtual_loop import VirtualLoop
+from cranberryshore_proof.virtual_loop import run_virtual
 from cranberryshore_proof.world import SERVICE, ZONES, EntryNode, World
 from cranberryshored.config.editor import Proposal
 
@@ -230,23 +230,11 @@
     """Run one history in virtual time and check it."""
     if faults is None:
         faults = draw_faults(Random(f"faults-{seed}"), LOAD_SECONDS)
-    loop = VirtualLoop()
-    try:
-        history = loop.run_until_complete(_run(seed, faults))
-        _cancel_all(loop)
-    finally:
-        loop.close()
+    history = run_virtual(_run(seed, faults))
     verdicts = {name: check(history) for name, check in INVARIANTS.items()}
     return Outcome(seed, tuple(faults), history, verdicts)
 
 
-def _cancel_all(loop: VirtualLoop) -> None:
-    tasks = asyncio.all_tasks(loop)
-    for task in tasks:
-        task.cancel()
-    loop.run_until_complete(asyncio.gather(*tasks, return_exceptions=True))
-
-
 def shrink(outcome: Outcome, name: str) -> Outcome:
     """Leave out faults one by one as long as the named invariant is still violated."""
     smallest = outcome
--- a/packages/proof/cranberryshore_proof/tests/test_evidence.py
+++ b/packages/proof/cranberryshore_proof/tests/test_evidence.py
@@ -9,7 +9,7 @@
 from cranberryshore_proof.callers import Caller
 from cranberryshore_proof.faults import Fault, FaultKind
 from cranberryshore_proof.play import Player
-from cranberryshore_proof.virtual_loop import VirtualLoop
+from cranberryshore_proof.virtual_loop import run_virtual
 from cranberryshore_proof.world import UNIX_START, World
 
 FAULTS = (
@@ -43,12 +43,7 @@
     def test_report_after_an_outage_and_a_crash(self):
         quiet = structlog.make_filtering_bound_logger(logging.CRITICAL)
         structlog.configure(wrapper_class=quiet)
-        loop = VirtualLoop()
-        report, killed = loop.run_until_complete(_run(World(1)))
-        for task in asyncio.all_tasks(loop):
-            task.cancel()
-        loop.run_until_complete(asyncio.sleep(0))
-        loop.close()
+        report, killed = run_virtual(_run(World(1)))
         self.assertEqual({gap.writer for gap in report.gaps}, {killed})
         rows = [row for row in report.rows if row.kind == "job"]
         self.assertGreater(sum(row.promised for row in rows), 20)
--- a/packages/proof/cranberryshore_proof/tests/test_new_incarnation.py
+++ b/packages/proof/cranberryshore_proof/tests/test_new_incarnation.py
@@ -7,7 +7,7 @@
 from cranberryshore.identity import parse_submission_id
 from cranberryshore.messages import JobAnswer
 from cranberryshore.work import Capacity, JobRequest, JobState, TaskSpec
-from cranberryshore_proof.virtual_loop import VirtualLoop
+from cranberryshore_proof.virtual_loop import run_virtual
 from cranberryshore_proof.world import World
 
 
@@ -43,11 +43,6 @@
         # freshly started instance was closed at once, again and again, in a rolling replacement.
         quiet = structlog.make_filtering_bound_logger(logging.CRITICAL)
         structlog.configure(wrapper_class=quiet)
-        loop = VirtualLoop()
-        before, after, answer = loop.run_until_complete(_run(World(4)))
-        for task in asyncio.all_tasks(loop):
-            task.cancel()
-        loop.run_until_complete(asyncio.sleep(0))
-        loop.close()
+        before, after, answer = run_virtual(_run(World(4)))
         self.assertEqual(before, after)
         self.assertIs(answer.state, JobState.COMPLETE)
--- a/packages/proof/cranberryshore_proof/tests/test_quota.py
+++ b/packages/proof/cranberryshore_proof/tests/test_quota.py
@@ -7,7 +7,7 @@
 from cranberryshore.config import ResourceKind
 from cranberryshore.identity import parse_submission_id
 from cranberryshore.work import Capacity, JobRequest, TaskSpec
-from cranberryshore_proof.virtual_loop import VirtualLoop
+from cranberryshore_proof.virtual_loop import run_virtual
 from cranberryshore_proof.world import World
 from cranberryshored.config.editor import Proposal
 
@@ -49,11 +49,6 @@
 class QuotaTest(TestCase):
     def test_quota_holds_over_all_instances_of_two_zones(self):
         structlog.configure(wrapper_class=structlog.make_filtering_bound_logger(logging.CRITICAL))
-        loop = VirtualLoop()
-        samples = loop.run_until_complete(_samples(World(5)))
-        for task in asyncio.all_tasks(loop):
-            task.cancel()
-        loop.run_until_complete(asyncio.sleep(0))
-        loop.close()
+        samples = run_virtual(_samples(World(5)))
         self.assertLessEqual(max(samples), QUOTA)
         self.assertGreaterEqual(min(samples), QUOTA // 2)
--- a/packages/proof/cranberryshore_proof/tests/test_requests.py
+++ b/packages/proof/cranberryshore_proof/tests/test_requests.py
@@ -6,7 +6,7 @@
 from multidict import CIMultiDict
 
 from cranberryshore.config import ResourceKind
-from cranberryshore_proof.virtual_loop import VirtualLoop
+from cranberryshore_proof.virtual_loop import run_virtual
 from cranberryshore_proof.world import SERVICE, World
 from cranberryshored.config.editor import Proposal
 from cranberryshored.requests import IncomingRequest
@@ -36,11 +36,6 @@
         # so that one caller could take every upstream out of use for a second at a time.
         quiet = structlog.make_filtering_bound_logger(logging.CRITICAL)
         structlog.configure(wrapper_class=quiet)
-        loop = VirtualLoop()
-        paused = loop.run_until_complete(_run(World(2)))
-        for task in asyncio.all_tasks(loop):
-            task.cancel()
-        loop.run_until_complete(asyncio.sleep(0))
-        loop.close()
+        paused = run_virtual(_run(World(2)))
         self.assertTrue(paused)
         self.assertEqual(set(paused), {0.0})
--- a/packages/proof/cranberryshore_proof/tests/test_room.py
+++ b/packages/proof/cranberryshore_proof/tests/test_room.py
@@ -8,7 +8,7 @@
 from cranberryshore_proof.callers import Caller
 from cranberryshore_proof.faults import Fault, FaultKind
 from cranberryshore_proof.play import Player
-from cranberryshore_proof.virtual_loop import VirtualLoop
+from cranberryshore_proof.virtual_loop import run_virtual
 from cranberryshore_proof.world import World
 
 FAULTS = (
@@ -44,11 +44,6 @@
         quiet = structlog.make_filtering_bound_logger(logging.CRITICAL)
         structlog.configure(wrapper_class=quiet)
         for seed in range(3):
-            loop = VirtualLoop()
-            held = loop.run_until_complete(_run(World(seed)))
-            for task in asyncio.all_tasks(loop):
-                task.cancel()
-            loop.run_until_complete(asyncio.sleep(0))
-            loop.close()
+            held = run_virtual(_run(World(seed)))
             with self.subTest(seed=seed):
                 self.assertEqual(sum(held), 0)
--- a/packages/proof/cranberryshore_proof/virtual_loop.py
+++ b/packages/proof/cranberryshore_proof/virtual_loop.py
@@ -2,9 +2,11 @@
 
 import asyncio
 import selectors
-from collections.abc import Callable, Mapping
+from collections.abc import Callable, Coroutine, Mapping
 from contextvars import Context, ContextVar, copy_context
-from typing import Any
+from typing import Any, TypeVar
+
+T = TypeVar("T")
 
 CURRENT_NODE: ContextVar[str] = ContextVar("current_node", default="")
 
@@ -108,3 +110,17 @@
     def time(self) -> float:
         """Return the virtual time in seconds."""
         return self.now
+
+
+def run_virtual(coroutine: Coroutine[Any, Any, T]) -> T:
+    """Run a coroutine in a virtual loop of its own and end all that it leaves running."""
+    loop = VirtualLoop()
+    try:
+        result = loop.run_until_complete(coroutine)
+        tasks = asyncio.all_tasks(loop)
+        for task in tasks:
+            task.cancel()
+        loop.run_until_complete(asyncio.gather(*tasks, return_exceptions=True))
+    finally:
+        loop.close()
+    return result
