--- a/packages/core/cranberryshore/messages/__init__.py
+++ b/packages/core/cranberryshore/messages/__init__.py
@@ -33,6 +33,14 @@
     TimelineAnswer,
     TimelineQuery,
 )
+from cranberryshore.messages.pool import (
+    Beat,
+    CancelWork,
+    ConfigNews,
+    RosterNews,
+    SubmitWork,
+    WorkEnded,
+)
 from cranberryshore.messages.worker import (
     Ack,
     CloseOwner,
@@ -52,9 +60,12 @@
 
 __all__ = [
     "Ack",
+    "Beat",
     "CancelCall",
+    "CancelWork",
     "CloseOwner",
     "ConfigAnswer",
+    "ConfigNews",
     "ConfigQuery",
     "Demands",
     "Envelope",
@@ -81,12 +92,15 @@
     "Results",
     "RolloutAnswer",
     "RolloutQuery",
+    "RosterNews",
     "Start",
     "Stop",
     "SubmitCall",
+    "SubmitWork",
     "TimelineAnswer",
     "TimelineQuery",
     "Usage",
+    "WorkEnded",
     "decode_envelope",
     "decode_frames",
     "decode_json",
--- a/packages/core/cranberryshore/messages/codec.py
+++ b/packages/core/cranberryshore/messages/codec.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from cranberryshore.errors import Refusal
-from cranberryshore.messages import peer
+from cranberryshore.messages import peer, pool
 from cranberryshore.timeline.clock import Stamp
 
 T = TypeVar("T")
@@ -24,6 +24,12 @@
     | peer.IsolatedWorker
     | peer.PeerCall
     | peer.PeerReply
+    | pool.Beat
+    | pool.SubmitWork
+    | pool.CancelWork
+    | pool.WorkEnded
+    | pool.ConfigNews
+    | pool.RosterNews
 )
 
 _TYPES: dict[str, type] = {
@@ -40,6 +46,12 @@
         peer.IsolatedWorker,
         peer.PeerCall,
         peer.PeerReply,
+        pool.Beat,
+        pool.SubmitWork,
+        pool.CancelWork,
+        pool.WorkEnded,
+        pool.ConfigNews,
+        pool.RosterNews,
         peer.SubmitCall,
         peer.JobQuery,
         peer.CancelCall,
--- /dev/null
+++ b/packages/core/cranberryshore/messages/pool.py
@@ -0,0 +1,84 @@
+"""Messages between the instances of a pool: beats, work and its ends."""
+
+import attrs
+
+from cranberryshore.pool.config import PoolConfig
+from cranberryshore.pool.group import Claim, MemberAddress
+from cranberryshore.pool.roster import WorkerEntry
+from cranberryshore.pool.work import Outcome, WorkRequest
+
+
+@attrs.frozen
+class Beat:
+    """Sent periodically, to the scheduler by the others and to everyone by the scheduler.
+
+    Parameters
+    ----------
+    sender : MemberAddress
+        Who sends it.
+    config_version : int
+        Version of the configuration in force there.
+    received : int
+        All numbered messages of the receiver up to this one have arrived.
+    is_draining : bool
+        Whether the sender is leaving.
+    claim : Claim or None
+        What the sender schedules, if it is a scheduler.
+    follows : str
+        Incarnation of the scheduler that the sender hands its work to.
+    roster_version : int
+        Version of the list of workers that the sender knows.
+    members : tuple of MemberAddress
+        Whom the sender hears; told by schedulers only.
+    """
+
+    sender: MemberAddress
+    config_version: int
+    received: int
+    is_draining: bool = False
+    claim: Claim | None = None
+    follows: str = ""
+    roster_version: int = 0
+    members: tuple[MemberAddress, ...] = ()
+
+
+@attrs.frozen
+class SubmitWork:
+    """An entry instance hands a job to the scheduler that it follows."""
+
+    number: int
+    request: WorkRequest
+
+
+@attrs.frozen
+class CancelWork:
+    """The caller of a job has left."""
+
+    number: int
+    job: str
+
+
+@attrs.frozen
+class WorkEnded:
+    """A job has ended."""
+
+    number: int
+    job: str
+    outcome: Outcome
+    detail: str = ""
+    retry_after_ms: int = 0
+
+
+@attrs.frozen
+class ConfigNews:
+    """The configuration in force at the sender, which is newer than the receiver's."""
+
+    config: PoolConfig
+
+
+@attrs.frozen
+class RosterNews:
+    """The list of workers as the sender has last read it from the platform."""
+
+    version: int
+    workers: tuple[WorkerEntry, ...]
--- /dev/null
+++ b/packages/core/cranberryshore/pool/effects.py
@@ -0,0 +1,62 @@
+"""What the scheduler of a pool asks its surroundings to do."""
+
+import attrs
+
+from cranberryshore.pool.held_worker import RunKey
+from cranberryshore.pool.work import Outcome
+
+
+class PoolEffect:
+    """Base of all effects."""
+
+
+@attrs.frozen
+class StartRun(PoolEffect):
+    """Ask a worker to start an attempt of a task."""
+
+    worker: str
+    key: RunKey
+    payload: str
+    token: int
+    lease_end_ms: int
+
+
+@attrs.frozen
+class StopRun(PoolEffect):
+    """Ask a worker to stop an attempt of a task."""
+
+    worker: str
+    key: RunKey
+    token: int
+
+
+@attrs.frozen
+class LookAt(PoolEffect):
+    """Look at a worker now."""
+
+    worker: str
+
+
+@attrs.frozen
+class JobEnded(PoolEffect):
+    """Tell an entry instance how a job ended.
+
+    Parameters
+    ----------
+    entry : str
+        Entry instance that waits for it.
+    job : str
+        Id of the job.
+    outcome : Outcome
+        How it ended.
+    detail : str
+        One sentence for people.
+    retry_after_ms : int
+        When the caller may come back with a job that has not run; 0 if that cannot help.
+    """
+
+    entry: str
+    job: str
+    outcome: Outcome
+    detail: str = ""
+    retry_after_ms: int = 0
--- /dev/null
+++ b/packages/core/cranberryshore/pool/group.py
@@ -0,0 +1,189 @@
+"""Which instance schedules a pool, decided by each instance from the beats that it hears.
+
+One scheduler holds all workers that it reaches. If it falls silent, the best-ranked of those that
+still hear a majority claims its work; a minority that hears most of its own availability zone
+claims that zone's workers only, because the zone may be cut off. An instance that hears nobody
+claims nothing while others are registered: taking workers from a scheduler that it merely cannot
+hear would disturb everybody. Two claims that meet are settled by reach. Safety does not rest on
+any of this: workers obey the highest fencing token.
+"""
+
+import attrs
+
+LOST_SECONDS = 0.7
+"""Silence after which a peer counts as gone: three beats of 0.2 s and some delay."""
+
+FORGET_SECONDS = 8.0
+"""A silent peer counts as a member for so long, unless its registration ends before."""
+
+CLAIM_SECONDS = 0.1
+"""Wait before the best-ranked instance claims, in which a claim under way arrives."""
+
+RANK_SECONDS = 0.3
+"""Further wait for each better-ranked instance that is heard, which ought to claim first."""
+
+FENCED_PAUSE_SECONDS = 4.0
+"""An instance that lost its workers to another scheduler claims nothing for so long."""
+
+
+@attrs.frozen
+class MemberAddress:
+    """One run of one instance, and where it listens for its peers."""
+
+    incarnation: str
+    address: str
+    zone: str
+
+
+@attrs.frozen
+class Claim:
+    """What a scheduler schedules.
+
+    Parameters
+    ----------
+    term : int
+        Fencing token at the time of the claim; a later claim has a higher one.
+    zone : str
+        Availability zone whose workers it holds; empty for all.
+    held : int
+        Number of workers that obey it.
+    """
+
+    term: int
+    zone: str = ""
+    held: int = 0
+
+    def strength(self) -> tuple[bool, int, int]:
+        """Return the order in which claims that meet are kept, highest first."""
+        return (not self.zone, self.held, self.term)
+
+
+@attrs.define
+class Member:
+    """A peer as last heard."""
+
+    at: MemberAddress
+    heard_at: float = float("-inf")
+    listed_at: float = float("-inf")
+    is_draining: bool = False
+    claim: Claim | None = None
+    follows: str = ""
+    config_version: int = 0
+    roster_version: int = 0
+
+
+@attrs.define(eq=False)
+class Group:
+    """The instances of a pool as one of them sees them.
+
+    Parameters
+    ----------
+    own : MemberAddress
+        This instance.
+    started_at : float
+        When it started, in seconds.
+    """
+
+    own: MemberAddress
+    started_at: float
+    members: dict[str, Member] = attrs.field(factory=dict)
+    claim: Claim | None = None
+    is_draining: bool = False
+    leaderless_since: float | None = None
+    fenced_until: float = float("-inf")
+    listed: frozenset[str] | None = None
+
+    def hear(self, sender: MemberAddress, now: float) -> Member:
+        """Record that a peer was heard; a new run at an address replaces the old one."""
+        for incarnation, member in list(self.members.items()):
+            if member.at.address == sender.address and incarnation != sender.incarnation:
+                del self.members[incarnation]
+        member = self.members.get(sender.incarnation)
+        if member is None:
+            member = self.members[sender.incarnation] = Member(sender)
+        member.heard_at = now
+        return member
+
+    def list_members(self, listed: tuple[MemberAddress, ...]) -> None:
+        """Record which instances are registered with the platform."""
+        self.listed = frozenset(item.address for item in listed)
+
+    def learn(self, item: MemberAddress, now: float) -> None:
+        """Record a peer that a scheduler hears."""
+        if item.incarnation == self.own.incarnation or item.incarnation in self.members:
+            return
+        if any(member.at.address == item.address for member in self.members.values()):
+            return
+        self.members[item.incarnation] = Member(item, listed_at=now)
+
+    def forget_silent(self, now: float) -> list[Member]:
+        """Drop and return the members that were silent for long."""
+        silent = [
+            member
+            for member in self.members.values()
+            if max(member.heard_at, member.listed_at) < now - FORGET_SECONDS
+        ]
+        for member in silent:
+            del self.members[member.at.incarnation]
+        return silent
+
+    def live(self, now: float) -> list[Member]:
+        """Return the members that are heard."""
+        return [
+            member for member in self.members.values() if now - member.heard_at < LOST_SECONDS
+        ]
+
+    def scheduler(self, now: float) -> Member | None:
+        """Return the peer with the strongest claim that covers this instance's zone."""
+        claimed = [
+            member
+            for member in self.live(now)
+            if member.claim is not None and member.claim.zone in ("", self.own.zone)
+        ]
+        return max(claimed, key=lambda member: member.claim.strength(), default=None)
+
+    def must_yield(self, now: float) -> bool:
+        """Tell whether another claim is stronger than this instance's own."""
+        if self.claim is None:
+            return False
+        rival = self.scheduler(now)
+        return rival is not None and rival.claim.strength() > self.claim.strength()
+
+    def claimable(self, now: float) -> Claim | None:
+        """Return the claim that this instance should make now, without a term, or ``None``."""
+        if self.claim is not None or self.is_draining or now < self.fenced_until:
+            self.leaderless_since = None
+            return None
+        if self.scheduler(now) is not None:
+            self.leaderless_since = None
+            return None
+        if self.leaderless_since is None:
+            self.leaderless_since = now
+        heard = [member for member in self.live(now) if not member.is_draining]
+        better = sum(member.at.address < self.own.address for member in heard)
+        if now < self.leaderless_since + CLAIM_SECONDS + better * RANK_SECONDS:
+            return None
+        return self._scope(now)
+
+    def _scope(self, now: float) -> Claim | None:
+        """Return the widest claim that the number of heard members allows."""
+        heard = {member.at.address for member in self.live(now)} | {self.own.address}
+        known = self._known()
+        if 2 * len(heard & known.keys()) > len(known):
+            return Claim(0)
+        zone = {address for address, where in known.items() if where == self.own.zone}
+        if len(zone) > 1 and 2 * len(heard & zone) > len(zone):
+            return Claim(0, self.own.zone)
+        return None
+
+    def _known(self) -> dict[str, str]:
+        """Return the zone of every member that may be alive, by address."""
+        known = {
+            member.at.address: member.at.zone
+            for member in self.members.values()
+            if self.listed is None
+            or member.at.address in self.listed
+            or member.heard_at > float("-inf")
+        }
+        known[self.own.address] = self.own.zone
+        return known
--- /dev/null
+++ b/packages/core/cranberryshore/pool/held_worker.py
@@ -0,0 +1,263 @@
+"""One worker as its holder knows it: what runs there, under which token, until when.
+
+A worker obeys the highest fencing token that it has seen, so the holder of that token alone knows
+what can start there. Until the worker has answered a look under this holder's token, nothing is
+placed; runs that the holder did not start are stopped before any lease is extended.
+"""
+
+from enum import Enum
+
+import attrs
+
+from cranberryshore.work.capacity import NOTHING, Capacity
+
+RunKey = tuple[str, int]
+"""Name of a task and number of its attempt."""
+
+LEASE_SECONDS = 1.0
+"""Longest lease that workers grant; a longer one is shortened to it."""
+
+LEASE_OVER_SECONDS = 1.1
+"""A lease has run out so long after the last call that could extend it: 2 % clock error, 80 ms."""
+
+LOST_HOLD_PAUSE_SECONDS = 3.0
+"""A worker that obeys another holder is left to it for so long."""
+
+
+class HoldState(Enum):
+    """How far the holder's knowledge of a worker goes."""
+
+    TAKING = "taking"
+    HELD = "held"
+    SILENT = "silent"
+    LOST = "lost"
+
+
+class RunState(Enum):
+    """State of one run on a worker."""
+
+    ASKED = "asked"
+    RUNNING = "running"
+    STOPPING = "stopping"
+
+
+class EndKind(Enum):
+    """How a run ended."""
+
+    DONE = "done"
+    FAILED = "failed"
+    STOPPED = "stopped"
+    LAPSED = "lapsed"
+    NEVER_BEGAN = "never_began"
+    VANISHED = "vanished"
+
+
+@attrs.frozen
+class ListedRun:
+    """A run that a worker lists as running."""
+
+    task: str
+    attempt: int
+    percent: float = 0.0
+
+
+@attrs.frozen
+class ListedEnd:
+    """An end that a worker lists; ``number`` rises by one with each end of a worker's life."""
+
+    number: int
+    task: str
+    attempt: int
+    kind: EndKind
+
+
+@attrs.frozen
+class LookAnswer:
+    """A worker's answer to a look: its life, its clock and both lists."""
+
+    born: int
+    clock_ms: int
+    running: tuple[ListedRun, ...]
+    ended: tuple[ListedEnd, ...]
+
+
+@attrs.define
+class Run:
+    """One run that occupies room on a worker."""
+
+    demand: Capacity
+    state: RunState
+    token: int
+    started_at: float
+    confirmed_at: float = float("inf")
+    stop_asked_at: float = float("-inf")
+    percent: float = 0.0
+
+
+@attrs.frozen
+class RunEnd:
+    """A run of this holder that is over."""
+
+    key: RunKey
+    kind: EndKind
+    run: Run
+
+
+@attrs.define(eq=False)
+class HeldWorker:
+    """Exact account of one worker.
+
+    Parameters
+    ----------
+    name, address, zone, service : str
+        As the worker registers itself.
+    total : Capacity
+        Its whole room.
+    labels : frozenset of str
+        Its kind and its rack.
+    token : int
+        Fencing token of the next order.
+    """
+
+    name: str
+    address: str
+    zone: str
+    service: str
+    total: Capacity
+    labels: frozenset[str]
+    token: int
+    rack: str = ""
+    is_draining: bool = False
+    state: HoldState = HoldState.TAKING
+    born: int = 0
+    last_seen: int = 0
+    acked_end: int = 0
+    runs: dict[RunKey, Run] = attrs.field(factory=dict)
+    strangers: set[RunKey] = attrs.field(factory=set)
+    clock_offset_ms: float | None = None
+    extended_at: float = float("-inf")
+    looked_at: float = float("-inf")
+    lost_at: float = float("-inf")
+    used: Capacity = NOTHING
+
+    def is_usable(self) -> bool:
+        """Tell whether tasks may be placed."""
+        return self.state is HoldState.HELD and not self.strangers and not self.is_draining
+
+    def free(self) -> Capacity:
+        """Return the room that nothing occupies."""
+        return self.total - self.used
+
+    def lease_end_ms(self, now: float) -> int | None:
+        """Return the lease's end on the worker's clock; ``None`` if that must not be extended.
+
+        Nothing is extended before the worker's clock is known, while runs of somebody else are
+        there, and while the worker does not answer.
+        """
+        if self.clock_offset_ms is None or self.strangers or self.state is not HoldState.HELD:
+            return None
+        return int(now * 1000 + self.clock_offset_ms + LEASE_SECONDS * 1000)
+
+    def begin(self, key: RunKey, demand: Capacity, now: float) -> None:
+        """Account for a run that the worker is now asked to start."""
+        self.runs[key] = Run(demand, RunState.ASKED, self.token, now)
+        self.used = self.used + demand
+        self.extended_at = now
+
+    def confirm(self, key: RunKey, now: float) -> None:
+        """Record that the worker has said that it started a run."""
+        run = self.runs.get(key)
+        if run is None:
+            return
+        run.confirmed_at = min(run.confirmed_at, now)
+        if run.state is RunState.ASKED:
+            run.state = RunState.RUNNING
+
+    def drop(self, key: RunKey) -> Run | None:
+        """Forget a run that is over or never began, and free its room."""
+        run = self.runs.pop(key, None)
+        if run is not None:
+            self.used = self.used - run.demand
+        return run
+
+    def raise_token(self, token: int) -> None:
+        """Use a higher token from now on, which voids all orders that are still under way."""
+        self.token = max(token, self.token + 1)
+
+    def fall_silent(self) -> None:
+        """Record that the worker has not answered: its lease is left to run out."""
+        if self.state is HoldState.HELD:
+            self.state = HoldState.SILENT
+
+    def lose(self, now: float) -> None:
+        """Record that the worker obeys another holder."""
+        self.state = HoldState.LOST
+        self.lost_at = now
+
+    def overdue(self, now: float) -> list[RunEnd]:
+        """Return the runs of a silent worker whose lease has surely run out, and forget them."""
+        if self.state is HoldState.HELD or now < self.extended_at + LEASE_OVER_SECONDS:
+            return []
+        return [RunEnd(key, EndKind.LAPSED, self.drop(key)) for key in list(self.runs)]
+
+    def look_answered(
+        self, answer: LookAnswer, token: int, asked_at: float, now: float
+    ) -> list[RunEnd]:
+        """Bring the account in line with a look.
+
+        Parameters
+        ----------
+        answer : LookAnswer
+            What the worker said.
+        token : int
+            Token of the look.
+        asked_at, now : float
+            When the look was sent and answered, in seconds.
+
+        Returns
+        -------
+        list of RunEnd
+            This holder's runs that are over.
+        """
+        ends: list[RunEnd] = []
+        if self.born != answer.born:
+            if self.born:
+                ends += [RunEnd(key, EndKind.LAPSED, self.drop(key)) for key in list(self.runs)]
+            self.born, self.last_seen = answer.born, 0
+        self.clock_offset_ms = answer.clock_ms - now * 1000
+        listed = {(run.task, run.attempt): run for run in answer.running}
+        for end in sorted(answer.ended, key=lambda item: item.number):
+            if end.number <= self.last_seen:
+                continue
+            self.last_seen = end.number
+            run = self.drop((end.task, end.attempt))
+            if run is not None:
+                ends.append(RunEnd((end.task, end.attempt), end.kind, run))
+        ends += self._missing(listed, token, asked_at)
+        for key, item in listed.items():
+            if key in self.runs:
+                self.runs[key].percent = item.percent
+                self.confirm(key, now)
+        self.strangers = {key for key in listed if key not in self.runs}
+        self.looked_at = asked_at
+        if self.state is not HoldState.LOST:
+            self.state = HoldState.HELD
+        return ends
+
+    def _missing(
+        self, listed: dict[RunKey, ListedRun], token: int, asked_at: float
+    ) -> list[RunEnd]:
+        """Return the runs that the worker ought to list and does not.
+
+        A start may overtake a look or be overtaken by it. It is missing for certain if its
+        answer had come before the look was sent, or if the look carried a higher token.
+        """
+        ends = []
+        for key, run in list(self.runs.items()):
+            is_certain = run.token < token or run.confirmed_at < asked_at
+            if key in listed or not is_certain:
+                continue
+            has_begun = run.confirmed_at < float("inf")
+            kind = EndKind.VANISHED if has_begun else EndKind.NEVER_BEGAN
+            ends.append(RunEnd(key, kind, self.drop(key)))
+        return ends
--- /dev/null
+++ b/packages/daemon/cranberryshored/pool/app.py
@@ -0,0 +1,269 @@
+"""An entry instance of a pool: the parts put together, with explicit start, drain and close."""
+
+import asyncio
+from time import time
+
+import attrs
+from structlog.typing import FilteringBoundLogger
+
+from cranberryshore.messages import CancelWork, SubmitWork, WorkEnded
+from cranberryshore.pool import (
+    Claim,
+    Group,
+    JobEnded,
+    MemberAddress,
+    PoolConfig,
+    WorkerEntry,
+    WorkRequest,
+)
+from cranberryshore.pool.group import FENCED_PAUSE_SECONDS
+from cranberryshore.settings.pool import PoolSettings
+from cranberryshore.timeline import Recorder
+from cranberryshored.log import part_log
+from cranberryshored.metrics import Metrics
+from cranberryshored.peers.transport import PeerTransport
+from cranberryshored.pool.clock import TokenSource, now
+from cranberryshored.pool.desk import EntryDesk
+from cranberryshored.pool.exchange import Numbered, PeerExchange
+from cranberryshored.pool.protocols import Registry, WorkerCalls
+from cranberryshored.pool.scheduling import SchedulingService
+from cranberryshored.tasks import end_tasks
+
+LIST_SECONDS = 0.5
+"""Time between two readings of the registered instances while no scheduler is known."""
+
+LIST_FOLLOWING_SECONDS = 3.0
+"""The same for a scheduler; the others learn members from its beats."""
+
+LEAVE_READY_SECONDS = 2.4
+"""Time after which no new connections come once readiness has ended: two looks, one a second."""
+
+
+@attrs.define(eq=False, slots=False)
+class PoolDaemon:
+    """One entry instance of a pool.
+
+    Parameters
+    ----------
+    settings : PoolSettings
+        Checked settings.
+    metrics : Metrics
+        Where everything is counted.
+    calls : WorkerCalls
+        Speaks to workers.
+    registry : Registry
+        Reads the platform's store.
+    """
+
+    settings: PoolSettings
+    metrics: Metrics
+    calls: WorkerCalls
+    registry: Registry
+    is_draining: bool = False
+    pool_config: PoolConfig = PoolConfig()
+    workers: tuple[WorkerEntry, ...] = ()
+    roster_version: int = 0
+    tasks: list[asyncio.Task] = attrs.field(factory=list)
+    watching: asyncio.Task | None = None
+    log: FilteringBoundLogger = attrs.field(factory=lambda: part_log("daemon"))
+
+    def __attrs_post_init__(self) -> None:
+        settings = self.settings
+        incarnation = f"{settings.instance}.{int(time() * 1000):x}"
+        own = MemberAddress(incarnation, str(settings.peer_listen), settings.zone)
+        self.tokens = TokenSource(own.address)
+        self.exchange = PeerExchange(Group(own, now()), settings.seeds, self, part_log("group"))
+        self.exchange.transport = PeerTransport(
+            own.address,
+            lambda: incarnation,
+            self.exchange.deliver,
+            Recorder(incarnation),
+            self.metrics,
+            part_log("peers"),
+        )
+        self.scheduling = SchedulingService(
+            self.calls, self.tokens, self._job_ended, part_log("scheduler")
+        )
+        self.desk = EntryDesk(self, part_log("entry"))
+
+    @property
+    def group(self) -> Group:
+        """Return the group as this instance sees it."""
+        return self.exchange.group
+
+    async def start(self) -> None:
+        """Start all parts."""
+        await self.calls.start()
+        await self.registry.start()
+        await self.exchange.transport.start()
+        await self.exchange.start()
+        await self.desk.start()
+        self.tasks = [
+            asyncio.create_task(self.registry.keep_registered(self.group.own)),
+            asyncio.create_task(self.registry.follow_config(self.take_config)),
+            asyncio.create_task(self._list_members()),
+        ]
+        self.log.info("Started.", incarnation=self.group.own.incarnation)
+
+    async def drain(self) -> None:
+        """Hand the schedule on, let new callers go elsewhere, and answer those who wait."""
+        self.log.info("Draining.", waiting=len(self.desk.pending))
+        self.is_draining = self.group.is_draining = True
+        if self.group.claim is not None:
+            self.group.claim = None
+            self.claim_ended("this instance leaves")
+        self.exchange.announce()
+        loop = asyncio.get_running_loop()
+        least, most = loop.time() + LEAVE_READY_SECONDS, loop.time() + self.settings.drain_seconds
+        while loop.time() < least or (self.desk.pending and loop.time() < most):
+            await asyncio.sleep(0.02)
+
+    async def close(self) -> None:
+        """Stop all parts."""
+        await end_tasks([*self.tasks, self.watching])
+        await self.scheduling.close()
+        await self.desk.close()
+        await self.exchange.close()
+        await self.registry.unregister()
+        await self.exchange.transport.close()
+        await self.registry.close()
+        await self.calls.close()
+        self.log.info("Stopped.")
+
+    def is_ready(self) -> bool:
+        """Tell whether the balancer should send new callers here."""
+        if self.is_draining or not self.pool_config.version:
+            return False
+        return bool(self.exchange.follows)
+
+    # What the exchange asks and tells
+
+    def scheduler_changed(self) -> None:
+        """See :class:`ExchangeListener`."""
+        self.desk.scheduler_changed()
+
+    def peer_left(self, incarnation: str) -> None:
+        """See :class:`ExchangeListener`."""
+        if self.scheduling.claim is not None:
+            self.scheduling.entry_lost(incarnation)
+
+    def take(self, sender: str, message: Numbered) -> None:
+        """See :class:`ExchangeListener`."""
+        if isinstance(message, WorkEnded):
+            end = JobEnded(
+                "", message.job, message.outcome, message.detail, message.retry_after_ms
+            )
+            self.desk.ended(end, sender)
+        elif self.scheduling.claim is None:
+            self.log.debug("Work for a scheduler that is none.", sender=sender)
+        elif isinstance(message, SubmitWork):
+            self.scheduling.submit(message.request, sender)
+        else:
+            self.scheduling.cancel(message.job, sender)
+
+    def take_config(self, config: PoolConfig) -> None:
+        """Put a configuration in force unless it is older than the one in force."""
+        if config.version <= self.pool_config.version:
+            return
+        self.log.info(
+            "Configuration in force.", version=config.version, before=self.pool_config.version
+        )
+        self.pool_config = self.desk.config = config
+        self.scheduling.set_config(config)
+        if self.exchange.follows:
+            self.exchange.announce()
+
+    def take_roster(self, version: int, workers: tuple[WorkerEntry, ...]) -> None:
+        """Take a scheduler's list of workers, in case this instance takes over."""
+        if self.group.claim is None and version > self.roster_version:
+            self.roster_version, self.workers = version, workers
+
+    def config(self) -> PoolConfig:
+        """See :class:`ExchangeListener`."""
+        return self.pool_config
+
+    def roster(self) -> tuple[int, tuple[WorkerEntry, ...]]:
+        """See :class:`ExchangeListener`."""
+        return self.roster_version, self.workers
+
+    def held_count(self) -> int:
+        """See :class:`ExchangeListener`."""
+        held, lost = self.scheduling.held_count(), self.scheduling.lost_count()
+        if lost > held:
+            self.group.fenced_until = now() + FENCED_PAUSE_SECONDS
+            self.group.claim = None
+            self.claim_ended("most workers obey another holder")
+        return held
+
+    def claim_wanted(self, claim: Claim) -> None:
+        """See :class:`ExchangeListener`."""
+        if not self.pool_config.version:
+            return
+        claim = attrs.evolve(claim, term=self.tokens.next())
+        self.group.claim = claim
+        self.scheduling.begin(claim, self.pool_config, self.workers)
+        self.watching = asyncio.create_task(self.registry.follow_workers(self._workers_read))
+        self.exchange.follow()
+        self.exchange.announce()
+
+    def claim_ended(self, reason: str) -> None:
+        """See :class:`ExchangeListener`."""
+        if self.watching is not None:
+            self.watching.cancel()
+            self.watching = None
+        self.scheduling.end(reason)
+        self.exchange.follow()
+
+    # What the desk asks
+
+    def scheduler(self) -> str:
+        """See :class:`WorkSink`."""
+        return self.exchange.follows
+
+    def submit(self, request: WorkRequest) -> None:
+        """See :class:`WorkSink`."""
+        if self.exchange.follows == self.group.own.incarnation:
+            self.scheduling.submit(request, self.exchange.follows)
+        else:
+            self.exchange.send(
+                self.exchange.follows, lambda number: SubmitWork(number, request)
+            )
+
+    def cancel(self, job: str) -> None:
+        """See :class:`WorkSink`."""
+        if self.exchange.follows == self.group.own.incarnation:
+            self.scheduling.cancel(job, self.exchange.follows)
+        elif self.exchange.follows:
+            self.exchange.send(self.exchange.follows, lambda number: CancelWork(number, job))
+
+    def _job_ended(self, end: JobEnded) -> None:
+        if end.entry == self.group.own.incarnation:
+            self.desk.ended(end, end.entry)
+            return
+        self.exchange.send(
+            end.entry,
+            lambda number: WorkEnded(
+                number, end.job, end.outcome, end.detail, end.retry_after_ms
+            ),
+        )
+
+    def _workers_read(self, workers: tuple[WorkerEntry, ...]) -> None:
+        if workers != self.workers or not self.roster_version:
+            self.roster_version = max(self.roster_version + 1, int(time() * 1000))
+            self.workers = workers
+        self.scheduling.set_roster(workers)
+
+    async def _list_members(self) -> None:
+        while True:
+            listed = await self.registry.list_members()
+            if listed is not None:
+                self.group.list_members(listed)
+                for item in listed:
+                    self.group.learn(item, now())
+            is_lost = not self.exchange.follows
+            if not is_lost and self.group.claim is None:
+                await asyncio.sleep(LIST_SECONDS)
+                while self.exchange.follows and self.group.claim is None:
+                    await asyncio.sleep(LIST_SECONDS)
+                continue
+            await asyncio.sleep(LIST_SECONDS if is_lost else LIST_FOLLOWING_SECONDS)
--- /dev/null
+++ b/packages/daemon/cranberryshored/pool/conversation.py
@@ -0,0 +1,175 @@
+"""The exchange with one held worker: looks that wait for ends, starts and stops."""
+
+import asyncio
+
+import attrs
+from result import Err
+from structlog.typing import FilteringBoundLogger
+
+from cranberryshore.pool import HeldWorker, HoldState, Scheduler, StartRun, StopRun
+from cranberryshored.pool.clock import TokenSource, now
+from cranberryshored.pool.protocols import Look, LookFailure, StartReply, WorkerCalls
+from cranberryshored.tasks import end_tasks
+
+LOOK_WAIT_MS = 400
+"""A look waits so long for an end: it extends the lease, which lasts 1 s, before half is over."""
+
+CONFIRM_SECONDS = 1.0
+"""An idle worker is told after so long that its last ends were taken note of; 4 s are allowed."""
+
+RETRY_SECONDS = 0.2
+"""Pause between two looks at a worker that does not answer."""
+
+
+@attrs.define(eq=False)
+class Conversation:
+    """Keeps the account of one worker true while anything is under way there.
+
+    Parameters
+    ----------
+    worker : HeldWorker
+        The worker.
+    scheduler : Scheduler
+        Told of every answer.
+    calls : WorkerCalls
+        Speaks to the worker.
+    tokens : TokenSource
+        Draws a higher token when orders must be voided.
+    on_change : callable
+        Called after the scheduler was told something.
+    """
+
+    worker: HeldWorker
+    scheduler: Scheduler
+    calls: WorkerCalls
+    tokens: TokenSource
+    on_change: object
+    log: FilteringBoundLogger
+    wake: asyncio.Event = attrs.field(factory=asyncio.Event)
+    task: asyncio.Task | None = None
+    orders: set[asyncio.Task] = attrs.field(factory=set)
+    is_looking: bool = False
+    failed_looks: int = 0
+
+    def start(self) -> None:
+        """Begin to look."""
+        self.task = asyncio.create_task(self._run())
+
+    async def close(self) -> None:
+        """Stop looking; orders that are under way are abandoned."""
+        await end_tasks([self.task, *self.orders])
+
+    def begin(self, order: StartRun | StopRun) -> None:
+        """Send an order to the worker."""
+        carry_out = self._start_run if isinstance(order, StartRun) else self._stop_run
+        self._spawn(carry_out(order))
+        self.wake.set()
+
+    def look_now(self) -> None:
+        """Look without waiting for an end, beside a look that waits already."""
+        if self.is_looking:
+            self._spawn(self._look(0))
+        self.wake.set()
+
+    def _spawn(self, work) -> None:
+        task = asyncio.create_task(work)
+        self.orders.add(task)
+        task.add_done_callback(self.orders.discard)
+
+    async def _start_run(self, order: StartRun) -> None:
+        worker = self.worker
+        reply = await self.calls.start_run(worker, order)
+        if reply is StartReply.STARTED:
+            self.scheduler.start_answered(worker.name, order.key, now())
+            return
+        self.log.info(
+            "Start was not answered." if reply is StartReply.UNANSWERED else "Start was refused.",
+            worker=worker.name,
+            job=order.key[0],
+            attempt=order.key[1],
+            token=order.token,
+            reply=reply.value,
+        )
+        if reply is StartReply.UNANSWERED:
+            self.scheduler.start_unanswered(worker.name, self.tokens.next(), now())
+        elif reply is StartReply.FENCED and order.token == worker.token:
+            self.scheduler.fenced(worker.name, now())
+        else:
+            is_low = reply is StartReply.ATTEMPT_LOW
+            self.scheduler.start_rejected(worker.name, order.key, is_low, now())
+        self.on_change()
+
+    async def _stop_run(self, order: StopRun) -> None:
+        await self.calls.stop_run(self.worker, order)
+
+    def _needs_look(self) -> bool:
+        worker = self.worker
+        if worker.state is HoldState.LOST:
+            return False
+        return bool(worker.runs or worker.strangers or worker.state is not HoldState.HELD)
+
+    async def _run(self) -> None:
+        while True:
+            self.wake.clear()
+            if self._needs_look():
+                await self._look(self._wait_ms())
+                if self.worker.state is HoldState.SILENT:
+                    await asyncio.sleep(RETRY_SECONDS)
+            elif self.worker.last_seen > self.worker.acked_end:
+                await self._sleep(CONFIRM_SECONDS)
+                if not self.wake.is_set() and self.worker.state is HoldState.HELD:
+                    await self._look(0)
+            else:
+                await self.wake.wait()
+
+    async def _sleep(self, seconds: float) -> None:
+        try:
+            async with asyncio.timeout(seconds):
+                await self.wake.wait()
+        except TimeoutError:
+            return
+
+    def _wait_ms(self) -> int:
+        worker = self.worker
+        if worker.state is not HoldState.HELD:
+            return 0
+        return 20 if worker.strangers else LOOK_WAIT_MS
+
+    async def _look(self, wait_ms: int) -> None:
+        worker = self.worker
+        asked_at, token, last_seen = now(), worker.token, worker.last_seen
+        lease_end_ms = worker.lease_end_ms(asked_at)
+        if lease_end_ms is not None:
+            worker.extended_at = asked_at
+        self.is_looking = True
+        answer = await self.calls.look(worker, Look(token, last_seen, lease_end_ms, wait_ms))
+        self.is_looking = False
+        if isinstance(answer, Err):
+            self._look_failed(answer.err_value, token)
+        else:
+            self.failed_looks = 0
+            worker.acked_end = max(worker.acked_end, last_seen)
+            was = worker.state
+            self.scheduler.look_answered(worker.name, answer.ok_value, token, asked_at, now())
+            if was is not worker.state:
+                self.log.info(
+                    "Worker answers.",
+                    worker=worker.name,
+                    token=token,
+                    running=len(answer.ok_value.running),
+                    strangers=len(worker.strangers),
+                )
+        self.on_change()
+
+    def _look_failed(self, failure: LookFailure, token: int) -> None:
+        worker = self.worker
+        self.failed_looks += 1
+        if self.failed_looks == 1:
+            self.log.warning(
+                "Look failed.", worker=worker.name, reason=failure.value, token=token
+            )
+        if failure is LookFailure.FENCED:
+            if token == worker.token:
+                self.scheduler.fenced(worker.name, now())
+            return
+        self.scheduler.look_failed(worker.name, self.tokens.next(), now())
--- /dev/null
+++ b/packages/daemon/cranberryshored/pool/desk.py
@@ -0,0 +1,143 @@
+"""The entry side of a pool: jobs whose callers wait here, handed to whoever schedules."""
+
+import asyncio
+from typing import Protocol
+
+import attrs
+from structlog.typing import FilteringBoundLogger
+
+from cranberryshore.pool import JobEnded, Outcome, PoolConfig, QueueSpec, WorkRequest
+from cranberryshore.pool.config import LATE_FACTOR
+from cranberryshore.pool.refusing import RETRY_AFTER_MS
+from cranberryshored.pool.clock import now
+from cranberryshored.tasks import end_tasks
+
+TICK_SECONDS = 0.05
+"""Time between two looks for jobs that no scheduler takes."""
+
+
+class WorkSink(Protocol):
+    """Carries work to the scheduler that this instance follows."""
+
+    def scheduler(self) -> str:
+        """Return the incarnation of the scheduler, or an empty string."""
+        ...
+
+    def submit(self, request: WorkRequest) -> None:
+        """Hand a job over."""
+        ...
+
+    def cancel(self, job: str) -> None:
+        """Take a job back because its caller has left."""
+        ...
+
+
+@attrs.define(eq=False)
+class PendingJob:
+    """A job whose caller waits."""
+
+    request: WorkRequest
+    queue: QueueSpec
+    arrived_at: float
+    answer: asyncio.Future
+    sent_to: str = ""
+    is_resumed: bool = False
+
+    def useless_at(self) -> float:
+        """Return when an answer stops being of use to the caller."""
+        aim_ms = self.queue.aim_of(self.request.steps[0].estimate_ms)
+        return self.arrived_at + min(LATE_FACTOR * aim_ms, self.request.budget_ms) / 1000
+
+
+@attrs.define(eq=False)
+class EntryDesk:
+    """Keeps every caller's job until it has ended, whichever instance schedules it.
+
+    Parameters
+    ----------
+    sink : WorkSink
+        Carries work to the scheduler.
+    """
+
+    sink: WorkSink
+    log: FilteringBoundLogger
+    config: PoolConfig = PoolConfig()
+    pending: dict[str, PendingJob] = attrs.field(factory=dict)
+    task: asyncio.Task | None = None
+
+    async def start(self) -> None:
+        """Begin to look for jobs that no scheduler takes."""
+        self.task = asyncio.create_task(self._run())
+
+    async def close(self) -> None:
+        """Stop."""
+        await end_tasks([self.task])
+
+    async def submit(self, request: WorkRequest, queue: QueueSpec) -> JobEnded:
+        """Hand a job over and return how it ended.
+
+        If the caller leaves, which cancels this call, the job is stopped.
+        """
+        older = self.pending.pop(request.id, None)
+        if older is not None and not older.answer.done():
+            older.answer.set_result(
+                JobEnded("", request.id, Outcome.GIVEN_UP, "The caller has asked again.")
+            )
+        future = asyncio.get_running_loop().create_future()
+        job = self.pending[request.id] = PendingJob(request, queue, now(), future)
+        self._hand_over(job)
+        try:
+            return await future
+        except asyncio.CancelledError:
+            self.log.info("Caller left.", job=request.id, queue=queue.name)
+            if self.pending.get(request.id) is job:
+                del self.pending[request.id]
+                if job.sent_to:
+                    self.sink.cancel(request.id)
+            raise
+
+    def ended(self, end: JobEnded, scheduler: str) -> None:
+        """Answer the caller of a job that has ended."""
+        job = self.pending.get(end.job)
+        if job is None or job.sent_to != scheduler:
+            return
+        del self.pending[end.job]
+        if end.outcome is Outcome.REFUSED and job.is_resumed:
+            # An earlier scheduler may have started it, so it must not be called not run.
+            end = attrs.evolve(end, outcome=Outcome.GIVEN_UP)
+        if not job.answer.done():
+            job.answer.set_result(end)
+
+    def scheduler_changed(self) -> None:
+        """Hand all jobs to the scheduler that this instance follows now."""
+        for job in self.pending.values():
+            self._hand_over(job)
+
+    def _hand_over(self, job: PendingJob) -> None:
+        scheduler = self.sink.scheduler()
+        if not scheduler or scheduler == job.sent_to:
+            return
+        job.is_resumed = bool(job.sent_to)
+        job.sent_to = scheduler
+        waited_ms = int((now() - job.arrived_at) * 1000)
+        self.sink.submit(
+            attrs.evolve(job.request, waited_ms=waited_ms, is_resumed=job.is_resumed)
+        )
+
+    async def _run(self) -> None:
+        while True:
+            await asyncio.sleep(TICK_SECONDS)
+            moment = now()
+            for job in list(self.pending.values()):
+                if not job.sent_to and moment > job.useless_at():
+                    self._give_up(job, Outcome.REFUSED, "No instance schedules the pool now.")
+                elif moment > job.arrived_at + job.request.budget_ms / 1000 + 0.2:
+                    self.sink.cancel(job.request.id)
+                    self._give_up(job, Outcome.GIVEN_UP, "The scheduler has not answered.")
+
+    def _give_up(self, job: PendingJob, outcome: Outcome, detail: str) -> None:
+        del self.pending[job.request.id]
+        self.log.warning("Job given up.", job=job.request.id, reason=detail)
+        if not job.answer.done():
+            end = JobEnded("", job.request.id, outcome, detail, RETRY_AFTER_MS)
+            job.answer.set_result(end)
--- /dev/null
+++ b/packages/daemon/cranberryshored/pool/exchange.py
@@ -0,0 +1,301 @@
+"""Beats and numbered messages between the instances of a pool."""
+
+import asyncio
+from collections.abc import Callable
+from typing import Any, Protocol
+
+import attrs
+from structlog.typing import FilteringBoundLogger
+
+from cranberryshore.messages import (
+    Beat,
+    CancelWork,
+    ConfigNews,
+    RosterNews,
+    SubmitWork,
+    WorkEnded,
+)
+from cranberryshore.pool import (
+    Claim,
+    Group,
+    InStream,
+    Member,
+    MemberAddress,
+    OutStream,
+    PoolConfig,
+    WorkerEntry,
+)
+from cranberryshored.peers.transport import Transport
+from cranberryshored.pool.clock import now
+from cranberryshored.tasks import end_tasks
+
+BEAT_SECONDS = 0.2
+"""Time between two beats: a third of the silence after which a peer counts as gone."""
+
+REDIAL_SECONDS = 0.5
+"""A peer that was silent for so long gets a new channel, since the old one may be dead."""
+
+PAUSE_SECONDS = 0.6
+"""A gap between two beats that shows that this process stood still."""
+
+Numbered = SubmitWork | CancelWork | WorkEnded
+
+
+class ExchangeListener(Protocol):
+    """Told of what happens in the group."""
+
+    def scheduler_changed(self) -> None:
+        """This instance follows another scheduler, or none."""
+        ...
+
+    def peer_left(self, incarnation: str) -> None:
+        """A peer is gone, or follows another scheduler than this instance."""
+        ...
+
+    def take(self, sender: str, message: Numbered) -> None:
+        """Take a message that has arrived in order."""
+        ...
+
+    def take_config(self, config: PoolConfig) -> None:
+        """Take a configuration that a peer has in force."""
+        ...
+
+    def take_roster(self, version: int, workers: tuple[WorkerEntry, ...]) -> None:
+        """Take a peer's list of workers."""
+        ...
+
+    def config(self) -> PoolConfig:
+        """Return the configuration in force."""
+        ...
+
+    def roster(self) -> tuple[int, tuple[WorkerEntry, ...]]:
+        """Return the version of the list of workers, and the list."""
+        ...
+
+    def held_count(self) -> int:
+        """Return the number of workers that obey this instance."""
+        ...
+
+    def claim_wanted(self, claim: Claim) -> None:
+        """This instance ought to claim."""
+        ...
+
+    def claim_ended(self, reason: str) -> None:
+        """This instance must not schedule any more."""
+        ...
+
+
+@attrs.define(eq=False)
+class PeerExchange:
+    """Keeps the group up to date and carries messages between its members.
+
+    Parameters
+    ----------
+    group : Group
+        Decides who schedules.
+    seeds : tuple of str
+        Addresses to greet while no scheduler is known.
+    """
+
+    group: Group
+    seeds: tuple[str, ...]
+    listener: ExchangeListener
+    log: FilteringBoundLogger
+    transport: Transport | None = None
+    outs: dict[str, OutStream] = attrs.field(factory=dict)
+    ins: dict[str, InStream] = attrs.field(factory=dict)
+    redialed: dict[str, float] = attrs.field(factory=dict)
+    present: set[str] = attrs.field(factory=set)
+    follows: str = ""
+    beat_at: float = 0.0
+    task: asyncio.Task | None = None
+
+    async def start(self) -> None:
+        """Begin to beat."""
+        self.beat_at = now()
+        self.task = asyncio.create_task(self._run())
+
+    async def close(self) -> None:
+        """Stop beating."""
+        await end_tasks([self.task])
+
+    @property
+    def own(self) -> MemberAddress:
+        """Return this instance."""
+        return self.group.own
+
+    def send(self, incarnation: str, make: Callable[[int], Numbered]) -> None:
+        """Send a numbered message to a peer, again until it is confirmed."""
+        member = self.group.members.get(incarnation)
+        if member is None:
+            return
+        stream = self.outs.setdefault(incarnation, OutStream())
+        message = make(stream.next_number())
+        stream.sent(message, now())
+        self.transport.send(member.at.address, incarnation, message)
+
+    def deliver(self, sender: str, message: Any) -> None:
+        """Take a message from the transport."""
+        if isinstance(message, Beat):
+            self._hear(message)
+        elif isinstance(message, ConfigNews):
+            self.listener.take_config(message.config)
+        elif isinstance(message, RosterNews):
+            self.listener.take_roster(message.version, message.workers)
+        elif isinstance(message, Numbered):
+            for ready in self.ins.setdefault(sender, InStream()).take(message):
+                self.listener.take(sender, ready)
+
+    def announce(self) -> None:
+        """Send a beat to everyone now."""
+        moment = now()
+        for member in list(self.group.members.values()):
+            self._beat(member, moment)
+
+    def follow(self) -> None:
+        """Follow the scheduler with the strongest claim."""
+        scheduler = self.group.scheduler(now())
+        follows = self.own.incarnation if self.group.claim is not None else ""
+        if not follows and scheduler is not None:
+            follows = scheduler.at.incarnation
+        if follows != self.follows:
+            self.log.info("Scheduler followed.", before=self.follows, scheduler=follows)
+            self.follows = follows
+            self.listener.scheduler_changed()
+            if scheduler is not None:
+                self._beat(scheduler, now())
+
+    def _hear(self, beat: Beat) -> None:
+        moment = now()
+        is_new = beat.sender.incarnation not in self.group.members
+        member = self.group.hear(beat.sender, moment)
+        member.is_draining, member.claim = beat.is_draining, beat.claim
+        member.follows, member.config_version = beat.follows, beat.config_version
+        if beat.claim is not None and beat.roster_version < member.roster_version:
+            member.roster_version = 0
+        member.roster_version = beat.roster_version
+        for item in beat.members:
+            self.group.learn(item, moment)
+        if beat.sender.incarnation in self.outs:
+            self.outs[beat.sender.incarnation].confirm(beat.received)
+        if is_new:
+            self.log.info("Peer heard.", peer=beat.sender.incarnation)
+            self._beat(member, moment)
+        if member.config_version < self.listener.config().version:
+            news = ConfigNews(self.listener.config())
+            self.transport.send(member.at.address, beat.sender.incarnation, news)
+        self._tell_roster(member)
+        if self.group.claim is not None and beat.follows != self.own.incarnation:
+            if beat.sender.incarnation in self.present:
+                self.present.discard(beat.sender.incarnation)
+                self.listener.peer_left(beat.sender.incarnation)
+        elif self.group.claim is not None:
+            self.present.add(beat.sender.incarnation)
+        if beat.claim is not None or member.at.incarnation == self.follows:
+            self._decide(moment)
+
+    def _tell_roster(self, member: Member) -> None:
+        version, workers = self.listener.roster()
+        if self.group.claim is not None and member.roster_version < version:
+            news = RosterNews(version, workers)
+            self.transport.send(member.at.address, member.at.incarnation, news)
+
+    def _beat(self, member: Member, moment: float) -> None:
+        stream = self.ins.get(member.at.incarnation)
+        beat = Beat(
+            self.own,
+            self.listener.config().version,
+            stream.received if stream is not None else 0,
+            self.group.is_draining,
+            self.group.claim,
+            self.follows,
+            self.listener.roster()[0],
+            self._told_members(moment),
+        )
+        self.transport.send(member.at.address, "", beat)
+
+    def _told_members(self, moment: float) -> tuple[MemberAddress, ...]:
+        if self.group.claim is None:
+            return ()
+        return tuple(member.at for member in self.group.live(moment))
+
+    async def _run(self) -> None:
+        while True:
+            await asyncio.sleep(BEAT_SECONDS)
+            moment = now()
+            if moment - self.beat_at > PAUSE_SECONDS:
+                self._was_paused(moment)
+            self.beat_at = moment
+            self._round(moment)
+
+    def _was_paused(self, moment: float) -> None:
+        """Give the peers their time again, and give up workers that others may hold now."""
+        self.log.warning("This process stood still.", seconds=round(moment - self.beat_at, 2))
+        for member in self.group.members.values():
+            if member.heard_at > self.beat_at - PAUSE_SECONDS:
+                member.heard_at = moment
+        if self.group.claim is not None:
+            self.group.claim = None
+            self.listener.claim_ended("this process stood still")
+
+    def _round(self, moment: float) -> None:
+        for member in self.group.forget_silent(moment):
+            self._forget(member)
+        if self.group.claim is not None:
+            self.group.claim = attrs.evolve(
+                self.group.claim, held=self.listener.held_count()
+            )
+            live = {member.at.incarnation for member in self.group.live(moment)}
+            for incarnation in self.present - live:
+                self.present.discard(incarnation)
+                self.log.warning("Entry instance lost.", peer=incarnation)
+                self.listener.peer_left(incarnation)
+        self._decide(moment)
+        for member in self._beaten(moment):
+            self._redial(member, moment)
+            self._beat(member, moment)
+        for incarnation, stream in self.outs.items():
+            member = self.group.members.get(incarnation)
+            for message in stream.due(moment) if member is not None else ():
+                self.transport.send(member.at.address, incarnation, message)
+
+    def _decide(self, moment: float) -> None:
+        if self.group.must_yield(moment):
+            self.group.claim = None
+            self.listener.claim_ended("another claim is stronger")
+        claim = self.group.claimable(moment)
+        if claim is not None:
+            self.listener.claim_wanted(claim)
+        self.follow()
+
+    def _beaten(self, moment: float) -> list[Member]:
+        """Return whom a beat is due to: everyone without a scheduler, else the scheduler."""
+        members = self.group.members
+        if self.group.claim is not None or not self.follows:
+            greeted = {member.at.address for member in members.values()}
+            if not self.follows:
+                for address in self.seeds:
+                    if address not in greeted and address != self.own.address:
+                        self.transport.send(address, "", self._greeting())
+            return list(members.values())
+        scheduler = members.get(self.follows)
+        return [scheduler] if scheduler is not None else []
+
+    def _greeting(self) -> Beat:
+        return Beat(self.own, self.listener.config().version, 0)
+
+    def _redial(self, member: Member, moment: float) -> None:
+        address = member.at.address
+        silent_since = max(member.heard_at, member.listed_at, self.redialed.get(address, 0.0))
+        if moment - silent_since > REDIAL_SECONDS:
+            self.redialed[address] = moment
+            self.transport.forget(address)
+
+    def _forget(self, member: Member) -> None:
+        incarnation = member.at.incarnation
+        self.outs.pop(incarnation, None)
+        self.ins.pop(incarnation, None)
+        if incarnation in self.present:
+            self.present.discard(incarnation)
+            self.listener.peer_left(incarnation)
+        self.transport.forget(member.at.address)
--- /dev/null
+++ b/packages/daemon/cranberryshored/pool/scheduling.py
@@ -0,0 +1,191 @@
+"""The scheduler of a pool with its surroundings, while this instance schedules."""
+
+import asyncio
+from collections.abc import Callable
+
+import attrs
+from structlog.typing import FilteringBoundLogger
+
+from cranberryshore.pool import (
+    Claim,
+    HeldWorker,
+    HoldState,
+    JobEnded,
+    LookAt,
+    PoolConfig,
+    Scheduler,
+    WorkerEntry,
+    WorkRequest,
+)
+from cranberryshore.pool.held_worker import LOST_HOLD_PAUSE_SECONDS
+from cranberryshored.pool.clock import TokenSource, now
+from cranberryshored.pool.conversation import Conversation
+from cranberryshored.pool.protocols import WorkerCalls
+from cranberryshored.tasks import end_tasks
+
+TICK_SECONDS = 0.025
+"""Time between two looks for passed deadlines: a sixth of the shortest aim."""
+
+
+@attrs.define(eq=False)
+class SchedulingService:
+    """Holds the workers and schedules the jobs of all entry instances that follow this one.
+
+    Parameters
+    ----------
+    calls : WorkerCalls
+        Speaks to workers.
+    tokens : TokenSource
+        Draws fencing tokens.
+    on_ended : callable
+        Told how a job ended.
+    """
+
+    calls: WorkerCalls
+    tokens: TokenSource
+    on_ended: Callable[[JobEnded], None]
+    log: FilteringBoundLogger
+    claim: Claim | None = None
+    scheduler: Scheduler = attrs.field(factory=Scheduler)
+    conversations: dict[str, Conversation] = attrs.field(factory=dict)
+    closing: set[asyncio.Task] = attrs.field(factory=set)
+    task: asyncio.Task | None = None
+
+    def begin(
+        self, claim: Claim, config: PoolConfig, roster: tuple[WorkerEntry, ...]
+    ) -> None:
+        """Take over the workers that a claim covers."""
+        self.claim = claim
+        self.scheduler = Scheduler(config)
+        self.log.info("Scheduling begins.", term=claim.term, zone=claim.zone or "all")
+        self.set_roster(roster)
+        self.task = asyncio.create_task(self._tick())
+
+    def end(self, reason: str) -> None:
+        """Give up the workers: what runs there is stopped by the next holder, or lapses."""
+        if self.claim is None:
+            return
+        self.log.info("Scheduling ends.", term=self.claim.term, reason=reason)
+        self.claim = None
+        self.scheduler = Scheduler(self.scheduler.config)
+        self.task.cancel()
+        for conversation in self.conversations.values():
+            self._close(conversation)
+        self.conversations = {}
+
+    async def close(self) -> None:
+        """Give up the workers and wait until all calls have ended."""
+        self.end("this instance stops")
+        await end_tasks([self.task, *self.closing])
+
+    def held_count(self) -> int:
+        """Return the number of workers that obey this instance."""
+        workers = self.scheduler.workers.values()
+        return sum(worker.state is HoldState.HELD for worker in workers)
+
+    def lost_count(self) -> int:
+        """Return the number of listed workers that obey another holder."""
+        workers = self.scheduler.workers.values()
+        return sum(
+            worker.state is HoldState.LOST and not worker.is_draining for worker in workers
+        )
+
+    def set_config(self, config: PoolConfig) -> None:
+        """Put a newer configuration in force."""
+        self.scheduler.config = config
+
+    def set_roster(self, roster: tuple[WorkerEntry, ...]) -> None:
+        """Hold the registered workers, and no others."""
+        if self.claim is None:
+            return
+        listed = {
+            entry.name: entry for entry in roster if self.claim.zone in ("", entry.zone)
+        }
+        for name in [name for name in self.scheduler.workers if name not in listed]:
+            if not self.scheduler.workers[name].is_draining:
+                self.log.info("Worker is no longer registered.", worker=name)
+            self.scheduler.release(name, now())
+        for entry in listed.values():
+            self._hold(entry)
+        self.carry_out()
+
+    def submit(self, request: WorkRequest, entry: str) -> None:
+        """Schedule a job."""
+        self.scheduler.submit(request, entry, now())
+        self.carry_out()
+
+    def cancel(self, job: str, entry: str) -> None:
+        """Stop a job whose caller has left."""
+        self.scheduler.cancel(job, entry, now())
+        self.carry_out()
+
+    def entry_lost(self, entry: str) -> None:
+        """Stop the jobs of an entry instance that is gone or follows another scheduler."""
+        self.scheduler.entry_lost(entry, now())
+        self.carry_out()
+
+    def carry_out(self) -> None:
+        """Do what the scheduler has decided."""
+        for effect in self.scheduler.take_effects():
+            if isinstance(effect, JobEnded):
+                self.on_ended(effect)
+                continue
+            conversation = self.conversations.get(effect.worker)
+            if conversation is None:
+                continue
+            if isinstance(effect, LookAt):
+                conversation.look_now()
+            else:
+                conversation.begin(effect)
+
+    def _hold(self, entry: WorkerEntry) -> None:
+        worker = self.scheduler.workers.get(entry.name)
+        if worker is not None and worker.address == entry.address and self._is_kept(worker):
+            if entry.is_draining and not worker.is_draining:
+                self.log.info("Worker is leaving.", worker=entry.name)
+            worker.is_draining = entry.is_draining
+            worker.total, worker.labels = entry.capacity, frozenset(entry.labels)
+            return
+        if worker is not None and worker.runs:
+            return
+        worker = HeldWorker(
+            entry.name,
+            entry.address,
+            entry.zone,
+            entry.service,
+            entry.capacity,
+            frozenset(entry.labels),
+            self.tokens.next(),
+            entry.rack,
+            entry.is_draining,
+        )
+        self.scheduler.hold(worker)
+        self._converse(worker)
+
+    @staticmethod
+    def _is_kept(worker: HeldWorker) -> bool:
+        if worker.state is not HoldState.LOST:
+            return True
+        return now() < worker.lost_at + LOST_HOLD_PAUSE_SECONDS
+
+    def _converse(self, worker: HeldWorker) -> None:
+        old = self.conversations.pop(worker.name, None)
+        if old is not None:
+            self._close(old)
+        conversation = self.conversations[worker.name] = Conversation(
+            worker, self.scheduler, self.calls, self.tokens, self.carry_out, self.log
+        )
+        conversation.start()
+
+    def _close(self, conversation: Conversation) -> None:
+        task = asyncio.create_task(conversation.close())
+        self.closing.add(task)
+        task.add_done_callback(self.closing.discard)
+
+    async def _tick(self) -> None:
+        while True:
+            await asyncio.sleep(TICK_SECONDS)
+            self.scheduler.tick(now())
+            self.carry_out()
+            for name in self.conversations.keys() - self.scheduler.workers.keys():
+                self._close(self.conversations.pop(name))
