An instance is not its own rival, and a lost scheduler is replaced by a majority that hears itself

Cause: an instance learned its own address from an earlier registration, sent itself a beat and yielded to its own older claim when a cut zone lowered the number of workers it held. The others had never heard each other and claimed single zones.

Change: own address ignored; everyone announces itself when it loses its scheduler, only supporters count for a majority; a job handed over waits its full time unless the new scheduler covers all workers by a fresh list; dropped jobs are handed over again; SIGHUP reads the settings again.

Ruled out: orders carried out late (they carry a lower token).

--- a/packages/core/cranberryshore/pool/group.py
+++ b/packages/core/cranberryshore/pool/group.py
@@ -1,11 +1,11 @@
 """Which instance schedules a pool, decided by each instance from the beats that it hears.
 
 One scheduler holds all workers that it reaches. If it falls silent, the best-ranked of those that
-still hear a majority claims its work; a minority that hears most of its own availability zone
-claims that zone's workers only, because the zone may be cut off. An instance that hears nobody
-claims nothing while others are registered: taking workers from a scheduler that it merely cannot
-hear would disturb everybody. Two claims that meet are settled by reach. Safety does not rest on
-any of this: workers obey the highest fencing token.
+still hear a majority without a scheduler claims its work; a minority that hears most of its own
+availability zone claims that zone's workers only, because the zone may be cut off. An instance
+that hears nobody, or only such as follow a scheduler that it cannot hear, claims nothing: taking
+workers from a scheduler that others hear would disturb everybody. Two claims that meet are settled
+by reach. Safety does not rest on any of this: workers obey the highest fencing token.
 """
 
 import attrs
@@ -16,6 +16,9 @@
 FORGET_SECONDS = 8.0
 """A silent peer counts as a member for so long, unless its registration ends before."""
 
+START_SECONDS = 0.6
+"""A fresh instance claims nothing for so long, in which it hears of a scheduler: three beats."""
+
 CLAIM_SECONDS = 0.1
 """Wait before the best-ranked instance claims, in which a claim under way arrives."""
 
@@ -94,7 +97,11 @@
     listed: frozenset[str] | None = None
 
     def hear(self, sender: MemberAddress, now: float) -> Member:
-        """Record that a peer was heard; a new run at an address replaces the old one."""
+        """Record that a peer was heard; a new run at an address replaces the old one.
+
+        ``sender`` is another instance: what an instance sends to its own address, under which an
+        earlier run of it was registered, is dropped by the caller.
+        """
         for incarnation, member in list(self.members.items()):
             if member.at.address == sender.address and incarnation != sender.incarnation:
                 del self.members[incarnation]
@@ -110,7 +117,7 @@
 
     def learn(self, item: MemberAddress, now: float) -> None:
         """Record a peer that a scheduler hears."""
-        if item.incarnation == self.own.incarnation or item.incarnation in self.members:
+        if item.address == self.own.address or item.incarnation in self.members:
             return
         if any(member.at.address == item.address for member in self.members.values()):
             return
@@ -129,9 +136,7 @@
 
     def live(self, now: float) -> list[Member]:
         """Return the members that are heard."""
-        return [
-            member for member in self.members.values() if now - member.heard_at < LOST_SECONDS
-        ]
+        return [member for member in self.members.values() if now - member.heard_at < LOST_SECONDS]
 
     def scheduler(self, now: float) -> Member | None:
         """Return the peer with the strongest claim that covers this instance's zone."""
@@ -151,7 +156,8 @@
 
     def claimable(self, now: float) -> Claim | None:
         """Return the claim that this instance should make now, without a term, or ``None``."""
-        if self.claim is not None or self.is_draining or now < self.fenced_until:
+        earliest = max(self.fenced_until, self.started_at + START_SECONDS)
+        if self.claim is not None or self.is_draining or now < earliest:
             self.leaderless_since = None
             return None
         if self.scheduler(now) is not None:
@@ -167,8 +173,12 @@
 
     def _scope(self, now: float) -> Claim | None:
         """Return the widest claim that the number of heard members allows."""
-        heard = {member.at.address for member in self.live(now)} | {self.own.address}
-        known = self._known()
+        heard = {self.own.address} | {
+            member.at.address
+            for member in self.live(now)
+            if member.follows in ("", self.own.incarnation)
+        }
+        known = self._known(now)
         if 2 * len(heard & known.keys()) > len(known):
             return Claim(0)
         zone = {address for address, where in known.items() if where == self.own.zone}
@@ -176,14 +186,15 @@
             return Claim(0, self.own.zone)
         return None
 
-    def _known(self) -> dict[str, str]:
+    def _known(self, now: float) -> dict[str, str]:
         """Return the zone of every member that may be alive, by address."""
+        live = {member.at.incarnation for member in self.live(now)}
         known = {
             member.at.address: member.at.zone
             for member in self.members.values()
             if self.listed is None
             or member.at.address in self.listed
-            or member.heard_at > float("-inf")
+            or member.at.incarnation in live
         }
         known[self.own.address] = self.own.zone
         return known
--- a/packages/core/cranberryshore/pool/placing.py
+++ b/packages/core/cranberryshore/pool/placing.py
@@ -16,9 +16,7 @@
     step = job.step_of(task)
     if step.label and step.label not in worker.labels:
         return False
-    return not (
-        step.max_per_worker and job.count_on(worker.name, task.step) >= step.max_per_worker
-    )
+    return not (step.max_per_worker and job.count_on(worker.name, task.step) >= step.max_per_worker)
 
 
 def best_worker(
--- a/packages/core/cranberryshore/pool/scheduler.py
+++ b/packages/core/cranberryshore/pool/scheduler.py
@@ -28,8 +28,8 @@
 STOP_AGAIN_SECONDS = 0.15
 """A stop that has shown no effect for so long is sent again; workers stop within 50 ms."""
 
-RESUMED_WAIT_SECONDS = 1.3
-"""Longest wait until nothing of another scheduler can still run: a lease, and 0.2 s to stop it."""
+RESUMED_WAIT_SECONDS = 1.4
+"""Longest wait until nothing of another scheduler can still run: a lease, and 0.3 s to stop it."""
 
 ATTEMPT_STEP = 8
 """Added to a number of attempt that a worker has called too low."""
@@ -43,9 +43,18 @@
     """Decides which task runs where and when, and how jobs end.
 
     Every method returns nothing; what is to be done stands in ``effects`` until it is taken.
+
+    Parameters
+    ----------
+    config : PoolConfig
+        Queues in force.
+    covers_all : bool
+        Whether ``workers`` are all that another scheduler may have used: the list of workers was
+        read since this scheduler began, and no availability zone is left out.
     """
 
     config: PoolConfig = PoolConfig()
+    covers_all: bool = False
     jobs: dict[str, PoolJob] = attrs.field(factory=dict)
     workers: dict[str, HeldWorker] = attrs.field(factory=dict)
     health: PoolHealth = attrs.field(factory=PoolHealth)
@@ -114,9 +123,12 @@
             self._place(now)
 
     def entry_lost(self, entry: str, now: float) -> None:
-        """Stop all jobs of an entry instance that is gone: their callers ask anew elsewhere."""
+        """Stop all jobs of an entry instance that is silent or follows another scheduler.
+
+        It is told, so that it hands them over again if it is alive and their callers still wait.
+        """
         for job in [job for job in self.jobs.values() if job.entry == entry]:
-            self._end(job, None, "", now)
+            self._end(job, Outcome.DROPPED, "The entry instance fell silent.", now)
         self._place(now)
 
     def _refuse(self, job_id: str, entry: str, detail: str, retry_after_ms: int) -> None:
@@ -231,7 +243,7 @@
                 self._end(job, Outcome.GIVEN_UP, "The caller's time is over.", now)
             return
         expected = self.run_times.expected_ms(job.request.queue, job.request_work_ms) / 1000
-        if refusing.is_hopeless(job, expected, now):
+        if refusing.is_hopeless(job, expected, max(now, job.held_back_until)):
             detail = "The job can no longer be answered in time."
             self._end(job, Outcome.REFUSED, detail, now, refusing.RETRY_AFTER_MS)
 
@@ -255,10 +267,11 @@
 
     def _is_verified(self, job: PoolJob) -> bool:
         """Tell whether every worker has answered a look since a resumed job arrived."""
+        if not self.covers_all:
+            return False
         arrived = job.held_back_until - RESUMED_WAIT_SECONDS
         is_verified = all(
-            worker.looked_at >= arrived and not worker.strangers
-            for worker in self.workers.values()
+            worker.looked_at >= arrived and not worker.strangers for worker in self.workers.values()
         )
         if is_verified:
             job.held_back_until = 0.0
--- a/packages/core/cranberryshore/pool/work.py
+++ b/packages/core/cranberryshore/pool/work.py
@@ -23,6 +23,7 @@
     FAILED = "failed"
     REFUSED = "refused"
     GIVEN_UP = "given_up"
+    DROPPED = "dropped"
 
 
 @attrs.frozen
@@ -143,9 +144,7 @@
 
     def is_step_done(self, number: int) -> bool:
         """Tell whether all tasks of a step have ended well."""
-        return all(
-            task.phase is TaskPhase.DONE for task in self.tasks if task.step == number
-        )
+        return all(task.phase is TaskPhase.DONE for task in self.tasks if task.step == number)
 
     def startable(self) -> list[PoolTask]:
         """Return the waiting tasks whose earlier steps are done."""
--- a/packages/daemon/cranberryshored/pool/app.py
+++ b/packages/daemon/cranberryshored/pool/app.py
@@ -4,8 +4,10 @@
 from time import time
 
 import attrs
+from result import Err, Result
 from structlog.typing import FilteringBoundLogger
 
+from cranberryshore.errors import SettingsError
 from cranberryshore.messages import CancelWork, SubmitWork, WorkEnded
 from cranberryshore.pool import (
     Claim,
@@ -16,7 +18,6 @@
     WorkerEntry,
     WorkRequest,
 )
-from cranberryshore.pool.group import FENCED_PAUSE_SECONDS
 from cranberryshore.settings.pool import PoolSettings
 from cranberryshore.timeline import Recorder
 from cranberryshored.log import part_log
@@ -105,6 +106,16 @@
         ]
         self.log.info("Started.", incarnation=self.group.own.incarnation)
 
+    def reload(self, loaded: Result[PoolSettings, list[SettingsError]]) -> None:
+        """Put changed settings in force; addresses keep their values until the next start."""
+        if isinstance(loaded, Err):
+            faults = [str(fault) for fault in loaded.err_value]
+            self.log.error("Changed settings are not valid; the old ones stay.", faults=faults)
+            return
+        self.settings = loaded.ok_value
+        self.exchange.seeds = self.settings.seeds
+        self.log.info("Settings read again.")
+
     async def drain(self) -> None:
         """Hand the schedule on, let new callers go elsewhere, and answer those who wait."""
         self.log.info("Draining.", waiting=len(self.desk.pending))
@@ -150,9 +161,7 @@
     def take(self, sender: str, message: Numbered) -> None:
         """See :class:`ExchangeListener`."""
         if isinstance(message, WorkEnded):
-            end = JobEnded(
-                "", message.job, message.outcome, message.detail, message.retry_after_ms
-            )
+            end = JobEnded("", message.job, message.outcome, message.detail, message.retry_after_ms)
             self.desk.ended(end, sender)
         elif self.scheduling.claim is None:
             self.log.debug("Work for a scheduler that is none.", sender=sender)
@@ -188,12 +197,19 @@
 
     def held_count(self) -> int:
         """See :class:`ExchangeListener`."""
-        held, lost = self.scheduling.held_count(), self.scheduling.lost_count()
-        if lost > held:
-            self.group.fenced_until = now() + FENCED_PAUSE_SECONDS
-            self.group.claim = None
-            self.claim_ended("most workers obey another holder")
-        return held
+        return self.scheduling.held_count()
+
+    def has_lost_hold(self) -> bool:
+        """See :class:`ExchangeListener`."""
+        return self.scheduling.lost_count() > self.scheduling.held_count()
+
+    def waiting_entries(self) -> set[str]:
+        """See :class:`ExchangeListener`."""
+        return self.scheduling.waiting_entries()
+
+    def stood_still(self) -> None:
+        """See :class:`ExchangeListener`."""
+        self.desk.hand_over_again()
 
     def claim_wanted(self, claim: Claim) -> None:
         """See :class:`ExchangeListener`."""
@@ -225,9 +241,7 @@
         if self.exchange.follows == self.group.own.incarnation:
             self.scheduling.submit(request, self.exchange.follows)
         else:
-            self.exchange.send(
-                self.exchange.follows, lambda number: SubmitWork(number, request)
-            )
+            self.exchange.send(self.exchange.follows, lambda number: SubmitWork(number, request))
 
     def cancel(self, job: str) -> None:
         """See :class:`WorkSink`."""
@@ -242,16 +256,14 @@
             return
         self.exchange.send(
             end.entry,
-            lambda number: WorkEnded(
-                number, end.job, end.outcome, end.detail, end.retry_after_ms
-            ),
+            lambda number: WorkEnded(number, end.job, end.outcome, end.detail, end.retry_after_ms),
         )
 
     def _workers_read(self, workers: tuple[WorkerEntry, ...]) -> None:
         if workers != self.workers or not self.roster_version:
             self.roster_version = max(self.roster_version + 1, int(time() * 1000))
             self.workers = workers
-        self.scheduling.set_roster(workers)
+        self.scheduling.set_roster(workers, is_fresh=True)
 
     async def _list_members(self) -> None:
         while True:
--- a/packages/daemon/cranberryshored/pool/conversation.py
+++ b/packages/daemon/cranberryshored/pool/conversation.py
@@ -165,9 +165,7 @@
         worker = self.worker
         self.failed_looks += 1
         if self.failed_looks == 1:
-            self.log.warning(
-                "Look failed.", worker=worker.name, reason=failure.value, token=token
-            )
+            self.log.warning("Look failed.", worker=worker.name, reason=failure.value, token=token)
         if failure is LookFailure.FENCED:
             if token == worker.token:
                 self.scheduler.fenced(worker.name, now())
--- a/packages/daemon/cranberryshored/pool/desk.py
+++ b/packages/daemon/cranberryshored/pool/desk.py
@@ -101,6 +101,9 @@
         job = self.pending.get(end.job)
         if job is None or job.sent_to != scheduler:
             return
+        if end.outcome is Outcome.DROPPED:
+            self._hand_over_anew(job)
+            return
         del self.pending[end.job]
         if end.outcome is Outcome.REFUSED and job.is_resumed:
             # An earlier scheduler may have started it, so it must not be called not run.
@@ -113,16 +116,24 @@
         for job in self.pending.values():
             self._hand_over(job)
 
+    def hand_over_again(self) -> None:
+        """Hand all jobs over anew: this process stood still, and they may have been dropped."""
+        for job in self.pending.values():
+            self._hand_over_anew(job)
+
+    def _hand_over_anew(self, job: PendingJob) -> None:
+        job.is_resumed |= bool(job.sent_to)
+        job.sent_to = ""
+        self._hand_over(job)
+
     def _hand_over(self, job: PendingJob) -> None:
         scheduler = self.sink.scheduler()
         if not scheduler or scheduler == job.sent_to:
             return
-        job.is_resumed = bool(job.sent_to)
+        job.is_resumed |= bool(job.sent_to)
         job.sent_to = scheduler
         waited_ms = int((now() - job.arrived_at) * 1000)
-        self.sink.submit(
-            attrs.evolve(job.request, waited_ms=waited_ms, is_resumed=job.is_resumed)
-        )
+        self.sink.submit(attrs.evolve(job.request, waited_ms=waited_ms, is_resumed=job.is_resumed))
 
     async def _run(self) -> None:
         while True:
@@ -130,7 +141,8 @@
             moment = now()
             for job in list(self.pending.values()):
                 if not job.sent_to and moment > job.useless_at():
-                    self._give_up(job, Outcome.REFUSED, "No instance schedules the pool now.")
+                    outcome = Outcome.GIVEN_UP if job.is_resumed else Outcome.REFUSED
+                    self._give_up(job, outcome, "No instance schedules the pool now.")
                 elif moment > job.arrived_at + job.request.budget_ms / 1000 + 0.2:
                     self.sink.cancel(job.request.id)
                     self._give_up(job, Outcome.GIVEN_UP, "The scheduler has not answered.")
--- a/packages/daemon/cranberryshored/pool/exchange.py
+++ b/packages/daemon/cranberryshored/pool/exchange.py
@@ -25,6 +25,7 @@
     PoolConfig,
     WorkerEntry,
 )
+from cranberryshore.pool.group import FENCED_PAUSE_SECONDS
 from cranberryshored.peers.transport import Transport
 from cranberryshored.pool.clock import now
 from cranberryshored.tasks import end_tasks
@@ -45,11 +46,11 @@
     """Told of what happens in the group."""
 
     def scheduler_changed(self) -> None:
-        """This instance follows another scheduler, or none."""
+        """Take note that this instance follows another scheduler, or none."""
         ...
 
     def peer_left(self, incarnation: str) -> None:
-        """A peer is gone, or follows another scheduler than this instance."""
+        """Drop the jobs of a peer that is gone or follows another scheduler."""
         ...
 
     def take(self, sender: str, message: Numbered) -> None:
@@ -76,12 +77,24 @@
         """Return the number of workers that obey this instance."""
         ...
 
+    def has_lost_hold(self) -> bool:
+        """Tell whether most workers obey another holder."""
+        ...
+
+    def waiting_entries(self) -> set[str]:
+        """Return the entry instances whose jobs are scheduled here."""
+        ...
+
+    def stood_still(self) -> None:
+        """Take note that this process stood still for some time."""
+        ...
+
     def claim_wanted(self, claim: Claim) -> None:
-        """This instance ought to claim."""
+        """Claim, because nobody else schedules."""
         ...
 
     def claim_ended(self, reason: str) -> None:
-        """This instance must not schedule any more."""
+        """End scheduling, for the given reason."""
         ...
 
 
@@ -105,7 +118,6 @@
     outs: dict[str, OutStream] = attrs.field(factory=dict)
     ins: dict[str, InStream] = attrs.field(factory=dict)
     redialed: dict[str, float] = attrs.field(factory=dict)
-    present: set[str] = attrs.field(factory=set)
     follows: str = ""
     beat_at: float = 0.0
     task: asyncio.Task | None = None
@@ -137,7 +149,8 @@
     def deliver(self, sender: str, message: Any) -> None:
         """Take a message from the transport."""
         if isinstance(message, Beat):
-            self._hear(message)
+            if message.sender.address != self.own.address:
+                self._hear(message)
         elif isinstance(message, ConfigNews):
             self.listener.take_config(message.config)
         elif isinstance(message, RosterNews):
@@ -158,12 +171,19 @@
         follows = self.own.incarnation if self.group.claim is not None else ""
         if not follows and scheduler is not None:
             follows = scheduler.at.incarnation
-        if follows != self.follows:
-            self.log.info("Scheduler followed.", before=self.follows, scheduler=follows)
-            self.follows = follows
-            self.listener.scheduler_changed()
-            if scheduler is not None:
-                self._beat(scheduler, now())
+        if follows == self.follows:
+            return
+        self.log.info("Scheduler followed.", before=self.follows, scheduler=follows)
+        before, self.follows = self.group.members.get(self.follows), follows
+        self.listener.scheduler_changed()
+        if not follows:
+            self.announce()
+            return
+        if before is not None:
+            # It stops this instance's jobs now, so that they can be started elsewhere.
+            self._beat(before, now())
+        if scheduler is not None:
+            self._beat(scheduler, now())
 
     def _hear(self, beat: Beat) -> None:
         moment = now()
@@ -180,20 +200,23 @@
             self.outs[beat.sender.incarnation].confirm(beat.received)
         if is_new:
             self.log.info("Peer heard.", peer=beat.sender.incarnation)
+        if is_new or self._is_mistaken(beat):
             self._beat(member, moment)
         if member.config_version < self.listener.config().version:
             news = ConfigNews(self.listener.config())
             self.transport.send(member.at.address, beat.sender.incarnation, news)
         self._tell_roster(member)
         if self.group.claim is not None and beat.follows != self.own.incarnation:
-            if beat.sender.incarnation in self.present:
-                self.present.discard(beat.sender.incarnation)
-                self.listener.peer_left(beat.sender.incarnation)
-        elif self.group.claim is not None:
-            self.present.add(beat.sender.incarnation)
+            self.listener.peer_left(beat.sender.incarnation)
         if beat.claim is not None or member.at.incarnation == self.follows:
             self._decide(moment)
 
+    def _is_mistaken(self, beat: Beat) -> bool:
+        """Tell whether a peer follows nobody, or this instance although it schedules nothing."""
+        if beat.follows == self.own.incarnation:
+            return self.group.claim is None
+        return not beat.follows and beat.claim is None and bool(self.follows)
+
     def _tell_roster(self, member: Member) -> None:
         version, workers = self.listener.roster()
         if self.group.claim is not None and member.roster_version < version:
@@ -234,22 +257,14 @@
         for member in self.group.members.values():
             if member.heard_at > self.beat_at - PAUSE_SECONDS:
                 member.heard_at = moment
-        if self.group.claim is not None:
-            self.group.claim = None
-            self.listener.claim_ended("this process stood still")
+        self._end_claim("this process stood still")
+        self.listener.stood_still()
 
     def _round(self, moment: float) -> None:
         for member in self.group.forget_silent(moment):
             self._forget(member)
         if self.group.claim is not None:
-            self.group.claim = attrs.evolve(
-                self.group.claim, held=self.listener.held_count()
-            )
-            live = {member.at.incarnation for member in self.group.live(moment)}
-            for incarnation in self.present - live:
-                self.present.discard(incarnation)
-                self.log.warning("Entry instance lost.", peer=incarnation)
-                self.listener.peer_left(incarnation)
+            self._check_claim(moment)
         self._decide(moment)
         for member in self._beaten(moment):
             self._redial(member, moment)
@@ -259,10 +274,27 @@
             for message in stream.due(moment) if member is not None else ():
                 self.transport.send(member.at.address, incarnation, message)
 
+    def _check_claim(self, moment: float) -> None:
+        """Drop the jobs of silent entry instances, and the claim if the workers obey others."""
+        if self.listener.has_lost_hold():
+            self.group.fenced_until = moment + FENCED_PAUSE_SECONDS
+            self._end_claim("most workers obey another holder")
+            return
+        held = self.listener.held_count()
+        self.group.claim = attrs.evolve(self.group.claim, held=held)
+        live = {member.at.incarnation for member in self.group.live(moment)}
+        for incarnation in self.listener.waiting_entries() - live - {self.own.incarnation}:
+            self.log.warning("Entry instance lost.", peer=incarnation)
+            self.listener.peer_left(incarnation)
+
+    def _end_claim(self, reason: str) -> None:
+        if self.group.claim is not None:
+            self.group.claim = None
+            self.listener.claim_ended(reason)
+
     def _decide(self, moment: float) -> None:
         if self.group.must_yield(moment):
-            self.group.claim = None
-            self.listener.claim_ended("another claim is stronger")
+            self._end_claim("another claim is stronger")
         claim = self.group.claimable(moment)
         if claim is not None:
             self.listener.claim_wanted(claim)
@@ -295,7 +327,4 @@
         incarnation = member.at.incarnation
         self.outs.pop(incarnation, None)
         self.ins.pop(incarnation, None)
-        if incarnation in self.present:
-            self.present.discard(incarnation)
-            self.listener.peer_left(incarnation)
         self.transport.forget(member.at.address)
--- a/packages/daemon/cranberryshored/pool/protocols.py
+++ b/packages/daemon/cranberryshored/pool/protocols.py
@@ -105,9 +105,7 @@
         """Report every configuration that the operators put in force."""
         ...
 
-    async def follow_workers(
-        self, on_workers: Callable[[tuple[WorkerEntry, ...]], None]
-    ) -> None:
+    async def follow_workers(self, on_workers: Callable[[tuple[WorkerEntry, ...]], None]) -> None:
         """Report the registered workers whenever they change."""
         ...
 
--- a/packages/daemon/cranberryshored/pool/registry.py
+++ b/packages/daemon/cranberryshored/pool/registry.py
@@ -97,9 +97,7 @@
 
         await self._follow(self.layout.config_key, CONFIG_WAIT_MS, take)
 
-    async def follow_workers(
-        self, on_workers: Callable[[tuple[WorkerEntry, ...]], None]
-    ) -> None:
+    async def follow_workers(self, on_workers: Callable[[tuple[WorkerEntry, ...]], None]) -> None:
         """See :class:`Registry`.
 
         A worker whose entry is gone is reported for some time more, since entries lapse while the
--- a/packages/daemon/cranberryshored/pool/scheduling.py
+++ b/packages/daemon/cranberryshored/pool/scheduling.py
@@ -51,9 +51,7 @@
     closing: set[asyncio.Task] = attrs.field(factory=set)
     task: asyncio.Task | None = None
 
-    def begin(
-        self, claim: Claim, config: PoolConfig, roster: tuple[WorkerEntry, ...]
-    ) -> None:
+    def begin(self, claim: Claim, config: PoolConfig, roster: tuple[WorkerEntry, ...]) -> None:
         """Take over the workers that a claim covers."""
         self.claim = claim
         self.scheduler = Scheduler(config)
@@ -86,21 +84,30 @@
     def lost_count(self) -> int:
         """Return the number of listed workers that obey another holder."""
         workers = self.scheduler.workers.values()
-        return sum(
-            worker.state is HoldState.LOST and not worker.is_draining for worker in workers
-        )
+        return sum(worker.state is HoldState.LOST and not worker.is_draining for worker in workers)
+
+    def waiting_entries(self) -> set[str]:
+        """Return the entry instances that wait for jobs."""
+        return {job.entry for job in self.scheduler.jobs.values()}
 
     def set_config(self, config: PoolConfig) -> None:
         """Put a newer configuration in force."""
         self.scheduler.config = config
 
-    def set_roster(self, roster: tuple[WorkerEntry, ...]) -> None:
-        """Hold the registered workers, and no others."""
+    def set_roster(self, roster: tuple[WorkerEntry, ...], is_fresh: bool = False) -> None:
+        """Hold the registered workers, and no others.
+
+        Parameters
+        ----------
+        roster : tuple of WorkerEntry
+            The registered workers.
+        is_fresh : bool
+            Whether the list was read from the platform since this instance claimed.
+        """
         if self.claim is None:
             return
-        listed = {
-            entry.name: entry for entry in roster if self.claim.zone in ("", entry.zone)
-        }
+        self.scheduler.covers_all |= is_fresh and not self.claim.zone
+        listed = {entry.name: entry for entry in roster if self.claim.zone in ("", entry.zone)}
         for name in [name for name in self.scheduler.workers if name not in listed]:
             if not self.scheduler.workers[name].is_draining:
                 self.log.info("Worker is no longer registered.", worker=name)
