--- a/packages/core/cranberryshore/pool/effects.py
+++ b/packages/core/cranberryshore/pool/effects.py
@@ -37,6 +37,33 @@
     worker: str
 
 
+@attrs.frozen
+class JobAccount:
+    """What decided a job's end, for the log.
+
+    Parameters
+    ----------
+    queue : str
+        Its queue.
+    waited_ms, total_ms : int
+        Time until its first start, and until its end.
+    expected_ms, longest_run_ms : int
+        Longest run time that was expected, and that was seen.
+    aim_ms : int
+        Time within which it should have been answered.
+    waiting_jobs : int
+        Jobs that the scheduler knew at its end.
+    """
+
+    queue: str
+    waited_ms: int
+    total_ms: int
+    expected_ms: int
+    longest_run_ms: int
+    aim_ms: int
+    waiting_jobs: int
+
+
 @attrs.frozen
 class JobEnded(PoolEffect):
     """Tell an entry instance how a job ended.
@@ -53,6 +80,8 @@
         One sentence for people.
     retry_after_ms : int
         When the caller may come back with a job that has not run; 0 if that cannot help.
+    account : JobAccount or None
+        What decided it; not sent to other instances.
     """
 
     entry: str
@@ -60,3 +89,4 @@
     outcome: Outcome
     detail: str = ""
     retry_after_ms: int = 0
+    account: "JobAccount | None" = None
--- a/packages/core/cranberryshore/pool/held_worker.py
+++ b/packages/core/cranberryshore/pool/held_worker.py
@@ -9,7 +9,7 @@
 
 import attrs
 
-from cranberryshore.work.capacity import NOTHING, Capacity
+from cranberryshore.work.capacity import Capacity
 
 RunKey = tuple[str, int]
 """Name of a task and number of its attempt."""
@@ -117,6 +117,8 @@
         Its kind and its rack.
     token : int
         Fencing token of the next order.
+    room : Capacity
+        What nothing occupies.
     """
 
     name: str
@@ -138,15 +140,20 @@
     extended_at: float = float("-inf")
     looked_at: float = float("-inf")
     lost_at: float = float("-inf")
-    used: Capacity = NOTHING
+    room: Capacity = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self.room = self.total
 
     def is_usable(self) -> bool:
         """Tell whether tasks may be placed."""
         return self.state is HoldState.HELD and not self.strangers and not self.is_draining
 
-    def free(self) -> Capacity:
-        """Return the room that nothing occupies."""
-        return self.total - self.used
+    def resize(self, total: Capacity) -> None:
+        """Take another whole room; what runs goes on."""
+        if total != self.total:
+            self.room = self.room + total - self.total
+            self.total = total
 
     def lease_end_ms(self, now: float) -> int | None:
         """Return the lease's end on the worker's clock; ``None`` if that must not be extended.
@@ -161,7 +168,7 @@
     def begin(self, key: RunKey, demand: Capacity, now: float) -> None:
         """Account for a run that the worker is now asked to start."""
         self.runs[key] = Run(demand, RunState.ASKED, self.token, now)
-        self.used = self.used + demand
+        self.room = self.room - demand
         self.extended_at = now
 
     def confirm(self, key: RunKey, now: float) -> None:
@@ -177,7 +184,7 @@
         """Forget a run that is over or never began, and free its room."""
         run = self.runs.pop(key, None)
         if run is not None:
-            self.used = self.used - run.demand
+            self.room = self.room + run.demand
         return run
 
     def raise_token(self, token: int) -> None:
--- a/packages/core/cranberryshore/pool/placing.py
+++ b/packages/core/cranberryshore/pool/placing.py
@@ -5,7 +5,9 @@
 gaps whole. Workers that have failed or are slow come last.
 """
 
-from collections.abc import Callable, Iterable
+from collections.abc import Iterable
+
+import attrs
 
 from cranberryshore.pool.held_worker import HeldWorker
 from cranberryshore.pool.work import PoolJob, PoolTask
@@ -19,34 +21,39 @@
     return not (step.max_per_worker and job.count_on(worker.name, task.step) >= step.max_per_worker)
 
 
-def best_worker(
-    workers: Iterable[HeldWorker],
-    job: PoolJob,
-    task: PoolTask,
-    preference: Callable[[str], float],
-) -> HeldWorker | None:
+@attrs.frozen
+class Candidate:
+    """A worker that may be used, and how gladly, lower first."""
+
+    worker: HeldWorker
+    preference: float
+
+
+def best_worker(candidates: Iterable[Candidate], job: PoolJob, task: PoolTask) -> HeldWorker | None:
     """Return the worker for a task, or ``None`` if none has room.
 
     Parameters
     ----------
-    workers : iterable of HeldWorker
+    candidates : iterable of Candidate
         Usable workers of the queue's service.
     job, task : PoolJob, PoolTask
         What is to be placed.
-    preference : callable
-        Preference by worker name, lower first.
     """
     step = job.step_of(task)
+    demand = step.demand
     best, best_key = None, None
-    for worker in workers:
-        free = worker.free()
-        if not free.holds(step.demand) or not is_allowed(worker, job, task):
+    for candidate in candidates:
+        worker = candidate.worker
+        room = worker.room
+        if room.millicores < demand.millicores or not room.holds(demand):
+            continue
+        if not is_allowed(worker, job, task):
             continue
         key = (
             worker.name in task.avoided,
-            preference(worker.name),
+            candidate.preference,
             bool(step.rack) and worker.rack != step.rack,
-            free.millicores,
+            room.millicores,
             worker.name,
         )
         if best_key is None or key < best_key:
--- a/packages/core/cranberryshore/pool/scheduler.py
+++ b/packages/core/cranberryshore/pool/scheduler.py
@@ -11,7 +11,7 @@
 from cranberryshore.placement.health import PoolHealth
 from cranberryshore.pool import ordering, placing, refusing
 from cranberryshore.pool.config import LATE_FACTOR, PoolConfig
-from cranberryshore.pool.effects import JobEnded, LookAt, PoolEffect, StartRun, StopRun
+from cranberryshore.pool.effects import JobAccount, JobEnded, LookAt, PoolEffect, StartRun, StopRun
 from cranberryshore.pool.held_worker import (
     LEASE_OVER_SECONDS,
     EndKind,
@@ -23,6 +23,7 @@
     RunState,
 )
 from cranberryshore.pool.learning import RunTimes
+from cranberryshore.pool.placing import Candidate
 from cranberryshore.pool.work import Outcome, PoolJob, PoolTask, TaskPhase, WorkRequest
 
 STOP_AGAIN_SECONDS = 0.15
@@ -145,7 +146,21 @@
             if task.phase is TaskPhase.PLACED:
                 self._stop(task.worker, (self._name(job, task), task.attempt), now)
         if outcome is not None:
-            self.effects.append(JobEnded(job.entry, job.request.id, outcome, detail, retry_ms))
+            account = self._account(job, now)
+            end = JobEnded(job.entry, job.request.id, outcome, detail, retry_ms, account)
+            self.effects.append(end)
+
+    def _account(self, job: PoolJob, now: float) -> JobAccount:
+        started_at = job.started_at if job.has_started else now
+        return JobAccount(
+            job.request.queue,
+            int((started_at - job.arrived_at) * 1000),
+            int((now - job.arrived_at) * 1000),
+            int(self.run_times.expected_ms(job.request.queue, job.request_work_ms)),
+            int(job.longest_run_ms),
+            int((job.aim_at - job.arrived_at) * 1000),
+            len(self.jobs),
+        )
 
     def _remember_attempts(self, job: PoolJob) -> None:
         last = max(task.attempt for task in job.tasks)
@@ -230,9 +245,9 @@
         for name, worker in list(self.workers.items()):
             for end in worker.overdue(now):
                 self._run_ended(worker, end, now)
-            if worker.is_draining and worker.state is HoldState.LOST and not worker.runs:
-                if now > worker.lost_at + LEASE_OVER_SECONDS:
-                    del self.workers[name]
+            is_gone = worker.is_draining and worker.state is HoldState.LOST and not worker.runs
+            if is_gone and now > worker.lost_at + LEASE_OVER_SECONDS:
+                del self.workers[name]
         for job in list(self.jobs.values()):
             self._check_hope(job, now)
         self._place(now)
@@ -256,14 +271,28 @@
         return (worker for worker in self.workers.values() if worker.service == queue.service)
 
     def _place(self, now: float) -> None:
-        usable = [worker for worker in self.workers.values() if worker.is_usable()]
-        room = max((worker.free().millicores for worker in usable), default=0)
-        if room <= 0:
+        waiting = [job for job in self.jobs.values() if job.waiting_tasks]
+        if not waiting:
+            return
+        smallest = min(job.smallest_millicores for job in waiting)
+        candidates = [
+            Candidate(worker, self.health.preference(worker.name))
+            for worker in self.workers.values()
+            if worker.room.millicores >= smallest
+            and worker.is_usable()
+            and self.health.allowance(worker.name, now) > 0
+        ]
+        if not candidates:
             return
-        for job in sorted(self.jobs.values(), key=lambda job: ordering.waiting_order(job, now)):
+        waiting.sort(key=lambda job: ordering.waiting_order(job, now))
+        largest = _largest_room(candidates)
+        for job in waiting:
+            if job.smallest_millicores > largest:
+                continue
             if job.held_back_until > now and not self._is_verified(job):
                 continue
-            self._place_job(job, usable, now)
+            if self._place_job(job, candidates, now):
+                largest = _largest_room(candidates)
 
     def _is_verified(self, job: PoolJob) -> bool:
         """Tell whether every worker has answered a look since a resumed job arrived."""
@@ -277,33 +306,33 @@
             job.held_back_until = 0.0
         return is_verified
 
-    def _place_job(self, job: PoolJob, usable: list[HeldWorker], now: float) -> None:
-        waiting = job.startable()
-        if not waiting:
-            return
+    def _place_job(self, job: PoolJob, candidates: list[Candidate], now: float) -> bool:
+        """Place what fits of a job; return whether anything was placed."""
         queue = self.config.named(job.request.queue)
         if queue is None:
-            return
-        members = [
-            worker
-            for worker in usable
-            if worker.service == queue.service and self.health.allowance(worker.name, now) > 0
-        ]
-        for task in waiting:
+            return False
+        members = [item for item in candidates if item.worker.service == queue.service]
+        has_placed = False
+        for task in job.startable():
             if self.active_names.get(self._name(job, task)):
                 continue
-            worker = placing.best_worker(members, job, task, self.health.preference)
+            worker = placing.best_worker(members, job, task)
             if worker is None:
-                return
-            self._start(job, task, worker, now)
+                break
+            has_placed |= self._start(job, task, worker, now)
+            if not self.health.allowance(worker.name, now):
+                members = [item for item in members if item.worker is not worker]
+        return has_placed
 
-    def _start(self, job: PoolJob, task: PoolTask, worker: HeldWorker, now: float) -> None:
+    def _start(self, job: PoolJob, task: PoolTask, worker: HeldWorker, now: float) -> bool:
         lease_end_ms = worker.lease_end_ms(now)
         if lease_end_ms is None:
-            return
+            return False
+        job.waiting_tasks -= 1
         task.attempt += 1
         task.phase, task.worker = TaskPhase.PLACED, worker.name
-        job.has_started = True
+        if not job.has_started:
+            job.has_started, job.started_at = True, now
         name = self._name(job, task)
         key = (name, task.attempt)
         worker.begin(key, job.step_of(task).demand, now)
@@ -313,6 +342,7 @@
         record.probe_running = bool(record.isolation_seconds)
         payload = job.request.payload
         self.effects.append(StartRun(worker.name, key, payload, worker.token, lease_end_ms))
+        return True
 
     def _stop(self, name: str, key: RunKey, now: float) -> None:
         worker = self.workers.get(name)
@@ -336,6 +366,7 @@
             self._task_done(job, task, now)
             return
         task.phase, task.worker = TaskPhase.WAITING, ""
+        job.waiting_tasks += 1
         if end.kind is not EndKind.NEVER_BEGAN:
             task.avoided.add(worker.name)
         if end.kind is EndKind.FAILED:
@@ -347,6 +378,9 @@
         task.phase = TaskPhase.DONE
         job.open_tasks -= 1
         if job.open_tasks == 0:
+            if not job.was_slowed and len(job.request.steps) == 1:
+                request = job.request
+                self.run_times.learn(request.queue, job.longest_run_ms, job.request_work_ms)
             self._end(job, Outcome.COMPLETED, "", now)
 
     def _learn(
@@ -355,13 +389,17 @@
         queue, estimate = job.request.queue, job.step_of(task).estimate_ms
         if end.kind is EndKind.DONE:
             run_ms = (now - end.run.started_at) * 1000
+            job.longest_run_ms = max(job.longest_run_ms, run_ms)
             expected = self.run_times.expected_ms(queue, estimate)
             self.health.on_success(worker.name, run_ms, expected)
-            if not self.health.is_slow(worker.name):
-                self.run_times.learn(queue, run_ms, estimate)
+            job.was_slowed |= self.health.is_slow(worker.name)
         elif end.kind is EndKind.FAILED:
             self.health.on_failure(worker.name, job.request.id, now)
 
     @staticmethod
     def _name(job: PoolJob, task: PoolTask) -> str:
         return f"{job.request.id}.0.{task.step}.{task.index}"
+
+
+def _largest_room(candidates: list[Candidate]) -> int:
+    return max(item.worker.room.millicores for item in candidates)
--- a/packages/core/cranberryshore/pool/work.py
+++ b/packages/core/cranberryshore/pool/work.py
@@ -113,6 +113,10 @@
         Entry instance that holds the caller's connection.
     arrived_at : float
         When the caller's request arrived, in seconds on the scheduler's clock.
+    waiting_tasks : int
+        Number of its tasks in phase ``WAITING``.
+    smallest_millicores : int
+        Least demand of a task.
     """
 
     request: WorkRequest
@@ -126,9 +130,14 @@
     start_by: float = 0.0
     held_back_until: float = 0.0
     has_started: bool = False
+    started_at: float = 0.0
+    longest_run_ms: float = 0.0
+    was_slowed: bool = False
     is_ended: bool = False
     tasks: list[PoolTask] = attrs.field(init=False)
     open_tasks: int = attrs.field(init=False)
+    waiting_tasks: int = attrs.field(init=False)
+    smallest_millicores: int = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
         self.tasks = [
@@ -136,7 +145,8 @@
             for number, step in enumerate(self.request.steps)
             for index in range(step.count)
         ]
-        self.open_tasks = len(self.tasks)
+        self.open_tasks = self.waiting_tasks = len(self.tasks)
+        self.smallest_millicores = min(step.demand.millicores for step in self.request.steps)
 
     def step_of(self, task: PoolTask) -> StepSpec:
         """Return the specification of a task."""
@@ -149,6 +159,8 @@
     def startable(self) -> list[PoolTask]:
         """Return the waiting tasks whose earlier steps are done."""
         steps = self.request.steps
+        if len(steps) == 1:
+            return [task for task in self.tasks if task.phase is TaskPhase.WAITING]
         ready = {
             number
             for number, step in enumerate(steps)
--- a/packages/daemon/cranberryshored/pool/scheduling.py
+++ b/packages/daemon/cranberryshored/pool/scheduling.py
@@ -135,6 +135,7 @@
         """Do what the scheduler has decided."""
         for effect in self.scheduler.take_effects():
             if isinstance(effect, JobEnded):
+                self._log_end(effect)
                 self.on_ended(effect)
                 continue
             conversation = self.conversations.get(effect.worker)
@@ -145,13 +146,26 @@
             else:
                 conversation.begin(effect)
 
+    def _log_end(self, end: JobEnded) -> None:
+        account = attrs.asdict(end.account) if end.account is not None else {}
+        self.log.info(
+            "Job ended.",
+            job=end.job,
+            entry=end.entry,
+            outcome=end.outcome.value,
+            reason=end.detail,
+            config=self.scheduler.config.version,
+            **account,
+        )
+
     def _hold(self, entry: WorkerEntry) -> None:
         worker = self.scheduler.workers.get(entry.name)
         if worker is not None and worker.address == entry.address and self._is_kept(worker):
             if entry.is_draining and not worker.is_draining:
                 self.log.info("Worker is leaving.", worker=entry.name)
             worker.is_draining = entry.is_draining
-            worker.total, worker.labels = entry.capacity, frozenset(entry.labels)
+            worker.resize(entry.capacity)
+            worker.labels = frozenset(entry.labels)
             return
         if worker is not None and worker.runs:
             return
