Pools in virtual time under drawn faults, and three faults that they found

Change: the lists decide after a restart; the scheduler's beats tell whom it hears; a new holder's token jumps ahead.

--- a/packages/core/cranberryshore/pool/held_worker.py
+++ b/packages/core/cranberryshore/pool/held_worker.py
@@ -228,8 +228,7 @@
         """
         ends: list[RunEnd] = []
         if self.born != answer.born:
-            if self.born:
-                ends += [RunEnd(key, EndKind.LAPSED, self.drop(key)) for key in list(self.runs)]
+            # Runs of the earlier life are missing from the lists; later ones may be there.
             self.born, self.last_seen = answer.born, 0
         self.clock_offset_ms = answer.clock_ms - now * 1000
         listed = {(run.task, run.attempt): run for run in answer.running}
--- a/packages/daemon/cranberryshored/pool/app.py
+++ b/packages/daemon/cranberryshored/pool/app.py
@@ -1,14 +1,14 @@
 """An entry instance of a pool: the parts put together, with explicit start, drain and close."""
 
 import asyncio
-from time import time
+from collections.abc import Callable
 
 import attrs
 from result import Err, Result
 from structlog.typing import FilteringBoundLogger
 
 from cranberryshore.errors import SettingsError
-from cranberryshore.messages import CancelWork, SubmitWork, WorkEnded
+from cranberryshore.messages import CancelWork, PeerMessage, SubmitWork, WorkEnded
 from cranberryshore.pool import (
     Claim,
     Group,
@@ -22,8 +22,8 @@
 from cranberryshore.timeline import Recorder
 from cranberryshored.log import part_log
 from cranberryshored.metrics import Metrics
-from cranberryshored.peers.transport import PeerTransport
-from cranberryshored.pool.clock import TokenSource, now
+from cranberryshored.peers.transport import PeerTransport, Transport
+from cranberryshored.pool.clock import TokenSource, now, unix_ms
 from cranberryshored.pool.desk import EntryDesk
 from cranberryshored.pool.exchange import Numbered, PeerExchange
 from cranberryshored.pool.protocols import Registry, WorkerCalls
@@ -40,6 +40,20 @@
 """Time after which no new connections come once readiness has ended: two looks, one a second."""
 
 
+Deliver = Callable[[str, PeerMessage], None]
+TransportMaker = Callable[[MemberAddress, Deliver], Transport]
+
+
+def peer_transport(metrics: Metrics) -> TransportMaker:
+    """Return a maker of transports over the network."""
+
+    def make(own: MemberAddress, deliver: Deliver) -> Transport:
+        recorder, log = Recorder(own.incarnation), part_log("peers")
+        return PeerTransport(own.address, lambda: own.incarnation, deliver, recorder, metrics, log)
+
+    return make
+
+
 @attrs.define(eq=False, slots=False)
 class PoolDaemon:
     """One entry instance of a pool.
@@ -54,12 +68,15 @@
         Speaks to workers.
     registry : Registry
         Reads the platform's store.
+    make_transport : callable
+        Makes the transport to the peers.
     """
 
     settings: PoolSettings
     metrics: Metrics
     calls: WorkerCalls
     registry: Registry
+    make_transport: TransportMaker
     is_draining: bool = False
     pool_config: PoolConfig = PoolConfig()
     workers: tuple[WorkerEntry, ...] = ()
@@ -70,18 +87,11 @@
 
     def __attrs_post_init__(self) -> None:
         settings = self.settings
-        incarnation = f"{settings.instance}.{int(time() * 1000):x}"
+        incarnation = f"{settings.instance}.{unix_ms():x}"
         own = MemberAddress(incarnation, str(settings.peer_listen), settings.zone)
         self.tokens = TokenSource(own.address)
         self.exchange = PeerExchange(Group(own, now()), settings.seeds, self, part_log("group"))
-        self.exchange.transport = PeerTransport(
-            own.address,
-            lambda: incarnation,
-            self.exchange.deliver,
-            Recorder(incarnation),
-            self.metrics,
-            part_log("peers"),
-        )
+        self.exchange.transport = self.make_transport(own, self.exchange.deliver)
         self.scheduling = SchedulingService(
             self.calls, self.tokens, self._job_ended, part_log("scheduler")
         )
@@ -261,7 +271,7 @@
 
     def _workers_read(self, workers: tuple[WorkerEntry, ...]) -> None:
         if workers != self.workers or not self.roster_version:
-            self.roster_version = max(self.roster_version + 1, int(time() * 1000))
+            self.roster_version = max(self.roster_version + 1, unix_ms())
             self.workers = workers
         self.scheduling.set_roster(workers, is_fresh=True)
 
--- a/packages/daemon/cranberryshored/pool/clock.py
+++ b/packages/daemon/cranberryshored/pool/clock.py
@@ -1,14 +1,33 @@
 """The clocks that a pool goes by."""
 
+from collections.abc import Callable
 from time import CLOCK_BOOTTIME, clock_gettime, time
 
+import attrs
+
 TOKEN_LOW_BITS = 11
 """Bits of a fencing token that tell instances apart which draw one in the same millisecond."""
 
 
+@attrs.define
+class Clocks:
+    """Where the time is read; virtual time puts its own readers here."""
+
+    steady: Callable[[], float] = lambda: clock_gettime(CLOCK_BOOTTIME)
+    unix: Callable[[], float] = time
+
+
+CLOCKS = Clocks()
+
+
 def now() -> float:
     """Return seconds on a clock that goes on while the machine is suspended."""
-    return clock_gettime(CLOCK_BOOTTIME)
+    return CLOCKS.steady()
+
+
+def unix_ms() -> int:
+    """Return the time of day in milliseconds since 1970."""
+    return int(CLOCKS.unix() * 1000)
 
 
 class TokenSource:
@@ -24,6 +43,11 @@
 
     def next(self) -> int:
         """Return a token above all that this source has drawn."""
-        fresh = (int(time() * 1000) << TOKEN_LOW_BITS) + self.low
+        fresh = (unix_ms() << TOKEN_LOW_BITS) + self.low
         self.last = max(fresh, self.last + (1 << TOKEN_LOW_BITS))
         return self.last
+
+    def jump(self, seconds: float) -> int:
+        """Return a token that is ahead of this instance's clock, above what a worker has seen."""
+        self.last += int(seconds * 1000) << TOKEN_LOW_BITS
+        return self.next()
--- a/packages/daemon/cranberryshored/pool/conversation.py
+++ b/packages/daemon/cranberryshored/pool/conversation.py
@@ -17,6 +17,9 @@
 CONFIRM_SECONDS = 1.0
 """An idle worker is told after so long that its last ends were taken note of; 4 s are allowed."""
 
+TAKING_JUMPS = 4
+"""A new holder's token jumps 1, 2, 4 and 8 s ahead: clocks of instances differ by seconds."""
+
 RETRY_SECONDS = 0.2
 """Pause between two looks at a worker that does not answer."""
 
@@ -161,6 +164,14 @@
                 )
         self.on_change()
 
+    def _fenced(self) -> None:
+        """Jump ahead while taking over, since clocks may differ; else leave the worker."""
+        worker = self.worker
+        if worker.state is HoldState.TAKING and self.failed_looks <= TAKING_JUMPS:
+            worker.raise_token(self.tokens.jump(2.0 ** (self.failed_looks - 1)))
+            return
+        self.scheduler.fenced(worker.name, now())
+
     def _look_failed(self, failure: LookFailure, token: int) -> None:
         worker = self.worker
         self.failed_looks += 1
@@ -168,6 +179,6 @@
             self.log.warning("Look failed.", worker=worker.name, reason=failure.value, token=token)
         if failure is LookFailure.FENCED:
             if token == worker.token:
-                self.scheduler.fenced(worker.name, now())
+                self._fenced()
             return
         self.scheduler.look_failed(worker.name, self.tokens.next(), now())
--- a/packages/daemon/cranberryshored/pool/exchange.py
+++ b/packages/daemon/cranberryshored/pool/exchange.py
@@ -120,6 +120,7 @@
     redialed: dict[str, float] = attrs.field(factory=dict)
     follows: str = ""
     beat_at: float = 0.0
+    heard_at: float = 0.0
     task: asyncio.Task | None = None
 
     async def start(self) -> None:
@@ -174,6 +175,7 @@
         if follows == self.follows:
             return
         self.log.info("Scheduler followed.", before=self.follows, scheduler=follows)
+        self.heard_at = now()
         before, self.follows = self.group.members.get(self.follows), follows
         self.listener.scheduler_changed()
         if not follows:
@@ -196,6 +198,8 @@
         member.roster_version = beat.roster_version
         for item in beat.members:
             self.group.learn(item, moment)
+        if beat.sender.incarnation == self.follows:
+            self._check_heard(beat, moment)
         if beat.sender.incarnation in self.outs:
             self.outs[beat.sender.incarnation].confirm(beat.received)
         if is_new:
@@ -211,6 +215,15 @@
         if beat.claim is not None or member.at.incarnation == self.follows:
             self._decide(moment)
 
+    def _check_heard(self, beat: Beat, moment: float) -> None:
+        """Open a new channel to the scheduler if it does not hear this instance any more."""
+        if any(item.address == self.own.address for item in beat.members):
+            self.heard_at = moment
+        elif moment - self.heard_at > REDIAL_SECONDS:
+            self.heard_at = moment
+            self.log.warning("Scheduler does not hear this instance.", peer=self.follows)
+            self.transport.forget(beat.sender.address)
+
     def _is_mistaken(self, beat: Beat) -> bool:
         """Tell whether a peer follows nobody, or this instance although it schedules nothing."""
         if beat.follows == self.own.incarnation:
--- a/packages/proof/cranberryshore_proof/network.py
+++ b/packages/proof/cranberryshore_proof/network.py
@@ -95,6 +95,9 @@
         self.dead.add(node)
         self.frozen.discard(node)
         self._loop().wake(node)
+        for key in [key for key in self.waiting if key[1] == node]:
+            # What waited for a process that stood still is lost with it.
+            del self.waiting[key]
         for task in list(self.tasks.pop(node, ())):
             task.cancel()
 
--- /dev/null
+++ b/packages/proof/cranberryshore_proof/pool_world.py
@@ -0,0 +1,305 @@
+"""Entry instances of a pool in virtual time, with callers, workers and faults."""
+
+import asyncio
+from collections.abc import Callable
+from random import Random
+from types import SimpleNamespace
+
+import attrs
+
+from cranberryshore.messages import decode_envelope, encode_envelope, open_part
+from cranberryshore.pool import (
+    MemberAddress,
+    Outcome,
+    PoolConfig,
+    QueueSpec,
+    RunKey,
+    StepSpec,
+    WorkerEntry,
+    WorkRequest,
+)
+from cranberryshore.settings.pool import PoolSettings
+from cranberryshore.timeline.clock import Stamp
+from cranberryshore.work import Capacity
+from cranberryshore_proof.network import Network
+from cranberryshore_proof.pool_workers import ModelCalls, ModelWorker
+from cranberryshored.metrics import Metrics
+from cranberryshored.pool.app import PoolDaemon
+from cranberryshored.pool.clock import CLOCKS
+
+RETRY_SECONDS = 1.3
+BUDGET_MS = 3000
+UNIX_AT_START = 1_700_000_000.0
+
+
+@attrs.define(eq=False)
+class ModelTransport:
+    """Messages between instances over the network in virtual time."""
+
+    own: MemberAddress
+    deliver: Callable
+    network: Network
+    inboxes: dict[str, "ModelTransport"]
+    recorder: object = None
+
+    async def start(self) -> None:
+        """Listen."""
+        self.inboxes[self.own.address] = self
+
+    async def close(self) -> None:
+        """Stop."""
+
+    def forget(self, address: str) -> None:
+        """Do nothing: the network keeps no channels."""
+
+    def send(self, address: str, target: str, message) -> None:
+        """Carry one message."""
+        data = encode_envelope(self.own.incarnation, target, Stamp(0, 0), [message])
+        self.network.send(self.own.address, address, lambda: self._arrive(address, data))
+
+    def _arrive(self, address: str, data: bytes) -> None:
+        inbox = self.inboxes.get(address)
+        envelope = decode_envelope(data)
+        if inbox is None or envelope.target not in ("", inbox.own.incarnation):
+            return
+        for part in envelope.parts:
+            inbox.deliver(envelope.sender, open_part(part.kind, part.body))
+
+
+@attrs.define(eq=False)
+class ModelRegistry:
+    """The platform's store, reduced to what a pool reads of it."""
+
+    world: "PoolWorld"
+    node: str
+    member: MemberAddress | None = None
+
+    async def start(self) -> None:
+        """Do nothing."""
+
+    async def close(self) -> None:
+        """Do nothing."""
+
+    def _is_away(self) -> bool:
+        return self.node in self.world.without_store
+
+    async def follow_config(self, on_config) -> None:
+        """See :class:`Registry`."""
+        while True:
+            if not self._is_away():
+                on_config(self.world.config)
+            await asyncio.sleep(0.05)
+
+    async def follow_workers(self, on_workers) -> None:
+        """See :class:`Registry`."""
+        while True:
+            if not self._is_away():
+                on_workers(self.world.roster())
+            await asyncio.sleep(0.5)
+
+    async def keep_registered(self, member: MemberAddress) -> None:
+        """See :class:`Registry`."""
+        self.member = member
+        while True:
+            if not self._is_away():
+                self.world.registered[member.address] = (member, self.world.now())
+            await asyncio.sleep(1.0)
+
+    async def unregister(self) -> None:
+        """Do nothing: the registration lapses."""
+
+    async def list_members(self) -> tuple[MemberAddress, ...] | None:
+        """See :class:`Registry`."""
+        if self._is_away():
+            return None
+        limit = self.world.now() - 3.0
+        return tuple(item for item, at in self.world.registered.values() if at >= limit)
+
+
+@attrs.define
+class PlayedJob:
+    """One caller's job and how it ended."""
+
+    id: str
+    begun_at: float
+    answers: list[Outcome] = attrs.field(factory=list)
+    ended_at: float | None = None
+
+
+@attrs.define(eq=False)
+class PoolWorld:
+    """A pool with its surroundings.
+
+    Checks at every start that no worker is over its room and no task runs twice.
+    """
+
+    seed: int
+    zones: tuple[str, ...] = ("a", "a", "b", "b", "c")
+    worker_count: int = 6
+    random: Random = attrs.field(init=False)
+    network: Network = attrs.field(init=False)
+    workers: dict[str, ModelWorker] = attrs.field(factory=dict)
+    daemons: dict[str, PoolDaemon] = attrs.field(factory=dict)
+    inboxes: dict[str, ModelTransport] = attrs.field(factory=dict)
+    registered: dict = attrs.field(factory=dict)
+    without_store: set[str] = attrs.field(factory=set)
+    demands: dict[str, int] = attrs.field(factory=dict)
+    seconds: dict[str, float] = attrs.field(factory=dict)
+    jobs: list[PlayedJob] = attrs.field(factory=list)
+    faults: list[str] = attrs.field(factory=list)
+    late_share: float = 0.0
+    config: PoolConfig = PoolConfig(1, (QueueSpec("q", "h", "/q/", "s", 0, 4, 3.0, 500),))
+
+    def __attrs_post_init__(self) -> None:
+        self.random = Random(self.seed)
+        self.network = Network(self.random)
+
+    def now(self) -> float:
+        """Return the virtual time."""
+        return asyncio.get_running_loop().time()
+
+    def roster(self) -> tuple[WorkerEntry, ...]:
+        """Return the workers as they are registered."""
+        return tuple(
+            WorkerEntry(worker.name, worker.name, worker.zone, "s", Capacity(worker.millicores))
+            for worker in self.workers.values()
+            if not worker.is_down
+        )
+
+    def address(self, number: int) -> str:
+        """Return the address of an instance."""
+        return f"10.0.0.{number + 1}:1"
+
+    async def start(self) -> None:
+        """Start all instances and wait until work can flow."""
+        loop = asyncio.get_running_loop()
+        CLOCKS.steady = loop.time
+        CLOCKS.unix = lambda: UNIX_AT_START + loop.time()
+        loop.set_task_factory(self.network.task_factory)
+        for number in range(self.worker_count):
+            name = f"w{number}"
+            zone = sorted(set(self.zones))[number % len(set(self.zones))]
+            seconds = self._run_seconds
+            self.workers[name] = ModelWorker(name, zone, 4000, seconds, self._check_start)
+        for number in range(len(self.zones)):
+            await self.boot(number)
+        await asyncio.sleep(3.0)
+
+    def _run_seconds(self, task: str) -> float:
+        return self.seconds[task.partition(".")[0]]
+
+    async def boot(self, number: int) -> None:
+        """Start a run of an instance unless it runs."""
+        address = self.address(number)
+        if address in self.daemons:
+            return
+        self.network.begin_run(address)
+        settings = PoolSettings(
+            f"e{number}", self.zones[number], address, address, address, address, address
+        )
+        calls = ModelCalls(address, self.workers, self.demands, self.network, self.random)
+        calls.late_share = self.late_share
+        daemon = PoolDaemon(
+            settings,
+            Metrics(),
+            calls,
+            ModelRegistry(self, address),
+            lambda own, deliver: ModelTransport(own, deliver, self.network, self.inboxes),
+        )
+        self.daemons[address] = daemon
+        await self.network.spawn(address, daemon.start())
+
+    def kill(self, number: int) -> None:
+        """Kill an instance at once."""
+        address = self.address(number)
+        self.network.end_run(address)
+        self.inboxes.pop(address, None)
+        self.daemons.pop(address, None)
+
+    def scheduler_number(self) -> int | None:
+        """Return the number of an instance that schedules."""
+        for number in range(len(self.zones)):
+            daemon = self.daemons.get(self.address(number))
+            if daemon is not None and daemon.group.claim is not None:
+                return number
+        return None
+
+    def cut(self, one: set[int], zones: set[str]) -> None:
+        """Cut instances from all others, and from the workers outside some zones."""
+        for number in one:
+            for other in set(range(len(self.zones))) - one:
+                self.network.cut(self.address(number), self.address(other))
+        for worker in self.workers.values():
+            for number in range(len(self.zones)):
+                if (number in one) != (worker.zone in zones):
+                    self.network.cut(self.address(number), worker.name)
+
+    def heal(self) -> None:
+        """End all cuts."""
+        self.network.cuts.clear()
+        self.network._release()
+
+    def _check_start(self, worker: ModelWorker, key: RunKey) -> None:
+        now = self.now()
+        if worker.used() > worker.millicores:
+            self.faults.append(f"{now:.3f} {worker.name} over its room: {sorted(worker.runs)}")
+        for other in self.workers.values():
+            other.pass_time(now)
+            for task, attempt in other.runs:
+                if task == key[0] and not (other is worker and attempt == key[1]):
+                    where = f"{other.name}/{attempt} and {worker.name}/{key[1]}"
+                    self.faults.append(f"{now:.3f} {task} runs twice: {where}")
+
+    async def call(self, number: int, job: PlayedJob, tasks: int) -> None:
+        """Submit a job as a caller does, and again after an answer that allows it."""
+        while self.now() < job.begun_at + BUDGET_MS / 1000:
+            left = int((job.begun_at - self.now()) * 1000) + BUDGET_MS
+            outcome = await self._try(number, job, tasks, left)
+            if outcome is not None:
+                job.answers.append(outcome)
+                job.ended_at = self.now()
+                if outcome is not Outcome.GIVEN_UP:
+                    return
+            await asyncio.sleep(RETRY_SECONDS)
+            number = self.random.randrange(len(self.zones))
+
+    async def _try(self, number: int, job: PlayedJob, tasks: int, left: int) -> Outcome | None:
+        address = self.address(number)
+        daemon = self.daemons.get(address)
+        if daemon is None or address in self.network.frozen or not daemon.pool_config.version:
+            return None
+        step = StepSpec(tasks, Capacity(self.demands[job.id]), int(self.seconds[job.id] * 1000))
+        request = WorkRequest(job.id, "q", "", (step,), left)
+        queue = daemon.pool_config.named("q")
+        task = self.network.spawn(address, daemon.desk.submit(request, queue))
+        done, _ = await asyncio.wait([task], timeout=left / 1000)
+        if not done:
+            task.cancel()
+            return None
+        if task.cancelled() or task.exception() is not None:
+            return None
+        return task.result().outcome
+
+    async def load(self, seconds: float, per_second: float) -> list[asyncio.Task]:
+        """Submit jobs for some time."""
+        end = self.now() + seconds
+        callers = []
+        while self.now() < end:
+            await asyncio.sleep(self.random.expovariate(per_second))
+            job = PlayedJob(f"{len(self.jobs):016x}", self.now())
+            self.demands[job.id] = self.random.choice((900, 1400, 2000))
+            self.seconds[job.id] = self.random.choice((0.06, 0.2, 0.9))
+            self.jobs.append(job)
+            number = self.random.randrange(len(self.zones))
+            count = self.random.choice((1, 2, 4))
+            callers.append(asyncio.ensure_future(self.call(number, job, count)))
+        return callers
+
+    def summary(self) -> SimpleNamespace:
+        """Return how many jobs were answered how."""
+        last = [job.answers[-1] if job.answers else None for job in self.jobs]
+        return SimpleNamespace(
+            jobs=len(last),
+            completed=sum(outcome is Outcome.COMPLETED for outcome in last),
+            unanswered=sum(outcome is None for outcome in last),
+        )
