--- a/packages/core/cranberryshore/pool/__init__.py
+++ b/packages/core/cranberryshore/pool/__init__.py
@@ -4,7 +4,7 @@
 """
 
 from cranberryshore.pool.config import PoolConfig, QueueSpec
-from cranberryshore.pool.effects import JobEnded, LookAt, PoolEffect, StartRun, StopRun
+from cranberryshore.pool.effects import JobEnded, LookAt, PoolEffect, RunLost, StartRun, StopRun
 from cranberryshore.pool.group import Claim, Group, Member, MemberAddress
 from cranberryshore.pool.held_worker import (
     EndKind,
@@ -40,6 +40,7 @@
     "PoolEffect",
     "QueueSpec",
     "RunKey",
+    "RunLost",
     "Scheduler",
     "StartRun",
     "StepSpec",
--- a/packages/core/cranberryshore/pool/effects.py
+++ b/packages/core/cranberryshore/pool/effects.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from cranberryshore.pool.held_worker import RunKey
+from cranberryshore.pool.held_worker import EndKind, RunKey
 from cranberryshore.pool.work import Outcome
 
 
@@ -37,6 +37,28 @@
     worker: str
 
 
+@attrs.frozen
+class RunLost(PoolEffect):
+    """Note that a run did not end well.
+
+    Parameters
+    ----------
+    worker : str
+        Where it ran.
+    key : RunKey
+        Task and attempt.
+    kind : EndKind
+        How it ended.
+    ran_ms : int
+        Time since it was asked for.
+    """
+
+    worker: str
+    key: RunKey
+    kind: EndKind
+    ran_ms: int
+
+
 @attrs.frozen
 class JobAccount:
     """What decided a job's end, for the log.
@@ -53,6 +75,8 @@
         Time within which it should have been answered.
     waiting_jobs : int
         Jobs that the scheduler knew at its end.
+    runs : tuple of str
+        Worker and attempt of each task's last run.
     """
 
     queue: str
@@ -62,6 +86,7 @@
     longest_run_ms: int
     aim_ms: int
     waiting_jobs: int
+    runs: tuple[str, ...] = ()
 
 
 @attrs.frozen
--- a/packages/core/cranberryshore/pool/group.py
+++ b/packages/core/cranberryshore/pool/group.py
@@ -156,7 +156,9 @@
 
     def claimable(self, now: float) -> Claim | None:
         """Return the claim that this instance should make now, without a term, or ``None``."""
-        earliest = max(self.fenced_until, self.started_at + START_SECONDS)
+        earliest = self.fenced_until
+        if not self._hears_fresh_majority(now):
+            earliest = max(earliest, self.started_at + START_SECONDS)
         if self.claim is not None or self.is_draining or now < earliest:
             self.leaderless_since = None
             return None
@@ -171,6 +173,20 @@
             return None
         return self._scope(now)
 
+    def _hears_fresh_majority(self, now: float) -> bool:
+        """Tell whether most registered instances are heard and follow nobody.
+
+        Then no scheduler can be at work, and a fresh instance need not wait to hear of one.
+        """
+        if self.listed is None or len(self.listed) < 2:
+            return False
+        heard = {
+            member.at.address
+            for member in self.live(now)
+            if not member.follows and member.claim is None
+        }
+        return 2 * len((heard | {self.own.address}) & self.listed) > len(self.listed)
+
     def _scope(self, now: float) -> Claim | None:
         """Return the widest claim that the number of heard members allows."""
         heard = {self.own.address} | {
--- a/packages/core/cranberryshore/pool/scheduler.py
+++ b/packages/core/cranberryshore/pool/scheduler.py
@@ -11,7 +11,15 @@
 from cranberryshore.placement.health import PoolHealth
 from cranberryshore.pool import ordering, placing, refusing
 from cranberryshore.pool.config import LATE_FACTOR, PoolConfig
-from cranberryshore.pool.effects import JobAccount, JobEnded, LookAt, PoolEffect, StartRun, StopRun
+from cranberryshore.pool.effects import (
+    JobAccount,
+    JobEnded,
+    LookAt,
+    PoolEffect,
+    RunLost,
+    StartRun,
+    StopRun,
+)
 from cranberryshore.pool.held_worker import (
     LEASE_OVER_SECONDS,
     EndKind,
@@ -74,6 +82,10 @@
         effects, self.effects = self.effects, []
         return effects
 
+    def waiting_tasks(self) -> int:
+        """Return the number of tasks that wait for room."""
+        return sum(job.waiting_tasks for job in self.jobs.values())
+
     # Jobs
 
     def submit(self, request: WorkRequest, entry: str, now: float) -> None:
@@ -165,6 +177,7 @@
             int(job.longest_run_ms),
             int((job.aim_at - job.arrived_at) * 1000),
             len(self.jobs),
+            tuple(f"{task.last_worker}/{task.attempt}" for task in job.tasks if task.attempt),
         )
 
     def _remember_attempts(self, job: PoolJob) -> None:
@@ -377,6 +390,7 @@
     ) -> None:
         job.waiting_tasks -= 1
         task.phase, task.worker = TaskPhase.PLACED, worker.name
+        task.last_worker = worker.name
         if not job.has_started:
             job.has_started, job.started_at = True, now
         self.owners[key] = (job, task)
@@ -398,6 +412,9 @@
         if not self.active_names[name]:
             del self.active_names[name]
         self._learn(worker, end, job, task, now)
+        if end.kind is not EndKind.DONE:
+            ran_ms = int((now - end.run.started_at) * 1000)
+            self.effects.append(RunLost(worker.name, end.key, end.kind, ran_ms))
         if job.is_ended:
             return
         if end.kind is EndKind.DONE:
--- a/packages/core/cranberryshore/pool/tests/test_group.py
+++ b/packages/core/cranberryshore/pool/tests/test_group.py
@@ -37,6 +37,18 @@
         self.hear(2, 3)
         self.assertIsNone(self.claim_soon())
 
+    def test_fresh_majority_does_not_wait(self):
+        self.now = 0.1
+        self.hear(2)
+        self.group.list_members((member(1), member(2), member(3)))
+        self.assertEqual(self.claim_soon(), Claim(0))
+
+    def test_fresh_instance_waits_where_a_peer_follows_a_scheduler(self):
+        self.now = 0.1
+        self.hear(2, follows="e3.1")
+        self.group.list_members((member(1), member(2), member(3)))
+        self.assertIsNone(self.claim_soon())
+
     def test_instance_that_hears_nobody_claims_nothing(self):
         self.group.learn(member(2), self.now)
         self.group.learn(member(3), self.now)
--- a/packages/core/cranberryshore/pool/work.py
+++ b/packages/core/cranberryshore/pool/work.py
@@ -96,6 +96,7 @@
     index: int
     phase: TaskPhase = TaskPhase.WAITING
     worker: str = ""
+    last_worker: str = ""
     attempt: int = 0
     failures: int = 0
     avoided: set[str] = attrs.field(factory=set)
--- a/packages/daemon/cranberryshored/pool/app.py
+++ b/packages/daemon/cranberryshored/pool/app.py
@@ -90,12 +90,13 @@
         incarnation = f"{settings.instance}.{unix_ms():x}"
         own = MemberAddress(incarnation, str(settings.peer_listen), settings.zone)
         self.tokens = TokenSource(own.address)
-        self.exchange = PeerExchange(Group(own, now()), settings.seeds, self, part_log("group"))
+        log = part_log("group")
+        self.exchange = PeerExchange(Group(own, now()), settings.seeds, self, self.metrics, log)
         self.exchange.transport = self.make_transport(own, self.exchange.deliver)
         self.scheduling = SchedulingService(
-            self.calls, self.tokens, self._job_ended, part_log("scheduler")
+            self.calls, self.tokens, self._job_ended, part_log("scheduler"), self.metrics
         )
-        self.desk = EntryDesk(self, part_log("entry"))
+        self.desk = EntryDesk(self, self.metrics, part_log("entry"))
 
     @property
     def group(self) -> Group:
@@ -188,7 +189,8 @@
         self.log.info(
             "Configuration in force.", version=config.version, before=self.pool_config.version
         )
-        self.pool_config = self.desk.config = config
+        self.pool_config = config
+        self.metrics.revision.set(config.version)
         self.scheduling.set_config(config)
         if self.exchange.follows:
             self.exchange.announce()
--- a/packages/daemon/cranberryshored/pool/desk.py
+++ b/packages/daemon/cranberryshored/pool/desk.py
@@ -6,9 +6,10 @@
 import attrs
 from structlog.typing import FilteringBoundLogger
 
-from cranberryshore.pool import JobEnded, Outcome, PoolConfig, QueueSpec, WorkRequest
+from cranberryshore.pool import JobEnded, Outcome, QueueSpec, WorkRequest
 from cranberryshore.pool.config import LATE_FACTOR
 from cranberryshore.pool.refusing import RETRY_AFTER_MS
+from cranberryshored.metrics import Metrics
 from cranberryshored.pool.clock import now
 from cranberryshored.tasks import end_tasks
 
@@ -60,8 +61,8 @@
     """
 
     sink: WorkSink
+    metrics: Metrics
     log: FilteringBoundLogger
-    config: PoolConfig = PoolConfig()
     pending: dict[str, PendingJob] = attrs.field(factory=dict)
     task: asyncio.Task | None = None
 
@@ -87,7 +88,9 @@
         job = self.pending[request.id] = PendingJob(request, queue, now(), future)
         self._hand_over(job)
         try:
-            return await future
+            end = await future
+            self._answered(job, end)
+            return end
         except asyncio.CancelledError:
             self.log.info("Caller left.", job=request.id, queue=queue.name)
             if self.pending.get(request.id) is job:
@@ -96,6 +99,22 @@
                     self.sink.cancel(request.id)
             raise
 
+    def _answered(self, job: PendingJob, end: JobEnded) -> None:
+        seconds = now() - job.arrived_at
+        self.metrics.jobs.labels(end.outcome.value).inc()
+        self.metrics.job_seconds.observe(seconds)
+        self.log.info(
+            "Caller answered.",
+            job=job.request.id,
+            queue=job.queue.name,
+            outcome=end.outcome.value,
+            reason=end.detail,
+            scheduler=job.sent_to,
+            resumed=job.is_resumed,
+            ms=int(seconds * 1000),
+            budget_ms=job.request.budget_ms,
+        )
+
     def ended(self, end: JobEnded, scheduler: str) -> None:
         """Answer the caller of a job that has ended."""
         job = self.pending.get(end.job)
--- a/packages/daemon/cranberryshored/pool/exchange.py
+++ b/packages/daemon/cranberryshored/pool/exchange.py
@@ -26,6 +26,7 @@
     WorkerEntry,
 )
 from cranberryshore.pool.group import FENCED_PAUSE_SECONDS
+from cranberryshored.metrics import Metrics
 from cranberryshored.peers.transport import Transport
 from cranberryshored.pool.clock import now
 from cranberryshored.tasks import end_tasks
@@ -113,6 +114,7 @@
     group: Group
     seeds: tuple[str, ...]
     listener: ExchangeListener
+    metrics: Metrics
     log: FilteringBoundLogger
     transport: Transport | None = None
     outs: dict[str, OutStream] = attrs.field(factory=dict)
@@ -263,6 +265,7 @@
                 self._was_paused(moment)
             self.beat_at = moment
             self._round(moment)
+            self.metrics.live_peers.set(len(self.group.live(moment)))
 
     def _was_paused(self, moment: float) -> None:
         """Give the peers their time again, and give up workers that others may hold now."""
--- a/packages/daemon/cranberryshored/pool/scheduling.py
+++ b/packages/daemon/cranberryshored/pool/scheduling.py
@@ -13,11 +13,13 @@
     JobEnded,
     LookAt,
     PoolConfig,
+    RunLost,
     Scheduler,
     WorkerEntry,
     WorkRequest,
 )
 from cranberryshore.pool.held_worker import LOST_HOLD_PAUSE_SECONDS
+from cranberryshored.metrics import Metrics
 from cranberryshored.pool.clock import TokenSource, now
 from cranberryshored.pool.conversation import Conversation
 from cranberryshored.pool.protocols import WorkerCalls
@@ -45,6 +47,7 @@
     tokens: TokenSource
     on_ended: Callable[[JobEnded], None]
     log: FilteringBoundLogger
+    metrics: Metrics
     claim: Claim | None = None
     scheduler: Scheduler = attrs.field(factory=Scheduler)
     conversations: dict[str, Conversation] = attrs.field(factory=dict)
@@ -134,6 +137,9 @@
     def carry_out(self) -> None:
         """Do what the scheduler has decided."""
         for effect in self.scheduler.take_effects():
+            if isinstance(effect, RunLost):
+                self._log_lost(effect)
+                continue
             if isinstance(effect, JobEnded):
                 self._log_end(effect)
                 self.on_ended(effect)
@@ -146,6 +152,18 @@
             else:
                 conversation.begin(effect)
 
+    def _log_lost(self, lost: RunLost) -> None:
+        self.metrics.wasted.labels(f"run_{lost.kind.value}").inc()
+        self.log.info(
+            "Run did not end well.",
+            job=lost.key[0].partition(".")[0],
+            task=lost.key[0],
+            attempt=lost.key[1],
+            worker=lost.worker,
+            kind=lost.kind.value,
+            ran_ms=lost.ran_ms,
+        )
+
     def _log_end(self, end: JobEnded) -> None:
         account = attrs.asdict(end.account) if end.account is not None else {}
         self.log.info(
@@ -207,6 +225,8 @@
         while True:
             await asyncio.sleep(TICK_SECONDS)
             self.scheduler.tick(now())
+            self.metrics.queued_tasks.set(self.scheduler.waiting_tasks())
+            self.metrics.open_workers.set(self.held_count())
             self.carry_out()
             for name in self.conversations.keys() - self.scheduler.workers.keys():
                 self._close(self.conversations.pop(name))
