Lost answers cost 60 ms instead of 200; work that a cut held up is not taken

Jobs handed over were ended at once though a new scheduler knows all workers within milliseconds.

Change: waits of 60 ms and three times the process's own lateness; looks of 150 ms; a worker counts as silent after two lost looks; work carries the scheduler's clock as last heard and is dropped if it was under way for 0.5 s.

--- a/packages/core/cranberryshore/messages/pool.py
+++ b/packages/core/cranberryshore/messages/pool.py
@@ -20,6 +20,8 @@
         Version of the configuration in force there.
     received : int
         All numbered messages of the receiver up to this one have arrived.
+    sent_at : float
+        Sender's steady clock, in seconds.
     is_draining : bool
         Whether the sender is leaving.
     claim : Claim or None
@@ -35,6 +37,7 @@
     sender: MemberAddress
     config_version: int
     received: int
+    sent_at: float
     is_draining: bool = False
     claim: Claim | None = None
     follows: str = ""
@@ -44,10 +47,22 @@
 
 @attrs.frozen
 class SubmitWork:
-    """An entry instance hands a job to the scheduler that it follows."""
+    """An entry instance hands a job to the scheduler that it follows.
+
+    Parameters
+    ----------
+    number : int
+        Place among the sender's messages to this scheduler.
+    request : WorkRequest
+        The job.
+    echo : float
+        The scheduler's steady clock when this was sent, as its last beat told it. A message that
+        a cut has held up is known by it: its sender may have handed the job to another one.
+    """
 
     number: int
     request: WorkRequest
+    echo: float
 
 
 @attrs.frozen
--- a/packages/core/cranberryshore/pool/group.py
+++ b/packages/core/cranberryshore/pool/group.py
@@ -73,6 +73,11 @@
     follows: str = ""
     config_version: int = 0
     roster_version: int = 0
+    beat_sent_at: float = float("-inf")
+
+    def clock(self, now: float) -> float:
+        """Return the peer's steady clock, late by the time that its beat was under way."""
+        return self.beat_sent_at + now - self.heard_at
 
 
 @attrs.define(eq=False)
--- a/packages/core/cranberryshore/pool/scheduler.py
+++ b/packages/core/cranberryshore/pool/scheduler.py
@@ -40,6 +40,12 @@
 RESUMED_WAIT_SECONDS = 1.4
 """Longest wait until nothing of another scheduler can still run: a lease, and 0.3 s to stop it."""
 
+VERIFY_SECONDS = 0.25
+"""A new scheduler has mostly looked at all workers after so long, also where an answer is lost."""
+
+SILENT_LOOKS = 2
+"""Looks without an answer after which nothing is placed on a worker."""
+
 ADOPT_SECONDS = 0.15
 """Runs of another holder are stopped unless their jobs are handed over in this time: entry
 instances hear of a new scheduler within some milliseconds."""
@@ -249,12 +255,15 @@
                 self._note_start(job, task, worker, key, now)
                 worker.adopt(key, job.step_of(task).demand, now)
 
-    def look_failed(self, name: str, token: int, now: float) -> None:
-        """Record that a worker did not answer a look; the next one carries a higher token."""
+    def look_failed(self, name: str, failures: int, now: float) -> None:
+        """Record that a worker did not answer so many looks in a row.
+
+        One lost answer changes nothing: a look that is carried out late extends no lease, since
+        the end that it carries is a time.
+        """
         worker = self.workers.get(name)
-        if worker is not None:
+        if worker is not None and failures >= SILENT_LOOKS:
             worker.fall_silent()
-            worker.raise_token(token)
 
     def fenced(self, name: str, now: float) -> None:
         """Record that a worker obeys another holder."""
@@ -283,6 +292,7 @@
         worker = self.workers.get(name)
         if worker is not None:
             worker.raise_token(token)
+            worker.fall_silent()
             self.effects.append(LookAt(name))
 
     # Time
@@ -305,10 +315,16 @@
                 self._end(job, Outcome.GIVEN_UP, "The caller's time is over.", now)
             return
         expected = self.run_times.expected_ms(job.request.queue, job.request_work_ms) / 1000
-        if refusing.is_hopeless(job, expected, max(now, job.held_back_until)):
+        if refusing.is_hopeless(job, expected, self._earliest_start(job, now)):
             detail = "The job can no longer be answered in time."
             self._end(job, Outcome.REFUSED, detail, now, refusing.RETRY_AFTER_MS)
 
+    @staticmethod
+    def _earliest_start(job: PoolJob, now: float) -> float:
+        """Return when a job may start, of one handed over once the workers ought to be known."""
+        is_verifying = now < job.held_back_until - RESUMED_WAIT_SECONDS + VERIFY_SECONDS
+        return now if is_verifying else max(now, job.held_back_until)
+
     # Placing
 
     def _members(self, job: PoolJob) -> Iterable[HeldWorker]:
--- a/packages/core/cranberryshore/pool/stream.py
+++ b/packages/core/cranberryshore/pool/stream.py
@@ -5,6 +5,7 @@
 is sent again.
 """
 
+from collections.abc import Callable
 from typing import Any
 
 import attrs
@@ -34,6 +35,11 @@
         for number in [number for number in self.unconfirmed if number <= received]:
             del self.unconfirmed[number]
 
+    def replace(self, renew: Callable[[Any], Any]) -> None:
+        """Put what a function returns in the place of each unconfirmed message."""
+        for number, (message, sent_at) in self.unconfirmed.items():
+            self.unconfirmed[number] = (renew(message), sent_at)
+
     def due(self, now: float) -> list[Any]:
         """Return the messages that are to be sent again now."""
         late = [
--- a/packages/daemon/cranberryshored/pool/app.py
+++ b/packages/daemon/cranberryshored/pool/app.py
@@ -14,6 +14,7 @@
     Group,
     JobEnded,
     MemberAddress,
+    Outcome,
     PoolConfig,
     WorkerEntry,
     WorkRequest,
@@ -30,6 +31,10 @@
 from cranberryshored.pool.scheduling import SchedulingService
 from cranberryshored.tasks import end_tasks
 
+STALE_SECONDS = 0.5
+"""Work that was under way for longer may have been handed to another scheduler meanwhile, which
+happens 0.7 s after the last beat at the earliest."""
+
 LIST_SECONDS = 0.5
 """Time between two readings of the registered instances while no scheduler is known."""
 
@@ -178,10 +183,19 @@
         elif self.scheduling.claim is None:
             self.log.debug("Work for a scheduler that is none.", sender=sender)
         elif isinstance(message, SubmitWork):
-            self.scheduling.submit(message.request, sender)
+            self._take_work(sender, message)
         else:
             self.scheduling.cancel(message.job, sender)
 
+    def _take_work(self, sender: str, message: SubmitWork) -> None:
+        age = now() - message.echo
+        if age <= STALE_SECONDS:
+            self.scheduling.submit(message.request, sender)
+            return
+        job = message.request.id
+        self.log.warning("Work was held up on its way.", job=job, sender=sender, seconds=age)
+        self._job_ended(JobEnded(sender, job, Outcome.DROPPED, "It was held up on its way."))
+
     def take_config(self, config: PoolConfig) -> None:
         """Put a configuration in force unless it is older than the one in force."""
         if config.version <= self.pool_config.version:
@@ -254,14 +268,16 @@
         if self.exchange.follows == self.group.own.incarnation:
             self.scheduling.submit(request, self.exchange.follows)
         else:
-            self.exchange.send(self.exchange.follows, lambda number: SubmitWork(number, request))
+            self.exchange.send(
+                self.exchange.follows, lambda number, echo: SubmitWork(number, request, echo)
+            )
 
     def cancel(self, job: str) -> None:
         """See :class:`WorkSink`."""
         if self.exchange.follows == self.group.own.incarnation:
             self.scheduling.cancel(job, self.exchange.follows)
         elif self.exchange.follows:
-            self.exchange.send(self.exchange.follows, lambda number: CancelWork(number, job))
+            self.exchange.send(self.exchange.follows, lambda number, echo: CancelWork(number, job))
 
     def _job_ended(self, end: JobEnded) -> None:
         if end.entry == self.group.own.incarnation:
@@ -269,7 +285,9 @@
             return
         self.exchange.send(
             end.entry,
-            lambda number: WorkEnded(number, end.job, end.outcome, end.detail, end.retry_after_ms),
+            lambda number, echo: WorkEnded(
+                number, end.job, end.outcome, end.detail, end.retry_after_ms
+            ),
         )
 
     def _workers_read(self, workers: tuple[WorkerEntry, ...]) -> None:
--- a/packages/daemon/cranberryshored/pool/clock.py
+++ b/packages/daemon/cranberryshored/pool/clock.py
@@ -51,3 +51,29 @@
         """Return a token that is ahead of this instance's clock, above what a worker has seen."""
         self.last += int(seconds * 1000) << TOKEN_LOW_BITS
         return self.next()
+
+
+ORDER_SECONDS = 0.06
+"""A worker's answer takes 3 ms at most; a lost one should cost less than the 96 ms that the
+shortest jobs have to spare."""
+
+LAG_SHARE = 3.0
+"""Answers wait in this process while it is late itself, so they get several times its lateness."""
+
+LAG_KEPT = 0.9
+"""Share of the lateness that is kept from one measurement to the next."""
+
+
+@attrs.define
+class Patience:
+    """How long answers of workers are waited for, given how late this process runs itself."""
+
+    lag_seconds: float = 0.0
+
+    def note_lag(self, seconds: float) -> None:
+        """Take a measurement of how much later than planned this process has come to run."""
+        self.lag_seconds = max(seconds, LAG_KEPT * self.lag_seconds)
+
+    def order_seconds(self) -> float:
+        """Return the longest wait for an answer that a worker gives at once."""
+        return ORDER_SECONDS + LAG_SHARE * self.lag_seconds
--- a/packages/daemon/cranberryshored/pool/conversation.py
+++ b/packages/daemon/cranberryshored/pool/conversation.py
@@ -7,12 +7,13 @@
 from structlog.typing import FilteringBoundLogger
 
 from cranberryshore.pool import HeldWorker, HoldState, Scheduler, StartRun, StopRun
-from cranberryshored.pool.clock import TokenSource, now
+from cranberryshored.pool.clock import Patience, TokenSource, now
 from cranberryshored.pool.protocols import Look, LookFailure, StartReply, WorkerCalls
 from cranberryshored.tasks import end_tasks
 
-LOOK_WAIT_MS = 400
-"""A look waits so long for an end: it extends the lease, which lasts 1 s, before half is over."""
+LOOK_WAIT_MS = 150
+"""A look waits so long for an end. The lease lasts 1 s, so several may be lost; and if one is lost,
+ends go unnoticed for so long."""
 
 CONFIRM_SECONDS = 1.0
 """An idle worker is told after so long that its last ends were taken note of; 4 s are allowed."""
@@ -20,8 +21,11 @@
 TAKING_JUMPS = 4
 """A new holder's token jumps 1, 2, 4 and 8 s ahead: clocks of instances differ by seconds."""
 
-RETRY_SECONDS = 0.2
-"""Pause between two looks at a worker that does not answer."""
+LOOKS_AT_ONCE = 2
+"""So many looks that fail in a row are followed by another at once: single answers are lost."""
+
+RETRY_SECONDS = 0.15
+"""Pause between further looks at a worker that does not answer."""
 
 
 @attrs.define(eq=False)
@@ -38,6 +42,8 @@
         Speaks to the worker.
     tokens : TokenSource
         Draws a higher token when orders must be voided.
+    patience : Patience
+        How long answers are waited for.
     on_change : callable
         Called after the scheduler was told something.
     """
@@ -46,6 +52,7 @@
     scheduler: Scheduler
     calls: WorkerCalls
     tokens: TokenSource
+    patience: Patience
     on_change: object
     log: FilteringBoundLogger
     wake: asyncio.Event = attrs.field(factory=asyncio.Event)
@@ -81,7 +88,7 @@
 
     async def _start_run(self, order: StartRun) -> None:
         worker = self.worker
-        reply = await self.calls.start_run(worker, order)
+        reply = await self.calls.start_run(worker, order, self.patience.order_seconds())
         if reply is StartReply.STARTED:
             self.scheduler.start_answered(worker.name, order.key, now())
             return
@@ -103,7 +110,7 @@
         self.on_change()
 
     async def _stop_run(self, order: StopRun) -> None:
-        await self.calls.stop_run(self.worker, order)
+        await self.calls.stop_run(self.worker, order, self.patience.order_seconds())
 
     def _needs_look(self) -> bool:
         worker = self.worker
@@ -116,7 +123,7 @@
             self.wake.clear()
             if self._needs_look():
                 await self._look(self._wait_ms())
-                if self.worker.state is HoldState.SILENT:
+                if self.failed_looks > LOOKS_AT_ONCE:
                     await asyncio.sleep(RETRY_SECONDS)
             elif self.worker.last_seen > self.worker.acked_end:
                 await self._sleep(CONFIRM_SECONDS)
@@ -145,7 +152,9 @@
         if lease_end_ms is not None:
             worker.extended_at = asked_at
         self.is_looking = True
-        answer = await self.calls.look(worker, Look(token, last_seen, lease_end_ms, wait_ms))
+        look = Look(token, last_seen, lease_end_ms, wait_ms)
+        seconds = wait_ms / 1000 + self.patience.order_seconds()
+        answer = await self.calls.look(worker, look, seconds)
         self.is_looking = False
         if isinstance(answer, Err):
             self._look_failed(answer.err_value, token)
@@ -181,4 +190,4 @@
             if token == worker.token:
                 self._fenced()
             return
-        self.scheduler.look_failed(worker.name, self.tokens.next(), now())
+        self.scheduler.look_failed(worker.name, self.failed_looks, now())
--- a/packages/daemon/cranberryshored/pool/exchange.py
+++ b/packages/daemon/cranberryshored/pool/exchange.py
@@ -139,14 +139,23 @@
         """Return this instance."""
         return self.group.own
 
-    def send(self, incarnation: str, make: Callable[[int], Numbered]) -> None:
-        """Send a numbered message to a peer, again until it is confirmed."""
+    def send(self, incarnation: str, make: Callable[[int, float], Numbered]) -> None:
+        """Send a numbered message to a peer, again until it is confirmed.
+
+        Parameters
+        ----------
+        incarnation : str
+            The peer.
+        make : callable
+            Returns the message for a number and a reading of the peer's clock.
+        """
         member = self.group.members.get(incarnation)
         if member is None:
             return
         stream = self.outs.setdefault(incarnation, OutStream())
-        message = make(stream.next_number())
-        stream.sent(message, now())
+        moment = now()
+        message = make(stream.next_number(), member.clock(moment))
+        stream.sent(message, moment)
         self.transport.send(member.at.address, incarnation, message)
 
     def deliver(self, sender: str, message: Any) -> None:
@@ -178,6 +187,7 @@
             return
         self.log.info("Scheduler followed.", before=self.follows, scheduler=follows)
         self.heard_at = now()
+        self._take_back(self.follows)
         before, self.follows = self.group.members.get(self.follows), follows
         self.listener.scheduler_changed()
         if not follows:
@@ -189,11 +199,24 @@
         if scheduler is not None:
             self._beat(scheduler, now())
 
+    def _take_back(self, scheduler: str) -> None:
+        """Do not hand jobs to a scheduler that is not followed any more."""
+        stream = self.outs.get(scheduler)
+        if stream is not None:
+            stream.replace(
+                lambda item: (
+                    CancelWork(item.number, item.request.id)
+                    if isinstance(item, SubmitWork)
+                    else item
+                )
+            )
+
     def _hear(self, beat: Beat) -> None:
         moment = now()
         is_new = beat.sender.incarnation not in self.group.members
         member = self.group.hear(beat.sender, moment)
         member.is_draining, member.claim = beat.is_draining, beat.claim
+        member.beat_sent_at = beat.sent_at
         member.follows, member.config_version = beat.follows, beat.config_version
         if beat.claim is not None and beat.roster_version < member.roster_version:
             member.roster_version = 0
@@ -244,6 +267,7 @@
             self.own,
             self.listener.config().version,
             stream.received if stream is not None else 0,
+            moment,
             self.group.is_draining,
             self.group.claim,
             self.follows,
@@ -287,8 +311,14 @@
             self._beat(member, moment)
         for incarnation, stream in self.outs.items():
             member = self.group.members.get(incarnation)
-            for message in stream.due(moment) if member is not None else ():
-                self.transport.send(member.at.address, incarnation, message)
+            if member is not None:
+                self._send_again(member, stream, moment)
+
+    def _send_again(self, member: Member, stream: OutStream, moment: float) -> None:
+        for message in stream.due(moment):
+            if isinstance(message, SubmitWork):
+                message = attrs.evolve(message, echo=member.clock(moment))
+            self.transport.send(member.at.address, member.at.incarnation, message)
 
     def _check_claim(self, moment: float) -> None:
         """Drop the jobs of silent entry instances, and the claim if the workers obey others."""
@@ -330,7 +360,7 @@
         return [scheduler] if scheduler is not None else []
 
     def _greeting(self) -> Beat:
-        return Beat(self.own, self.listener.config().version, 0)
+        return Beat(self.own, self.listener.config().version, 0, now())
 
     def _redial(self, member: Member, moment: float) -> None:
         address = member.at.address
--- a/packages/daemon/cranberryshored/pool/protocols.py
+++ b/packages/daemon/cranberryshored/pool/protocols.py
@@ -74,15 +74,17 @@
         """Close the connection pool."""
         ...
 
-    async def start_run(self, worker: HeldWorker, start: StartRun) -> StartReply:
-        """Ask a worker to start a run."""
+    async def start_run(self, worker: HeldWorker, start: StartRun, seconds: float) -> StartReply:
+        """Ask a worker to start a run, and wait so long for its answer."""
         ...
 
-    async def stop_run(self, worker: HeldWorker, stop: StopRun) -> bool:
-        """Ask a worker to stop a run; return whether it answered."""
+    async def stop_run(self, worker: HeldWorker, stop: StopRun, seconds: float) -> bool:
+        """Ask a worker to stop a run; return whether it answered in time."""
         ...
 
-    async def look(self, worker: HeldWorker, look: Look) -> Result[LookAnswer, LookFailure]:
+    async def look(
+        self, worker: HeldWorker, look: Look, seconds: float
+    ) -> Result[LookAnswer, LookFailure]:
         """Extend a worker's lease, confirm ends and read its lists."""
         ...
 
--- a/packages/daemon/cranberryshored/pool/scheduling.py
+++ b/packages/daemon/cranberryshored/pool/scheduling.py
@@ -20,7 +20,7 @@
 )
 from cranberryshore.pool.held_worker import LOST_HOLD_PAUSE_SECONDS
 from cranberryshored.metrics import Metrics
-from cranberryshored.pool.clock import TokenSource, now
+from cranberryshored.pool.clock import Patience, TokenSource, now
 from cranberryshored.pool.conversation import Conversation
 from cranberryshored.pool.protocols import WorkerCalls
 from cranberryshored.tasks import end_tasks
@@ -48,6 +48,7 @@
     on_ended: Callable[[JobEnded], None]
     log: FilteringBoundLogger
     metrics: Metrics
+    patience: Patience = attrs.field(factory=Patience)
     claim: Claim | None = None
     scheduler: Scheduler = attrs.field(factory=Scheduler)
     conversations: dict[str, Conversation] = attrs.field(factory=dict)
@@ -212,7 +213,13 @@
         if old is not None:
             self._close(old)
         conversation = self.conversations[worker.name] = Conversation(
-            worker, self.scheduler, self.calls, self.tokens, self.carry_out, self.log
+            worker,
+            self.scheduler,
+            self.calls,
+            self.tokens,
+            self.patience,
+            self.carry_out,
+            self.log,
         )
         conversation.start()
 
@@ -223,7 +230,9 @@
 
     async def _tick(self) -> None:
         while True:
+            planned = now() + TICK_SECONDS
             await asyncio.sleep(TICK_SECONDS)
+            self.patience.note_lag(max(now() - planned, 0.0))
             self.scheduler.tick(now())
             self.metrics.queued_tasks.set(self.scheduler.waiting_tasks())
             self.metrics.open_workers.set(self.held_count())
--- a/packages/proof/cranberryshore_proof/pool_world.py
+++ b/packages/proof/cranberryshore_proof/pool_world.py
@@ -207,7 +207,8 @@
             lambda own, deliver: ModelTransport(own, deliver, self.network, self.inboxes),
         )
         self.daemons[address] = daemon
-        await self.network.spawn(address, daemon.start())
+        # A run that is killed meanwhile ends its start.
+        await asyncio.wait([self.network.spawn(address, daemon.start())])
 
     def kill(self, number: int) -> None:
         """Kill an instance at once."""
--- a/packages/proof/cranberryshore_proof/tests/test_pool_play.py
+++ b/packages/proof/cranberryshore_proof/tests/test_pool_play.py
@@ -31,6 +31,11 @@
         # Cause: the account of runs of a worker's new life was dropped with the old ones.
         self.assert_held(3)
 
+    def test_work_that_a_cut_held_up(self):
+        # Cause: a job that was handed to a second scheduler during the cut reached the first one
+        # when it healed, and its task ran twice.
+        self.assert_held(64)
+
     def test_peer_whose_outgoing_channel_is_silent(self):
         # Cause: messages stuck behind those for a run that had died.
         self.assert_held(33)
