--- a/packages/cli/cranberryshore_cli/job_commands.py
+++ b/packages/cli/cranberryshore_cli/job_commands.py
@@ -1,6 +1,7 @@
 """Commands for jobs: submit, status, cancel, timeline, explain."""
 
 from datetime import datetime
+from pathlib import Path
 from typing import Any, ClassVar
 
 import msgspec
@@ -9,7 +10,7 @@
 
 from cranberryshore.messages import JobAnswer
 from cranberryshore.settings import check_document
-from cranberryshore.timeline import Event, explain_events
+from cranberryshore.timeline import Event, explain_events, explain_records, read_records
 from cranberryshore.work import JobRequest, JobState, check_job_request
 from cranberryshore_cli.client import Client, Failure
 from cranberryshore_cli.command import RemoteCommand
@@ -171,13 +172,32 @@
 
     name = "explain"
     description = "Tell in sentences why a job, request or resource ended as it did."
+    help = """With --log, which may be given several times, the cause is found in the log files of
+the processes alone; no instance is asked."""
     arguments: ClassVar = [argument("subject", "Submission id, request id or resource key.")]
+    options: ClassVar = [
+        *RemoteCommand.options,
+        option("log", None, "File with log records of processes.", flag=False, multiple=True),
+    ]
 
     def handle(self) -> int:
         """Run the command."""
+        if self.option("log"):
+            return self._explain_logs([Path(name) for name in self.option("log")])
         path = f"/v1/timeline?subject={self.argument('subject')}"
         return self.ask(lambda client: client.show(path))
 
+    def _explain_logs(self, paths: list[Path]) -> int:
+        lines: list[str] = []
+        for path in paths:
+            try:
+                lines += path.read_text(encoding="utf-8", errors="replace").splitlines()
+            except OSError as error:
+                return self.fault(str(error))
+        for sentence in explain_records(read_records(lines), self.argument("subject")):
+            self.line(sentence)
+        return OK
+
     def show(self, value: dict[str, Any]) -> None:
         """Print the sentences."""
         events = msgspec.convert(value["events"], list[Event])
--- a/packages/cli/cranberryshore_cli/tests/test_commands.py
+++ b/packages/cli/cranberryshore_cli/tests/test_commands.py
@@ -69,6 +69,22 @@
         status, _, _ = await self.run_command("delete", "service", "booking")
         self.assertEqual(status, 0)
 
+    async def test_explanation_from_log_files(self):
+        common = {"job": "j", "level": "info", "outcome": "refused"}
+        ended = {"event": "scheduler: Job ended.", "instance": "e2", "waited_ms": 445}
+        ended |= {"waiting_jobs": 37, "timestamp": "2026-12-03T20:00:10Z"}
+        answered = {"event": "entry: Caller answered.", "instance": "e1", "ms": 448}
+        answered |= {"timestamp": "2026-12-03T20:00:10.1Z", "resumed": False}
+        names = []
+        for number, record in enumerate((ended, answered)):
+            path = self.path / f"{number}.log"
+            path.write_text(json.dumps(common | record) + "\n", encoding="utf-8")
+            names += ["--log", str(path)]
+        status, out, _ = await self.run_command("explain", "j", *names)
+        self.assertEqual((status, "Cause: overload" in out), (0, True), out)
+        status, _, _ = await self.run_command("explain", "j", "--log", str(self.path / "none"))
+        self.assertEqual(status, 2)
+
     async def test_job_from_submission_to_explanation(self):
         task = {"demand": {"millicores": 500, "memory_mb": 10}, "expected_ms": 20}
         file = self.write("job.json", {"tasks": [task, task]})
--- a/packages/core/cranberryshore/messages/pool.py
+++ b/packages/core/cranberryshore/messages/pool.py
@@ -30,8 +30,10 @@
         Incarnation of the scheduler that the sender hands its work to.
     roster_version : int
         Version of the list of workers that the sender knows.
+    hears_receiver : bool
+        Whether the sender has heard the receiver lately.
     members : tuple of MemberAddress
-        Whom the sender hears; told by schedulers only.
+        Whom the sender hears; told by schedulers, now and then.
     """
 
     sender: MemberAddress
@@ -42,6 +44,7 @@
     claim: Claim | None = None
     follows: str = ""
     roster_version: int = 0
+    hears_receiver: bool = False
     members: tuple[MemberAddress, ...] = ()
 
 
--- a/packages/core/cranberryshore/pool/group.py
+++ b/packages/core/cranberryshore/pool/group.py
@@ -10,8 +10,8 @@
 
 import attrs
 
-LOST_SECONDS = 0.7
-"""Silence after which a peer counts as gone: three beats of 0.2 s and some delay."""
+LOST_SECONDS = 0.5
+"""Silence after which a peer counts as gone: three beats of 0.15 s and some delay."""
 
 FORGET_SECONDS = 8.0
 """A silent peer counts as a member for so long, unless its registration ends before."""
@@ -31,11 +31,34 @@
 
 @attrs.frozen
 class MemberAddress:
-    """One run of one instance, and where it listens for its peers."""
+    """One run of one instance, and where it listens for its peers.
+
+    Parameters
+    ----------
+    incarnation : str
+        Names the run.
+    address : str
+        IP number and port.
+    zone : str
+        Availability zone.
+    millicores : int
+        Processor of its machine, in thousandths of a core.
+    """
 
     incarnation: str
     address: str
     zone: str
+    millicores: int = 1000
+
+    def rank(self) -> tuple[int, str]:
+        """Return the order in which instances claim: one scheduler's processor is the limit.
+
+        Examples
+        --------
+        >>> MemberAddress("a", "1", "z", 500).rank() > MemberAddress("b", "2", "z", 2000).rank()
+        True
+        """
+        return (-self.millicores, self.address)
 
 
 @attrs.frozen
@@ -173,7 +196,7 @@
         if self.leaderless_since is None:
             self.leaderless_since = now
         heard = [member for member in self.live(now) if not member.is_draining]
-        better = sum(member.at.address < self.own.address for member in heard)
+        better = sum(member.at.rank() < self.own.rank() for member in heard)
         if now < self.leaderless_since + CLAIM_SECONDS + better * RANK_SECONDS:
             return None
         return self._scope(now)
--- a/packages/core/cranberryshore/pool/scheduler.py
+++ b/packages/core/cranberryshore/pool/scheduler.py
@@ -222,7 +222,7 @@
         for key in sorted(worker.strangers):
             self._adopt_run(worker, key, now)
         if now >= worker.strangers_since + ADOPT_SECONDS:
-            for key in worker.strangers:
+            for key in sorted(worker.strangers):
                 self.effects.append(StopRun(name, key, worker.token))
         for key, run in worker.runs.items():
             if run.state is RunState.STOPPING and now > run.stop_asked_at + STOP_AGAIN_SECONDS:
@@ -233,7 +233,7 @@
         """Take over what another scheduler has started of a job, and what has ended since."""
         names = {self._name(job, task): task for task in job.tasks}
         for worker in self.workers.values():
-            for name in names.keys() & worker.strange_ends.keys():
+            for name in sorted(names.keys() & worker.strange_ends.keys()):
                 end, task = worker.strange_ends.pop(name), names[name]
                 task.attempt = max(task.attempt, end.attempt)
                 if end.kind is EndKind.DONE and task.phase is TaskPhase.WAITING:
--- a/packages/core/cranberryshore/pool/stream.py
+++ b/packages/core/cranberryshore/pool/stream.py
@@ -10,8 +10,8 @@
 
 import attrs
 
-RESEND_SECONDS = 0.45
-"""Longer than two beats of 0.2 s, so that a confirmation that is under way is not overtaken."""
+RESEND_SECONDS = 0.35
+"""Longer than two beats of 0.15 s, so that a confirmation that is under way is not overtaken."""
 
 
 @attrs.define
--- a/packages/core/cranberryshore/pool/tests/test_group.py
+++ b/packages/core/cranberryshore/pool/tests/test_group.py
@@ -27,6 +27,11 @@
         self.hear(2, 3)
         self.assertEqual(self.claim_soon(), Claim(0))
 
+    def test_more_powerful_machine_claims_first(self):
+        self.group = Group(attrs.evolve(member(3), millicores=2000), 0.0)
+        self.hear(1, 2)
+        self.assertEqual(self.claim_soon(), Claim(0))
+
     def test_worse_ranked_waits(self):
         self.group = Group(member(3), 0.0)
         self.hear(1, 2)
--- a/packages/core/cranberryshore/settings/pool.py
+++ b/packages/core/cranberryshore/settings/pool.py
@@ -28,6 +28,8 @@
         IP number and port of the platform's store.
     seeds : tuple of str
         Peer addresses of some instances, which may be stale.
+    processor_share, processor_speed : float
+        Share of a core that this instance has, and how many times as fast as a usual one it is.
     drain_seconds : float
         Longest time that a leaving instance waits for answers; below the platform's grace.
     """
@@ -40,6 +42,8 @@
     metrics_listen: PeerAddress
     store: PeerAddress
     seeds: tuple[PeerAddress, ...] = ()
+    processor_share: Annotated[float, Meta(gt=0, le=1)] = 1.0
+    processor_speed: Annotated[float, Meta(gt=0, le=1024)] = 1.0
     drain_seconds: Seconds = 5.0
     log: LogSettings = LogSettings(is_json=True)
 
--- a/packages/daemon/cranberryshored/pool/app.py
+++ b/packages/daemon/cranberryshored/pool/app.py
@@ -31,9 +31,9 @@
 from cranberryshored.pool.scheduling import SchedulingService
 from cranberryshored.tasks import end_tasks
 
-STALE_SECONDS = 0.5
+STALE_SECONDS = 0.4
 """Work that was under way for longer may have been handed to another scheduler meanwhile, which
-happens 0.7 s after the last beat at the earliest."""
+happens 0.5 s after the last beat at the earliest."""
 
 LIST_SECONDS = 0.5
 """Time between two readings of the registered instances while no scheduler is known."""
@@ -93,7 +93,8 @@
     def __attrs_post_init__(self) -> None:
         settings = self.settings
         incarnation = f"{settings.instance}.{unix_ms():x}"
-        own = MemberAddress(incarnation, str(settings.peer_listen), settings.zone)
+        millicores = int(1000 * settings.processor_share * settings.processor_speed)
+        own = MemberAddress(incarnation, settings.peer_listen, settings.zone, millicores)
         self.tokens = TokenSource(own.address)
         log = part_log("group")
         self.exchange = PeerExchange(Group(own, now()), settings.seeds, self, self.metrics, log)
--- a/packages/daemon/cranberryshored/pool/exchange.py
+++ b/packages/daemon/cranberryshored/pool/exchange.py
@@ -25,19 +25,23 @@
     PoolConfig,
     WorkerEntry,
 )
-from cranberryshore.pool.group import FENCED_PAUSE_SECONDS
+from cranberryshore.pool.group import FENCED_PAUSE_SECONDS, LOST_SECONDS
 from cranberryshored.metrics import Metrics
 from cranberryshored.peers.transport import Transport
 from cranberryshored.pool.clock import now
 from cranberryshored.tasks import end_tasks
 
-BEAT_SECONDS = 0.2
+BEAT_SECONDS = 0.15
 """Time between two beats: a third of the silence after which a peer counts as gone."""
 
-REDIAL_SECONDS = 0.5
+MEMBERS_ROUNDS = 5
+"""A scheduler tells whom it hears in every fifth round: the list grows with the group, and so do
+those who get it."""
+
+REDIAL_SECONDS = 0.4
 """A peer that was silent for so long gets a new channel, since the old one may be dead."""
 
-PAUSE_SECONDS = 0.6
+PAUSE_SECONDS = 0.45
 """A gap between two beats that shows that this process stood still."""
 
 Numbered = SubmitWork | CancelWork | WorkEnded
@@ -123,6 +127,7 @@
     follows: str = ""
     beat_at: float = 0.0
     heard_at: float = 0.0
+    rounds: int = 0
     task: asyncio.Task | None = None
 
     async def start(self) -> None:
@@ -242,7 +247,7 @@
 
     def _check_heard(self, beat: Beat, moment: float) -> None:
         """Open a new channel to the scheduler if it does not hear this instance any more."""
-        if any(item.address == self.own.address for item in beat.members):
+        if beat.hears_receiver:
             self.heard_at = moment
         elif moment - self.heard_at > REDIAL_SECONDS:
             self.heard_at = moment
@@ -272,12 +277,13 @@
             self.group.claim,
             self.follows,
             self.listener.roster()[0],
+            moment - member.heard_at < LOST_SECONDS,
             self._told_members(moment),
         )
         self.transport.send(member.at.address, "", beat)
 
     def _told_members(self, moment: float) -> tuple[MemberAddress, ...]:
-        if self.group.claim is None:
+        if self.group.claim is None or self.rounds % MEMBERS_ROUNDS:
             return ()
         return tuple(member.at for member in self.group.live(moment))
 
@@ -288,6 +294,7 @@
             if moment - self.beat_at > PAUSE_SECONDS:
                 self._was_paused(moment)
             self.beat_at = moment
+            self.rounds += 1
             self._round(moment)
             self.metrics.live_peers.set(len(self.group.live(moment)))
 
@@ -329,7 +336,8 @@
         held = self.listener.held_count()
         self.group.claim = attrs.evolve(self.group.claim, held=held)
         live = {member.at.incarnation for member in self.group.live(moment)}
-        for incarnation in self.listener.waiting_entries() - live - {self.own.incarnation}:
+        waiting = self.listener.waiting_entries() - live - {self.own.incarnation}
+        for incarnation in sorted(waiting):
             self.log.warning("Entry instance lost.", peer=incarnation)
             self.listener.peer_left(incarnation)
 
--- a/packages/daemon/cranberryshored/pool/registry.py
+++ b/packages/daemon/cranberryshored/pool/registry.py
@@ -26,6 +26,10 @@
 CONFIG_WAIT_MS = 10_000
 """Longest wait of a watch for a configuration; peers tell of a newer one within a beat."""
 
+WORKERS_PAUSE_SECONDS = 0.3
+"""Pause after a change of workers: each report of a worker is one, and each watch is a call. A
+worker that leaves must get nothing after 2 s."""
+
 WORKERS_WAIT_MS = 1000
 """The same for workers, which only a scheduler follows: a silent channel is noticed soon."""
 
@@ -124,16 +128,19 @@
             known.update(fresh)
             on_workers(tuple(known[name] for name in sorted(known)))
 
-        await self._follow(self.layout.workers_prefix, WORKERS_WAIT_MS, take, always=True)
+        await self._follow(self.layout.workers_prefix, WORKERS_WAIT_MS, take, WORKERS_PAUSE_SECONDS)
 
     async def _follow(
         self,
         prefix: str,
         wait_ms: int,
         take: Callable[[dict[str, str]], None],
-        always: bool = False,
+        pause: float = 0.0,
     ) -> None:
-        """Report all entries under a prefix after each change, or after each answer."""
+        """Report all entries under a prefix after each change.
+
+        With a pause, they are reported after each answer, and changes are gathered that long.
+        """
         while True:
             listing = await self.store.list(prefix)
             if isinstance(listing, Err):
@@ -141,7 +148,7 @@
                 await asyncio.sleep(RETRY_SECONDS)
                 continue
             self._back(prefix)
-            await self._watch(prefix, wait_ms, listing.ok_value, take, always)
+            await self._watch(prefix, wait_ms, listing.ok_value, take, pause)
 
     async def _watch(
         self,
@@ -149,7 +156,7 @@
         wait_ms: int,
         listing: KeyListing,
         take: Callable[[dict[str, str]], None],
-        always: bool,
+        pause: float,
     ) -> None:
         """Follow changes after a listing until the store has dropped them."""
         entries = {entry.key: entry.value for entry in listing.entries}
@@ -167,8 +174,10 @@
             self._back(prefix)
             self._apply(entries, watched.ok_value)
             revision = max(revision, watched.ok_value.revision)
-            if watched.ok_value.changes or always:
+            if watched.ok_value.changes or pause:
                 take(entries)
+            if watched.ok_value.changes:
+                await asyncio.sleep(pause)
 
     @staticmethod
     def _apply(entries: dict[str, str], watched: Watched) -> None:
--- a/packages/daemon/cranberryshored/pool/scheduling.py
+++ b/packages/daemon/cranberryshored/pool/scheduling.py
@@ -237,5 +237,5 @@
             self.metrics.queued_tasks.set(self.scheduler.waiting_tasks())
             self.metrics.open_workers.set(self.held_count())
             self.carry_out()
-            for name in self.conversations.keys() - self.scheduler.workers.keys():
+            for name in sorted(self.conversations.keys() - self.scheduler.workers.keys()):
                 self._close(self.conversations.pop(name))
--- a/packages/proof/cranberryshore_proof/network.py
+++ b/packages/proof/cranberryshore_proof/network.py
@@ -29,7 +29,7 @@
     dead: set[str] = attrs.field(factory=set)
     waiting: dict[tuple[str, str], list[Callable[[], None]]] = attrs.field(factory=dict)
     arrival: dict[tuple[str, str], float] = attrs.field(factory=dict)
-    tasks: dict[str, set[asyncio.Task]] = attrs.field(factory=dict)
+    tasks: dict[str, dict[asyncio.Task, None]] = attrs.field(factory=dict)
 
     def is_blocked(self, source: str, target: str) -> bool:
         """Tell whether messages wait."""
@@ -116,9 +116,9 @@
         task = asyncio.Task(coroutine, loop=loop, **options)
         node = CURRENT_NODE.get()
         if node:
-            held = self.tasks.setdefault(node, set())
-            held.add(task)
-            task.add_done_callback(held.discard)
+            held = self.tasks.setdefault(node, {})
+            held[task] = None
+            task.add_done_callback(lambda task: held.pop(task, None))
         return task
 
     def _loop(self) -> VirtualLoop:
