--- a/packages/core/cranberryshore/messages/pool.py
+++ b/packages/core/cranberryshore/messages/pool.py
@@ -30,6 +30,8 @@
         Incarnation of the scheduler that the sender hands its work to.
     roster_version : int
         Version of the list of workers that the sender knows.
+    successor : str
+        Incarnation that is to schedule from now on, told by a scheduler that leaves.
     hears_receiver : bool
         Whether the sender has heard the receiver lately.
     members : tuple of MemberAddress
@@ -44,6 +46,7 @@
     claim: Claim | None = None
     follows: str = ""
     roster_version: int = 0
+    successor: str = ""
     hears_receiver: bool = False
     members: tuple[MemberAddress, ...] = ()
 
--- a/packages/core/cranberryshore/pool/group.py
+++ b/packages/core/cranberryshore/pool/group.py
@@ -201,6 +201,11 @@
             return None
         return self._scope(now)
 
+    def successor(self, now: float) -> Member | None:
+        """Return who ought to schedule after this instance."""
+        heard = [member for member in self.live(now) if not member.is_draining]
+        return min(heard, key=lambda member: member.at.rank(), default=None)
+
     def _hears_fresh_majority(self, now: float) -> bool:
         """Tell whether most registered instances are heard and follow nobody.
 
--- a/packages/daemon/cranberryshored/pool/app.py
+++ b/packages/daemon/cranberryshored/pool/app.py
@@ -137,8 +137,10 @@
         """Hand the schedule on, let new callers go elsewhere, and answer those who wait."""
         self.log.info("Draining.", waiting=len(self.desk.pending))
         self.is_draining = self.group.is_draining = True
-        successors = [item for item in self.group.live(now()) if not item.is_draining]
-        if self.group.claim is not None and successors:
+        successor = self.group.successor(now())
+        if self.group.claim is not None and successor is not None:
+            if not self.group.claim.zone:
+                self.exchange.successor = successor.at.incarnation
             self.group.claim = None
             self.claim_ended("this instance leaves")
         self.exchange.announce()
--- a/packages/daemon/cranberryshored/pool/conversation.py
+++ b/packages/daemon/cranberryshored/pool/conversation.py
@@ -21,6 +21,9 @@
 TAKING_JUMPS = 4
 """A new holder's token jumps 1, 2, 4 and 8 s ahead: clocks of instances differ by seconds."""
 
+TAKING_SECONDS = 0.1
+"""First looks wait longer: all workers are looked at together, over new connections."""
+
 LOOKS_AT_ONCE = 2
 """So many looks that fail in a row are followed by another at once: single answers are lost."""
 
@@ -154,6 +157,8 @@
         self.is_looking = True
         look = Look(token, last_seen, lease_end_ms, wait_ms)
         seconds = wait_ms / 1000 + self.patience.order_seconds()
+        if worker.state is HoldState.TAKING:
+            seconds += TAKING_SECONDS
         answer = await self.calls.look(worker, look, seconds)
         self.is_looking = False
         if isinstance(answer, Err):
--- a/packages/daemon/cranberryshored/pool/exchange.py
+++ b/packages/daemon/cranberryshored/pool/exchange.py
@@ -125,6 +125,7 @@
     ins: dict[str, InStream] = attrs.field(factory=dict)
     redialed: dict[str, float] = attrs.field(factory=dict)
     follows: str = ""
+    successor: str = ""
     beat_at: float = 0.0
     heard_at: float = 0.0
     rounds: int = 0
@@ -232,6 +233,8 @@
             self._check_heard(beat, moment)
         if beat.sender.incarnation in self.outs:
             self.outs[beat.sender.incarnation].confirm(beat.received)
+        if beat.successor == self.own.incarnation and self.group.claim is None:
+            self._succeed(beat)
         if is_new:
             self.log.info("Peer heard.", peer=beat.sender.incarnation)
         if is_new or self._is_mistaken(beat):
@@ -245,6 +248,12 @@
         if beat.claim is not None or member.at.incarnation == self.follows:
             self._decide(moment)
 
+    def _succeed(self, beat: Beat) -> None:
+        """Take over from a scheduler that leaves in good order."""
+        if beat.sender.incarnation == self.follows and not self.group.is_draining:
+            self.log.info("Schedule handed over.", peer=self.follows)
+            self.listener.claim_wanted(Claim(0))
+
     def _check_heard(self, beat: Beat, moment: float) -> None:
         """Open a new channel to the scheduler if it does not hear this instance any more."""
         if beat.hears_receiver:
@@ -277,6 +286,7 @@
             self.group.claim,
             self.follows,
             self.listener.roster()[0],
+            self.successor,
             moment - member.heard_at < LOST_SECONDS,
             self._told_members(moment),
         )
--- a/packages/proof/cranberryshore_proof/tests/test_pool_play.py
+++ b/packages/proof/cranberryshore_proof/tests/test_pool_play.py
@@ -71,6 +71,24 @@
 
         self.play(scenario)
 
+    def test_leaving_scheduler_hands_over_at_once(self):
+        # Cause: the successor waited for 0.2 s, more than short jobs have to spare.
+        async def scenario(world: PoolWorld) -> None:
+            scheduler = world.scheduler_number()
+            address = world.address(scheduler)
+            job, caller = self.submit(world, (scheduler + 1) % len(world.zones), seconds=0.9)
+            await asyncio.sleep(0.2)
+            draining = world.network.spawn(address, world.daemons[address].drain())
+            await asyncio.sleep(0.03)
+            self.assertNotIn(world.scheduler_number(), (None, scheduler))
+            late, second = self.submit(world, (scheduler + 1) % len(world.zones))
+            await asyncio.gather(caller, second, draining)
+            self.assertEqual((job.answers, late.answers), ([Outcome.COMPLETED],) * 2)
+            self.assertLess(job.ended_at - job.begun_at, 1.0)
+            self.assertLess(late.ended_at - late.begun_at, 0.4)
+
+        self.play(scenario)
+
     def test_work_flows_within_two_seconds_of_a_restart_of_everything(self):
         async def scenario(world: PoolWorld) -> None:
             for number in range(len(world.zones)):
