Scheduler and exchange split by subject

Change: the book of runs, adoption, the account for the log and the protocols stand by themselves; a newer configuration is pushed to the scheduler ahead of work that needs it, instead of a beat to everyone.

--- a/Makefile
+++ b/Makefile
@@ -26,6 +26,7 @@
 	$(BIN)/python scripts/run_doctests.py
 	$(BIN)/python scripts/write_capacity.py --check
 	$(BIN)/python scripts/write_measurements.py --check
+	$(BIN)/python scripts/write_platform_measurements.py --check
 
 demo: setup
 	$(BIN)/python -m cranberryshore_bench.demo --seed $(SEED)
--- a/packages/core/cranberryshore/pool/effects.py
+++ b/packages/core/cranberryshore/pool/effects.py
@@ -2,6 +2,7 @@
 
 import attrs
 
+from cranberryshore.pool.account import JobAccount
 from cranberryshore.pool.held_worker import EndKind, RunKey
 from cranberryshore.pool.work import Outcome
 
@@ -59,36 +60,6 @@
     ran_ms: int
 
 
-@attrs.frozen
-class JobAccount:
-    """What decided a job's end, for the log.
-
-    Parameters
-    ----------
-    queue : str
-        Its queue.
-    waited_ms, total_ms : int
-        Time until its first start, and until its end.
-    expected_ms, longest_run_ms : int
-        Longest run time that was expected, and that was seen.
-    aim_ms : int
-        Time within which it should have been answered.
-    waiting_jobs : int
-        Jobs that the scheduler knew at its end.
-    runs : tuple of str
-        Worker and attempt of each task's last run.
-    """
-
-    queue: str
-    waited_ms: int
-    total_ms: int
-    expected_ms: int
-    longest_run_ms: int
-    aim_ms: int
-    waiting_jobs: int
-    runs: tuple[str, ...] = ()
-
-
 @attrs.frozen
 class JobEnded(PoolEffect):
     """Tell an entry instance how a job ended.
@@ -114,4 +85,4 @@
     outcome: Outcome
     detail: str = ""
     retry_after_ms: int = 0
-    account: "JobAccount | None" = None
+    account: JobAccount | None = None
--- a/packages/core/cranberryshore/pool/placing.py
+++ b/packages/core/cranberryshore/pool/placing.py
@@ -9,6 +9,7 @@
 
 import attrs
 
+from cranberryshore.placement.health import PoolHealth
 from cranberryshore.pool.held_worker import HeldWorker
 from cranberryshore.pool.work import PoolJob, PoolTask
 
@@ -29,6 +30,24 @@
     preference: float
 
 
+def candidates_of(
+    workers: Iterable[HeldWorker], smallest: int, health: PoolHealth, now: float
+) -> list[Candidate]:
+    """Return the workers that may be used now and have at least ``smallest`` millicores free."""
+    return [
+        Candidate(worker, health.preference(worker.name))
+        for worker in workers
+        if worker.room.millicores >= smallest
+        and worker.is_usable()
+        and health.allowance(worker.name, now) > 0
+    ]
+
+
+def largest_room(candidates: Iterable[Candidate]) -> int:
+    """Return the most millicores that one candidate has free."""
+    return max(item.worker.room.millicores for item in candidates)
+
+
 def best_worker(candidates: Iterable[Candidate], job: PoolJob, task: PoolTask) -> HeldWorker | None:
     """Return the worker for a task, or ``None`` if none has room.
 
--- a/packages/core/cranberryshore/pool/refusing.py
+++ b/packages/core/cranberryshore/pool/refusing.py
@@ -5,13 +5,23 @@
 refused as soon as it cannot be answered usefully any more. While room is free nothing is refused.
 """
 
-from cranberryshore.pool.work import PoolJob
+from cranberryshore.pool.work import ANSWER_SECONDS, PoolJob
 
 RETRY_AFTER_MS = 1000
 """When a refused caller may return: the bursts seen last one to four seconds."""
 
-ANSWER_SECONDS = 0.01
-"""Time that the answer needs on its way to the caller: two hops of 3 ms and some work."""
+
+RESUMED_WAIT_SECONDS = 1.4
+"""Longest wait until nothing of another scheduler can still run: a lease, and 0.3 s to stop it."""
+
+VERIFY_SECONDS = 0.25
+"""A new scheduler has mostly looked at all workers after so long, also where an answer is lost."""
+
+
+def earliest_start(job: PoolJob, now: float) -> float:
+    """Return when a job may start, of one handed over once the workers ought to be known."""
+    is_verifying = now < job.held_back_until - RESUMED_WAIT_SECONDS + VERIFY_SECONDS
+    return now if is_verifying else max(now, job.held_back_until)
 
 
 def is_hopeless(job: PoolJob, expected_seconds: float, now: float) -> bool:
--- a/packages/core/cranberryshore/pool/scheduler.py
+++ b/packages/core/cranberryshore/pool/scheduler.py
@@ -9,10 +9,10 @@
 import attrs
 
 from cranberryshore.placement.health import PoolHealth
-from cranberryshore.pool import ordering, placing, refusing
-from cranberryshore.pool.config import LATE_FACTOR, PoolConfig
+from cranberryshore.pool import adoption, ordering, placing, refusing
+from cranberryshore.pool.account import account_of
+from cranberryshore.pool.config import PoolConfig
 from cranberryshore.pool.effects import (
-    JobAccount,
     JobEnded,
     LookAt,
     PoolEffect,
@@ -32,17 +32,13 @@
 )
 from cranberryshore.pool.learning import RunTimes
 from cranberryshore.pool.placing import Candidate
+from cranberryshore.pool.refusing import RESUMED_WAIT_SECONDS
+from cranberryshore.pool.run_book import RunBook
 from cranberryshore.pool.work import Outcome, PoolJob, PoolTask, TaskPhase, WorkRequest
 
 STOP_AGAIN_SECONDS = 0.15
 """A stop that has shown no effect for so long is sent again; workers stop within 50 ms."""
 
-RESUMED_WAIT_SECONDS = 1.4
-"""Longest wait until nothing of another scheduler can still run: a lease, and 0.3 s to stop it."""
-
-VERIFY_SECONDS = 0.25
-"""A new scheduler has mostly looked at all workers after so long, also where an answer is lost."""
-
 SILENT_LOOKS = 2
 """Looks without an answer after which nothing is placed on a worker."""
 
@@ -53,9 +49,6 @@
 ATTEMPT_STEP = 8
 """Added to a number of attempt that a worker has called too low."""
 
-REMEMBERED_ATTEMPTS = 20_000
-"""Ended jobs whose attempts are remembered: some minutes at 100 jobs a second."""
-
 
 @attrs.define(eq=False)
 class Scheduler:
@@ -79,9 +72,7 @@
     health: PoolHealth = attrs.field(factory=PoolHealth)
     run_times: RunTimes = attrs.field(factory=RunTimes)
     effects: list[PoolEffect] = attrs.field(factory=list)
-    owners: dict[RunKey, tuple[PoolJob, PoolTask]] = attrs.field(factory=dict)
-    active_names: dict[str, int] = attrs.field(factory=dict)
-    attempts: dict[str, int] = attrs.field(factory=dict)
+    book: RunBook = attrs.field(factory=RunBook)
 
     def take_effects(self) -> list[PoolEffect]:
         """Return what is to be done, once."""
@@ -106,14 +97,11 @@
             self._refuse(request.id, entry, "The queue is not declared.", 0)
             return
         job = PoolJob(request, entry, now - request.waited_ms / 1000)
-        self._set_times(job, now)
-        job.priority, job.max_attempts = queue.priority, queue.max_attempts
+        job.set_times(queue, self._expected_seconds(job))
         if not self._can_ever_run(job):
             self._refuse(request.id, entry, "No worker can hold a task of the job.", 0)
             return
-        first = self.attempts.get(request.id, 0)
-        for task in job.tasks:
-            task.attempt = first
+        self.book.recall(job)
         self.jobs[request.id] = job
         if request.is_resumed:
             job.held_back_until = now + RESUMED_WAIT_SECONDS
@@ -121,14 +109,8 @@
             self.effects += [LookAt(name) for name in self.workers]
         self._place(now)
 
-    def _set_times(self, job: PoolJob, now: float) -> None:
-        queue = self.config.named(job.request.queue)
-        work = self.run_times.expected_ms(queue.name, job.request_work_ms) / 1000
-        aim = queue.aim_of(work * 1000) / 1000
-        job.aim_at = job.arrived_at + aim
-        job.late_at = job.arrived_at + LATE_FACTOR * aim
-        job.gives_up_at = job.arrived_at + job.request.budget_ms / 1000
-        job.start_by = job.aim_at - work - refusing.ANSWER_SECONDS
+    def _expected_seconds(self, job: PoolJob) -> float:
+        return self.run_times.expected_ms(job.request.queue, job.request_work_ms) / 1000
 
     def _can_ever_run(self, job: PoolJob) -> bool:
         members = list(self._members(job))
@@ -164,36 +146,15 @@
         """End a job, stop what still runs of it, and tell its entry instance if it waits."""
         job.is_ended = True
         del self.jobs[job.request.id]
-        self._remember_attempts(job)
+        self.book.remember(job)
         for task in job.tasks:
             if task.phase is TaskPhase.PLACED:
-                self._stop(task.worker, (self._name(job, task), task.attempt), now)
+                self._stop(task.worker, (job.name_of(task), task.attempt), now)
         if outcome is not None:
-            account = self._account(job, now)
+            account = account_of(job, self._expected_seconds(job), len(self.jobs), now)
             end = JobEnded(job.entry, job.request.id, outcome, detail, retry_ms, account)
             self.effects.append(end)
 
-    def _account(self, job: PoolJob, now: float) -> JobAccount:
-        started_at = job.started_at if job.has_started else now
-        return JobAccount(
-            job.request.queue,
-            int((started_at - job.arrived_at) * 1000),
-            int((now - job.arrived_at) * 1000),
-            int(self.run_times.expected_ms(job.request.queue, job.request_work_ms)),
-            int(job.longest_run_ms),
-            int((job.aim_at - job.arrived_at) * 1000),
-            len(self.jobs),
-            tuple(f"{task.last_worker}/{task.attempt}" for task in job.tasks if task.attempt),
-        )
-
-    def _remember_attempts(self, job: PoolJob) -> None:
-        last = max(task.attempt for task in job.tasks)
-        if last:
-            self.attempts.pop(job.request.id, None)
-            self.attempts[job.request.id] = last
-        while len(self.attempts) > REMEMBERED_ATTEMPTS:
-            del self.attempts[next(iter(self.attempts))]
-
     # Workers
 
     def hold(self, worker: HeldWorker) -> None:
@@ -231,29 +192,25 @@
 
     def _adopt_job(self, job: PoolJob, now: float) -> None:
         """Take over what another scheduler has started of a job, and what has ended since."""
-        names = {self._name(job, task): task for task in job.tasks}
+        for task, end in adoption.take_ends(job, self.workers.values()):
+            task.attempt = max(task.attempt, end.attempt)
+            if end.kind is EndKind.DONE and task.phase is TaskPhase.WAITING:
+                job.has_started = True
+                job.waiting_tasks -= 1
+                self._task_done(job, task, now)
         for worker in self.workers.values():
-            for name in sorted(names.keys() & worker.strange_ends.keys()):
-                end, task = worker.strange_ends.pop(name), names[name]
-                task.attempt = max(task.attempt, end.attempt)
-                if end.kind is EndKind.DONE and task.phase is TaskPhase.WAITING:
-                    job.has_started = True
-                    job.waiting_tasks -= 1
-                    self._task_done(job, task, now)
             for key in sorted(worker.strangers):
-                if key[0] in names:
+                if adoption.job_id_of(key) == job.request.id:
                     self._adopt_run(worker, key, now)
 
     def _adopt_run(self, worker: HeldWorker, key: RunKey, now: float) -> None:
         """Take over a run that another scheduler has started, if its job was handed over."""
-        job = self.jobs.get(key[0].partition(".")[0])
-        if job is None or self.active_names.get(key[0]):
-            return
-        for task in job.tasks:
-            if self._name(job, task) == key[0] and task.phase is TaskPhase.WAITING:
-                task.attempt = max(task.attempt, key[1])
-                self._note_start(job, task, worker, key, now)
-                worker.adopt(key, job.step_of(task).demand, now)
+        job = self.jobs.get(adoption.job_id_of(key))
+        task = adoption.task_of(job, key) if job is not None else None
+        if task is not None and not self.book.is_active(key[0]):
+            task.attempt = max(task.attempt, key[1])
+            self.book.begin(job, task, worker.name, key, now)
+            worker.adopt(key, job.step_of(task).demand, now)
 
     def look_failed(self, name: str, failures: int, now: float) -> None:
         """Record that a worker did not answer so many looks in a row.
@@ -282,8 +239,8 @@
         run = worker.drop(key) if worker is not None else None
         if run is None:
             return
-        if is_attempt_low and key in self.owners:
-            self.owners[key][1].attempt += ATTEMPT_STEP
+        if is_attempt_low:
+            self.book.owners[key][1].attempt += ATTEMPT_STEP
         self._run_ended(worker, RunEnd(key, EndKind.NEVER_BEGAN, run), now)
         self._place(now)
 
@@ -314,17 +271,11 @@
             if now > job.gives_up_at:
                 self._end(job, Outcome.GIVEN_UP, "The caller's time is over.", now)
             return
-        expected = self.run_times.expected_ms(job.request.queue, job.request_work_ms) / 1000
-        if refusing.is_hopeless(job, expected, self._earliest_start(job, now)):
+        earliest = refusing.earliest_start(job, now)
+        if refusing.is_hopeless(job, self._expected_seconds(job), earliest):
             detail = "The job can no longer be answered in time."
             self._end(job, Outcome.REFUSED, detail, now, refusing.RETRY_AFTER_MS)
 
-    @staticmethod
-    def _earliest_start(job: PoolJob, now: float) -> float:
-        """Return when a job may start, of one handed over once the workers ought to be known."""
-        is_verifying = now < job.held_back_until - RESUMED_WAIT_SECONDS + VERIFY_SECONDS
-        return now if is_verifying else max(now, job.held_back_until)
-
     # Placing
 
     def _members(self, job: PoolJob) -> Iterable[HeldWorker]:
@@ -338,24 +289,18 @@
         if not waiting:
             return
         smallest = min(job.smallest_millicores for job in waiting)
-        candidates = [
-            Candidate(worker, self.health.preference(worker.name))
-            for worker in self.workers.values()
-            if worker.room.millicores >= smallest
-            and worker.is_usable()
-            and self.health.allowance(worker.name, now) > 0
-        ]
+        candidates = placing.candidates_of(self.workers.values(), smallest, self.health, now)
         if not candidates:
             return
         waiting.sort(key=lambda job: ordering.waiting_order(job, now))
-        largest = _largest_room(candidates)
+        largest = placing.largest_room(candidates)
         for job in waiting:
             if job.smallest_millicores > largest:
                 continue
             if job.held_back_until > now and not self._is_verified(job):
                 continue
             if self._place_job(job, candidates, now):
-                largest = _largest_room(candidates)
+                largest = placing.largest_room(candidates)
 
     def _is_verified(self, job: PoolJob) -> bool:
         """Tell whether every worker has answered a look since a resumed job arrived."""
@@ -377,7 +322,7 @@
         members = [item for item in candidates if item.worker.service == queue.service]
         has_placed = False
         for task in job.startable():
-            if self.active_names.get(self._name(job, task)):
+            if self.book.is_active(job.name_of(task)):
                 continue
             worker = placing.best_worker(members, job, task)
             if worker is None:
@@ -392,8 +337,8 @@
         if lease_end_ms is None:
             return False
         task.attempt += 1
-        key = (self._name(job, task), task.attempt)
-        self._note_start(job, task, worker, key, now)
+        key = (job.name_of(task), task.attempt)
+        self.book.begin(job, task, worker.name, key, now)
         worker.begin(key, job.step_of(task).demand, now)
         record = self.health.of(worker.name)
         record.probe_running = bool(record.isolation_seconds)
@@ -401,17 +346,6 @@
         self.effects.append(StartRun(worker.name, key, payload, worker.token, lease_end_ms))
         return True
 
-    def _note_start(
-        self, job: PoolJob, task: PoolTask, worker: HeldWorker, key: RunKey, now: float
-    ) -> None:
-        job.waiting_tasks -= 1
-        task.phase, task.worker = TaskPhase.PLACED, worker.name
-        task.last_worker = worker.name
-        if not job.has_started:
-            job.has_started, job.started_at = True, now
-        self.owners[key] = (job, task)
-        self.active_names[key[0]] = self.active_names.get(key[0], 0) + 1
-
     def _stop(self, name: str, key: RunKey, now: float) -> None:
         worker = self.workers.get(name)
         run = worker.runs.get(key) if worker is not None else None
@@ -422,11 +356,7 @@
     # Ends
 
     def _run_ended(self, worker: HeldWorker, end: RunEnd, now: float) -> None:
-        job, task = self.owners.pop(end.key)
-        name = end.key[0]
-        self.active_names[name] -= 1
-        if not self.active_names[name]:
-            del self.active_names[name]
+        job, task = self.book.finish(end.key)
         self._learn(worker, end, job, task, now)
         if end.kind is not EndKind.DONE:
             ran_ms = int((now - end.run.started_at) * 1000)
@@ -443,7 +373,7 @@
         if end.kind is EndKind.FAILED:
             task.failures += 1
             if task.failures >= job.max_attempts:
-                self._end(job, Outcome.FAILED, f"Task {name} failed too often.", now)
+                self._end(job, Outcome.FAILED, f"Task {end.key[0]} failed too often.", now)
 
     def _task_done(self, job: PoolJob, task: PoolTask, now: float) -> None:
         task.phase = TaskPhase.DONE
@@ -466,11 +396,3 @@
             job.was_slowed |= self.health.is_slow(worker.name)
         elif end.kind is EndKind.FAILED:
             self.health.on_failure(worker.name, job.request.id, now)
-
-    @staticmethod
-    def _name(job: PoolJob, task: PoolTask) -> str:
-        return f"{job.request.id}.0.{task.step}.{task.index}"
-
-
-def _largest_room(candidates: list[Candidate]) -> int:
-    return max(item.worker.room.millicores for item in candidates)
--- a/packages/core/cranberryshore/pool/tests/test_scheduler.py
+++ b/packages/core/cranberryshore/pool/tests/test_scheduler.py
@@ -17,7 +17,8 @@
     StopRun,
     WorkRequest,
 )
-from cranberryshore.pool.scheduler import ADOPT_SECONDS, RESUMED_WAIT_SECONDS, VERIFY_SECONDS
+from cranberryshore.pool.refusing import RESUMED_WAIT_SECONDS, VERIFY_SECONDS
+from cranberryshore.pool.scheduler import ADOPT_SECONDS
 from cranberryshore.work import Capacity
 
 QUEUE = QueueSpec("q", "h", "/q/", "s", max_attempts=2, slack_factor=2.0, aim_ms=100)
--- a/packages/core/cranberryshore/pool/work.py
+++ b/packages/core/cranberryshore/pool/work.py
@@ -4,8 +4,15 @@
 
 import attrs
 
+from cranberryshore.pool.config import LATE_FACTOR, QueueSpec
 from cranberryshore.work.capacity import Capacity
 
+ANSWER_SECONDS = 0.01
+"""Time that the answer needs on its way to the caller: two hops of 3 ms and some work."""
+
+OCCURRENCE = 0
+"""Jobs run once here; repeated ones would be numbered."""
+
 
 class TaskPhase(Enum):
     """Where a task stands."""
@@ -153,6 +160,19 @@
         """Return the specification of a task."""
         return self.request.steps[task.step]
 
+    def name_of(self, task: PoolTask) -> str:
+        """Return the name of a task on workers: the job, its occurrence, the step, the index."""
+        return f"{self.request.id}.{OCCURRENCE}.{task.step}.{task.index}"
+
+    def set_times(self, queue: QueueSpec, work_seconds: float) -> None:
+        """Set when the job ought to be answered, is of no use, and must start at the latest."""
+        aim = queue.aim_of(work_seconds * 1000) / 1000
+        self.aim_at = self.arrived_at + aim
+        self.late_at = self.arrived_at + LATE_FACTOR * aim
+        self.gives_up_at = self.arrived_at + self.request.budget_ms / 1000
+        self.start_by = self.aim_at - work_seconds - ANSWER_SECONDS
+        self.priority, self.max_attempts = queue.priority, queue.max_attempts
+
     def is_step_done(self, number: int) -> bool:
         """Tell whether all tasks of a step have ended well."""
         return all(task.phase is TaskPhase.DONE for task in self.tasks if task.step == number)
--- a/packages/daemon/cranberryshored/pool/app.py
+++ b/packages/daemon/cranberryshored/pool/app.py
@@ -26,8 +26,8 @@
 from cranberryshored.peers.transport import PeerTransport, Transport
 from cranberryshored.pool.clock import TokenSource, now, unix_ms
 from cranberryshored.pool.desk import EntryDesk
-from cranberryshored.pool.exchange import Numbered, PeerExchange
-from cranberryshored.pool.protocols import Registry, WorkerCalls
+from cranberryshored.pool.exchange import PeerExchange
+from cranberryshored.pool.protocols import Numbered, Registry, WorkerCalls
 from cranberryshored.pool.scheduling import SchedulingService
 from cranberryshored.tasks import end_tasks
 
@@ -209,8 +209,7 @@
         self.pool_config = config
         self.metrics.revision.set(config.version)
         self.scheduling.set_config(config)
-        if self.exchange.follows:
-            self.exchange.announce()
+        self.exchange.push_config()
 
     def take_roster(self, version: int, workers: tuple[WorkerEntry, ...]) -> None:
         """Take a scheduler's list of workers, in case this instance takes over."""
--- a/packages/daemon/cranberryshored/pool/exchange.py
+++ b/packages/daemon/cranberryshored/pool/exchange.py
@@ -2,7 +2,7 @@
 
 import asyncio
 from collections.abc import Callable
-from typing import Any, Protocol
+from typing import Any
 
 import attrs
 from structlog.typing import FilteringBoundLogger
@@ -13,7 +13,6 @@
     ConfigNews,
     RosterNews,
     SubmitWork,
-    WorkEnded,
 )
 from cranberryshore.pool import (
     Claim,
@@ -22,13 +21,12 @@
     Member,
     MemberAddress,
     OutStream,
-    PoolConfig,
-    WorkerEntry,
 )
 from cranberryshore.pool.group import FENCED_PAUSE_SECONDS, LOST_SECONDS
 from cranberryshored.metrics import Metrics
 from cranberryshored.peers.transport import Transport
 from cranberryshored.pool.clock import now
+from cranberryshored.pool.protocols import ExchangeListener, Numbered
 from cranberryshored.tasks import end_tasks
 
 BEAT_SECONDS = 0.15
@@ -44,64 +42,6 @@
 PAUSE_SECONDS = 0.45
 """A gap between two beats that shows that this process stood still."""
 
-Numbered = SubmitWork | CancelWork | WorkEnded
-
-
-class ExchangeListener(Protocol):
-    """Told of what happens in the group."""
-
-    def scheduler_changed(self) -> None:
-        """Take note that this instance follows another scheduler, or none."""
-        ...
-
-    def peer_left(self, incarnation: str) -> None:
-        """Drop the jobs of a peer that is gone or follows another scheduler."""
-        ...
-
-    def take(self, sender: str, message: Numbered) -> None:
-        """Take a message that has arrived in order."""
-        ...
-
-    def take_config(self, config: PoolConfig) -> None:
-        """Take a configuration that a peer has in force."""
-        ...
-
-    def take_roster(self, version: int, workers: tuple[WorkerEntry, ...]) -> None:
-        """Take a peer's list of workers."""
-        ...
-
-    def config(self) -> PoolConfig:
-        """Return the configuration in force."""
-        ...
-
-    def roster(self) -> tuple[int, tuple[WorkerEntry, ...]]:
-        """Return the version of the list of workers, and the list."""
-        ...
-
-    def held_count(self) -> int:
-        """Return the number of workers that obey this instance."""
-        ...
-
-    def has_lost_hold(self) -> bool:
-        """Tell whether most workers obey another holder."""
-        ...
-
-    def waiting_entries(self) -> set[str]:
-        """Return the entry instances whose jobs are scheduled here."""
-        ...
-
-    def stood_still(self) -> None:
-        """Take note that this process stood still for some time."""
-        ...
-
-    def claim_wanted(self, claim: Claim) -> None:
-        """Claim, because nobody else schedules."""
-        ...
-
-    def claim_ended(self, reason: str) -> None:
-        """End scheduling, for the given reason."""
-        ...
-
 
 @attrs.define(eq=False)
 class PeerExchange:
@@ -177,6 +117,13 @@
             for ready in self.ins.setdefault(sender, InStream()).take(message):
                 self.listener.take(sender, ready)
 
+    def push_config(self) -> None:
+        """Hand the configuration to the scheduler, ahead of work that needs it."""
+        scheduler = self.group.members.get(self.follows)
+        if scheduler is not None and scheduler.config_version < self.listener.config().version:
+            news = ConfigNews(self.listener.config())
+            self.transport.send(scheduler.at.address, self.follows, news)
+
     def announce(self) -> None:
         """Send a beat to everyone now."""
         moment = now()
--- a/packages/daemon/cranberryshored/pool/protocols.py
+++ b/packages/daemon/cranberryshored/pool/protocols.py
@@ -7,7 +7,9 @@
 import attrs
 from result import Result
 
+from cranberryshore.messages import CancelWork, SubmitWork, WorkEnded
 from cranberryshore.pool import (
+    Claim,
     HeldWorker,
     LookAnswer,
     MemberAddress,
@@ -122,3 +124,62 @@
     async def list_members(self) -> tuple[MemberAddress, ...] | None:
         """Return the registered instances; ``None`` if the store does not answer."""
         ...
+
+
+Numbered = SubmitWork | CancelWork | WorkEnded
+
+
+class ExchangeListener(Protocol):
+    """Told of what happens in the group."""
+
+    def scheduler_changed(self) -> None:
+        """Take note that this instance follows another scheduler, or none."""
+        ...
+
+    def peer_left(self, incarnation: str) -> None:
+        """Drop the jobs of a peer that is gone or follows another scheduler."""
+        ...
+
+    def take(self, sender: str, message: Numbered) -> None:
+        """Take a message that has arrived in order."""
+        ...
+
+    def take_config(self, config: PoolConfig) -> None:
+        """Take a configuration that a peer has in force."""
+        ...
+
+    def take_roster(self, version: int, workers: tuple[WorkerEntry, ...]) -> None:
+        """Take a peer's list of workers."""
+        ...
+
+    def config(self) -> PoolConfig:
+        """Return the configuration in force."""
+        ...
+
+    def roster(self) -> tuple[int, tuple[WorkerEntry, ...]]:
+        """Return the version of the list of workers, and the list."""
+        ...
+
+    def held_count(self) -> int:
+        """Return the number of workers that obey this instance."""
+        ...
+
+    def has_lost_hold(self) -> bool:
+        """Tell whether most workers obey another holder."""
+        ...
+
+    def waiting_entries(self) -> set[str]:
+        """Return the entry instances whose jobs are scheduled here."""
+        ...
+
+    def stood_still(self) -> None:
+        """Take note that this process stood still for some time."""
+        ...
+
+    def claim_wanted(self, claim: Claim) -> None:
+        """Claim, because nobody else schedules."""
+        ...
+
+    def claim_ended(self, reason: str) -> None:
+        """End scheduling, for the given reason."""
+        ...
--- /dev/null
+++ b/scripts/write_platform_measurements.py
@@ -0,0 +1,95 @@
+"""Writes docs/measurements/platform.md from the journal entries of the users' bench."""
+
+import argparse
+import json
+import sys
+from pathlib import Path
+from typing import Any
+
+ROOT = Path(__file__).resolve().parent.parent
+JOURNAL = ROOT / "journal"
+PAGE = ROOT / "docs" / "measurements" / "platform.md"
+
+HEAD = """# Scores on the users' platform
+
+Written by `scripts/write_platform_measurements.py` from the entries in `journal/`, which the users'
+bench writes. `worth` is what the day earned of what was owed, less prices; the score is cut off at
+1.0, and a broken rule makes a day 0. A change under 0.03 of a site is noise.
+"""
+
+
+def entries() -> list[dict[str, Any]]:
+    """Return the journal entries in the order of their times."""
+    read = [json.loads(path.read_text(encoding="utf-8")) for path in JOURNAL.glob("*.json")]
+    return sorted(read, key=lambda entry: entry["at"][0])
+
+
+def is_broken(day: dict[str, Any]) -> bool:
+    """Tell whether a rule was broken or a fault seen."""
+    return bool(day["rules"]) or bool(day["fault"])
+
+
+def score_tables(scores: list[dict[str, Any]]) -> list[str]:
+    """Return one table for each site: a row for each score, a column for each standard day."""
+    lines = []
+    for site in sorted({entry["site"] for entry in scores}):
+        rows = [entry for entry in scores if entry["site"] == site]
+        names = [day["name"] for day in rows[0]["days"] if not day["name"].startswith("fresh")]
+        lines += ["", f"## {site}: worth by day", ""]
+        lines.append("| " + " | ".join(["time", "entry", "score", "gate", *names, "why"]) + " |")
+        lines.append("| " + " | ".join(["---"] * (len(names) + 5)) + " |")
+        for entry in rows:
+            days = {day["name"]: day for day in entry["days"]}
+            cells = [entry["at"][0][:16], entry["id"], f"{entry['score']:.3f}"]
+            is_passed = all(day["gate"] for day in entry["days"])
+            cells.append("passed" if is_passed else "failed")
+            cells += [worth(days.get(name)) for name in names]
+            lines.append("| " + " | ".join([*cells, entry["why"] or ""]) + " |")
+    return lines
+
+
+def worth(day: dict[str, Any] | None) -> str:
+    """Return what a day earned, and the rules that it broke."""
+    if day is None:
+        return "not played"
+    mark = f" broke {', '.join(day['rules'])}" if is_broken(day) else ""
+    return f"{day['G']:.3f}{mark}"
+
+
+def hunt_table(hunts: list[dict[str, Any]]) -> list[str]:
+    """Return a row for each hunt."""
+    lines = ["", "## Hunts", "", "| time | entry | site | days | broken | mean worth |"]
+    lines.append("| --- | --- | --- | --- | --- | --- |")
+    for entry in hunts:
+        days = entry["days"]
+        broken = [f"{day['name']} ({', '.join(day['rules'])})" for day in days if is_broken(day)]
+        mean = sum(day["G"] for day in days) / max(len(days), 1)
+        cells = [entry["at"][0][:16], entry["id"], entry["site"], str(len(days))]
+        lines.append("| " + " | ".join([*cells, "; ".join(broken) or "none", f"{mean:.3f}"]) + " |")
+    return lines
+
+
+def page() -> str:
+    """Return the whole page."""
+    known = [entry for entry in entries() if entry["days"]]
+    scores = [entry for entry in known if entry["cmd"] == "score"]
+    hunts = [entry for entry in known if entry["cmd"] == "hunt"]
+    return "\n".join([HEAD.rstrip(), *score_tables(scores), *hunt_table(hunts)]) + "\n"
+
+
+def main() -> int:
+    """Write the page, or check that it is up to date."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--check", action="store_true")
+    text = page()
+    if parser.parse_args().check:
+        is_same = PAGE.exists() and PAGE.read_text(encoding="utf-8") == text
+        print(f"{PAGE.name}: {'up to date' if is_same else 'not up to date'}")
+        return 0 if is_same else 1
+    PAGE.parent.mkdir(exist_ok=True)
+    PAGE.write_text(text, encoding="utf-8")
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
