--- a/packages/core/cranberryshore/messages/pool.py
+++ b/packages/core/cranberryshore/messages/pool.py
@@ -5,6 +5,7 @@
 from cranberryshore.pool.config import PoolConfig
 from cranberryshore.pool.group import Claim, MemberAddress
 from cranberryshore.pool.roster import WorkerEntry
+from cranberryshore.pool.stream import Place
 from cranberryshore.pool.work import Outcome, WorkRequest
 
 
@@ -18,8 +19,8 @@
         Who sends it.
     config_version : int
         Version of the configuration in force there.
-    received : int
-        All numbered messages of the receiver up to this one have arrived.
+    stream, received : int
+        All messages of this stream of the receiver up to this number have arrived.
     sent_at : float
         Sender's steady clock, in seconds.
     is_draining : bool
@@ -40,6 +41,7 @@
 
     sender: MemberAddress
     config_version: int
+    stream: int
     received: int
     sent_at: float
     is_draining: bool = False
@@ -57,7 +59,7 @@
 
     Parameters
     ----------
-    number : int
+    place : Place
         Place among the sender's messages to this scheduler.
     request : WorkRequest
         The job.
@@ -66,7 +68,7 @@
         a cut has held up is known by it: its sender may have handed the job to another one.
     """
 
-    number: int
+    place: Place
     request: WorkRequest
     echo: float
 
@@ -75,7 +77,7 @@
 class CancelWork:
     """The caller of a job has left."""
 
-    number: int
+    place: Place
     job: str
 
 
@@ -83,7 +85,7 @@
 class WorkEnded:
     """A job has ended."""
 
-    number: int
+    place: Place
     job: str
     outcome: Outcome
     detail: str = ""
--- a/packages/core/cranberryshore/pool/scheduler.py
+++ b/packages/core/cranberryshore/pool/scheduler.py
@@ -8,7 +8,7 @@
 
 import attrs
 
-from cranberryshore.placement.health import PoolHealth
+from cranberryshore.placement.health import FIRST_ISOLATION_SECONDS, PoolHealth
 from cranberryshore.pool import adoption, ordering, placing, refusing
 from cranberryshore.pool.account import account_of
 from cranberryshore.pool.config import PoolConfig
@@ -34,6 +34,7 @@
 from cranberryshore.pool.placing import Candidate
 from cranberryshore.pool.refusing import RESUMED_WAIT_SECONDS
 from cranberryshore.pool.run_book import RunBook
+from cranberryshore.pool.straggling import is_straggling
 from cranberryshore.pool.work import Outcome, PoolJob, PoolTask, TaskPhase, WorkRequest
 
 STOP_AGAIN_SECONDS = 0.15
@@ -259,6 +260,7 @@
         for name, worker in list(self.workers.items()):
             for end in worker.overdue(now):
                 self._run_ended(worker, end, now)
+            self._stop_stragglers(worker, now)
             is_gone = worker.is_draining and worker.state is HoldState.LOST and not worker.runs
             if is_gone and now > worker.lost_at + LEASE_OVER_SECONDS:
                 del self.workers[name]
@@ -266,6 +268,18 @@
             self._check_hope(job, now)
         self._place(now)
 
+    def _stop_stragglers(self, worker: HeldWorker, now: float) -> None:
+        """Stop runs that take too long, so that their tasks start elsewhere."""
+        for key, run in worker.runs.items():
+            if run.state is not RunState.RUNNING:
+                continue
+            job, task = self.book.owners[key]
+            estimate = job.step_of(task).estimate_ms
+            expected = self.run_times.expected_ms(job.request.queue, estimate) / 1000
+            if is_straggling(now - run.started_at, expected):
+                self._stop(worker.name, key, now)
+                self.health.isolate(worker.name, FIRST_ISOLATION_SECONDS, now)
+
     def _check_hope(self, job: PoolJob, now: float) -> None:
         if job.has_started:
             if now > job.gives_up_at:
@@ -396,3 +410,6 @@
             job.was_slowed |= self.health.is_slow(worker.name)
         elif end.kind is EndKind.FAILED:
             self.health.on_failure(worker.name, job.request.id, now)
+        else:
+            # A probe that ended without a result tells nothing; the next one may go.
+            self.health.of(worker.name).probe_running = False
--- a/packages/core/cranberryshore/pool/stream.py
+++ b/packages/core/cranberryshore/pool/stream.py
@@ -2,7 +2,9 @@
 
 A channel between two instances can break or fall silent for good while a new one works. Messages
 are numbered, the receiver tells in its beats how far it has received, and what stays unconfirmed
-is sent again.
+is sent again. Either side may forget the other after a long silence that the other one, frozen
+meanwhile, does not notice; so every message says which stream it belongs to, and which number is
+the oldest that matters.
 """
 
 from collections.abc import Callable
@@ -14,24 +16,52 @@
 """Longer than two beats of 0.15 s, so that a confirmation that is under way is not overtaken."""
 
 
+@attrs.frozen
+class Place:
+    """Where a message stands among those to one peer.
+
+    Parameters
+    ----------
+    stream : int
+        Unix time in milliseconds at which the sender began the stream.
+    number : int
+        Rises by one with each message of the stream, from 1.
+    oldest : int
+        All messages with a lower number were confirmed when this one was made.
+    """
+
+    stream: int
+    number: int
+    oldest: int
+
+
 @attrs.define
 class OutStream:
-    """Numbered messages to one incarnation of a peer."""
+    """Numbered messages to one incarnation of a peer.
+
+    Parameters
+    ----------
+    id : int
+        Unix time in milliseconds at which the stream begins.
+    """
 
+    id: int
     last: int = 0
     unconfirmed: dict[int, tuple[Any, float]] = attrs.field(factory=dict)
 
-    def next_number(self) -> int:
-        """Return the number of the next message."""
+    def next_place(self) -> Place:
+        """Return the place of the next message."""
         self.last += 1
-        return self.last
+        return Place(self.id, self.last, min(self.unconfirmed, default=self.last))
 
     def sent(self, message: Any, now: float) -> None:
         """Remember a message until it is confirmed."""
-        self.unconfirmed[message.number] = (message, now)
+        self.unconfirmed[message.place.number] = (message, now)
 
-    def confirm(self, received: int) -> None:
-        """Forget all messages up to a number."""
+    def confirm(self, stream: int, received: int) -> None:
+        """Forget all messages up to a number, if the peer speaks of this stream."""
+        if stream != self.id:
+            return
         for number in [number for number in self.unconfirmed if number <= received]:
             del self.unconfirmed[number]
 
@@ -63,22 +93,33 @@
     --------
     >>> from types import SimpleNamespace
     >>> stream = InStream()
-    >>> [m.number for m in stream.take(SimpleNamespace(number=2))]
+    >>> first, second = (SimpleNamespace(place=Place(7, number, 1)) for number in (1, 2))
+    >>> stream.take(second)
     []
-    >>> [m.number for m in stream.take(SimpleNamespace(number=1))]
-    [1, 2]
+    >>> stream.take(first) == [first, second]
+    True
     """
 
+    id: int = 0
     received: int = 0
     ahead: dict[int, Any] = attrs.field(factory=dict)
 
     def take(self, message: Any) -> list[Any]:
         """Return the messages that are in order now; none for one that came before."""
-        if message.number <= self.received:
+        place = message.place
+        if place.stream > self.id:
+            self.id, self.received = place.stream, 0
+            self.ahead.clear()
+        if place.stream < self.id or place.number <= self.received:
             return []
-        self.ahead[message.number] = message
+        self.ahead[place.number] = message
+        return self._in_order(place.oldest)
+
+    def _in_order(self, oldest: int) -> list[Any]:
+        """Return what is in order, also beyond numbers that the peer does not send again."""
         ready = []
-        while self.received + 1 in self.ahead:
+        while self.received + 1 in self.ahead or self.received + 1 < oldest:
             self.received += 1
-            ready.append(self.ahead.pop(self.received))
+            if self.received in self.ahead:
+                ready.append(self.ahead.pop(self.received))
         return ready
--- a/packages/core/cranberryshore/pool/tests/test_load.py
+++ b/packages/core/cranberryshore/pool/tests/test_load.py
@@ -2,7 +2,9 @@
 
 from unittest import TestCase, mock
 
-from cranberryshore.pool import ordering
+import attrs
+
+from cranberryshore.pool import ordering, scheduler
 from cranberryshore.pool.learning import RunTimes
 from cranberryshore.pool.tests.load_replay import (
     Burst,
@@ -14,6 +16,7 @@
 from cranberryshore.pool.work import Outcome
 
 PER_SECOND = 77.0
+CALLER_BUDGET_MS = 2500
 BURSTS = (Burst(4, 8, 1.3), Burst(4, 8, 1.7, "slot"))
 SEEDS = (1, 2, 3)
 
@@ -45,6 +48,24 @@
         self.assertGreater(earned, mean_earned(by_arrival) + 0.01)
         self.assertGreater(earned, mean_earned(by_latest_start) + 0.01)
 
+    def test_workers_that_stand_still(self):
+        def earned(seed: int) -> float:
+            replay = consortium_replay()
+            for name in ("w01", "w07", "w13"):
+                replay.workers[name].slowness = 1000.0
+            arrivals = draw_load(seed, 10, 55.0)
+            for arrival in arrivals:
+                arrival.request = attrs.evolve(arrival.request, budget_ms=CALLER_BUDGET_MS)
+            return earned_share(replay.play(arrivals))
+
+        def never(ran_seconds: float, expected_seconds: float) -> bool:
+            return False
+
+        stopped = [earned(seed) for seed in SEEDS]
+        with mock.patch.object(scheduler, "is_straggling", never):
+            left = [earned(seed) for seed in SEEDS]
+        self.assertGreater(sum(stopped), sum(left) + 0.01 * len(SEEDS))
+
     def test_every_kind_and_size_is_served(self):
         _, served = play(1)
         for kind in ("gate", "seat", "slot"):
--- a/packages/core/cranberryshore/pool/tests/test_scheduler.py
+++ b/packages/core/cranberryshore/pool/tests/test_scheduler.py
@@ -212,6 +212,27 @@
         (stop,) = self.effects(StopRun)
         self.assertEqual((stop.worker, stop.key), ("w2", ("j.0.0.0", 4)))
 
+    def test_run_that_takes_too_long_is_tried_elsewhere(self):
+        # Cause: tasks that stood still held their room until their callers' time was over.
+        (start,) = self.submit()
+        self.scheduler.tick(self.now + 0.35)
+        self.assertEqual(self.effects(StopRun), [])
+        self.scheduler.tick(self.now + 0.45)
+        (stop,) = self.effects(StopRun)
+        self.assertEqual(stop.key, start.key)
+        self.end(start, EndKind.STOPPED)
+        (again,) = self.starts()
+        self.assertNotEqual(again.worker, start.worker)
+
+    def test_probe_that_never_began_does_not_bar_its_worker(self):
+        # Cause: only results ended a probe, so a worker whose probe was lost was used no more.
+        self.scheduler.workers["w2"].is_draining = True
+        self.scheduler.health.isolate("w1", 0.001, self.now - 1.0)
+        self.scheduler.submit(request(), "e", self.now)
+        (probe,) = self.effects(StartRun)
+        self.scheduler.start_rejected("w1", probe.key, False, self.now)
+        self.assertEqual(len(self.starts()), 1)
+
     def test_low_attempt_is_raised(self):
         self.scheduler.submit(request(), "e", self.now)
         (start,) = self.effects(StartRun)
--- a/packages/core/cranberryshore/pool/tests/test_stream.py
+++ b/packages/core/cranberryshore/pool/tests/test_stream.py
@@ -5,23 +5,50 @@
 from cranberryshore.pool.stream import RESEND_SECONDS
 
 
-def message(number: int) -> SimpleNamespace:
-    return SimpleNamespace(number=number)
+def send(stream: OutStream, now: float = 0.0) -> SimpleNamespace:
+    message = SimpleNamespace(place=stream.next_place())
+    stream.sent(message, now)
+    return message
 
 
 class StreamTest(TestCase):
+    def setUp(self):
+        self.out, self.into = OutStream(5), InStream()
+
     def test_unconfirmed_messages_are_sent_again_in_order(self):
-        stream = OutStream()
         for _ in range(3):
-            stream.sent(message(stream.next_number()), 0.0)
-        stream.confirm(1)
-        self.assertEqual(stream.due(RESEND_SECONDS / 2), [])
-        self.assertEqual([item.number for item in stream.due(RESEND_SECONDS)], [2, 3])
-        self.assertEqual(stream.due(RESEND_SECONDS), [])
+            send(self.out)
+        self.out.confirm(5, 1)
+        self.assertEqual(self.out.due(RESEND_SECONDS / 2), [])
+        numbers = [item.place.number for item in self.out.due(RESEND_SECONDS)]
+        self.assertEqual(numbers, [2, 3])
+        self.assertEqual(self.out.due(RESEND_SECONDS), [])
 
     def test_messages_arrive_once_and_in_order(self):
-        stream = InStream()
+        one, two, three = (send(self.out) for _ in range(3))
         got = []
-        for number in (2, 1, 1, 3, 2):
-            got += [item.number for item in stream.take(message(number))]
-        self.assertEqual(got, [1, 2, 3])
+        for message in (two, one, one, three, two):
+            got += self.into.take(message)
+        self.assertEqual(got, [one, two, three])
+
+    def test_receiver_that_has_forgotten_the_sender(self):
+        # Cause: an instance frozen for longer than peers are remembered went on with its numbers,
+        # and its scheduler waited for those before them for ever.
+        send(self.out)
+        self.out.confirm(5, 1)
+        later = send(self.out)
+        self.assertEqual(self.into.take(later), [later])
+
+    def test_sender_that_has_forgotten_the_receiver(self):
+        # Cause: the same with a frozen scheduler, which took new messages for old ones.
+        for _ in range(3):
+            self.into.take(send(self.out))
+        again = OutStream(6)
+        message = send(again)
+        again.confirm(self.into.id, self.into.received)
+        self.assertIn(1, again.unconfirmed)
+        self.assertEqual(self.into.take(message), [message])
+
+    def test_message_of_an_older_stream_is_ignored(self):
+        self.into.take(send(OutStream(6)))
+        self.assertEqual(self.into.take(send(self.out)), [])
--- a/packages/daemon/cranberryshored/pool/app.py
+++ b/packages/daemon/cranberryshored/pool/app.py
@@ -100,7 +100,12 @@
         self.exchange = PeerExchange(Group(own, now()), settings.seeds, self, self.metrics, log)
         self.exchange.transport = self.make_transport(own, self.exchange.deliver)
         self.scheduling = SchedulingService(
-            self.calls, self.tokens, self._job_ended, part_log("scheduler"), self.metrics
+            self.calls,
+            self.tokens,
+            self._job_ended,
+            lambda: self.exchange.stood_still(),
+            part_log("scheduler"),
+            self.metrics,
         )
         self.desk = EntryDesk(self, self.metrics, part_log("entry"))
 
@@ -271,7 +276,7 @@
             self.scheduling.submit(request, self.exchange.follows)
         else:
             self.exchange.send(
-                self.exchange.follows, lambda number, echo: SubmitWork(number, request, echo)
+                self.exchange.follows, lambda place, echo: SubmitWork(place, request, echo)
             )
 
     def cancel(self, job: str) -> None:
@@ -279,7 +284,7 @@
         if self.exchange.follows == self.group.own.incarnation:
             self.scheduling.cancel(job, self.exchange.follows)
         elif self.exchange.follows:
-            self.exchange.send(self.exchange.follows, lambda number, echo: CancelWork(number, job))
+            self.exchange.send(self.exchange.follows, lambda place, echo: CancelWork(place, job))
 
     def _job_ended(self, end: JobEnded) -> None:
         if end.entry == self.group.own.incarnation:
@@ -287,8 +292,8 @@
             return
         self.exchange.send(
             end.entry,
-            lambda number, echo: WorkEnded(
-                number, end.job, end.outcome, end.detail, end.retry_after_ms
+            lambda place, echo: WorkEnded(
+                place, end.job, end.outcome, end.detail, end.retry_after_ms
             ),
         )
 
--- a/packages/daemon/cranberryshored/pool/exchange.py
+++ b/packages/daemon/cranberryshored/pool/exchange.py
@@ -23,9 +23,10 @@
     OutStream,
 )
 from cranberryshore.pool.group import FENCED_PAUSE_SECONDS, LOST_SECONDS
+from cranberryshore.pool.stream import Place
 from cranberryshored.metrics import Metrics
 from cranberryshored.peers.transport import Transport
-from cranberryshored.pool.clock import now
+from cranberryshored.pool.clock import now, unix_ms
 from cranberryshored.pool.protocols import ExchangeListener, Numbered
 from cranberryshored.tasks import end_tasks
 
@@ -85,7 +86,7 @@
         """Return this instance."""
         return self.group.own
 
-    def send(self, incarnation: str, make: Callable[[int, float], Numbered]) -> None:
+    def send(self, incarnation: str, make: Callable[[Place, float], Numbered]) -> None:
         """Send a numbered message to a peer, again until it is confirmed.
 
         Parameters
@@ -93,14 +94,16 @@
         incarnation : str
             The peer.
         make : callable
-            Returns the message for a number and a reading of the peer's clock.
+            Returns the message for a place and a reading of the peer's clock.
         """
         member = self.group.members.get(incarnation)
         if member is None:
             return
-        stream = self.outs.setdefault(incarnation, OutStream())
+        stream = self.outs.get(incarnation)
+        if stream is None:
+            stream = self.outs[incarnation] = OutStream(unix_ms())
         moment = now()
-        message = make(stream.next_number(), member.clock(moment))
+        message = make(stream.next_place(), member.clock(moment))
         stream.sent(message, moment)
         self.transport.send(member.at.address, incarnation, message)
 
@@ -158,7 +161,7 @@
         if stream is not None:
             stream.replace(
                 lambda item: (
-                    CancelWork(item.number, item.request.id)
+                    CancelWork(item.place, item.request.id)
                     if isinstance(item, SubmitWork)
                     else item
                 )
@@ -179,7 +182,7 @@
         if beat.sender.incarnation == self.follows:
             self._check_heard(beat, moment)
         if beat.sender.incarnation in self.outs:
-            self.outs[beat.sender.incarnation].confirm(beat.received)
+            self.outs[beat.sender.incarnation].confirm(beat.stream, beat.received)
         if beat.successor == self.own.incarnation and self.group.claim is None:
             self._succeed(beat)
         if is_new:
@@ -223,11 +226,12 @@
             self.transport.send(member.at.address, member.at.incarnation, news)
 
     def _beat(self, member: Member, moment: float) -> None:
-        stream = self.ins.get(member.at.incarnation)
+        stream = self.ins.get(member.at.incarnation, InStream())
         beat = Beat(
             self.own,
             self.listener.config().version,
-            stream.received if stream is not None else 0,
+            stream.id,
+            stream.received,
             moment,
             self.group.is_draining,
             self.group.claim,
@@ -261,12 +265,17 @@
         for member in self.group.members.values():
             if member.heard_at > self.beat_at - PAUSE_SECONDS:
                 member.heard_at = moment
+        self.stood_still()
+
+    def stood_still(self) -> None:
+        """Give up the claim, and hand this instance's jobs over anew."""
         self._end_claim("this process stood still")
         self.listener.stood_still()
 
     def _round(self, moment: float) -> None:
         for member in self.group.forget_silent(moment):
-            self._forget(member)
+            self.transport.forget(member.at.address)
+        self._forget_streams()
         if self.group.claim is not None:
             self._check_claim(moment)
         self._decide(moment)
@@ -325,7 +334,7 @@
         return [scheduler] if scheduler is not None else []
 
     def _greeting(self) -> Beat:
-        return Beat(self.own, self.listener.config().version, 0, now())
+        return Beat(self.own, self.listener.config().version, 0, 0, now())
 
     def _redial(self, member: Member, moment: float) -> None:
         address = member.at.address
@@ -334,8 +343,8 @@
             self.redialed[address] = moment
             self.transport.forget(address)
 
-    def _forget(self, member: Member) -> None:
-        incarnation = member.at.incarnation
-        self.outs.pop(incarnation, None)
-        self.ins.pop(incarnation, None)
-        self.transport.forget(member.at.address)
+    def _forget_streams(self) -> None:
+        """Drop the streams of runs that are forgotten or replaced."""
+        for streams in (self.outs, self.ins):
+            for incarnation in [name for name in streams if name not in self.group.members]:
+                del streams[incarnation]
--- a/packages/daemon/cranberryshored/pool/registry.py
+++ b/packages/daemon/cranberryshored/pool/registry.py
@@ -23,8 +23,9 @@
 RETRY_SECONDS = 0.25
 """Pause after a call that the store did not answer."""
 
-CONFIG_WAIT_MS = 10_000
-"""Longest wait of a watch for a configuration; peers tell of a newer one within a beat."""
+CONFIG_WAIT_MS = 2500
+"""Longest wait of a watch for a configuration. A channel that falls silent is left after that;
+should all instances' channels do so at once, one of them learns of a change within a second."""
 
 WORKERS_PAUSE_SECONDS = 0.3
 """Pause after a change of workers: each report of a worker is one, and each watch is a call. A
--- a/packages/daemon/cranberryshored/pool/scheduling.py
+++ b/packages/daemon/cranberryshored/pool/scheduling.py
@@ -25,6 +25,9 @@
 from cranberryshored.pool.protocols import WorkerCalls
 from cranberryshored.tasks import end_tasks
 
+PAUSE_SECONDS = 0.45
+"""A gap in which nothing ran here, after which others may have taken over: they do after 0.5 s."""
+
 TICK_SECONDS = 0.025
 """Time between two looks for passed deadlines: a sixth of the shortest aim."""
 
@@ -41,15 +44,19 @@
         Draws fencing tokens.
     on_ended : callable
         Told how a job ended.
+    on_stood_still : callable
+        Told that this process stood still, so that others may hold the workers now.
     """
 
     calls: WorkerCalls
     tokens: TokenSource
     on_ended: Callable[[JobEnded], None]
+    on_stood_still: Callable[[], None]
     log: FilteringBoundLogger
     metrics: Metrics
     patience: Patience = attrs.field(factory=Patience)
     claim: Claim | None = None
+    alive_at: float = 0.0
     scheduler: Scheduler = attrs.field(factory=Scheduler)
     conversations: dict[str, Conversation] = attrs.field(factory=dict)
     closing: set[asyncio.Task] = attrs.field(factory=set)
@@ -57,7 +64,7 @@
 
     def begin(self, claim: Claim, config: PoolConfig, roster: tuple[WorkerEntry, ...]) -> None:
         """Take over the workers that a claim covers."""
-        self.claim = claim
+        self.claim, self.alive_at = claim, now()
         self.scheduler = Scheduler(config)
         self.log.info("Scheduling begins.", term=claim.term, zone=claim.zone or "all")
         self.set_roster(roster)
@@ -136,7 +143,10 @@
         self.carry_out()
 
     def carry_out(self) -> None:
-        """Do what the scheduler has decided."""
+        """Do what the scheduler has decided, unless this process stood still before."""
+        if now() - self.alive_at > PAUSE_SECONDS:
+            self.on_stood_still()
+            return
         for effect in self.scheduler.take_effects():
             if isinstance(effect, RunLost):
                 self._log_lost(effect)
@@ -232,6 +242,8 @@
         while True:
             planned = now() + TICK_SECONDS
             await asyncio.sleep(TICK_SECONDS)
+            if now() - self.alive_at <= PAUSE_SECONDS:
+                self.alive_at = now()
             self.patience.note_lag(max(now() - planned, 0.0))
             self.scheduler.tick(now())
             self.metrics.queued_tasks.set(self.scheduler.waiting_tasks())
--- a/packages/proof/cranberryshore_proof/tests/test_pool_play.py
+++ b/packages/proof/cranberryshore_proof/tests/test_pool_play.py
@@ -5,6 +5,7 @@
 import structlog
 
 from cranberryshore.pool import Outcome
+from cranberryshore.pool.group import FORGET_SECONDS
 from cranberryshore_proof.pool_play import play_pool
 from cranberryshore_proof.pool_world import PlayedJob, PoolWorld
 from cranberryshore_proof.virtual_loop import run_virtual
@@ -132,6 +133,43 @@
 
         self.play(scenario)
 
+    def test_instance_frozen_for_longer_than_it_is_remembered(self):
+        # Cause: its scheduler forgot how far it had received, and the instance did not know.
+        async def scenario(world: PoolWorld) -> None:
+            other = (world.scheduler_number() + 1) % len(world.zones)
+            await self.submit(world, other)[1]
+            world.network.freeze(world.address(other))
+            await asyncio.sleep(FORGET_SECONDS + 2.0)
+            world.network.wake(world.address(other))
+            await asyncio.sleep(1.0)
+            job, caller = self.submit(world, other)
+            await caller
+            self.assertEqual(job.answers, [Outcome.COMPLETED])
+
+        self.play(scenario)
+
+    def test_scheduler_frozen_for_longer_than_it_is_remembered(self):
+        # Cause: it knew numbers of a stream that its peers had begun anew.
+        async def scenario(world: PoolWorld) -> None:
+            scheduler = world.scheduler_number()
+            other = (scheduler + 1) % len(world.zones)
+            await self.submit(world, other)[1]
+            world.network.freeze(world.address(scheduler))
+            await asyncio.sleep(FORGET_SECONDS + 2.0)
+            world.network.wake(world.address(scheduler))
+            await asyncio.sleep(1.0)
+            for number in range(len(world.zones)):
+                if number != scheduler:
+                    world.kill(number)
+            await asyncio.sleep(4.0)
+            await world.boot(other)
+            await asyncio.sleep(2.0)
+            job, caller = self.submit(world, other)
+            await caller
+            self.assertEqual(job.answers, [Outcome.COMPLETED])
+
+        self.play(scenario)
+
     def test_new_holder_with_a_clock_behind_takes_over_at_once(self):
         # Cause: workers that had seen a higher token were left alone for 3 s.
         async def scenario(world: PoolWorld) -> None:
