Two schedulers that do not know of each other are told; work of an earlier epoch is void

Change: who hears two schedulers tells the other of the one it follows; work carries how often its sender has changed schedulers.

--- a/packages/core/cranberryshore/messages/pool.py
+++ b/packages/core/cranberryshore/messages/pool.py
@@ -19,6 +19,8 @@
         Who sends it.
     config_version : int
         Version of the configuration in force there.
+    epoch : int
+        How often the sender has changed the scheduler that it follows.
     stream, received : int
         All messages of this stream of the receiver up to this number have arrived.
     sent_at : float
@@ -36,11 +38,13 @@
     hears_receiver : bool
         Whether the sender has heard the receiver lately.
     members : tuple of MemberAddress
-        Whom the sender hears; told by schedulers, now and then.
+        Whom the sender hears; told by schedulers, now and then. An instance that hears two
+        schedulers tells the other one of the one that it follows.
     """
 
     sender: MemberAddress
     config_version: int
+    epoch: int
     stream: int
     received: int
     sent_at: float
@@ -63,6 +67,8 @@
         Place among the sender's messages to this scheduler.
     request : WorkRequest
         The job.
+    epoch : int
+        How often the sender had changed its scheduler; work of an earlier epoch is void.
     echo : float
         The scheduler's steady clock when this was sent, as its last beat told it. A message that
         a cut has held up is known by it: its sender may have handed the job to another one.
@@ -70,6 +76,7 @@
 
     place: Place
     request: WorkRequest
+    epoch: int
     echo: float
 
 
--- a/packages/core/cranberryshore/pool/group.py
+++ b/packages/core/cranberryshore/pool/group.py
@@ -96,6 +96,7 @@
     follows: str = ""
     config_version: int = 0
     roster_version: int = 0
+    epoch: int = 0
     beat_sent_at: float = float("-inf")
 
     def clock(self, now: float) -> float:
--- a/packages/daemon/cranberryshored/pool/app.py
+++ b/packages/daemon/cranberryshored/pool/app.py
@@ -197,7 +197,9 @@
 
     def _take_work(self, sender: str, message: SubmitWork) -> None:
         age = now() - message.echo
-        if age <= STALE_SECONDS:
+        member = self.group.members.get(sender)
+        if age <= STALE_SECONDS and member is not None and message.epoch >= member.epoch:
+            member.epoch = message.epoch
             self.scheduling.submit(message.request, sender)
             return
         job = message.request.id
@@ -276,7 +278,8 @@
             self.scheduling.submit(request, self.exchange.follows)
         else:
             self.exchange.send(
-                self.exchange.follows, lambda place, echo: SubmitWork(place, request, echo)
+                self.exchange.follows,
+                lambda place, echo: SubmitWork(place, request, self.exchange.epoch, echo),
             )
 
     def cancel(self, job: str) -> None:
--- a/packages/daemon/cranberryshored/pool/exchange.py
+++ b/packages/daemon/cranberryshored/pool/exchange.py
@@ -70,6 +70,7 @@
     beat_at: float = 0.0
     heard_at: float = 0.0
     rounds: int = 0
+    epoch: int = 0
     task: asyncio.Task | None = None
 
     async def start(self) -> None:
@@ -143,6 +144,7 @@
             return
         self.log.info("Scheduler followed.", before=self.follows, scheduler=follows)
         self.heard_at = now()
+        self.epoch += 1
         self._take_back(self.follows)
         before, self.follows = self.group.members.get(self.follows), follows
         self.listener.scheduler_changed()
@@ -172,7 +174,7 @@
         is_new = beat.sender.incarnation not in self.group.members
         member = self.group.hear(beat.sender, moment)
         member.is_draining, member.claim = beat.is_draining, beat.claim
-        member.beat_sent_at = beat.sent_at
+        member.beat_sent_at, member.epoch = beat.sent_at, max(member.epoch, beat.epoch)
         member.follows, member.config_version = beat.follows, beat.config_version
         if beat.claim is not None and beat.roster_version < member.roster_version:
             member.roster_version = 0
@@ -187,7 +189,7 @@
             self._succeed(beat)
         if is_new:
             self.log.info("Peer heard.", peer=beat.sender.incarnation)
-        if is_new or self._is_mistaken(beat):
+        if is_new or self._is_mistaken(beat) or self._is_rival(beat):
             self._beat(member, moment)
         if member.config_version < self.listener.config().version:
             news = ConfigNews(self.listener.config())
@@ -230,6 +232,7 @@
         beat = Beat(
             self.own,
             self.listener.config().version,
+            self.epoch,
             stream.id,
             stream.received,
             moment,
@@ -239,11 +242,19 @@
             self.listener.roster()[0],
             self.successor,
             moment - member.heard_at < LOST_SECONDS,
-            self._told_members(moment),
+            self._told_members(member, moment),
         )
         self.transport.send(member.at.address, "", beat)
 
-    def _told_members(self, moment: float) -> tuple[MemberAddress, ...]:
+    def _is_rival(self, beat: Beat) -> bool:
+        """Tell whether a peer schedules beside the scheduler that this instance follows."""
+        return beat.claim is not None and self.follows not in ("", beat.sender.incarnation)
+
+    def _told_members(self, member: Member, moment: float) -> tuple[MemberAddress, ...]:
+        followed = self.group.members.get(self.follows)
+        if member.claim is not None and followed is not None and followed is not member:
+            # The two may not know of each other.
+            return (followed.at,)
         if self.group.claim is None or self.rounds % MEMBERS_ROUNDS:
             return ()
         return tuple(member.at for member in self.group.live(moment))
@@ -334,7 +345,7 @@
         return [scheduler] if scheduler is not None else []
 
     def _greeting(self) -> Beat:
-        return Beat(self.own, self.listener.config().version, 0, 0, now())
+        return Beat(self.own, self.listener.config().version, self.epoch, 0, 0, now())
 
     def _redial(self, member: Member, moment: float) -> None:
         address = member.at.address
--- a/packages/proof/cranberryshore_proof/tests/test_pool_play.py
+++ b/packages/proof/cranberryshore_proof/tests/test_pool_play.py
@@ -37,6 +37,12 @@
         # when it healed, and its task ran twice.
         self.assert_held(64)
 
+    def test_schedulers_that_do_not_know_of_each_other(self):
+        # Cause: two instances that started without the store claimed together; those that heard
+        # both did not tell them, and work of a scheduler that was left arrived after the news.
+        self.assert_held(230)
+        self.assert_held(232)
+
     def test_peer_whose_outgoing_channel_is_silent(self):
         # Cause: messages stuck behind those for a run that had died.
         self.assert_held(33)
