--- a/packages/core/cranberryshore/pool/scheduler.py
+++ b/packages/core/cranberryshore/pool/scheduler.py
@@ -186,6 +186,7 @@
         if now >= worker.strangers_since + ADOPT_SECONDS:
             for key in sorted(worker.strangers):
                 self.effects.append(StopRun(name, key, worker.token))
+        self._stop_stragglers(worker, {(run.task, run.attempt) for run in answer.running}, now)
         for key, run in worker.runs.items():
             if run.state is RunState.STOPPING and now > run.stop_asked_at + STOP_AGAIN_SECONDS:
                 self._stop(name, key, now)
@@ -260,7 +261,6 @@
         for name, worker in list(self.workers.items()):
             for end in worker.overdue(now):
                 self._run_ended(worker, end, now)
-            self._stop_stragglers(worker, now)
             is_gone = worker.is_draining and worker.state is HoldState.LOST and not worker.runs
             if is_gone and now > worker.lost_at + LEASE_OVER_SECONDS:
                 del self.workers[name]
@@ -268,10 +268,13 @@
             self._check_hope(job, now)
         self._place(now)
 
-    def _stop_stragglers(self, worker: HeldWorker, now: float) -> None:
-        """Stop runs that take too long, so that their tasks start elsewhere."""
+    def _stop_stragglers(self, worker: HeldWorker, listed: set[RunKey], now: float) -> None:
+        """Stop listed runs that take too long, so that their tasks start elsewhere.
+
+        A run that is not in the latest list may have ended while looks were lost.
+        """
         for key, run in worker.runs.items():
-            if run.state is not RunState.RUNNING:
+            if run.state is not RunState.RUNNING or key not in listed:
                 continue
             job, task = self.book.owners[key]
             estimate = job.step_of(task).estimate_ms
--- a/packages/core/cranberryshore/pool/tests/load_replay.py
+++ b/packages/core/cranberryshore/pool/tests/load_replay.py
@@ -27,6 +27,7 @@
 
 ORDER_SECONDS = 0.003
 TICK_SECONDS = 0.025
+LOOK_SECONDS = 0.15
 BUDGET_MS = 30_000
 
 
@@ -170,6 +171,8 @@
             self.served[arrival.request.id] = Served(arrival)
             self._at(arrival.at, lambda arrival=arrival: self._arrive(arrival))
         end = arrivals[-1].at + tail
+        for number in range(int(end / LOOK_SECONDS)):
+            self._at(number * LOOK_SECONDS, self._look_at_all)
         ticks = int(end / TICK_SECONDS)
         for number in range(ticks):
             self._at(number * TICK_SECONDS, lambda: self.scheduler.tick(self.clock))
@@ -221,6 +224,11 @@
         worker.ended.append(ListedEnd(worker.held.last_seen + 1, *key, kind))
         self._look(name)
 
+    def _look_at_all(self) -> None:
+        for name, worker in self.workers.items():
+            if worker.running:
+                self._look(name)
+
     def _look(self, name: str) -> None:
         worker = self.workers[name]
         running = tuple(ListedRun(*key) for key in worker.running)
