A beat that a newer one has overtaken is ignored

Cause, found by reading: over a new channel a beat may overtake one on the old channel, and an old claim would be believed until the next beat.

--- a/packages/daemon/cranberryshored/pool/exchange.py
+++ b/packages/daemon/cranberryshored/pool/exchange.py
@@ -173,11 +173,12 @@
         moment = now()
         is_new = beat.sender.incarnation not in self.group.members
         member = self.group.hear(beat.sender, moment)
+        if beat.sent_at < member.beat_sent_at:
+            # A newer one has come over a newer channel.
+            return
         member.is_draining, member.claim = beat.is_draining, beat.claim
         member.beat_sent_at, member.epoch = beat.sent_at, max(member.epoch, beat.epoch)
         member.follows, member.config_version = beat.follows, beat.config_version
-        if beat.claim is not None and beat.roster_version < member.roster_version:
-            member.roster_version = 0
         member.roster_version = beat.roster_version
         for item in beat.members:
             self.group.learn(item, moment)
