Jobs handed over together are verified by one round of looks

Each job that was handed over asked for a look at each of 176 workers, and each placing asked for each of them whether all workers had answered. Idle workers were not looked at on such a request at all, so that the jobs waited 1.4 s. Ruled out: a late hand-over (the next scheduler began 2 ms later), lost workers (100 answered at once). Change: one round for all jobs that came before it, at most every 0.1 s, idle workers included; one comparison a placing; placing once for all that is told in a turn of the event loop.

--- a/packages/core/cranberryshore/pool/scheduler.py
+++ b/packages/core/cranberryshore/pool/scheduler.py
@@ -35,6 +35,7 @@
 from cranberryshore.pool.refusing import RESUMED_WAIT_SECONDS
 from cranberryshore.pool.run_book import RunBook
 from cranberryshore.pool.straggling import is_straggling
+from cranberryshore.pool.verifying import Verification, verified_until
 from cranberryshore.pool.work import Outcome, PoolJob, PoolTask, TaskPhase, WorkRequest
 
 STOP_AGAIN_SECONDS = 0.15
@@ -61,6 +62,8 @@
     ----------
     config : PoolConfig
         Queues in force.
+    changed_at : float or None
+        When something was told since jobs were placed last.
     covers_all : bool
         Whether ``workers`` are all that another scheduler may have used: the list of workers was
         read since this scheduler began, and no availability zone is left out.
@@ -74,9 +77,14 @@
     run_times: RunTimes = attrs.field(factory=RunTimes)
     effects: list[PoolEffect] = attrs.field(factory=list)
     book: RunBook = attrs.field(factory=RunBook)
+    verification: Verification = attrs.field(factory=Verification)
+    changed_at: float | None = None
 
     def take_effects(self) -> list[PoolEffect]:
-        """Return what is to be done, once."""
+        """Place what can be placed after all that was told, and return what is to be done, once."""
+        if self.changed_at is not None:
+            self._place(self.changed_at)
+            self.changed_at = None
         effects, self.effects = self.effects, []
         return effects
 
@@ -107,8 +115,12 @@
         if request.is_resumed:
             job.held_back_until = now + RESUMED_WAIT_SECONDS
             self._adopt_job(job, now)
-            self.effects += [LookAt(name) for name in self.workers]
-        self._place(now)
+            self.verification.want(now)
+            self._verify(now)
+        self.changed_at = now
+
+    def _verify(self, now: float) -> None:
+        self.effects += [LookAt(name) for name in self.verification.due(self.workers.values(), now)]
 
     def _expected_seconds(self, job: PoolJob) -> float:
         return self.run_times.expected_ms(job.request.queue, job.request_work_ms) / 1000
@@ -127,7 +139,7 @@
         job = self.jobs.get(job_id)
         if job is not None and job.entry == entry:
             self._end(job, None, "", now)
-            self._place(now)
+            self.changed_at = now
 
     def entry_lost(self, entry: str, now: float) -> None:
         """Stop all jobs of an entry instance that is silent or follows another scheduler.
@@ -136,7 +148,7 @@
         """
         for job in [job for job in self.jobs.values() if job.entry == entry]:
             self._end(job, Outcome.DROPPED, "The entry instance fell silent.", now)
-        self._place(now)
+        self.changed_at = now
 
     def _refuse(self, job_id: str, entry: str, detail: str, retry_after_ms: int) -> None:
         self.effects.append(JobEnded(entry, job_id, Outcome.REFUSED, detail, retry_after_ms))
@@ -190,7 +202,7 @@
         for key, run in worker.runs.items():
             if run.state is RunState.STOPPING and now > run.stop_asked_at + STOP_AGAIN_SECONDS:
                 self._stop(name, key, now)
-        self._place(now)
+        self.changed_at = now
 
     def _adopt_job(self, job: PoolJob, now: float) -> None:
         """Take over what another scheduler has started of a job, and what has ended since."""
@@ -244,7 +256,7 @@
         if is_attempt_low:
             self.book.owners[key][1].attempt += ATTEMPT_STEP
         self._run_ended(worker, RunEnd(key, EndKind.NEVER_BEGAN, run), now)
-        self._place(now)
+        self.changed_at = now
 
     def start_unanswered(self, name: str, token: int, now: float) -> None:
         """Void the orders that a worker has not answered, and look what became of them."""
@@ -266,7 +278,8 @@
                 del self.workers[name]
         for job in list(self.jobs.values()):
             self._check_hope(job, now)
-        self._place(now)
+        self._verify(now)
+        self.changed_at = now
 
     def _stop_stragglers(self, worker: HeldWorker, listed: set[RunKey], now: float) -> None:
         """Stop listed runs that take too long, so that their tasks start elsewhere.
@@ -305,6 +318,7 @@
         waiting = [job for job in self.jobs.values() if job.waiting_tasks]
         if not waiting:
             return
+        self._release_verified(waiting, now)
         smallest = min(job.smallest_millicores for job in waiting)
         candidates = placing.candidates_of(self.workers.values(), smallest, self.health, now)
         if not candidates:
@@ -312,24 +326,20 @@
         waiting.sort(key=lambda job: ordering.waiting_order(job, now))
         largest = placing.largest_room(candidates)
         for job in waiting:
-            if job.smallest_millicores > largest:
-                continue
-            if job.held_back_until > now and not self._is_verified(job):
+            if job.smallest_millicores > largest or job.held_back_until > now:
                 continue
             if self._place_job(job, candidates, now):
                 largest = placing.largest_room(candidates)
 
-    def _is_verified(self, job: PoolJob) -> bool:
-        """Tell whether every worker has answered a look since a resumed job arrived."""
-        if not self.covers_all:
-            return False
-        arrived = job.held_back_until - RESUMED_WAIT_SECONDS
-        is_verified = all(
-            worker.looked_at >= arrived and not worker.strangers for worker in self.workers.values()
-        )
-        if is_verified:
-            job.held_back_until = 0.0
-        return is_verified
+    def _release_verified(self, waiting: list[PoolJob], now: float) -> None:
+        """Hold back jobs no longer that arrived before every worker was looked at."""
+        held_back = [job for job in waiting if job.held_back_until > now]
+        if not held_back or not self.covers_all:
+            return
+        verified = verified_until(self.workers.values())
+        for job in held_back:
+            if job.held_back_until - RESUMED_WAIT_SECONDS <= verified:
+                job.held_back_until = 0.0
 
     def _place_job(self, job: PoolJob, candidates: list[Candidate], now: float) -> bool:
         """Place what fits of a job; return whether anything was placed."""
--- a/packages/core/cranberryshore/pool/tests/test_scheduler.py
+++ b/packages/core/cranberryshore/pool/tests/test_scheduler.py
@@ -280,3 +280,28 @@
     def test_resumed_job_asks_for_looks(self):
         self.scheduler.submit(request(is_resumed=True), "e", self.now)
         self.assertEqual({look.worker for look in self.effects(LookAt)}, {"w1", "w2"})
+
+    def test_jobs_handed_over_together_ask_for_looks_once(self):
+        # Cause: Haneul grown trouble-2, some 250 jobs of a scheduler that had left asked for
+        # 176 looks each, and the new scheduler was busy with them for ten seconds.
+        for number in range(50):
+            self.scheduler.submit(request(f"j{number}", is_resumed=True), "e", self.now)
+        self.assertEqual(len(self.effects(LookAt)), 2)
+        self.scheduler.tick(self.now + 0.01)
+        self.assertEqual(self.effects(LookAt), [])
+
+    def test_looks_are_asked_for_again_for_a_later_job(self):
+        self.scheduler.submit(request("j1", is_resumed=True), "e", self.now)
+        self.effects(LookAt)
+        self.scheduler.submit(request("j2", is_resumed=True), "e", self.now + 0.01)
+        self.assertEqual(self.effects(LookAt), [])
+        self.scheduler.tick(self.now + 1.0)
+        self.assertEqual({look.worker for look in self.effects(LookAt)}, {"w1", "w2"})
+
+    def test_resumed_job_starts_once_all_workers_have_answered(self):
+        self.scheduler.submit(request(is_resumed=True), "e", self.now)
+        self.assertEqual(self.starts(), [])
+        self.look("w1")
+        self.assertEqual(self.starts(), [])
+        self.look("w2")
+        self.assertEqual(len(self.starts()), 1)
--- a/packages/daemon/cranberryshored/pool/conversation.py
+++ b/packages/daemon/cranberryshored/pool/conversation.py
@@ -62,6 +62,7 @@
     task: asyncio.Task | None = None
     orders: set[asyncio.Task] = attrs.field(factory=set)
     is_looking: bool = False
+    is_look_wanted: bool = False
     failed_looks: int = 0
 
     def start(self) -> None:
@@ -79,10 +80,15 @@
         self.wake.set()
 
     def look_now(self) -> None:
-        """Look without waiting for an end, beside a look that waits already."""
+        """Look without waiting for an end, beside a look that waits already.
+
+        A worker on which nothing runs is looked at as well.
+        """
         if self.is_looking:
             self._spawn(self._look(0))
-        self.wake.set()
+        else:
+            self.is_look_wanted = True
+            self.wake.set()
 
     def _spawn(self, work) -> None:
         task = asyncio.create_task(work)
@@ -119,7 +125,8 @@
         worker = self.worker
         if worker.state is HoldState.LOST:
             return False
-        return bool(worker.runs or worker.strangers or worker.state is not HoldState.HELD)
+        is_idle = not worker.runs and not worker.strangers and worker.state is HoldState.HELD
+        return self.is_look_wanted or not is_idle
 
     async def _run(self) -> None:
         while True:
@@ -144,12 +151,13 @@
 
     def _wait_ms(self) -> int:
         worker = self.worker
-        if worker.state is not HoldState.HELD:
+        if self.is_look_wanted or worker.state is not HoldState.HELD:
             return 0
         return 20 if worker.strangers else LOOK_WAIT_MS
 
     async def _look(self, wait_ms: int) -> None:
         worker = self.worker
+        self.is_look_wanted = False
         asked_at, token, last_seen = now(), worker.token, worker.last_seen
         lease_end_ms = worker.lease_end_ms(asked_at)
         if lease_end_ms is not None:
--- a/packages/daemon/cranberryshored/pool/scheduling.py
+++ b/packages/daemon/cranberryshored/pool/scheduling.py
@@ -57,6 +57,7 @@
     patience: Patience = attrs.field(factory=Patience)
     claim: Claim | None = None
     alive_at: float = 0.0
+    is_due: bool = False
     scheduler: Scheduler = attrs.field(factory=Scheduler)
     conversations: dict[str, Conversation] = attrs.field(factory=dict)
     closing: set[asyncio.Task] = attrs.field(factory=set)
@@ -143,7 +144,14 @@
         self.carry_out()
 
     def carry_out(self) -> None:
-        """Do what the scheduler has decided, unless this process stood still before."""
+        """Do what the scheduler decides, once for all that it is told in this turn of the loop."""
+        if not self.is_due:
+            self.is_due = True
+            asyncio.get_running_loop().call_soon(self._carry_out)
+
+    def _carry_out(self) -> None:
+        """Do what the scheduler decides, unless this process stood still before."""
+        self.is_due = False
         if now() - self.alive_at > PAUSE_SECONDS:
             self.on_stood_still()
             return
--- a/packages/daemon/cranberryshored/pool/tests/test_scheduling.py
+++ b/packages/daemon/cranberryshored/pool/tests/test_scheduling.py
@@ -73,13 +73,14 @@
             await asyncio.sleep(0.01)
         self.fail("the worker was not taken over")
 
-    def submit(self):
+    async def submit(self):
         request = WorkRequest("j", "q", "", (StepSpec(1, Capacity(1000, 10), 100),), 5000)
         self.service.submit(request, "e")
+        await asyncio.sleep(0)
 
     async def test_orders_are_sent(self):
         await self.until_held()
-        self.submit()
+        await self.submit()
         await self.service.conversations["w"].orders.copy().pop()
         self.assertEqual(self.calls.starts, [("j.0.0.0", 1)])
 
@@ -88,7 +89,7 @@
         # another one might hold the workers and the jobs.
         await self.until_held()
         self.service.alive_at -= PAUSE_SECONDS + 0.1
-        self.submit()
+        await self.submit()
         self.assertEqual(self.stood_still, 1)
         self.assertIsNone(self.service.claim)
         self.assertEqual(self.calls.starts, [])
