A soak of real daemons under faults from outside them, and two faults that it found

packages/soak: daemons as processes, loopback proxies in front of store, workers and peers, drawn faults that overlap, promises checked from what callers and workers see (docs/PROOF.md). For it the product gains peer_advertise, where peers reach an instance that listens elsewhere.

The demo prints how late its own and the daemons' event loops ran.

--- a/Makefile
+++ b/Makefile
@@ -1,12 +1,12 @@
 PYTHON ?= python3.11
 VENV := .venv
 BIN := $(VENV)/bin
-PACKAGES := core daemon cli standins proof bench
+PACKAGES := core daemon cli standins proof bench soak
 SEED ?= 1
 ROUNDS ?= 40
 export PYTHONHASHSEED := 0
 
-.PHONY: setup test demo proof mutate bench slopes check clean
+.PHONY: setup test demo proof soak mutate bench slopes check clean
 
 $(VENV)/installed: $(foreach p,$(PACKAGES),packages/$(p)/pyproject.toml) platform/pyproject.toml constraints.txt
 	$(PYTHON) -m venv $(VENV)
@@ -34,6 +34,9 @@
 proof: setup
 	$(BIN)/python -m cranberryshore_proof --seed $(SEED) --rounds $(ROUNDS)
 
+soak: setup
+	$(BIN)/python -m cranberryshore_soak --rounds $(ROUNDS) $(if $(filter command line,$(origin SEED)),--seed $(SEED))
+
 mutate: setup
 	$(BIN)/python -m cranberryshore_proof.mutate --seed $(SEED)
 
--- a/packages/bench/cranberryshore_bench/demo.py
+++ b/packages/bench/cranberryshore_bench/demo.py
@@ -19,6 +19,7 @@
     draw_requests,
 )
 from cranberryshore_standins.cluster import Cluster, ClusterShape, caller_token
+from cranberryshored.loop_lag import LoopLag
 
 LOAD_SECONDS = 15.0
 LOAD = 0.5
@@ -52,18 +53,31 @@
     return drivers
 
 
+def _mean_lag(text: str) -> float:
+    """Return how late a daemon's event loop ran on average, in seconds."""
+    count = sum_samples(text, "cranberryshore_loop_lag_seconds_count")
+    return sum_samples(text, "cranberryshore_loop_lag_seconds_sum") / max(count, 1)
+
+
 async def _print_daemons(cluster: Cluster, tasks: int) -> None:
     wasted = 0.0
-    print(f"{'daemon':<18} {'processor s':>11} {'memory MB':>10} {'messages':>9} {'wasted':>7}")
+    print(
+        f"{'daemon':<18} {'processor s':>11} {'memory MB':>10} {'messages':>9} {'wasted':>7} "
+        f"{'late ms':>8}"
+    )
     for node in cluster.entries():
         async with cluster.session.get(f"{node.url}/metrics") as response:
             text = await response.text()
         messages = sum_samples(text, "cranberryshore_messages_total")
         waste = sum_samples(text, "cranberryshore_wasted_messages_total")
         wasted += waste
+        late_ms = 1000 * _mean_lag(text)
         seconds = cluster.processor_seconds(node.name)
         memory = cluster.resident_mb(node.name)
-        print(f"{node.name:<18} {seconds:>11.2f} {memory:>10.0f} {messages:>9.0f} {waste:>7.0f}")
+        print(
+            f"{node.name:<18} {seconds:>11.2f} {memory:>10.0f} {messages:>9.0f} {waste:>7.0f} "
+            f"{late_ms:>8.1f}"
+        )
     print(f"wasted messages per task: {wasted / max(tasks, 1):.4f}")
 
 
@@ -126,6 +140,8 @@
 async def _run(seed: int) -> int:
     with tempfile.TemporaryDirectory(prefix="cranberryshore-demo-") as folder:
         cluster = Cluster(SHAPE, Path(folder))
+        lag = LoopLag()
+        await lag.start()
         try:
             print(f"starting {len(cluster.nodes)} processes in {len(SHAPE.zones)} zones")
             await cluster.start()
@@ -135,10 +151,12 @@
             tasks = _print_outcomes(drivers)
             await _print_daemons(cluster, tasks)
             faults = await _unaccounted(cluster, drivers)
+            print(f"the callers' own event loop ran late by {lag.worst:.3f} s at worst")
             await _print_report(cluster)
             for driver in drivers:
                 await driver.close()
         finally:
+            await lag.close()
             await cluster.close()
     for fault in faults[:20]:
         print(f"fault: {fault}")
--- a/packages/core/cranberryshore/settings/pool.py
+++ b/packages/core/cranberryshore/settings/pool.py
@@ -11,6 +11,7 @@
 from cranberryshore.settings.schema import LogSettings, Seconds
 
 PeerAddress = Annotated[str, Meta(pattern=r"^[0-9]{1,3}(\.[0-9]{1,3}){3}:[0-9]{1,5}$")]
+OptionalAddress = Annotated[str, Meta(pattern=r"^([0-9]{1,3}(\.[0-9]{1,3}){3}:[0-9]{1,5})?$")]
 PoolName = Annotated[str, Meta(pattern=r"^[A-Za-z0-9_-]{1,100}$")]
 
 
@@ -26,6 +27,8 @@
         IP number and port where callers, the balancer, peers and the collector of metrics connect.
     store : str
         IP number and port of the platform's store.
+    peer_advertise : str
+        IP number and port that peers connect to, where it is not ``peer_listen``.
     seeds : tuple of str
         Peer addresses of some instances, which may be stale.
     processor_share, processor_speed : float
@@ -41,12 +44,18 @@
     peer_listen: PeerAddress
     metrics_listen: PeerAddress
     store: PeerAddress
+    peer_advertise: OptionalAddress = ""
     seeds: tuple[PeerAddress, ...] = ()
     processor_share: Annotated[float, Meta(gt=0, le=1)] = 1.0
     processor_speed: Annotated[float, Meta(gt=0, le=1024)] = 1.0
     drain_seconds: Seconds = 5.0
     log: LogSettings = LogSettings(is_json=True)
 
+    @property
+    def peer_address(self) -> str:
+        """Return where peers reach this instance."""
+        return self.peer_advertise or self.peer_listen
+
 
 def load_pool_settings(text: str) -> Result[PoolSettings, list[SettingsError]]:
     """Parse and check the text of a settings file.
--- a/packages/daemon/cranberryshored/main.py
+++ b/packages/daemon/cranberryshored/main.py
@@ -12,6 +12,7 @@
 from cranberryshore.settings import DaemonSettings, load_daemon_settings
 from cranberryshored.app import Daemon
 from cranberryshored.log import configure_log
+from cranberryshored.loop_lag import LoopLag
 from cranberryshored.metrics import Metrics
 from cranberryshored.surroundings import real_surroundings
 
@@ -26,9 +27,12 @@
     loop = asyncio.get_running_loop()
     for signal in (SIGTERM, SIGINT):
         loop.add_signal_handler(signal, stop.set)
+    lag = LoopLag(metrics.loop_lag.observe)
+    await lag.start()
     await daemon.start()
     await stop.wait()
     await daemon.close()
+    await lag.close()
 
 
 def main() -> None:
--- a/packages/daemon/cranberryshored/metrics.py
+++ b/packages/daemon/cranberryshored/metrics.py
@@ -64,6 +64,9 @@
     request_seconds: Histogram = _histogram(
         "cranberryshore_request_seconds", "Response time of requests.", "service"
     )
+    loop_lag: Histogram = _histogram(
+        "cranberryshore_loop_lag_seconds", "How late the event loop runs its timers."
+    )
     queued_tasks: Gauge = _gauge("cranberryshore_queued_tasks", "Tasks that wait for room.")
     queued_requests: Gauge = _gauge(
         "cranberryshore_queued_requests", "Requests that wait.", "service"
--- a/packages/daemon/cranberryshored/pool/app.py
+++ b/packages/daemon/cranberryshored/pool/app.py
@@ -49,12 +49,12 @@
 TransportMaker = Callable[[MemberAddress, Deliver], Transport]
 
 
-def peer_transport(metrics: Metrics) -> TransportMaker:
-    """Return a maker of transports over the network."""
+def peer_transport(metrics: Metrics, listen: str) -> TransportMaker:
+    """Return a maker of transports over the network that listen on an address."""
 
     def make(own: MemberAddress, deliver: Deliver) -> Transport:
         recorder, log = Recorder(own.incarnation), part_log("peers")
-        return PeerTransport(own.address, lambda: own.incarnation, deliver, recorder, metrics, log)
+        return PeerTransport(listen, lambda: own.incarnation, deliver, recorder, metrics, log)
 
     return make
 
@@ -94,7 +94,7 @@
         settings = self.settings
         incarnation = f"{settings.instance}.{unix_ms():x}"
         millicores = int(1000 * settings.processor_share * settings.processor_speed)
-        own = MemberAddress(incarnation, settings.peer_listen, settings.zone, millicores)
+        own = MemberAddress(incarnation, settings.peer_address, settings.zone, millicores)
         self.tokens = TokenSource(own.address)
         log = part_log("group")
         self.exchange = PeerExchange(Group(own, now()), settings.seeds, self, self.metrics, log)
@@ -153,6 +153,7 @@
         least, most = loop.time() + LEAVE_READY_SECONDS, loop.time() + self.settings.drain_seconds
         while loop.time() < least or (self.desk.pending and loop.time() < most):
             await asyncio.sleep(0.02)
+        self.desk.give_up_all("This instance leaves.")
 
     async def close(self) -> None:
         """Stop all parts."""
--- a/packages/daemon/cranberryshored/pool/desk.py
+++ b/packages/daemon/cranberryshored/pool/desk.py
@@ -154,6 +154,13 @@
         waited_ms = int((now() - job.arrived_at) * 1000)
         self.sink.submit(attrs.evolve(job.request, waited_ms=waited_ms, is_resumed=job.is_resumed))
 
+    def give_up_all(self, detail: str) -> None:
+        """Answer all who wait, because this instance ends: their jobs may have run."""
+        for job in list(self.pending.values()):
+            if job.sent_to:
+                self.sink.cancel(job.request.id)
+            self._give_up(job, Outcome.GIVEN_UP, detail)
+
     async def _run(self) -> None:
         while True:
             await asyncio.sleep(TICK_SECONDS)
--- a/packages/proof/cranberryshore_proof/pool_workers.py
+++ b/packages/proof/cranberryshore_proof/pool_workers.py
@@ -53,6 +53,7 @@
     millicores: int
     run_seconds: Callable[[str], float]
     on_start: Callable[["ModelWorker", RunKey], None]
+    on_end: Callable[["ModelWorker", RunKey, EndKind], None] | None = None
     born: int = 1
     is_down: bool = False
     fails_all: bool = False
@@ -144,6 +145,8 @@
 
     def _end(self, key: RunKey, kind: EndKind) -> None:
         del self.runs[key]
+        if self.on_end is not None:
+            self.on_end(self, key, kind)
         self.last_number += 1
         self.ended.append(ListedEnd(self.last_number, *key, kind))
         task, attempt = key
--- /dev/null
+++ b/packages/soak/cranberryshore_soak/__init__.py
@@ -0,0 +1,1 @@
+"""Randomized soak: real daemons as processes, under faults injected from outside them."""
--- /dev/null
+++ b/packages/soak/cranberryshore_soak/play.py
@@ -0,0 +1,131 @@
+"""One soak: a storm of faults under load, then a calm in which everything must be well."""
+
+import asyncio
+import time
+from pathlib import Path
+from random import Random
+
+import attrs
+from aiohttp import ClientError
+
+from cranberryshore_platform.tests import faces
+from cranberryshore_soak.callers import BUDGET_SECONDS, SoakJob
+from cranberryshore_soak.storm import Storm
+from cranberryshore_soak.world import QUEUE, SoakPlan, SoakWorld
+from cranberryshored.platform.session import single_try_session
+
+SETTLE_SECONDS = 5.0
+"""Time after the last fault until everything must be well: bounds of 4 s, and 1 s."""
+
+CLEAR_SECONDS = 3.0
+"""Nothing runs on so long after the last caller has left; 3 s are allowed after a cancel."""
+
+CALM_CALLERS = 8
+STORM_PAUSE, CALM_PAUSE = 1.0, 0.4
+NOT_FOUND = 404
+
+
+@attrs.frozen
+class SoakResult:
+    """What a soak has shown.
+
+    Parameters
+    ----------
+    jobs, completed : int
+        Jobs submitted during the storm, and those that completed.
+    calm_jobs, calm_completed : int
+        The same afterwards, without those whose callers left.
+    worst_lag : float
+        How late the soak's own event loop ran at worst, in seconds.
+    """
+
+    plan: SoakPlan
+    events: tuple[str, ...]
+    faults: tuple[str, ...]
+    jobs: int
+    completed: int
+    calm_jobs: int
+    calm_completed: int
+    worst_lag: float
+
+
+def _completed(jobs: list[SoakJob]) -> int:
+    return sum(job.is_completed for job in jobs)
+
+
+async def _check_config(world: SoakWorld) -> None:
+    """Check that every daemon knows the queues in force and no others."""
+    in_force = {queue.prefix for queue in world.queues}
+    dropped = {f"/n{number}/" for number in range(world.config_version)} - in_force
+    async with single_try_session() as session:
+        for daemon in world.daemons.values():
+            try:
+                for prefix in sorted(in_force | dropped):
+                    status = await faces.ask_count(session, daemon.front, QUEUE.host, prefix)
+                    if (status == NOT_FOUND) != (prefix in dropped):
+                        world.history.report(f"{daemon.name} answers {status} for {prefix}")
+            except (ClientError, OSError, TimeoutError) as error:
+                world.history.report(f"{daemon.name} cannot be asked: {error}")
+
+
+async def _check_clear(world: SoakWorld) -> None:
+    """Check that nothing runs on for callers that have their answers."""
+    await asyncio.sleep(CLEAR_SECONDS)
+    now = asyncio.get_running_loop().time()
+    for worker in world.workers.values():
+        worker.model.pass_time(now)
+        if worker.model.runs:
+            world.history.report(f"{worker.model.name} still runs {sorted(worker.model.runs)}")
+
+
+async def play(plan: SoakPlan, keep: Path | None = None) -> SoakResult:
+    """Play one seed.
+
+    Parameters
+    ----------
+    plan : SoakPlan
+        Size and seed.
+    keep : Path, optional
+        Folder for the logs and events of a soak in which a promise was broken.
+    """
+    world = SoakWorld(plan)
+    storm = Storm(world, Random(plan.seed + 3))
+    try:
+        await world.start()
+        load = asyncio.create_task(world.load(plan.storm_seconds, plan.caller_count, STORM_PAUSE))
+        await storm.run(plan.storm_seconds - BUDGET_SECONDS)
+        jobs = await load
+        world.history.note("calm")
+        await world.until_ready()
+        await asyncio.sleep(SETTLE_SECONDS)
+        await _check_config(world)
+        calm = await world.load(plan.calm_seconds, CALM_CALLERS, CALM_PAUSE)
+        calm = [job for job in calm if not job.has_left]
+        for job in calm:
+            if not job.is_completed:
+                at = job.begun_at - world.history.begun_at
+                world.history.report(f"calm job {job.id} of {at:.3f} ended with {job.status}")
+        await _check_clear(world)
+    finally:
+        await world.close()
+    if world.history.faults and keep is not None:
+        _keep(world, keep)
+    return SoakResult(
+        plan,
+        tuple(world.history.events),
+        tuple(world.history.faults),
+        len(jobs),
+        _completed(jobs),
+        len(calm),
+        _completed(calm),
+        world.lag.worst,
+    )
+
+
+def _keep(world: SoakWorld, folder: Path) -> None:
+    """Write events and logs."""
+    folder = folder / f"seed-{world.plan.seed}-{int(time.time())}"
+    folder.mkdir(parents=True)
+    (folder / "events.txt").write_text("\n".join(world.history.events), encoding="utf-8")
+    for daemon in [*world.daemons.values(), *world.retired]:
+        (folder / f"{daemon.name}.log").write_text("\n".join(daemon.lines), encoding="utf-8")
--- a/scripts/run_doctests.py
+++ b/scripts/run_doctests.py
@@ -12,6 +12,7 @@
     "cranberryshore_standins",
     "cranberryshore_proof",
     "cranberryshore_bench",
+    "cranberryshore_soak",
     "cranberryshore_platform",
 )
 
--- a/scripts/run_tests.py
+++ b/scripts/run_tests.py
@@ -15,6 +15,7 @@
     "packages/standins",
     "packages/proof",
     "packages/bench",
+    "packages/soak",
     "platform",
 )
 
