Answers of slow workers are waited for longer

Change: after three calls in a row without an answer the wait doubles up to 0.5 s, and then follows the answers seen. Single lost answers still cost 60 ms.

--- a/packages/daemon/cranberryshored/pool/conversation.py
+++ b/packages/daemon/cranberryshored/pool/conversation.py
@@ -7,7 +7,7 @@
 from structlog.typing import FilteringBoundLogger
 
 from cranberryshore.pool import HeldWorker, HoldState, Scheduler, StartRun, StopRun
-from cranberryshored.pool.clock import Patience, TokenSource, now
+from cranberryshored.pool.clock import AnswerTimes, Patience, TokenSource, now
 from cranberryshored.pool.protocols import Look, LookFailure, StartReply, WorkerCalls
 from cranberryshored.tasks import end_tasks
 
@@ -64,6 +64,9 @@
     is_looking: bool = False
     is_look_wanted: bool = False
     failed_looks: int = 0
+    answers: AnswerTimes = attrs.field(
+        default=attrs.Factory(lambda self: AnswerTimes(self.patience), takes_self=True)
+    )
 
     def start(self) -> None:
         """Begin to look."""
@@ -97,7 +100,10 @@
 
     async def _start_run(self, order: StartRun) -> None:
         worker = self.worker
-        reply = await self.calls.start_run(worker, order, self.patience.order_seconds())
+        asked_at = now()
+        reply = await self.calls.start_run(worker, order, self.answers.seconds())
+        if reply is not StartReply.UNANSWERED:
+            self.answers.answered(now() - asked_at)
         if reply is StartReply.STARTED:
             self.scheduler.start_answered(worker.name, order.key, now())
             return
@@ -119,7 +125,7 @@
         self.on_change()
 
     async def _stop_run(self, order: StopRun) -> None:
-        await self.calls.stop_run(self.worker, order, self.patience.order_seconds())
+        await self.calls.stop_run(self.worker, order, self.answers.seconds())
 
     def _needs_look(self) -> bool:
         worker = self.worker
@@ -164,7 +170,7 @@
             worker.extended_at = asked_at
         self.is_looking = True
         look = Look(token, last_seen, lease_end_ms, wait_ms)
-        seconds = wait_ms / 1000 + self.patience.order_seconds()
+        seconds = wait_ms / 1000 + self.answers.seconds()
         if worker.state is HoldState.TAKING:
             seconds += TAKING_SECONDS
         answer = await self.calls.look(worker, look, seconds)
@@ -172,6 +178,8 @@
         if isinstance(answer, Err):
             self._look_failed(answer.err_value, token)
         else:
+            if not wait_ms:
+                self.answers.answered(now() - asked_at)
             self.failed_looks = 0
             worker.acked_end = max(worker.acked_end, last_seen)
             was = worker.state
@@ -197,6 +205,8 @@
     def _look_failed(self, failure: LookFailure, token: int) -> None:
         worker = self.worker
         self.failed_looks += 1
+        if failure is LookFailure.UNANSWERED:
+            self.answers.failed()
         if self.failed_looks == 1:
             self.log.warning("Look failed.", worker=worker.name, reason=failure.value, token=token)
         if failure is LookFailure.FENCED:
