Run times are learned from whole runs only

The length of an adopted run was counted from its adoption, that of an adopted end as nothing. So jobs were expected to take 1 ms, got an aim of 63 ms, were refused as hopeless, and what ran was stopped as a straggler after 0.1 s, its worker isolated for 5 s. Both tests failed before.

--- a/packages/core/cranberryshore/pool/held_worker.py
+++ b/packages/core/cranberryshore/pool/held_worker.py
@@ -87,12 +87,19 @@
 
 @attrs.define
 class Run:
-    """One run that occupies room on a worker."""
+    """One run that occupies room on a worker.
+
+    Parameters
+    ----------
+    is_adopted : bool
+        Whether another holder has started it, so that ``started_at`` is only when it was seen.
+    """
 
     demand: Capacity
     state: RunState
     token: int
     started_at: float
+    is_adopted: bool = False
     confirmed_at: float = float("inf")
     stop_asked_at: float = float("-inf")
     percent: float = 0.0
@@ -266,7 +273,7 @@
     def adopt(self, key: RunKey, demand: Capacity, now: float) -> None:
         """Account for a run of another holder as for one of this holder's own."""
         self.strangers.discard(key)
-        self.runs[key] = Run(demand, RunState.RUNNING, self.token, now, confirmed_at=now)
+        self.runs[key] = Run(demand, RunState.RUNNING, self.token, now, True, now)
         self.room = self.room - demand
 
     def _remember_end(self, end: ListedEnd) -> None:
--- a/packages/core/cranberryshore/pool/scheduler.py
+++ b/packages/core/cranberryshore/pool/scheduler.py
@@ -8,7 +8,6 @@
 
 import attrs
 
-from cranberryshore.placement.health import FIRST_ISOLATION_SECONDS, PoolHealth
 from cranberryshore.pool import adoption, ordering, placing, refusing
 from cranberryshore.pool.account import account_of
 from cranberryshore.pool.config import PoolConfig
@@ -20,6 +19,7 @@
     StartRun,
     StopRun,
 )
+from cranberryshore.pool.experience import Experience
 from cranberryshore.pool.held_worker import (
     LEASE_OVER_SECONDS,
     EndKind,
@@ -30,12 +30,10 @@
     RunKey,
     RunState,
 )
-from cranberryshore.pool.learning import RunTimes
 from cranberryshore.pool.placing import Candidate
 from cranberryshore.pool.refusing import RESUMED_WAIT_SECONDS
 from cranberryshore.pool.run_book import RunBook
-from cranberryshore.pool.straggling import is_straggling
-from cranberryshore.pool.verifying import Verification, verified_until
+from cranberryshore.pool.verifying import Verification, release_verified
 from cranberryshore.pool.work import Outcome, PoolJob, PoolTask, TaskPhase, WorkRequest
 
 STOP_AGAIN_SECONDS = 0.15
@@ -73,8 +71,7 @@
     covers_all: bool = False
     jobs: dict[str, PoolJob] = attrs.field(factory=dict)
     workers: dict[str, HeldWorker] = attrs.field(factory=dict)
-    health: PoolHealth = attrs.field(factory=PoolHealth)
-    run_times: RunTimes = attrs.field(factory=RunTimes)
+    experience: Experience = attrs.field(factory=Experience)
     effects: list[PoolEffect] = attrs.field(factory=list)
     book: RunBook = attrs.field(factory=RunBook)
     verification: Verification = attrs.field(factory=Verification)
@@ -106,7 +103,7 @@
             self._refuse(request.id, entry, "The queue is not declared.", 0)
             return
         job = PoolJob(request, entry, now - request.waited_ms / 1000)
-        job.set_times(queue, self._expected_seconds(job))
+        job.set_times(queue, self.experience.job_seconds(job))
         if not self._can_ever_run(job):
             self._refuse(request.id, entry, "No worker can hold a task of the job.", 0)
             return
@@ -122,17 +119,12 @@
     def _verify(self, now: float) -> None:
         self.effects += [LookAt(name) for name in self.verification.due(self.workers.values(), now)]
 
-    def _expected_seconds(self, job: PoolJob) -> float:
-        return self.run_times.expected_ms(job.request.queue, job.request_work_ms) / 1000
-
     def _can_ever_run(self, job: PoolJob) -> bool:
         members = list(self._members(job))
         if not members:
             return True
-        return all(
-            any(worker.total.holds(job.step_of(task).demand) for worker in members)
-            for task in job.tasks
-        )
+        demands = {step.demand for step in job.request.steps}
+        return all(any(worker.total.holds(demand) for worker in members) for demand in demands)
 
     def cancel(self, job_id: str, entry: str, now: float) -> None:
         """Stop a job whose caller has left."""
@@ -164,7 +156,7 @@
             if task.phase is TaskPhase.PLACED:
                 self._stop(task.worker, (job.name_of(task), task.attempt), now)
         if outcome is not None:
-            account = account_of(job, self._expected_seconds(job), len(self.jobs), now)
+            account = account_of(job, self.experience.job_seconds(job), len(self.jobs), now)
             end = JobEnded(job.entry, job.request.id, outcome, detail, retry_ms, account)
             self.effects.append(end)
 
@@ -209,7 +201,9 @@
         for task, end in adoption.take_ends(job, self.workers.values()):
             task.attempt = max(task.attempt, end.attempt)
             if end.kind is EndKind.DONE and task.phase is TaskPhase.WAITING:
-                job.has_started = True
+                if not job.has_started:
+                    job.has_started, job.started_at = True, now
+                job.was_adopted = True
                 job.waiting_tasks -= 1
                 self._task_done(job, task, now)
         for worker in self.workers.values():
@@ -289,12 +283,8 @@
         for key, run in worker.runs.items():
             if run.state is not RunState.RUNNING or key not in listed:
                 continue
-            job, task = self.book.owners[key]
-            estimate = job.step_of(task).estimate_ms
-            expected = self.run_times.expected_ms(job.request.queue, estimate) / 1000
-            if is_straggling(now - run.started_at, expected):
+            if self.experience.stop_straggler(worker.name, run, *self.book.owners[key], now):
                 self._stop(worker.name, key, now)
-                self.health.isolate(worker.name, FIRST_ISOLATION_SECONDS, now)
 
     def _check_hope(self, job: PoolJob, now: float) -> None:
         if job.has_started:
@@ -302,7 +292,7 @@
                 self._end(job, Outcome.GIVEN_UP, "The caller's time is over.", now)
             return
         earliest = refusing.earliest_start(job, now)
-        if refusing.is_hopeless(job, self._expected_seconds(job), earliest):
+        if refusing.is_hopeless(job, self.experience.job_seconds(job), earliest):
             detail = "The job can no longer be answered in time."
             self._end(job, Outcome.REFUSED, detail, now, refusing.RETRY_AFTER_MS)
 
@@ -318,9 +308,12 @@
         waiting = [job for job in self.jobs.values() if job.waiting_tasks]
         if not waiting:
             return
-        self._release_verified(waiting, now)
+        if self.covers_all:
+            release_verified(waiting, self.workers.values(), now)
         smallest = min(job.smallest_millicores for job in waiting)
-        candidates = placing.candidates_of(self.workers.values(), smallest, self.health, now)
+        candidates = placing.candidates_of(
+            self.workers.values(), smallest, self.experience.health, now
+        )
         if not candidates:
             return
         waiting.sort(key=lambda job: ordering.waiting_order(job, now))
@@ -331,16 +324,6 @@
             if self._place_job(job, candidates, now):
                 largest = placing.largest_room(candidates)
 
-    def _release_verified(self, waiting: list[PoolJob], now: float) -> None:
-        """Hold back jobs no longer that arrived before every worker was looked at."""
-        held_back = [job for job in waiting if job.held_back_until > now]
-        if not held_back or not self.covers_all:
-            return
-        verified = verified_until(self.workers.values())
-        for job in held_back:
-            if job.held_back_until - RESUMED_WAIT_SECONDS <= verified:
-                job.held_back_until = 0.0
-
     def _place_job(self, job: PoolJob, candidates: list[Candidate], now: float) -> bool:
         """Place what fits of a job; return whether anything was placed."""
         queue = self.config.named(job.request.queue)
@@ -355,7 +338,7 @@
             if worker is None:
                 break
             has_placed |= self._start(job, task, worker, now)
-            if not self.health.allowance(worker.name, now):
+            if not self.experience.health.allowance(worker.name, now):
                 members = [item for item in members if item.worker is not worker]
         return has_placed
 
@@ -367,7 +350,7 @@
         key = (job.name_of(task), task.attempt)
         self.book.begin(job, task, worker.name, key, now)
         worker.begin(key, job.step_of(task).demand, now)
-        record = self.health.of(worker.name)
+        record = self.experience.health.of(worker.name)
         record.probe_running = bool(record.isolation_seconds)
         payload = job.request.payload
         self.effects.append(StartRun(worker.name, key, payload, worker.token, lease_end_ms))
@@ -384,7 +367,7 @@
 
     def _run_ended(self, worker: HeldWorker, end: RunEnd, now: float) -> None:
         job, task = self.book.finish(end.key)
-        self._learn(worker, end, job, task, now)
+        self.experience.take_end(worker.name, end, job, task, now)
         if end.kind is not EndKind.DONE:
             ran_ms = int((now - end.run.started_at) * 1000)
             self.effects.append(RunLost(worker.name, end.key, end.kind, ran_ms))
@@ -406,23 +389,5 @@
         task.phase = TaskPhase.DONE
         job.open_tasks -= 1
         if job.open_tasks == 0:
-            if not job.was_slowed and len(job.request.steps) == 1:
-                request = job.request
-                self.run_times.learn(request.queue, job.longest_run_ms, job.request_work_ms)
+            self.experience.take_completed(job)
             self._end(job, Outcome.COMPLETED, "", now)
-
-    def _learn(
-        self, worker: HeldWorker, end: RunEnd, job: PoolJob, task: PoolTask, now: float
-    ) -> None:
-        queue, estimate = job.request.queue, job.step_of(task).estimate_ms
-        if end.kind is EndKind.DONE:
-            run_ms = (now - end.run.started_at) * 1000
-            job.longest_run_ms = max(job.longest_run_ms, run_ms)
-            expected = self.run_times.expected_ms(queue, estimate)
-            self.health.on_success(worker.name, run_ms, expected)
-            job.was_slowed |= self.health.is_slow(worker.name)
-        elif end.kind is EndKind.FAILED:
-            self.health.on_failure(worker.name, job.request.id, now)
-        else:
-            # A probe that ended without a result tells nothing; the next one may go.
-            self.health.of(worker.name).probe_running = False
--- a/packages/core/cranberryshore/pool/tests/test_load.py
+++ b/packages/core/cranberryshore/pool/tests/test_load.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from cranberryshore.pool import ordering, scheduler
+from cranberryshore.pool import experience, ordering
 from cranberryshore.pool.learning import RunTimes
 from cranberryshore.pool.tests.load_replay import (
     Burst,
@@ -62,7 +62,7 @@
             return False
 
         stopped = [earned(seed) for seed in SEEDS]
-        with mock.patch.object(scheduler, "is_straggling", never):
+        with mock.patch.object(experience, "is_straggling", never):
             left = [earned(seed) for seed in SEEDS]
         self.assertGreater(sum(stopped), sum(left) + 0.01 * len(SEEDS))
 
--- a/packages/core/cranberryshore/pool/tests/test_scheduler.py
+++ b/packages/core/cranberryshore/pool/tests/test_scheduler.py
@@ -237,7 +237,7 @@
     def test_probe_that_never_began_does_not_bar_its_worker(self):
         # Cause: only results ended a probe, so a worker whose probe was lost was used no more.
         self.scheduler.workers["w2"].is_draining = True
-        self.scheduler.health.isolate("w1", 0.001, self.now - 1.0)
+        self.scheduler.experience.health.isolate("w1", 0.001, self.now - 1.0)
         self.scheduler.submit(request(), "e", self.now)
         (probe,) = self.effects(StartRun)
         self.scheduler.start_rejected("w1", probe.key, False, self.now)
@@ -305,3 +305,23 @@
         self.assertEqual(self.starts(), [])
         self.look("w2")
         self.assertEqual(len(self.starts()), 1)
+
+    def test_nothing_is_learned_from_a_run_that_was_taken_over(self):
+        # Cause: Haneul grown trouble-2, the part of a run after its takeover counted as its whole
+        # length, so that jobs were expected to take 1 ms, were refused as late or were stopped as
+        # stragglers for ten seconds after each change of the scheduler.
+        self.scheduler.submit(request(is_resumed=True), "e", self.now)
+        self.look("w1", running=[("j.0.0.0", 1)])
+        self.look("w1", ended=[(("j.0.0.0", 1), EndKind.DONE)])
+        (end,) = self.effects(JobEnded)
+        self.assertIs(end.outcome, Outcome.COMPLETED)
+        self.assertNotIn("q", self.scheduler.experience.run_times.lines)
+        self.assertEqual(self.scheduler.experience.health.of("w1").run_ratio, 1.0)
+
+    def test_nothing_is_learned_from_an_end_that_was_taken_over(self):
+        self.look("w1", ended=[(("j.0.0.0", 1), EndKind.DONE)])
+        self.scheduler.submit(request(is_resumed=True), "e", self.now)
+        (end,) = self.effects(JobEnded)
+        self.assertIs(end.outcome, Outcome.COMPLETED)
+        self.assertNotIn("q", self.scheduler.experience.run_times.lines)
+        self.assertGreaterEqual(end.account.waited_ms, 0)
--- a/packages/core/cranberryshore/pool/verifying.py
+++ b/packages/core/cranberryshore/pool/verifying.py
@@ -7,11 +7,13 @@
 a round for each job would be tens of thousands of looks.
 """
 
-from collections.abc import Collection
+from collections.abc import Collection, Iterable
 
 import attrs
 
 from cranberryshore.pool.held_worker import HeldWorker
+from cranberryshore.pool.refusing import RESUMED_WAIT_SECONDS
+from cranberryshore.pool.work import PoolJob
 
 ROUND_SECONDS = 0.1
 """Time between two rounds of looks: a tenth of what jobs wait where a worker does not answer."""
@@ -50,12 +52,15 @@
         return [worker.name for worker in workers if worker.looked_at <= self.wanted_at]
 
 
-def verified_until(workers: Collection[HeldWorker]) -> float:
-    """Return the time before which jobs must have arrived for all workers to have answered since.
+def release_verified(jobs: Iterable[PoolJob], workers: Collection[HeldWorker], now: float) -> None:
+    """Hold back jobs no longer for which every worker has answered a look since they arrived.
 
     A worker on which runs of somebody else are left has not answered yet.
     """
-    return min(
-        (float("-inf") if worker.strangers else worker.looked_at for worker in workers),
-        default=float("inf"),
-    )
+    held_back = [job for job in jobs if job.held_back_until > now]
+    if not held_back or any(worker.strangers for worker in workers):
+        return
+    verified_until = min((worker.looked_at for worker in workers), default=float("inf"))
+    for job in held_back:
+        if job.held_back_until - RESUMED_WAIT_SECONDS <= verified_until:
+            job.held_back_until = 0.0
--- a/packages/core/cranberryshore/pool/work.py
+++ b/packages/core/cranberryshore/pool/work.py
@@ -125,6 +125,9 @@
         Number of its tasks in phase ``WAITING``.
     smallest_millicores : int
         Least demand of a task.
+    was_slowed, was_adopted : bool
+        Whether a run was on a slow worker, or was started by another scheduler: then its run times
+        tell nothing of its queue.
     """
 
     request: WorkRequest
@@ -141,6 +144,7 @@
     started_at: float = 0.0
     longest_run_ms: float = 0.0
     was_slowed: bool = False
+    was_adopted: bool = False
     is_ended: bool = False
     tasks: list[PoolTask] = attrs.field(init=False)
     open_tasks: int = attrs.field(init=False)
