--- a/packages/soak/cranberryshore_soak/callers.py
+++ b/packages/soak/cranberryshore_soak/callers.py
@@ -6,13 +6,14 @@
 from signal import SIGKILL, SIGSTOP, SIGTERM
 
 import attrs
-from aiohttp import ClientError, ClientSession, TCPConnector
+from aiohttp import ClientConnectorError, ClientError, ClientSession, TCPConnector
 
 from cranberryshore.pool import QueueSpec, StepSpec, WorkRequest
 from cranberryshore.work import Capacity
 from cranberryshore_platform.tests import faces
 from cranberryshore_soak.history import History
 from cranberryshore_soak.processes import DaemonProcess
+from cranberryshored.loop_lag import LoopLag
 from cranberryshored.platform.session import single_try_session
 
 BUDGET_SECONDS = 3.0
@@ -109,6 +110,7 @@
     queue: QueueSpec
     history: History
     random: Random
+    lag: LoopLag
     jobs: dict[str, SoakJob] = attrs.field(factory=dict)
 
     def demand_of(self, job: str) -> int:
@@ -176,13 +178,20 @@
         except (ClientError, OSError, TimeoutError) as error:
             if isinstance(error, TimeoutError) and job.has_left:
                 raise
-            self._check_lost(daemon, job, sent_at, type(error).__name__)
+            self._check_lost(daemon, job, sent_at, error)
             return None
 
-    def _check_lost(self, daemon: DaemonProcess, job: SoakJob, sent_at: float, error: str) -> None:
+    def _check_lost(
+        self, daemon: DaemonProcess, job: SoakJob, sent_at: float, error: Exception
+    ) -> None:
         """Report a request without an answer unless its instance was killed or stood still."""
+        if isinstance(error, ClientConnectorError):
+            # Nothing was sent.
+            return
         waited = time.monotonic() - sent_at
-        if waited <= LOSS_SLACK_SECONDS or daemon.was_signalled(sent_at - 0.5, {SIGKILL}):
+        # This process sees the end of a connection as late as its own loop runs.
+        slack = LOSS_SLACK_SECONDS + self.lag.worst
+        if waited <= slack or daemon.was_signalled(sent_at - 0.5, {SIGKILL}):
             return
         if daemon.was_signalled(sent_at - BUDGET_SECONDS, {SIGSTOP}):
             return
@@ -190,7 +199,7 @@
             return
         left = " after SIGTERM" if daemon.was_signalled(sent_at - 10.0, {SIGTERM}) else ""
         self.history.report(
-            f"{daemon.name} did not answer {job.id} in {waited:.2f} s{left}: {error}"
+            f"{daemon.name} did not answer {job.id} in {waited:.2f} s{left}: {error!r}"
         )
 
     def _check(self, job: SoakJob) -> None:
--- a/packages/soak/cranberryshore_soak/play.py
+++ b/packages/soak/cranberryshore_soak/play.py
@@ -20,6 +20,9 @@
 CLEAR_SECONDS = 3.0
 """Nothing runs on so long after the last caller has left; 3 s are allowed after a cancel."""
 
+LONGEST_EXTRA_SECONDS = 90.0
+"""Two starts of up to 30 s, the last faults, settling and checks; longer is a fault."""
+
 CALM_CALLERS = 8
 STORM_PAUSE, CALM_PAUSE = 1.0, 0.4
 NOT_FOUND = 404
@@ -89,23 +92,12 @@
         Folder for the logs and events of a soak in which a promise was broken.
     """
     world = SoakWorld(plan)
-    storm = Storm(world, Random(plan.seed + 3))
     try:
-        await world.start()
-        load = asyncio.create_task(world.load(plan.storm_seconds, plan.caller_count, STORM_PAUSE))
-        await storm.run(plan.storm_seconds - BUDGET_SECONDS)
-        jobs = await load
-        world.history.note("calm")
-        await world.until_ready()
-        await asyncio.sleep(SETTLE_SECONDS)
-        await _check_config(world)
-        calm = await world.load(plan.calm_seconds, CALM_CALLERS, CALM_PAUSE)
-        calm = [job for job in calm if not job.has_left]
-        for job in calm:
-            if not job.is_completed:
-                at = job.begun_at - world.history.begun_at
-                world.history.report(f"calm job {job.id} of {at:.3f} ended with {job.status}")
-        await _check_clear(world)
+        async with asyncio.timeout(plan.storm_seconds + plan.calm_seconds + LONGEST_EXTRA_SECONDS):
+            jobs, calm = await _storm_and_calm(world)
+    except TimeoutError:
+        world.history.report("the soak did not come to its end")
+        jobs, calm = [], []
     finally:
         await world.close()
     if world.history.faults and keep is not None:
@@ -122,6 +114,28 @@
     )
 
 
+async def _storm_and_calm(world: SoakWorld) -> tuple[list[SoakJob], list[SoakJob]]:
+    """Return the jobs of both parts, the second without those whose callers left."""
+    plan = world.plan
+    storm = Storm(world, Random(plan.seed + 3))
+    await world.start()
+    load = asyncio.create_task(world.load(plan.storm_seconds, plan.caller_count, STORM_PAUSE))
+    await storm.run(plan.storm_seconds - BUDGET_SECONDS)
+    jobs = await load
+    world.history.note("calm")
+    await world.until_ready()
+    await asyncio.sleep(SETTLE_SECONDS)
+    await _check_config(world)
+    calm = await world.load(plan.calm_seconds, CALM_CALLERS, CALM_PAUSE)
+    calm = [job for job in calm if not job.has_left]
+    for job in calm:
+        if not job.is_completed:
+            at = job.begun_at - world.history.begun_at
+            world.history.report(f"calm job {job.id} of {at:.3f} ended with {job.status}")
+    await _check_clear(world)
+    return jobs, calm
+
+
 def _keep(world: SoakWorld, folder: Path) -> None:
     """Write events and logs."""
     folder = folder / f"seed-{world.plan.seed}-{int(time.time())}"
--- a/packages/soak/cranberryshore_soak/proxy.py
+++ b/packages/soak/cranberryshore_soak/proxy.py
@@ -103,6 +103,7 @@
         """Stop listening and reset all connections."""
         self.server.close()
         self.links.cuts.clear()
+        self.links.delays.clear()
         while self.connections:
             for connection in list(self.connections):
                 connection.reset()
