--- a/packages/soak/cranberryshore_soak/play.py
+++ b/packages/soak/cranberryshore_soak/play.py
@@ -4,6 +4,7 @@
 import time
 from pathlib import Path
 from random import Random
+from signal import SIGTERM
 
 import attrs
 from aiohttp import ClientError
@@ -92,6 +93,8 @@
         Folder for the logs and events of a soak in which a promise was broken.
     """
     world = SoakWorld(plan)
+    # So that the processes that were started here end with it.
+    asyncio.get_running_loop().add_signal_handler(SIGTERM, asyncio.current_task().cancel)
     try:
         async with asyncio.timeout(plan.storm_seconds + plan.calm_seconds + LONGEST_EXTRA_SECONDS):
             jobs, calm = await _storm_and_calm(world)
