--- a/packages/soak/cranberryshore_soak/world.py
+++ b/packages/soak/cranberryshore_soak/world.py
@@ -1,7 +1,6 @@
 """The parts of a soak: daemons, store, workers, proxies between them, callers."""
 
 import asyncio
-import socket
 import tempfile
 import time
 from pathlib import Path
@@ -11,7 +10,7 @@
 
 from cranberryshore.pool import QueueSpec
 from cranberryshore_platform.tests import faces
-from cranberryshore_platform.tests.standin import StandIn
+from cranberryshore_platform.tests.standin import StandIn, free_addresses
 from cranberryshore_proof.pool_workers import ModelWorker
 from cranberryshore_soak.callers import Balancer, Callers
 from cranberryshore_soak.history import History
@@ -42,15 +41,6 @@
     calm_seconds: float = 4.0
 
 
-def free_addresses(count: int) -> list[str]:
-    """Return addresses on loopback whose ports nothing listens on."""
-    sockets = [socket.create_server(("127.0.0.1", 0)) for _ in range(count)]
-    addresses = [f"127.0.0.1:{item.getsockname()[1]}" for item in sockets]
-    for item in sockets:
-        item.close()
-    return addresses
-
-
 @attrs.define(eq=False)
 class SoakWorker:
     """One worker with the parts in front of it."""
