--- a/scripts/write_platform_measurements.py
+++ b/scripts/write_platform_measurements.py
@@ -14,7 +14,8 @@
 
 Written by `scripts/write_platform_measurements.py` from the entries in `journal/`, which the users'
 bench writes. `worth` is what the day earned of what was owed, less prices; the score is cut off at
-1.0, and a broken rule makes a day 0. A change under 0.03 of a site is noise.
+1.0, and a broken rule makes a day 0. A change under 0.03 of a site is noise. The mean under trouble
+is that of the worth of all standard days but quiet ones.
 """
 
 
@@ -36,14 +37,17 @@
         rows = [entry for entry in scores if entry["site"] == site]
         names = [day["name"] for day in rows[0]["days"] if not day["name"].startswith("fresh")]
         lines += ["", f"## {site}: worth by day", ""]
-        lines.append("| " + " | ".join(["time", "entry", "score", "gate", *names, "why"]) + " |")
-        lines.append("| " + " | ".join(["---"] * (len(names) + 5)) + " |")
+        heads = ["time", "entry", "score", "gate", *names, "mean under trouble", "why"]
+        lines.append("| " + " | ".join(heads) + " |")
+        lines.append("| " + " | ".join(["---"] * len(heads)) + " |")
         for entry in rows:
             days = {day["name"]: day for day in entry["days"]}
             cells = [entry["at"][0][:16], entry["id"], f"{entry['score']:.3f}"]
             is_passed = all(day["gate"] for day in entry["days"])
             cells.append("passed" if is_passed else "failed")
             cells += [worth(days.get(name)) for name in names]
+            troubled = [days[name]["G"] for name in names if name in days and "quiet" not in name]
+            cells.append(f"{sum(troubled) / max(len(troubled), 1):.3f}")
             lines.append("| " + " | ".join([*cells, entry["why"] or ""]) + " |")
     return lines
 
