A peer that does not hear this instance gets a new channel, whoever it is

Ruled out: the store, which was cut off from it later; readings of the list of members, which were answered. Change: every instance watches whether the peers that it beats to say that they hear it; before, only followers did of their scheduler.

--- a/packages/core/cranberryshore/pool/group.py
+++ b/packages/core/cranberryshore/pool/group.py
@@ -86,10 +86,19 @@
 
 @attrs.define
 class Member:
-    """A peer as last heard."""
+    """A peer as last heard.
+
+    Parameters
+    ----------
+    heard_at : float
+        When it was heard last, in seconds.
+    hears_own_at : float
+        When it last said that it hears this instance, or was first told something.
+    """
 
     at: MemberAddress
     heard_at: float = float("-inf")
+    hears_own_at: float = float("-inf")
     listed_at: float = float("-inf")
     is_draining: bool = False
     claim: Claim | None = None
--- a/packages/core/cranberryshore/timeline/log_records.py
+++ b/packages/core/cranberryshore/timeline/log_records.py
@@ -19,7 +19,7 @@
     "group: Scheduler followed.",
     "group: This process stood still.",
     "group: Entry instance lost.",
-    "group: Scheduler does not hear this instance.",
+    "group: Peer does not hear this instance.",
     "scheduler: Scheduling begins.",
     "scheduler: Scheduling ends.",
     "daemon: Configuration in force.",
--- a/packages/daemon/cranberryshored/pool/exchange.py
+++ b/packages/daemon/cranberryshored/pool/exchange.py
@@ -68,7 +68,6 @@
     follows: str = ""
     successor: str = ""
     beat_at: float = 0.0
-    heard_at: float = 0.0
     rounds: int = 0
     epoch: int = 0
     task: asyncio.Task | None = None
@@ -143,7 +142,7 @@
         if follows == self.follows:
             return
         self.log.info("Scheduler followed.", before=self.follows, scheduler=follows)
-        self.heard_at = now()
+        self._expect_to_be_heard()
         self.epoch += 1
         self._take_back(self.follows)
         before, self.follows = self.group.members.get(self.follows), follows
@@ -157,6 +156,12 @@
         if scheduler is not None:
             self._beat(scheduler, now())
 
+    def _expect_to_be_heard(self) -> None:
+        """Give all peers their time to hear this instance, which beats to others from now on."""
+        moment = now()
+        for member in self.group.members.values():
+            member.hears_own_at = moment
+
     def _take_back(self, scheduler: str) -> None:
         """Do not hand jobs to a scheduler that is not followed any more."""
         stream = self.outs.get(scheduler)
@@ -182,8 +187,9 @@
         member.roster_version = beat.roster_version
         for item in beat.members:
             self.group.learn(item, moment)
-        if beat.sender.incarnation == self.follows:
-            self._check_heard(beat, moment)
+        if is_new:
+            member.hears_own_at = moment
+        self._check_heard(member, beat, moment)
         if beat.sender.incarnation in self.outs:
             self.outs[beat.sender.incarnation].confirm(beat.stream, beat.received)
         if beat.successor == self.own.incarnation and self.group.claim is None:
@@ -207,14 +213,17 @@
             self.log.info("Schedule handed over.", peer=self.follows)
             self.listener.claim_wanted(Claim(0))
 
-    def _check_heard(self, beat: Beat, moment: float) -> None:
-        """Open a new channel to the scheduler if it does not hear this instance any more."""
+    def _check_heard(self, member: Member, beat: Beat, moment: float) -> None:
+        """Open a new channel to a peer that does not hear this instance any more.
+
+        The channels of two peers fall silent each by itself, and who is heard cannot tell.
+        """
         if beat.hears_receiver:
-            self.heard_at = moment
-        elif moment - self.heard_at > REDIAL_SECONDS:
-            self.heard_at = moment
-            self.log.warning("Scheduler does not hear this instance.", peer=self.follows)
-            self.transport.forget(beat.sender.address)
+            member.hears_own_at = moment
+        elif moment - member.hears_own_at > REDIAL_SECONDS:
+            member.hears_own_at = moment
+            self.log.warning("Peer does not hear this instance.", peer=member.at.incarnation)
+            self.transport.forget(member.at.address)
 
     def _is_mistaken(self, beat: Beat) -> bool:
         """Tell whether a peer follows nobody, or this instance although it schedules nothing."""
