--- a/packages/soak/cranberryshore_soak/callers.py
+++ b/packages/soak/cranberryshore_soak/callers.py
@@ -104,6 +104,8 @@
     ----------
     jobs : dict
         All jobs by id, for the workers' model.
+    task_counts : tuple of int
+        Numbers of tasks that jobs are drawn with.
     """
 
     balancer: Balancer
@@ -112,6 +114,7 @@
     random: Random
     lag: LoopLag
     jobs: dict[str, SoakJob] = attrs.field(factory=dict)
+    task_counts: tuple[int, ...] = (1, 2, 4, 8)
 
     def demand_of(self, job: str) -> int:
         """Return the millicores of one task of a job."""
@@ -124,7 +127,7 @@
     def _draw_job(self) -> SoakJob:
         job = SoakJob(
             f"{self.random.getrandbits(64):016x}",
-            self.random.choice((1, 2, 4, 8)),
+            self.random.choice(self.task_counts),
             self.random.choice((900, 1400, 2000)),
             self.random.choice((0.06, 0.06, 0.2, 0.9)),
             time.monotonic(),
