--- a/packages/soak/cranberryshore_soak/regressions.py
+++ b/packages/soak/cranberryshore_soak/regressions.py
@@ -14,5 +14,6 @@
     "two runs lapsed on a busy machine, open": _small(1001),
     "a scheduler's silent channel to a peer that it hears": _small(1015),
     "a scheduler's silent channel to a peer that it hears, again": _small(1017),
+    "a port taken by an outgoing connection; an instance that heard nobody, open": _small(1031),
 }
 """Plans by cause."""
