--- a/packages/core/cranberryshore/messages/pool.py
+++ b/packages/core/cranberryshore/messages/pool.py
@@ -31,6 +31,12 @@
         Incarnation that takes over scheduling; set by a scheduler that shuts down.
     hears_receiver : bool
         Whether the sender has recently received a message from the receiver.
+    echo : float or None
+        Time on the receiver's monotonic clock at which it has sent the latest heartbeat that the
+        sender has received from it; ``None`` in heartbeats of earlier versions.
+    known_epoch : int or None
+        Latest epoch of the receiver that the sender has taken note of. A scheduler has by then
+        dropped the jobs that the receiver submitted in earlier epochs.
     members : tuple of MemberAddress
         Live instances known to the sender. Schedulers include them in some heartbeats only. An
         instance that receives heartbeats of two schedulers sends the address of the one that it
@@ -50,6 +56,8 @@
     successor: str = ""
     hears_receiver: bool = False
     members: tuple[MemberAddress, ...] = ()
+    echo: float | None = None
+    known_epoch: int | None = None
 
 
 @attrs.frozen
--- a/packages/core/cranberryshore/pool/__init__.py
+++ b/packages/core/cranberryshore/pool/__init__.py
@@ -8,6 +8,7 @@
     JobEnded,
     PollWorker,
     PoolEffect,
+    ResumedJobReleased,
     StartRun,
     StopRun,
     UnsuccessfulRun,
@@ -22,12 +23,15 @@
     RunKey,
     WorkerStatus,
 )
+from cranberryshore.pool.roster import RosterHistory
 from cranberryshore.pool.scheduler import Scheduler
+from cranberryshore.pool.start_rights import AcknowledgedRights, StartRights
 from cranberryshore.pool.stream import ReceiveStream, SendStream
 from cranberryshore.pool.work import Outcome, StepSpec, WorkRequest
 from cranberryshore.pool.worker_registration import WorkerRegistration
 
 __all__ = [
+    "AcknowledgedRights",
     "Claim",
     "EndKind",
     "Group",
@@ -46,9 +50,12 @@
     "PoolConfig",
     "PoolEffect",
     "QueueSpec",
+    "ResumedJobReleased",
+    "RosterHistory",
     "RunKey",
     "UnsuccessfulRun",
     "Scheduler",
+    "StartRights",
     "StartRun",
     "StepSpec",
     "StopRun",
--- a/packages/core/cranberryshore/pool/effects.py
+++ b/packages/core/cranberryshore/pool/effects.py
@@ -60,6 +60,26 @@
     ran_ms: int
 
 
+@attrs.frozen
+class ResumedJobReleased(PoolEffect):
+    """Log that a resumed job may be started by this scheduler.
+
+    Parameters
+    ----------
+    verified_workers : int
+        Workers that have reported, since the job arrived, that no run of it is active.
+    unverified_workers : int
+        Workers that have not; the job has waited until the runs on them have ended.
+    waited_ms : int
+        Time since the job arrived at this scheduler.
+    """
+
+    job: str
+    verified_workers: int
+    unverified_workers: int
+    waited_ms: int
+
+
 @attrs.frozen
 class JobEnded(PoolEffect):
     """Notify an entry instance of the outcome of a job.
--- a/packages/core/cranberryshore/pool/group.py
+++ b/packages/core/cranberryshore/pool/group.py
@@ -101,6 +101,8 @@
         Version of its worker list.
     epoch : int
         Number of times that it has changed its scheduler.
+    known_epoch : int or None
+        Latest epoch of this instance that it has taken note of; ``None`` if it does not tell.
     heartbeat_sent_at : float
         Time on the monotonic clock of the peer.
     """
@@ -115,6 +117,7 @@
     config_version: int = 0
     roster_version: int = 0
     epoch: int = 0
+    known_epoch: int | None = 0
     heartbeat_sent_at: float = float("-inf")
 
     def clock(self, now: float) -> float:
--- a/packages/core/cranberryshore/pool/held_worker.py
+++ b/packages/core/cranberryshore/pool/held_worker.py
@@ -23,6 +23,9 @@
 Allows for 2 % clock error and 80 ms of delay.
 """
 
+MAX_CLOCK_DRIFT = 0.02
+"""Share by which the steady clock of a worker may be slow."""
+
 TAKEOVER_BACKOFF_SECONDS = 3.0
 """Time before a worker that obeys another holder may be taken over again."""
 
@@ -149,10 +152,18 @@
         Foreign runs: active, but not started or adopted by this holder.
     foreign_ends : dict
         Latest end of a foreign run of each task, for jobs that are handed over later.
+    is_listed : bool
+        Whether the worker is in the current roster. Others are held until their runs have ended,
+        or to verify that no runs of resumed jobs are active on them.
+    unlisted_at : float
+        Time since which the worker is not in the roster.
     clock_offset_ms : float or None
         Worker clock minus the clock of this instance; ``None`` if unknown.
+    clock_read_at : float
+        Time at which the clock of the worker was read.
     lease_extended_at : float
-        Time of the last request that could extend the lease, in seconds.
+        Time of the last request, of this holder or an earlier one, that could extend the lease, in
+        seconds.
     """
 
     name: str
@@ -164,6 +175,8 @@
     token: int
     rack: str = ""
     is_draining: bool = False
+    is_listed: bool = True
+    unlisted_at: float = float("inf")
     state: HoldState = HoldState.ACQUIRING
     born: int = 0
     last_seen: int = 0
@@ -173,6 +186,7 @@
     strangers_since: float = float("inf")
     foreign_ends: dict[str, ReportedEnd] = attrs.field(factory=dict)
     clock_offset_ms: float | None = None
+    clock_read_at: float = float("-inf")
     lease_extended_at: float = float("-inf")
     polled_at: float = float("-inf")
     lost_at: float = float("-inf")
@@ -183,7 +197,21 @@
 
     def is_available(self) -> bool:
         """Return whether tasks may be placed on the worker."""
-        return self.state is HoldState.HELD and not self.strangers and not self.is_draining
+        return (
+            self.state is HoldState.HELD
+            and self.is_listed
+            and not self.strangers
+            and not self.is_draining
+        )
+
+    def unlist(self, now: float) -> None:
+        """Record that the worker is not in the roster."""
+        if self.is_listed:
+            self.is_listed, self.unlisted_at = False, now
+
+    def relist(self) -> None:
+        """Record that the worker is in the roster again."""
+        self.is_listed, self.unlisted_at = True, float("inf")
 
     def resize(self, total: Capacity) -> None:
         """Change the total capacity; active runs continue."""
@@ -191,15 +219,20 @@
             self.room = self.room + total - self.total
             self.total = total
 
-    def lease_end_ms(self, now: float) -> int | None:
+    def lease_end_ms(self, now: float, limit_at: float = float("inf")) -> int | None:
         """Return the new lease end on the clock of the worker; ``None`` to keep the old one.
 
         The lease is not extended before the clock of the worker is known, while foreign runs are
-        active, or while the worker does not respond.
+        active, or while the worker does not respond. It must end by ``limit_at``, a time in seconds
+        on the clock of this instance.
         """
         if self.clock_offset_ms is None or self.strangers or self.state is not HoldState.HELD:
             return None
-        return int(now * 1000 + self.clock_offset_ms + LEASE_SECONDS * 1000)
+        end = min(now + LEASE_SECONDS, limit_at)
+        if end <= now:
+            return None
+        drift_ms = MAX_CLOCK_DRIFT * max(now - self.clock_read_at, 0.0) * 1000
+        return int(end * 1000 + self.clock_offset_ms - drift_ms)
 
     def add_run(self, key: RunKey, demand: Capacity, now: float) -> None:
         """Add a run whose start is being requested."""
@@ -255,7 +288,10 @@
             # The worker has restarted: earlier runs are missing from the report, but runs
             # started since then may be in it.
             self.born, self.last_seen = status.born, 0
-        self.clock_offset_ms = status.clock_ms - now * 1000
+        self.clock_offset_ms, self.clock_read_at = status.clock_ms - now * 1000, now
+        if self.state is HoldState.ACQUIRING:
+            # The previous holder may have extended the lease until this worker was acquired.
+            self.lease_extended_at = max(self.lease_extended_at, now)
         listed = {(run.task, run.attempt): run for run in status.running}
         for end in sorted(status.ended, key=lambda item: item.number):
             if end.number <= self.last_seen:
@@ -274,7 +310,9 @@
         self.strangers = {key for key in listed if key not in self.runs}
         self.strangers_since = min(self.strangers_since, now) if self.strangers else float("inf")
         self.polled_at = poll_sent_at
-        if self.state is not HoldState.LOST:
+        if self.state is not HoldState.LOST and token == self.token:
+            # A start must not carry a token that the worker has not seen: another holder could
+            # acquire the worker with a lower one before the start arrives.
             self.state = HoldState.HELD
         return ends
 
--- a/packages/core/cranberryshore/pool/refusing.py
+++ b/packages/core/cranberryshore/pool/refusing.py
@@ -10,9 +10,9 @@
 RETRY_AFTER_MS = 1000
 """Retry delay for refused callers; load bursts last one to four seconds."""
 
-RESUMED_JOB_WAIT_SECONDS = 1.4
-"""Time until no run of a previous scheduler can exist: 1.1 s until its lease has certainly expired
-and 0.3 s to stop the run."""
+RESUMED_JOB_WAIT_SECONDS = 1.3
+"""Time until no run of a previous scheduler can exist: longer than ``RUN_END_SECONDS``, after which
+all leases have expired that it could give before its entry instance turned to this scheduler."""
 
 VERIFICATION_SECONDS = 0.25
 """Time in which a new scheduler usually polls all workers, even if a response is lost."""
@@ -24,7 +24,7 @@
     While a new scheduler is still polling its workers, the delay of a resumed job is ignored,
     because the polls may end it early.
     """
-    is_verifying = now < job.delayed_until - RESUMED_JOB_WAIT_SECONDS + VERIFICATION_SECONDS
+    is_verifying = bool(job.delayed_until) and now < job.received_at + VERIFICATION_SECONDS
     return now if is_verifying else max(now, job.delayed_until)
 
 
--- /dev/null
+++ b/packages/core/cranberryshore/pool/roster.py
@@ -0,0 +1,87 @@
+"""Rosters: the versions of the list of workers that a pool has had.
+
+A registration expires while the platform's store is out or a zone is partitioned, although the
+worker and its runs live on. Which workers may run tasks of a job therefore follows from the rosters
+that were in use while the job was scheduled, never from the registrations of the moment.
+"""
+
+from collections.abc import Iterable
+from zlib import crc32
+
+import attrs
+
+from cranberryshore.pool.worker_registration import WorkerRegistration
+
+MAX_REMEMBERED_ROSTERS = 64
+"""A job that used an older roster cannot be verified and waits until its runs have ended."""
+
+UNKNOWN_ROSTER = -1
+"""Stands for a version that is no longer remembered."""
+
+PUBLISHER_BITS = 22
+"""Low bits of a version that differ between publishers, so that rosters published in the same
+millisecond are distinct."""
+
+
+def next_version(publisher: str, unix_ms: int, previous: int) -> int:
+    """Return a roster version that is higher than ``previous`` and belongs to one publisher.
+
+    Examples
+    --------
+    >>> first = next_version("a.1", 5, 0)
+    >>> next_version("b.1", 5, 0) != first and next_version("b.1", 5, first) > first
+    True
+    """
+    moment = max(unix_ms, (previous >> PUBLISHER_BITS) + 1)
+    return (moment << PUBLISHER_BITS) + crc32(publisher.encode()) % (1 << PUBLISHER_BITS)
+
+
+@attrs.define(eq=False)
+class RosterHistory:
+    """Latest rosters by version, with the latest registration of each of their workers."""
+
+    names_by_version: dict[int, frozenset[str] | None] = attrs.field(
+        factory=lambda: {0: frozenset()}
+    )
+    registrations: dict[str, WorkerRegistration] = attrs.field(factory=dict)
+
+    def record(self, version: int, workers: Iterable[WorkerRegistration]) -> None:
+        """Add a roster."""
+        entries = {entry.name: entry for entry in workers}
+        self.registrations.update(entries)
+        names = frozenset(entries)
+        for known in self.names_by_version.values():
+            if known == names:
+                # Most versions differ in the state of a worker only.
+                names = known
+                break
+        if self.names_by_version.get(version, names) != names:
+            # Two publishers have used the same version, so its workers are uncertain.
+            names = None
+        self.names_by_version[version] = names
+        if len(self.names_by_version) > MAX_REMEMBERED_ROSTERS:
+            self._forget_oldest()
+
+    def _forget_oldest(self) -> None:
+        del self.names_by_version[next(iter(self.names_by_version))]
+        remembered = frozenset().union(*filter(None, self.names_by_version.values()))
+        for name in self.registrations.keys() - remembered:
+            del self.registrations[name]
+
+    def names(self, version: int) -> frozenset[str] | None:
+        """Return the names of the workers of a roster; ``None`` if it is unknown."""
+        return self.names_by_version.get(version)
+
+    def names_in_any(self, versions: Iterable[int]) -> frozenset[str] | None:
+        """Return the names of the workers in any of the rosters; ``None`` if one is unknown.
+
+        Examples
+        --------
+        >>> history = RosterHistory()
+        >>> history.names_in_any((0,)), history.names_in_any((0, 9)), history.names_in_any(())
+        (frozenset(), None, None)
+        """
+        rosters = [self.names(version) for version in versions]
+        if not rosters or None in rosters:
+            return None
+        return frozenset().union(*rosters)
--- a/packages/core/cranberryshore/pool/scheduler.py
+++ b/packages/core/cranberryshore/pool/scheduler.py
@@ -14,15 +14,14 @@
     JobEnded,
     PollWorker,
     PoolEffect,
+    ResumedJobReleased,
     StartRun,
     StopRun,
     UnsuccessfulRun,
 )
 from cranberryshore.pool.held_worker import (
-    LEASE_EXPIRY_SECONDS,
     EndKind,
     HeldWorker,
-    HoldState,
     RunEnd,
     RunKey,
     RunState,
@@ -32,6 +31,11 @@
 from cranberryshore.pool.refusing import RESUMED_JOB_WAIT_SECONDS
 from cranberryshore.pool.run_registry import RunRegistry
 from cranberryshore.pool.run_statistics import RunStatistics
+from cranberryshore.pool.start_rights import (
+    RUN_RIGHT_SECONDS,
+    AcknowledgedRights,
+    StartRights,
+)
 from cranberryshore.pool.verifying import Verification, release_verified
 from cranberryshore.pool.work import Outcome, PoolJob, PoolTask, TaskPhase, WorkRequest
 from cranberryshore.pool.worker_selection import Candidate
@@ -46,6 +50,13 @@
 """Time after which foreign runs are stopped unless their jobs are handed over; entry instances
 learn of a new scheduler within some milliseconds."""
 
+UNLISTED_WORKER_SECONDS = 3.0
+"""Time for which a worker without runs that is not in the roster is held, so that it verifies the
+resumed jobs that arrive meanwhile."""
+
+MIN_LEASE_SECONDS = 0.5
+"""No task is started on a worker whose lease ends earlier unless one of its runs ends before."""
+
 ATTEMPT_INCREMENT = 8
 """Increment of an attempt number that a worker has rejected as too low."""
 
@@ -60,13 +71,12 @@
     ----------
     changed_at : float or None
         Time of the latest change that requires placement; ``None`` if jobs were placed since then.
-    covers_all_workers : bool
-        Whether ``workers`` includes every worker another scheduler may have used: the worker list
-        was read since this scheduler started, and covers all availability zones.
+    rights : StartRights
+        Right to start and continue the tasks of an entry instance.
     """
 
     config: PoolConfig = PoolConfig()
-    covers_all_workers: bool = False
+    rights: StartRights = attrs.field(factory=AcknowledgedRights)
     jobs: dict[str, PoolJob] = attrs.field(factory=dict)
     workers: dict[str, HeldWorker] = attrs.field(factory=dict)
     statistics: RunStatistics = attrs.field(factory=RunStatistics)
@@ -89,8 +99,18 @@
 
     # Jobs
 
-    def submit(self, request: WorkRequest, entry: str, now: float) -> None:
-        """Accept a job, or update the entry instance of a known job."""
+    def submit(
+        self,
+        request: WorkRequest,
+        entry: str,
+        now: float,
+        exposed_workers: frozenset[str] | None = None,
+    ) -> None:
+        """Accept a job, or update the entry instance of a known job.
+
+        ``exposed_workers`` are the workers that may have runs of a resumed job, ``None`` if they
+        are not known.
+        """
         known = self.jobs.get(request.id)
         if known is not None:
             known.entry = entry
@@ -100,7 +120,7 @@
         if queue is None:
             self._refuse(request.id, entry, "The queue is not declared.", 0)
             return
-        job = PoolJob(request, entry, now - request.waited_ms / 1000)
+        job = PoolJob(request, entry, now - request.waited_ms / 1000, received_at=now)
         job.set_deadlines(queue, self.statistics.expected_seconds(job))
         if not self._fits_any_worker(job):
             self._refuse(request.id, entry, "No worker can hold a task of the job.", 0)
@@ -109,6 +129,7 @@
         self.jobs[request.id] = job
         if request.is_resumed:
             job.delayed_until = now + RESUMED_JOB_WAIT_SECONDS
+            job.exposed_workers = exposed_workers
             self._adopt_job(job, now)
             self.verification.request(now)
             self._request_polls(now)
@@ -151,6 +172,7 @@
     ) -> None:
         """End a job and stop its runs; notify its entry instance if there is an outcome."""
         job.is_ended = True
+        job.lease_limit = min(self.rights.lease_limit(job.entry), now + RUN_RIGHT_SECONDS)
         del self.jobs[job.request.id]
         self.registry.save_attempts(job)
         for task in job.tasks:
@@ -168,14 +190,30 @@
         self.workers[worker.name] = worker
         self.effects.append(PollWorker(worker.name))
 
-    def release(self, name: str, now: float) -> None:
-        """Release a worker that is gone; its runs are lost when its lease expires."""
+    def unlist(self, name: str, now: float) -> None:
+        """Place nothing more on a worker that is not in the roster; its runs continue.
+
+        A worker without a registration may be alive: its registration expires in an outage of the
+        store. It is removed when none of its runs can be active.
+        """
         worker = self.workers.get(name)
-        if worker is None:
-            return
-        worker.state = HoldState.LOST
-        worker.is_draining = True
-        worker.lost_at = now
+        if worker is not None:
+            worker.unlist(now)
+
+    def lease_end_ms(self, worker: HeldWorker, now: float) -> int | None:
+        """Return the new lease end on the clock of a worker; ``None`` to keep the old one."""
+        return worker.lease_end_ms(now, self._lease_limit(worker))
+
+    def _lease_limit(self, worker: HeldWorker) -> float:
+        """Return the time at which the lease of a worker must have ended.
+
+        The lease covers all runs, so the entry instance heard longest ago determines it.
+        """
+        jobs = [self.registry.tasks_by_run[key][0] for key in worker.runs]
+        limits = (
+            job.lease_limit if job.is_ended else self.rights.lease_limit(job.entry) for job in jobs
+        )
+        return min(limits, default=float("inf"))
 
     def record_status(
         self, name: str, status: WorkerStatus, token: int, poll_sent_at: float, now: float
@@ -268,8 +306,7 @@
         for name, worker in list(self.workers.items()):
             for end in worker.remove_expired_runs(now):
                 self._run_ended(worker, end, now)
-            is_gone = worker.is_draining and worker.state is HoldState.LOST and not worker.runs
-            if is_gone and now > worker.lost_at + LEASE_EXPIRY_SECONDS:
+            if now > worker.unlisted_at + UNLISTED_WORKER_SECONDS and not worker.runs:
                 del self.workers[name]
         for job in list(self.jobs.values()):
             self._check_deadline(job, now)
@@ -311,31 +348,67 @@
         waiting = [job for job in self.jobs.values() if job.waiting_tasks]
         if not waiting:
             return
-        if self.covers_all_workers:
-            release_verified(waiting, self.workers.values(), now)
+        self._release_resumed_jobs(waiting, now)
         smallest = min(job.smallest_millicores for job in waiting)
         candidates = worker_selection.find_candidates(
-            self.workers.values(), smallest, self.statistics.health, now
+            self._workers_with_lease(now), smallest, self.statistics.health, now
         )
         if not candidates:
             return
+        foreign = {key[0] for worker in self.workers.values() for key in worker.strangers}
         waiting.sort(key=lambda job: ordering.waiting_sort_key(job, now))
         largest = worker_selection.max_free_millicores(candidates)
         for job in waiting:
             if job.smallest_millicores > largest or job.delayed_until > now:
                 continue
-            if self._place_job(job, candidates, now):
+            if not self.rights.may_start(job.entry, now):
+                continue
+            if self._place_job(job, candidates, foreign, now):
                 largest = worker_selection.max_free_millicores(candidates)
 
-    def _place_job(self, job: PoolJob, candidates: list[Candidate], now: float) -> bool:
-        """Place as many tasks of a job as fit; return whether any was placed."""
+    def _release_resumed_jobs(self, waiting: list[PoolJob], now: float) -> None:
+        released = release_verified(waiting, self.workers, now)
+        waited = [job for job in waiting if 0.0 < job.delayed_until <= now]
+        for job in (*released, *waited):
+            job.delayed_until = 0.0
+            exposed = job.exposed_workers or ()
+            verified = sum(
+                name in self.workers and self.workers[name].polled_at >= job.received_at
+                for name in exposed
+            )
+            waited_ms = int((now - job.received_at) * 1000)
+            unverified = len(exposed) - verified
+            self.effects.append(ResumedJobReleased(job.request.id, verified, unverified, waited_ms))
+
+    def _workers_with_lease(self, now: float) -> Iterable[HeldWorker]:
+        """Return the workers whose lease need not end soon."""
+        return (
+            worker
+            for worker in self.workers.values()
+            if self._lease_limit(worker) > now + MIN_LEASE_SECONDS
+        )
+
+    def _place_job(
+        self, job: PoolJob, candidates: list[Candidate], foreign: set[str], now: float
+    ) -> bool:
+        """Place as many tasks of a job as fit; return whether any was placed.
+
+        ``foreign`` are the tasks of which another scheduler has active runs.
+        """
         queue = self.config.get_queue(job.request.queue)
         if queue is None:
             return False
-        members = [item for item in candidates if item.worker.service == queue.service]
+        usable = self.rights.usable_workers(job.entry)
+        members = [
+            item
+            for item in candidates
+            if item.worker.service == queue.service
+            and (usable is None or item.worker.name in usable)
+        ]
         has_placed = False
         for task in job.startable_tasks():
-            if self.registry.is_task_active(job.name_of(task)):
+            name = job.name_of(task)
+            if name in foreign or self.registry.is_task_active(name):
                 continue
             worker = worker_selection.select_worker(members, job, task)
             if worker is None:
@@ -346,7 +419,8 @@
         return has_placed
 
     def _start_run(self, job: PoolJob, task: PoolTask, worker: HeldWorker, now: float) -> bool:
-        lease_end_ms = worker.lease_end_ms(now)
+        limit_at = min(self._lease_limit(worker), self.rights.lease_limit(job.entry))
+        lease_end_ms = worker.lease_end_ms(now, limit_at)
         if lease_end_ms is None:
             return False
         task.attempt += 1
--- a/packages/core/cranberryshore/pool/tests/load_replay.py
+++ b/packages/core/cranberryshore/pool/tests/load_replay.py
@@ -23,6 +23,7 @@
     WorkerStatus,
     WorkRequest,
 )
+from cranberryshore.pool.tests.unlimited_rights import UnlimitedRights
 from cranberryshore.work import Capacity
 
 REQUEST_LATENCY_SECONDS = 0.003
@@ -180,6 +181,7 @@
         """Add a worker that is already held."""
         held = HeldWorker(name, name, "z", "pool", Capacity(millicores, 131072), frozenset(), 1)
         held.state, held.clock_offset_ms, held.born = HoldState.HELD, 0.0, 1
+        held.clock_read_at = float("inf")
         self.workers[name] = SimulatedWorker(held, slowdown)
         self.scheduler.workers[name] = held
 
@@ -264,7 +266,7 @@
         QueueSpec(kind.name, "h", f"/{kind.name}/", "pool", kind.priority, 4, kind.slack_factor, 60)
         for kind in JOB_KINDS
     )
-    replay = LoadReplay(Scheduler(PoolConfig(1, queues), covers_all_workers=True))
+    replay = LoadReplay(Scheduler(PoolConfig(1, queues), UnlimitedRights()))
     for number in range(worker_count):
         replay.add_worker(f"w{number:02}", 48_000 if number % 3 == 2 else 32_000)
     return replay
--- a/packages/core/cranberryshore/pool/tests/test_held_worker.py
+++ b/packages/core/cranberryshore/pool/tests/test_held_worker.py
@@ -86,6 +86,44 @@
         ends = self.worker.remove_expired_runs(1.0 + LEASE_EXPIRY_SECONDS)
         self.assertEqual([end.kind for end in ends], [EndKind.LAPSED])
 
+    def test_adopted_run_lasts_as_long_as_the_lease_of_its_previous_holder(self):
+        # Regression: a run counted as expired as soon as the worker that had just been taken over
+        # did not respond.
+        self.poll(status(KEY), 0.0, 0.1)
+        self.worker.adopt_run(KEY, ONE_CORE, 0.1)
+        self.worker.mark_silent()
+        self.assertEqual(self.worker.remove_expired_runs(0.1 + LEASE_EXPIRY_SECONDS - 0.01), [])
+        self.assertEqual(len(self.worker.remove_expired_runs(0.1 + LEASE_EXPIRY_SECONDS)), 1)
+
+    def test_worker_is_not_available_before_it_has_seen_the_raised_token(self):
+        # Regression: a start with a token that the worker had not seen could arrive after another
+        # holder had acquired the worker with a lower one.
+        self.poll(status(), 0.0, 0.1)
+        self.worker.raise_token(11)
+        self.worker.mark_silent()
+        self.poll(status(), 0.2, 0.3, token=10)
+        self.assertFalse(self.worker.is_available())
+        self.poll(status(), 0.4, 0.5, token=11)
+        self.assertTrue(self.worker.is_available())
+
+    def test_lease_allows_for_a_slow_clock_of_the_worker(self):
+        # Regression: a start that arrived late on a worker that had been idle was accepted after
+        # the end of its lease.
+        self.poll(status(), 0.0, 0.0)
+        self.assertEqual(self.worker.lease_end_ms(10.0), 10_000 + 1000 - 200)
+
+    def test_lease_ends_by_its_limit(self):
+        self.poll(status(), 0.0, 0.0)
+        self.assertEqual(self.worker.lease_end_ms(0.0, limit_at=0.4), 400)
+        self.assertIsNone(self.worker.lease_end_ms(0.5, limit_at=0.4))
+
+    def test_unlisted_worker_is_not_available(self):
+        self.poll(status(), 0.0, 0.1)
+        self.worker.unlist(0.2)
+        self.assertFalse(self.worker.is_available())
+        self.worker.relist()
+        self.assertTrue(self.worker.is_available())
+
     def test_ends_are_processed_once(self):
         self.poll(status(), 0.0, 0.1)
         self.worker.add_run(KEY, ONE_CORE, 0.2)
--- a/packages/core/cranberryshore/pool/tests/test_scheduler.py
+++ b/packages/core/cranberryshore/pool/tests/test_scheduler.py
@@ -1,6 +1,7 @@
 from unittest import TestCase
 
 from cranberryshore.pool import (
+    AcknowledgedRights,
     EndKind,
     HeldWorker,
     JobEnded,
@@ -10,19 +11,24 @@
     QueueSpec,
     ReportedEnd,
     ReportedRun,
+    ResumedJobReleased,
     Scheduler,
     StartRun,
     StepSpec,
     StopRun,
+    WorkerRegistration,
     WorkerStatus,
     WorkRequest,
 )
 from cranberryshore.pool.refusing import RESUMED_JOB_WAIT_SECONDS, VERIFICATION_SECONDS
-from cranberryshore.pool.scheduler import ADOPTION_WINDOW_SECONDS
+from cranberryshore.pool.scheduler import ADOPTION_WINDOW_SECONDS, UNLISTED_WORKER_SECONDS
+from cranberryshore.pool.start_rights import RUN_RIGHT_SECONDS, START_RIGHT_SECONDS
+from cranberryshore.pool.tests.unlimited_rights import UnlimitedRights
 from cranberryshore.work import Capacity
 
 QUEUE = QueueSpec("q", "h", "/q/", "s", max_attempts=2, slack_factor=2.0, aim_ms=100)
 OTHER = QueueSpec("o", "h", "/o/", "t")
+WORKERS = frozenset({"w1", "w2"})
 
 
 def request(job_id="j", count=1, millicores=1000, **options) -> WorkRequest:
@@ -31,9 +37,13 @@
     return WorkRequest(job_id, "q", "p", **values)
 
 
+def registration(name: str) -> WorkerRegistration:
+    return WorkerRegistration(name, name, "z", "s", Capacity(2000, 1000))
+
+
 class SchedulerTest(TestCase):
     def setUp(self):
-        self.scheduler = Scheduler(PoolConfig(1, (QUEUE, OTHER)), covers_all_workers=True)
+        self.scheduler = Scheduler(PoolConfig(1, (QUEUE, OTHER)), UnlimitedRights())
         self.now = 0.0
         self.ends = {}
         for name in ("w1", "w2"):
@@ -41,6 +51,7 @@
             self.scheduler.add_worker(worker)
             self.poll(name)
         self.scheduler.take_effects()
+        self.now += 0.01
 
     def poll(self, name: str, running=(), ended=()):
         reported_keys = self.ends.setdefault(name, [])
@@ -53,8 +64,8 @@
         token = self.scheduler.workers[name].token
         self.scheduler.record_status(name, status, token, self.now, self.now)
 
-    def submit(self, *args, **options) -> list[StartRun]:
-        self.scheduler.submit(request(*args, **options), "e", self.now)
+    def submit(self, *args, exposed: frozenset | None = WORKERS, **options) -> list[StartRun]:
+        self.scheduler.submit(request(*args, **options), "e", self.now, exposed)
         return self.starts()
 
     def effects(self, kind: type) -> list:
@@ -130,8 +141,8 @@
     def test_resumed_job_waits_full_delay_if_not_all_workers_are_held(self):
         # A scheduler of one zone polls only the workers of that zone, so its polls prove nothing
         # about runs in other zones.
-        self.scheduler.covers_all_workers = False
-        self.submit(is_resumed=True, steps=(StepSpec(1, Capacity(1000, 10), 1000),))
+        steps = (StepSpec(1, Capacity(1000, 10), 1000),)
+        self.submit(is_resumed=True, steps=steps, exposed=WORKERS | {"w3"})
         arrived = self.now
         self.poll("w1")
         self.poll("w2")
@@ -140,9 +151,91 @@
         self.scheduler.tick(arrived + RESUMED_JOB_WAIT_SECONDS)
         self.assertEqual(len(self.starts()), 1)
 
-    def test_resumed_job_that_cannot_wait_is_refused_after_verification(self):
-        self.scheduler.covers_all_workers = False
+    def test_resumed_job_with_unknown_workers_waits_full_delay(self):
+        steps = (StepSpec(1, Capacity(1000, 10), 1000),)
+        self.submit(is_resumed=True, steps=steps, exposed=None)
+        arrived = self.now
+        self.poll("w1")
+        self.poll("w2")
+        self.assertEqual(self.starts(), [])
+        self.scheduler.tick(arrived + RESUMED_JOB_WAIT_SECONDS)
+        self.assertEqual(len(self.starts()), 1)
+
+    def test_release_of_a_resumed_job_is_logged(self):
         self.submit(is_resumed=True)
+        self.poll("w1")
+        self.poll("w2")
+        (released,) = self.effects(ResumedJobReleased)
+        self.assertEqual((released.verified_workers, released.unverified_workers), (2, 0))
+
+    def test_nothing_is_started_for_a_silent_entry_instance(self):
+        # Regression: a scheduler that did not know that an entry instance had turned to another
+        # one started its waiting tasks and extended the leases of their workers.
+        rights = self.scheduler.rights = AcknowledgedRights("own")
+        rights.rosters.record(1, [registration("w1"), registration("w2")])
+        rights.record_roster("e", 1)
+        acknowledged_at = self.now
+        rights.acknowledge("e", acknowledged_at)
+        (first,) = self.submit()
+        self.now = acknowledged_at + START_RIGHT_SECONDS
+        self.assertEqual(self.submit("k", steps=(StepSpec(1, Capacity(1000, 10), 1000),)), [])
+        worker = self.scheduler.workers[first.worker]
+        end_ms = (acknowledged_at + RUN_RIGHT_SECONDS) * 1000 + worker.clock_offset_ms
+        self.assertLessEqual(self.scheduler.lease_end_ms(worker, self.now), end_ms)
+        self.now = acknowledged_at + RUN_RIGHT_SECONDS
+        self.assertIsNone(self.scheduler.lease_end_ms(worker, self.now))
+        rights.acknowledge("e", self.now)
+        self.assertIsNotNone(self.scheduler.lease_end_ms(worker, self.now))
+        self.scheduler.tick(self.now)
+        self.assertEqual([start.key[0] for start in self.starts()], ["k.0.0.0"])
+
+    def test_lease_is_not_extended_for_runs_of_a_dropped_job(self):
+        # Regression: the lease of a run that did not stop was extended after its job had been
+        # handed over to another scheduler, even if its entry instance had come back.
+        rights = self.scheduler.rights = AcknowledgedRights("own")
+        rights.rosters.record(1, [registration("w1"), registration("w2")])
+        rights.record_roster("e", 1)
+        rights.acknowledge("e", self.now)
+        (first,) = self.submit()
+        rights.revoke("e")
+        self.scheduler.entry_lost("e", self.now)
+        rights.acknowledge("e", self.now + 0.1)
+        worker = self.scheduler.workers[first.worker]
+        self.assertIsNone(self.scheduler.lease_end_ms(worker, self.now + 0.1))
+
+    def test_job_starts_only_on_workers_known_to_its_entry_instance(self):
+        rights = self.scheduler.rights = AcknowledgedRights("own")
+        rights.rosters.record(1, [registration("w2")])
+        rights.rosters.record(2, [registration("w1"), registration("w2")])
+        rights.record_roster("e", 1)
+        rights.acknowledge("e", self.now)
+        self.assertEqual({start.worker for start in self.submit(count=4)}, {"w2"})
+        rights.record_roster("e", 2)
+        self.scheduler.tick(self.now)
+        self.assertEqual({start.worker for start in self.starts()}, {"w1"})
+
+    def test_job_submitted_again_does_not_start_beside_a_run_of_another_scheduler(self):
+        # Regression: only resumed jobs took runs of an earlier scheduler into account.
+        self.poll("w1", [("j.0.0.0", 1)])
+        self.assertEqual(self.submit(), [])
+
+    def test_runs_on_a_worker_without_registration_continue(self):
+        # Regression (incident inc1): the scheduler gave up a worker when its registration expired
+        # in an outage of the store, and started its tasks again.
+        (start,) = self.submit()
+        self.scheduler.unlist(start.worker, self.now)
+        self.scheduler.tick(self.now + UNLISTED_WORKER_SECONDS + 0.1)
+        self.assertEqual(self.starts(), [])
+        worker = self.scheduler.workers[start.worker]
+        self.assertIsNotNone(self.scheduler.lease_end_ms(worker, self.now))
+        self.end(start, EndKind.DONE)
+        (end,) = self.effects(JobEnded)
+        self.assertIs(end.outcome, Outcome.COMPLETED)
+        self.scheduler.tick(self.now + UNLISTED_WORKER_SECONDS + 0.1)
+        self.assertNotIn(start.worker, self.scheduler.workers)
+
+    def test_resumed_job_that_cannot_wait_is_refused_after_verification(self):
+        self.submit(is_resumed=True, exposed=WORKERS | {"w3"})
         self.scheduler.tick(self.now + VERIFICATION_SECONDS - 0.01)
         self.assertEqual(self.effects(JobEnded), [])
         self.scheduler.tick(self.now + VERIFICATION_SECONDS)
@@ -280,28 +373,28 @@
         self.assertEqual(self.submit(), [])
 
     def test_resumed_job_requests_polls(self):
-        self.scheduler.submit(request(is_resumed=True), "e", self.now)
+        self.scheduler.submit(request(is_resumed=True), "e", self.now, WORKERS)
         self.assertEqual({poll.worker for poll in self.effects(PollWorker)}, {"w1", "w2"})
 
     def test_jobs_handed_over_together_share_one_poll_round(self):
         # About 250 jobs of a scheduler that had left requested 176 polls each, which kept the new
         # scheduler busy for ten seconds.
         for number in range(50):
-            self.scheduler.submit(request(f"j{number}", is_resumed=True), "e", self.now)
+            self.scheduler.submit(request(f"j{number}", is_resumed=True), "e", self.now, WORKERS)
         self.assertEqual(len(self.effects(PollWorker)), 2)
         self.scheduler.tick(self.now + 0.01)
         self.assertEqual(self.effects(PollWorker), [])
 
     def test_later_job_requests_another_poll_round(self):
-        self.scheduler.submit(request("j1", is_resumed=True), "e", self.now)
+        self.scheduler.submit(request("j1", is_resumed=True), "e", self.now, WORKERS)
         self.effects(PollWorker)
-        self.scheduler.submit(request("j2", is_resumed=True), "e", self.now + 0.01)
+        self.scheduler.submit(request("j2", is_resumed=True), "e", self.now + 0.01, WORKERS)
         self.assertEqual(self.effects(PollWorker), [])
         self.scheduler.tick(self.now + 1.0)
         self.assertEqual({poll.worker for poll in self.effects(PollWorker)}, {"w1", "w2"})
 
     def test_resumed_job_starts_once_all_workers_have_responded(self):
-        self.scheduler.submit(request(is_resumed=True), "e", self.now)
+        self.scheduler.submit(request(is_resumed=True), "e", self.now, WORKERS)
         self.assertEqual(self.starts(), [])
         self.poll("w1")
         self.assertEqual(self.starts(), [])
@@ -312,7 +405,7 @@
         # The time since the adoption of a run was recorded as its run time. Jobs were expected to
         # take 1 ms, and were refused as late or stopped as stragglers for ten seconds after each
         # change of the scheduler.
-        self.scheduler.submit(request(is_resumed=True), "e", self.now)
+        self.scheduler.submit(request(is_resumed=True), "e", self.now, WORKERS)
         self.poll("w1", running=[("j.0.0.0", 1)])
         self.poll("w1", ended=[(("j.0.0.0", 1), EndKind.DONE)])
         (end,) = self.effects(JobEnded)
@@ -322,7 +415,7 @@
 
     def test_adopted_end_does_not_update_statistics(self):
         self.poll("w1", ended=[(("j.0.0.0", 1), EndKind.DONE)])
-        self.scheduler.submit(request(is_resumed=True), "e", self.now)
+        self.scheduler.submit(request(is_resumed=True), "e", self.now, WORKERS)
         (end,) = self.effects(JobEnded)
         self.assertIs(end.outcome, Outcome.COMPLETED)
         self.assertNotIn("q", self.scheduler.statistics.run_times.regressions)
--- a/packages/core/cranberryshore/pool/verifying.py
+++ b/packages/core/cranberryshore/pool/verifying.py
@@ -2,17 +2,17 @@
 
 When a scheduler leaves or dies, tens of entry instances hand over hundreds of jobs within some tens
 of milliseconds to a scheduler that has just taken over hundreds of workers. A job may start once
-every worker has reported, after the arrival of the job, that no run of it is active. One round of
-status polls verifies all jobs that arrived before it; a round for each job would need tens of
-thousands of polls.
+every worker on which it may have been started has reported, after the arrival of the job, that no
+run of it is active: a worker that has answered with the token of this scheduler accepts no order of
+an earlier one. One round of status polls verifies all jobs that arrived before it; a round for each
+job would need tens of thousands of polls.
 """
 
-from collections.abc import Collection, Iterable
+from collections.abc import Collection, Iterable, Mapping
 
 import attrs
 
 from cranberryshore.pool.held_worker import HeldWorker
-from cranberryshore.pool.refusing import RESUMED_JOB_WAIT_SECONDS
 from cranberryshore.pool.work import PoolJob
 
 ROUND_INTERVAL_SECONDS = 0.1
@@ -54,15 +54,28 @@
         return [worker.name for worker in workers if worker.polled_at <= self.requested_at]
 
 
-def release_verified(jobs: Iterable[PoolJob], workers: Collection[HeldWorker], now: float) -> None:
-    """Allow the start of jobs for which all workers have been polled since the jobs arrived.
+def release_verified(
+    jobs: Iterable[PoolJob], workers: Mapping[str, HeldWorker], now: float
+) -> list[PoolJob]:
+    """Allow the start of jobs of which no run can be active; return them.
 
-    No job is released while any worker still has runs of another scheduler.
+    These are the jobs whose workers have all been polled since the jobs arrived. No job is released
+    while any worker still has runs of another scheduler.
     """
     delayed = [job for job in jobs if job.delayed_until > now]
-    if not delayed or any(worker.strangers for worker in workers):
-        return
-    verified_until = min((worker.polled_at for worker in workers), default=float("inf"))
-    for job in delayed:
-        if job.delayed_until - RESUMED_JOB_WAIT_SECONDS <= verified_until:
-            job.delayed_until = 0.0
+    if not delayed or any(worker.strangers for worker in workers.values()):
+        return []
+    released = [job for job in delayed if is_verified(job, workers)]
+    for job in released:
+        job.delayed_until = 0.0
+    return released
+
+
+def is_verified(job: PoolJob, workers: Mapping[str, HeldWorker]) -> bool:
+    """Return whether all workers that may have runs of a resumed job were polled since it came."""
+    if job.exposed_workers is None:
+        return False
+    return all(
+        name in workers and workers[name].polled_at >= job.received_at
+        for name in job.exposed_workers
+    )
--- a/packages/core/cranberryshore/pool/work.py
+++ b/packages/core/cranberryshore/pool/work.py
@@ -80,6 +80,10 @@
         Part of the budget that was used before this request was sent.
     is_resumed : bool
         Whether the job is handed over from another scheduler, which may have started its tasks.
+    rosters : tuple of int
+        Versions of the rosters that the entry instance has had since it first submitted the job,
+        the current one last. An earlier scheduler has started tasks of the job only on workers of
+        these rosters.
     """
 
     id: str
@@ -89,6 +93,7 @@
     budget_ms: int
     waited_ms: int = 0
     is_resumed: bool = False
+    rosters: tuple[int, ...] = ()
 
 
 @attrs.define
@@ -130,11 +135,17 @@
         stops waiting.
     latest_start_at : float
         Latest start that meets the target.
+    received_at : float
+        Time at which this scheduler has received the job.
     delayed_until : float
         Time before which a resumed job does not start unless all workers are verified.
+    exposed_workers : frozenset of str or None
+        Workers that may have runs of a resumed job; ``None`` if they are not known.
     ran_on_slow_worker, has_adopted_run : bool
         Whether a run was on a slow worker, or started by another scheduler, so that the run times
         are not representative of the queue.
+    lease_limit : float
+        Time by which the leases of its runs must have ended once the job has ended.
     """
 
     request: WorkRequest
@@ -146,13 +157,16 @@
     useless_at: float = 0.0
     deadline_at: float = 0.0
     latest_start_at: float = 0.0
+    received_at: float = 0.0
     delayed_until: float = 0.0
+    exposed_workers: frozenset[str] | None = None
     has_started: bool = False
     started_at: float = 0.0
     longest_run_ms: float = 0.0
     ran_on_slow_worker: bool = False
     has_adopted_run: bool = False
     is_ended: bool = False
+    lease_limit: float = float("inf")
     tasks: list[PoolTask] = attrs.field(init=False)
     unfinished_tasks: int = attrs.field(init=False)
     waiting_tasks: int = attrs.field(init=False)
--- a/packages/daemon/cranberryshored/pool/app.py
+++ b/packages/daemon/cranberryshored/pool/app.py
@@ -16,9 +16,11 @@
     MemberAddress,
     Outcome,
     PoolConfig,
+    RosterHistory,
     WorkerRegistration,
     WorkRequest,
 )
+from cranberryshore.pool.roster import MAX_REMEMBERED_ROSTERS, UNKNOWN_ROSTER, next_version
 from cranberryshore.settings.pool import PoolSettings
 from cranberryshore.timeline import EventRecorder
 from cranberryshored.log import make_logger
@@ -68,6 +70,8 @@
     ----------
     make_transport : callable
         Returns the transport to the peers.
+    roster_changes : list
+        Times at which the latest rosters were adopted, and their versions.
     """
 
     settings: PoolSettings
@@ -79,6 +83,8 @@
     pool_config: PoolConfig = PoolConfig()
     workers: tuple[WorkerRegistration, ...] = ()
     roster_version: int = 0
+    rosters: RosterHistory = attrs.field(factory=RosterHistory)
+    roster_changes: list[tuple[float, int]] = attrs.field(factory=lambda: [(float("-inf"), 0)])
     tasks: list[asyncio.Task] = attrs.field(factory=list)
     workers_task: asyncio.Task | None = None
     log: FilteringBoundLogger = attrs.field(factory=lambda: make_logger("daemon"))
@@ -93,8 +99,10 @@
         self.exchange = PeerExchange(Group(own, now()), settings.seeds, self, self.metrics, log)
         self.exchange.transport = self.make_transport(own, self.exchange.deliver)
         self.scheduling = SchedulingService(
+            own.incarnation,
             self.calls,
             self.tokens,
+            self.rosters,
             self._job_ended,
             lambda: self.exchange.process_stalled(),
             make_logger("scheduler"),
@@ -175,6 +183,19 @@
         """See :class:`ExchangeListener`."""
         self.entry_service.scheduler_changed()
 
+    def scheduler_released(self) -> None:
+        """See :class:`ExchangeListener`."""
+        self.entry_service.scheduler_changed()
+
+    def entry_acknowledged(
+        self, incarnation: str, heartbeat_at: float, roster_version: int
+    ) -> None:
+        """See :class:`ExchangeListener`."""
+        if roster_version > self.roster_version:
+            # The peer would ignore the roster of this instance.
+            self._set_roster(roster_version, self.workers)
+        self.scheduling.acknowledge(incarnation, heartbeat_at, roster_version)
+
     def entry_lost(self, incarnation: str) -> None:
         """See :class:`ExchangeListener`."""
         if self.scheduling.claim is not None:
@@ -198,7 +219,7 @@
         age = now() - message.echo
         member = self.group.members.get(sender)
         if age <= MAX_SUBMIT_AGE_SECONDS and member is not None and message.epoch >= member.epoch:
-            member.epoch = message.epoch
+            self.exchange.record_epoch(member, message.epoch)
             self.scheduling.submit(message.request, sender)
             return
         job = message.request.id
@@ -220,7 +241,18 @@
     def handle_roster(self, version: int, workers: tuple[WorkerRegistration, ...]) -> None:
         """Store a scheduler's list of workers, for a takeover by this instance."""
         if self.group.claim is None and version > self.roster_version:
-            self.roster_version, self.workers = version, workers
+            self._adopt_roster(version, workers)
+            self.exchange.acknowledge()
+
+    def _set_roster(self, previous: int, workers: tuple[WorkerRegistration, ...]) -> None:
+        """Publish a roster under a version that is higher than ``previous``."""
+        self._adopt_roster(next_version(self.group.own.incarnation, unix_ms(), previous), workers)
+
+    def _adopt_roster(self, version: int, workers: tuple[WorkerRegistration, ...]) -> None:
+        self.roster_version, self.workers = version, workers
+        self.rosters.record(version, workers)
+        self.roster_changes.append((now(), version))
+        del self.roster_changes[:-MAX_REMEMBERED_ROSTERS]
 
     def config(self) -> PoolConfig:
         """See :class:`ExchangeListener`."""
@@ -253,7 +285,9 @@
         claim = attrs.evolve(claim, term=self.tokens.next())
         self.group.claim = claim
         self.scheduling.begin(claim, self.pool_config, self.workers)
-        self.workers_task = start_task(self.registry.follow_workers(self._handle_workers), self.log)
+        self.workers_task = start_task(
+            self.registry.follow_workers(self._handle_workers, self.workers), self.log
+        )
         self.exchange.follow()
         self.exchange.announce()
 
@@ -271,6 +305,20 @@
         """See :class:`SchedulerClient`."""
         return self.exchange.follows
 
+    def epoch(self) -> int:
+        """See :class:`SchedulerClient`."""
+        return self.exchange.epoch
+
+    def has_released(self, scheduler: str) -> bool:
+        """See :class:`SchedulerClient`."""
+        return self.exchange.has_released(scheduler)
+
+    def rosters_since(self, moment: float) -> tuple[int, ...]:
+        """See :class:`SchedulerClient`."""
+        older = [version for at, version in self.roster_changes if at <= moment]
+        newer = [version for at, version in self.roster_changes if at > moment]
+        return (older[-1] if older else UNKNOWN_ROSTER, *newer)
+
     def submit(self, request: WorkRequest) -> None:
         """See :class:`SchedulerClient`."""
         if self.exchange.follows == self.group.own.incarnation:
@@ -301,10 +349,14 @@
 
     def _handle_workers(self, workers: tuple[WorkerRegistration, ...]) -> None:
         if workers != self.workers or not self.roster_version:
-            # Unix time exceeds the versions of earlier schedulers.
-            self.roster_version = max(self.roster_version + 1, unix_ms())
-            self.workers = workers
-        self.scheduling.set_roster(workers, is_fresh=True)
+            is_extended = not {entry.name for entry in workers} <= {
+                entry.name for entry in self.workers
+            }
+            self._set_roster(self.roster_version, workers)
+            if is_extended:
+                # New workers are used only for instances that know them.
+                self.exchange.push_roster()
+        self.scheduling.set_roster(workers)
 
     async def _list_members(self) -> None:
         while True:
--- a/packages/daemon/cranberryshored/pool/entry_service.py
+++ b/packages/daemon/cranberryshored/pool/entry_service.py
@@ -24,6 +24,18 @@
         """Return the incarnation of the scheduler, or an empty string if there is none."""
         ...
 
+    def epoch(self) -> int:
+        """Return how often this instance has changed its scheduler."""
+        ...
+
+    def has_released(self, scheduler: str) -> bool:
+        """Return whether a former scheduler can start nothing more for this instance."""
+        ...
+
+    def rosters_since(self, moment: float) -> tuple[int, ...]:
+        """Return the versions of the rosters that this instance has had since a time."""
+        ...
+
     def submit(self, request: WorkRequest) -> None:
         """Submit a job."""
         ...
@@ -41,6 +53,10 @@
     ----------
     sent_to : str
         Incarnation of the last scheduler that it was submitted to; empty if it must be submitted.
+    sent_epoch : int
+        Epoch of this instance at that time.
+    first_sent_at : float
+        Time of the first submission.
     is_resumed : bool
         Whether an earlier submission may have started tasks of the job.
     """
@@ -50,6 +66,8 @@
     arrived_at: float
     answer: asyncio.Future
     sent_to: str = ""
+    sent_epoch: int = 0
+    first_sent_at: float = float("inf")
     is_resumed: bool = False
 
     def expires_at(self) -> float:
@@ -130,29 +148,43 @@
             job.answer.set_result(end)
 
     def scheduler_changed(self) -> None:
-        """Submit all pending jobs to the scheduler that this instance follows now."""
+        """Submit all pending jobs to the scheduler that this instance follows now.
+
+        Jobs that a former scheduler may still start are submitted once it has released them.
+        """
         for job in self.pending.values():
             self._submit_to_scheduler(job)
 
     def resubmit_all(self) -> None:
         """Submit all pending jobs again: this process stalled, so they may have been dropped."""
         for job in self.pending.values():
-            self._resubmit(job)
+            job.sent_epoch = -1
+            self._submit_to_scheduler(job)
 
     def _resubmit(self, job: PendingJob) -> None:
+        """Submit a job again that its scheduler has dropped."""
         job.is_resumed |= bool(job.sent_to)
         job.sent_to = ""
         self._submit_to_scheduler(job)
 
     def _submit_to_scheduler(self, job: PendingJob) -> None:
-        scheduler = self.scheduler_client.scheduler()
-        if not scheduler or scheduler == job.sent_to:
+        client = self.scheduler_client
+        scheduler, epoch = client.scheduler(), client.epoch()
+        if not scheduler or (scheduler, epoch) == (job.sent_to, job.sent_epoch):
+            return
+        if job.sent_to not in ("", scheduler) and not client.has_released(job.sent_to):
             return
         job.is_resumed |= bool(job.sent_to)
-        job.sent_to = scheduler
+        job.sent_to, job.sent_epoch = scheduler, epoch
+        job.first_sent_at = min(job.first_sent_at, now())
         waited_ms = int((now() - job.arrived_at) * 1000)
-        self.scheduler_client.submit(
-            attrs.evolve(job.request, waited_ms=waited_ms, is_resumed=job.is_resumed)
+        client.submit(
+            attrs.evolve(
+                job.request,
+                waited_ms=waited_ms,
+                is_resumed=job.is_resumed,
+                rosters=client.rosters_since(job.first_sent_at),
+            )
         )
 
     def give_up_all(self, detail: str) -> None:
@@ -165,6 +197,7 @@
     async def _run(self) -> None:
         while True:
             await asyncio.sleep(TICK_SECONDS)
+            self.scheduler_changed()
             moment = now()
             for job in list(self.pending.values()):
                 if not job.sent_to and moment > job.expires_at():
--- a/packages/daemon/cranberryshored/pool/exchange.py
+++ b/packages/daemon/cranberryshored/pool/exchange.py
@@ -22,7 +22,11 @@
     ReceiveStream,
     SendStream,
 )
-from cranberryshore.pool.group import FENCED_BACKOFF_SECONDS, PEER_TIMEOUT_SECONDS
+from cranberryshore.pool.group import (
+    FENCED_BACKOFF_SECONDS,
+    MEMBER_EXPIRY_SECONDS,
+    PEER_TIMEOUT_SECONDS,
+)
 from cranberryshore.pool.stream import StreamPosition
 from cranberryshored.metrics import Metrics
 from cranberryshored.peers.transport import Transport
@@ -44,6 +48,22 @@
 """Gap between two beats after which this process counts as stalled."""
 
 
+@attrs.frozen
+class FormerScheduler:
+    """A scheduler that this instance has left.
+
+    Parameters
+    ----------
+    epoch : int
+        Epoch of this instance that began then.
+    heard_at : float
+        Time of its latest beat by then.
+    """
+
+    epoch: int
+    heard_at: float
+
+
 @attrs.define(eq=False)
 class PeerExchange:
     """Maintains the view of the group and transfers messages between its members.
@@ -58,6 +78,10 @@
         Incarnation that takes over scheduling when this instance leaves; empty if none is named.
     epoch : int
         Number of times that ``follows`` has changed.
+    former : dict
+        Former schedulers by incarnation.
+    acknowledged_at : float
+        Time of the last heartbeat to the scheduler.
     """
 
     group: Group
@@ -70,6 +94,8 @@
     in_streams: dict[str, ReceiveStream] = attrs.field(factory=dict)
     reconnected_at: dict[str, float] = attrs.field(factory=dict)
     follows: str = ""
+    former: dict[str, FormerScheduler] = attrs.field(factory=dict)
+    acknowledged_at: float = float("-inf")
     successor: str = ""
     beat_at: float = 0.0
     rounds: int = 0
@@ -129,6 +155,11 @@
             news = ConfigNews(self.listener.config())
             self.transport.send(scheduler.at.address, self.follows, news)
 
+    def push_roster(self) -> None:
+        """Send the list of workers to all live members."""
+        for member in self.group.live(now()):
+            self._send_roster(member)
+
     def announce(self) -> None:
         """Send a beat to all members now."""
         moment = now()
@@ -148,15 +179,34 @@
         self.epoch += 1
         self._withdraw_jobs(self.follows)
         before, self.follows = self.group.members.get(self.follows), follows
-        self.listener.scheduler_changed()
+        if before is not None:
+            self.former[before.at.incarnation] = FormerScheduler(self.epoch, before.heard_at)
         if not follows:
             self.announce()
-            return
-        if before is not None:
+        if before is not None and follows:
             # The previous scheduler then stops this instance's jobs, so the new one can start them.
             self._send_beat(before, now())
-        if scheduler is not None:
+        if scheduler is not None and follows == scheduler.at.incarnation:
             self._send_beat(scheduler, now())
+        self.listener.scheduler_changed()
+
+    def has_released(self, scheduler: str) -> bool:
+        """Return whether a former scheduler can start nothing more for this instance.
+
+        It has taken note that this instance left it, it schedules no more, or this instance has
+        not acknowledged its heartbeats for so long that its right to start tasks has ended.
+        """
+        if scheduler == self.own.incarnation:
+            return self.group.claim is None
+        left = self.former.get(scheduler)
+        member = self.group.members.get(scheduler)
+        if left is None or member is None:
+            return left is None or now() - left.heard_at >= PEER_TIMEOUT_SECONDS
+        if member.claim is None or member.known_epoch is None:
+            return True
+        if now() - member.heard_at >= PEER_TIMEOUT_SECONDS:
+            return True
+        return member.known_epoch >= left.epoch
 
     def _reset_acknowledgement_times(self) -> None:
         """Restart the timeouts for acknowledgement of beats.
@@ -187,7 +237,9 @@
             # A newer beat has already arrived over a newer connection.
             return
         member.is_draining, member.claim = beat.is_draining, beat.claim
-        member.heartbeat_sent_at, member.epoch = beat.sent_at, max(member.epoch, beat.epoch)
+        member.heartbeat_sent_at, member.known_epoch = beat.sent_at, beat.known_epoch
+        has_left = beat.epoch > member.epoch and beat.follows != self.own.incarnation
+        self.record_epoch(member, beat.epoch)
         member.follows, member.config_version = beat.follows, beat.config_version
         member.roster_version = beat.roster_version
         for item in beat.members:
@@ -201,16 +253,46 @@
             self._take_over(beat)
         if is_new:
             self.log.info("Peer discovered.", peer=beat.sender.incarnation)
-        if is_new or self._follows_wrong_scheduler(beat) or self._is_competing_claim(beat):
+        is_confused = self._follows_wrong_scheduler(beat) or self._is_competing_claim(beat)
+        if is_new or has_left or is_confused:
             self._send_beat(member, moment)
         if member.config_version < self.listener.config().version:
             news = ConfigNews(self.listener.config())
             self.transport.send(member.at.address, beat.sender.incarnation, news)
-        self._send_roster(member)
-        if self.group.claim is not None and beat.follows != self.own.incarnation:
-            self.listener.entry_lost(beat.sender.incarnation)
+        self._handle_follower(member, beat, moment)
         if beat.claim is not None or member.at.incarnation == self.follows:
             self._update_claim(moment)
+        if member.at.incarnation == self.follows:
+            self._send_beat(member, moment)
+        elif beat.sender.incarnation in self.former:
+            self.listener.scheduler_released()
+
+    def _handle_follower(self, member: Member, beat: Beat, moment: float) -> None:
+        """Handle the part of a beat that concerns this instance as a scheduler."""
+        if self.group.claim is None:
+            return
+        if beat.follows == self.own.incarnation:
+            heartbeat_at = moment if beat.echo is None else beat.echo
+            self.listener.entry_acknowledged(
+                beat.sender.incarnation, heartbeat_at, beat.roster_version
+            )
+        else:
+            self.listener.entry_lost(beat.sender.incarnation)
+        self._send_roster(member)
+
+    def record_epoch(self, member: Member, epoch: int) -> None:
+        """Record the epoch of a peer, which has handed over its jobs of earlier epochs."""
+        if epoch <= member.epoch:
+            return
+        member.epoch = epoch
+        if self.group.claim is not None:
+            self.listener.entry_lost(member.at.incarnation)
+
+    def acknowledge(self) -> None:
+        """Send a beat to the scheduler now, which tells the version of the roster."""
+        scheduler = self.group.members.get(self.follows)
+        if scheduler is not None:
+            self._send_beat(scheduler, now())
 
     def _take_over(self, beat: Beat) -> None:
         """Take over from a scheduler that has named this instance as its successor."""
@@ -241,11 +323,13 @@
 
     def _send_roster(self, member: Member) -> None:
         version, workers = self.listener.roster()
-        if self.group.claim is not None and member.roster_version < version:
+        if member.roster_version < version:
             news = RosterNews(version, workers)
             self.transport.send(member.at.address, member.at.incarnation, news)
 
     def _send_beat(self, member: Member, moment: float) -> None:
+        if member.at.incarnation == self.follows:
+            self.acknowledged_at = moment
         stream = self.in_streams.get(member.at.incarnation, ReceiveStream())
         beat = Beat(
             self.own,
@@ -261,6 +345,8 @@
             self.successor,
             moment - member.heard_at < PEER_TIMEOUT_SECONDS,
             self._members_to_send(member, moment),
+            member.heartbeat_sent_at,
+            member.epoch,
         )
         self.transport.send(member.at.address, "", beat)
 
@@ -363,8 +449,10 @@
                     if address not in member_addresses and address != self.own.address:
                         self.transport.send(address, "", self._seed_beat())
             return list(members.values())
+        # The beats of the scheduler are answered at once, which is usually enough.
         scheduler = members.get(self.follows)
-        return [scheduler] if scheduler is not None else []
+        is_due = moment - self.acknowledged_at >= BEAT_SECONDS
+        return [scheduler] if scheduler is not None and is_due else []
 
     def _seed_beat(self) -> Beat:
         return Beat(self.own, self.listener.config().version, self.epoch, 0, 0, now())
@@ -377,7 +465,10 @@
             self.transport.disconnect(address)
 
     def _forget_streams(self) -> None:
-        """Drop the streams of incarnations that are no longer members."""
+        """Drop the streams of incarnations that are no longer members, and old schedulers."""
+        for name, left in list(self.former.items()):
+            if now() - left.heard_at > MEMBER_EXPIRY_SECONDS and name not in self.group.members:
+                del self.former[name]
         for streams in (self.out_streams, self.in_streams):
             for incarnation in [name for name in streams if name not in self.group.members]:
                 del streams[incarnation]
--- a/packages/daemon/cranberryshored/pool/protocols.py
+++ b/packages/daemon/cranberryshored/pool/protocols.py
@@ -114,9 +114,14 @@
         ...
 
     async def follow_workers(
-        self, on_workers: Callable[[tuple[WorkerRegistration, ...]], None]
+        self,
+        on_workers: Callable[[tuple[WorkerRegistration, ...]], None],
+        known: tuple[WorkerRegistration, ...],
     ) -> None:
-        """Report the registered workers whenever they change."""
+        """Report the registered workers whenever they change.
+
+        ``known`` are the workers that the caller holds, which may have lost their registration.
+        """
         ...
 
     async def keep_registered(self, member: MemberAddress) -> None:
@@ -142,10 +147,23 @@
         """Handle a change of the followed scheduler, or its loss."""
         ...
 
+    def scheduler_released(self) -> None:
+        """Handle that a former scheduler can start nothing more for this instance."""
+        ...
+
     def entry_lost(self, incarnation: str) -> None:
         """Drop the jobs of an entry instance that has failed or follows another scheduler."""
         ...
 
+    def entry_acknowledged(
+        self, incarnation: str, heartbeat_at: float, roster_version: int
+    ) -> None:
+        """Handle that an entry instance follows this scheduler and has received a heartbeat.
+
+        The heartbeat was sent at ``heartbeat_at`` on the monotonic clock of this instance.
+        """
+        ...
+
     def handle_message(self, sender: str, message: NumberedMessage) -> None:
         """Handle a message, delivered in order."""
         ...
--- a/packages/daemon/cranberryshored/pool/registry.py
+++ b/packages/daemon/cranberryshored/pool/registry.py
@@ -106,14 +106,16 @@
         await self._follow(self.layout.config_key, CONFIG_WATCH_MS, report)
 
     async def follow_workers(
-        self, on_workers: Callable[[tuple[WorkerRegistration, ...]], None]
+        self,
+        on_workers: Callable[[tuple[WorkerRegistration, ...]], None],
+        known: tuple[WorkerRegistration, ...],
     ) -> None:
         """See :class:`Registry`.
 
         A worker whose entry is missing is still reported for some time, since entries expire
         during an outage of the store.
         """
-        known: dict[str, WorkerRegistration] = {}
+        reported = {worker.name: worker for worker in known}
         missing: dict[str, float] = {}
 
         def report(entries: dict[str, str]) -> None:
@@ -123,16 +125,16 @@
                 worker = self.layout.decode_worker(name, text)
                 if worker is not None:
                     fresh[name] = worker
-            for name in known.keys() - fresh.keys():
+            for name in reported.keys() - fresh.keys():
                 missing.setdefault(name, now())
             for name in list(missing):
                 if name in fresh:
                     del missing[name]
                 elif now() > missing[name] + WORKER_REMOVAL_SECONDS:
                     del missing[name]
-                    known.pop(name, None)
-            known.update(fresh)
-            on_workers(tuple(known[name] for name in sorted(known)))
+                    reported.pop(name, None)
+            reported.update(fresh)
+            on_workers(tuple(reported[name] for name in sorted(reported)))
 
         await self._follow(
             self.layout.workers_prefix, WORKERS_WATCH_MS, report, WORKERS_BATCH_SECONDS
--- a/packages/daemon/cranberryshored/pool/scheduling.py
+++ b/packages/daemon/cranberryshored/pool/scheduling.py
@@ -7,12 +7,15 @@
 from structlog.typing import FilteringBoundLogger
 
 from cranberryshore.pool import (
+    AcknowledgedRights,
     Claim,
     HeldWorker,
     HoldState,
     JobEnded,
     PollWorker,
     PoolConfig,
+    ResumedJobReleased,
+    RosterHistory,
     Scheduler,
     UnsuccessfulRun,
     WorkerRegistration,
@@ -39,14 +42,18 @@
 
     Parameters
     ----------
+    own : str
+        Incarnation of this instance.
     on_ended : callable
         Called with the outcome of each job.
     on_stall : callable
         Called after a stall of this process, when another instance may hold the workers.
     """
 
+    own: str
     calls: WorkerCalls
     tokens: TokenSource
+    rosters: RosterHistory
     on_ended: Callable[[JobEnded], None]
     on_stall: Callable[[], None]
     log: FilteringBoundLogger
@@ -56,6 +63,7 @@
     last_tick_at: float = 0.0
     is_apply_scheduled: bool = False
     scheduler: Scheduler = attrs.field(factory=Scheduler)
+    rights: AcknowledgedRights = attrs.field(factory=AcknowledgedRights)
     channels: dict[str, WorkerChannel] = attrs.field(factory=dict)
     closing: set[asyncio.Task] = attrs.field(factory=set)
     task: asyncio.Task | None = None
@@ -65,7 +73,8 @@
     ) -> None:
         """Start scheduling: take over the workers that a claim covers."""
         self.claim, self.last_tick_at = claim, now()
-        self.scheduler = Scheduler(config)
+        self.rights = AcknowledgedRights(self.own, now(), self.rosters)
+        self.scheduler = Scheduler(config, self.rights)
         self.log.info("Scheduling begins.", term=claim.term, zone=claim.zone or "all")
         self.set_roster(roster)
         self.task = start_task(self._tick(), self.log)
@@ -93,9 +102,11 @@
         return sum(worker.state is HoldState.HELD for worker in workers)
 
     def lost_count(self) -> int:
-        """Return the number of workers lost to another holder; draining ones are not counted."""
-        workers = self.scheduler.workers.values()
-        return sum(worker.state is HoldState.LOST and not worker.is_draining for worker in workers)
+        """Return the number of workers lost to another holder; leaving ones are not counted."""
+        return sum(
+            worker.state is HoldState.LOST and worker.is_listed and not worker.is_draining
+            for worker in self.scheduler.workers.values()
+        )
 
     def waiting_entries(self) -> set[str]:
         """Return the entry instances whose jobs are scheduled here."""
@@ -105,28 +116,47 @@
         """Apply a newer configuration."""
         self.scheduler.config = config
 
-    def set_roster(self, roster: tuple[WorkerRegistration, ...], is_fresh: bool = False) -> None:
-        """Hold exactly the registered workers.
-
-        ``is_fresh`` tells whether the list was read from the platform since scheduling began.
-        """
+    def set_roster(self, roster: tuple[WorkerRegistration, ...]) -> None:
+        """Place tasks on exactly the registered workers."""
         if self.claim is None:
             return
-        self.scheduler.covers_all_workers |= is_fresh and not self.claim.zone
-        listed = {entry.name: entry for entry in roster if self.claim.zone in ("", entry.zone)}
-        for name in [name for name in self.scheduler.workers if name not in listed]:
-            if not self.scheduler.workers[name].is_draining:
+        listed = {entry.name: entry for entry in roster if self._is_claimed(entry)}
+        for name, worker in self.scheduler.workers.items():
+            if name in listed:
+                continue
+            if worker.is_listed and not worker.is_draining:
                 self.log.info("Worker is no longer registered.", worker=name)
-            self.scheduler.release(name, now())
+            self.scheduler.unlist(name, now())
         for entry in listed.values():
             self._hold_worker(entry)
         self.apply_effects_soon()
 
+    def _is_claimed(self, entry: WorkerRegistration) -> bool:
+        return self.claim.zone in ("", entry.zone)
+
+    def acknowledge(self, entry: str, heartbeat_at: float, roster_version: int) -> None:
+        """Record that an entry instance follows this scheduler and has received a heartbeat."""
+        self.rights.acknowledge(entry, heartbeat_at)
+        self.rights.record_roster(entry, roster_version)
+
     def submit(self, request: WorkRequest, entry: str) -> None:
         """Schedule a job."""
-        self.scheduler.submit(request, entry, now())
+        if request.rosters:
+            self.rights.record_roster(entry, request.rosters[-1])
+        exposed = self.rosters.names_in_any(request.rosters) if request.is_resumed else None
+        self._hold_unlisted_workers(exposed or frozenset())
+        self.scheduler.submit(request, entry, now(), exposed)
         self.apply_effects_soon()
 
+    def _hold_unlisted_workers(self, names: frozenset[str]) -> None:
+        """Acquire workers that are not in the roster but may have runs of a resumed job."""
+        for name in sorted(names - self.scheduler.workers.keys()):
+            registration = self.rosters.registrations[name]
+            if self._is_claimed(registration):
+                self.log.info("Verifying a worker that is not registered.", worker=name)
+                self._hold_worker(registration)
+                self.scheduler.unlist(name, now())
+
     def cancel(self, job: str, entry: str) -> None:
         """Cancel a job whose caller has disconnected."""
         self.scheduler.cancel(job, entry, now())
@@ -134,6 +164,7 @@
 
     def entry_lost(self, entry: str) -> None:
         """Cancel the jobs of an entry instance that has failed or follows another scheduler."""
+        self.rights.revoke(entry)
         self.scheduler.entry_lost(entry, now())
         self.apply_effects_soon()
 
@@ -152,6 +183,9 @@
             if isinstance(effect, UnsuccessfulRun):
                 self._log_unsuccessful_run(effect)
                 continue
+            if isinstance(effect, ResumedJobReleased):
+                self.log.info("Resumed job may start.", **attrs.asdict(effect))
+                continue
             if isinstance(effect, JobEnded):
                 self._log_end(effect)
                 self.on_ended(effect)
@@ -194,6 +228,7 @@
             if entry.is_draining and not worker.is_draining:
                 self.log.info("Worker is leaving.", worker=entry.name)
             worker.is_draining = entry.is_draining
+            worker.relist()
             worker.resize(entry.capacity)
             worker.labels = frozenset(entry.labels)
             return
--- /dev/null
+++ b/packages/daemon/cranberryshored/pool/tests/test_entry_service.py
@@ -0,0 +1,100 @@
+import asyncio
+import logging
+from unittest import IsolatedAsyncioTestCase
+
+import structlog
+
+from cranberryshore.pool import JobEnded, Outcome, QueueSpec, StepSpec, WorkRequest
+from cranberryshore.work import Capacity
+from cranberryshored.log import make_logger
+from cranberryshored.metrics import Metrics
+from cranberryshored.pool.clock import CLOCKS, Clocks
+from cranberryshored.pool.entry_service import EntryService
+
+QUEUE = QueueSpec("q", "h", "/q/", "s", slack_factor=2.0, aim_ms=5000)
+
+
+class RecordingClient:
+    """Client of one scheduler after the other; records the submissions."""
+
+    def __init__(self):
+        self.current, self.changes, self.released = "first", 1, set()
+        self.submitted = []
+
+    def scheduler(self):
+        return self.current
+
+    def epoch(self):
+        return self.changes
+
+    def has_released(self, scheduler):
+        return scheduler in self.released
+
+    def rosters_since(self, moment):
+        return (1, 2)
+
+    def submit(self, request):
+        self.submitted.append((self.current, request.is_resumed, request.rosters))
+
+    def cancel(self, job):
+        pass
+
+    def change(self, scheduler):
+        self.current = scheduler
+        self.changes += 1
+
+
+class HandOverTest(IsolatedAsyncioTestCase):
+    async def asyncSetUp(self):  # noqa: N802
+        structlog.configure(wrapper_class=structlog.make_filtering_bound_logger(logging.CRITICAL))
+        CLOCKS.steady, CLOCKS.unix = Clocks().steady, Clocks().unix
+        self.client = RecordingClient()
+        self.service = EntryService(self.client, Metrics(), make_logger("entry"))
+        request = WorkRequest("j", "q", "", (StepSpec(1, Capacity(1000, 10), 100),), 5000)
+        self.caller = asyncio.ensure_future(self.service.submit(request, QUEUE))
+        await asyncio.sleep(0)
+        self.client.submitted.clear()
+
+    async def asyncTearDown(self):  # noqa: N802
+        self.caller.cancel()
+        await asyncio.gather(self.caller, return_exceptions=True)
+
+    async def test_job_waits_until_its_former_scheduler_has_released_it(self):
+        # Regression: a job was handed over while its former scheduler could still start it.
+        self.client.change("second")
+        self.service.scheduler_changed()
+        self.assertEqual(self.client.submitted, [])
+        self.client.released.add("first")
+        self.service.scheduler_changed()
+        self.assertEqual(self.client.submitted, [("second", True, (1, 2))])
+
+    async def test_waiting_job_is_submitted_without_a_further_event(self):
+        await self.service.start()
+        self.client.change("second")
+        self.service.scheduler_changed()
+        self.client.released.add("first")
+        await asyncio.sleep(0.2)
+        self.assertEqual(len(self.client.submitted), 1)
+        await self.service.close()
+
+    async def test_stall_does_not_hand_over_a_job_early(self):
+        self.client.change("second")
+        self.service.resubmit_all()
+        self.assertEqual(self.client.submitted, [])
+
+    async def test_stalled_instance_submits_again_to_the_same_scheduler(self):
+        self.service.resubmit_all()
+        self.assertEqual(self.client.submitted, [("first", True, (1, 2))])
+
+    async def test_scheduler_that_schedules_again_gets_the_job_again(self):
+        # Regression: an entry instance that had left a scheduler and followed it again did not
+        # submit its jobs again, which the scheduler had dropped.
+        self.client.change("")
+        self.service.scheduler_changed()
+        self.client.change("first")
+        self.service.scheduler_changed()
+        self.assertEqual(self.client.submitted, [("first", True, (1, 2))])
+
+    async def test_job_dropped_by_its_scheduler_is_submitted_again(self):
+        self.service.job_ended(JobEnded("", "j", Outcome.DROPPED), "first")
+        self.assertEqual(self.client.submitted, [("first", True, (1, 2))])
--- a/packages/daemon/cranberryshored/pool/tests/test_exchange.py
+++ b/packages/daemon/cranberryshored/pool/tests/test_exchange.py
@@ -6,6 +6,7 @@
 
 from cranberryshore.messages import Beat
 from cranberryshore.pool import Claim, Group, MemberAddress, PoolConfig
+from cranberryshore.pool.group import PEER_TIMEOUT_SECONDS
 from cranberryshored.log import make_logger
 from cranberryshored.metrics import Metrics
 from cranberryshored.pool.clock import CLOCKS, Clocks
@@ -18,15 +19,19 @@
 class RecordingTransport:
     def __init__(self):
         self.disconnected = []
+        self.sent = []
 
     def send(self, address, target, message):
-        pass
+        self.sent.append(message)
 
     def disconnect(self, address):
         self.disconnected.append(address)
 
 
 class StubListener:
+    def __init__(self):
+        self.acknowledged, self.lost, self.released = [], [], 0
+
     def config(self):
         return PoolConfig(1)
 
@@ -36,8 +41,14 @@
     def scheduler_changed(self):
         pass
 
+    def scheduler_released(self):
+        self.released += 1
+
     def entry_lost(self, incarnation):
-        pass
+        self.lost.append(incarnation)
+
+    def entry_acknowledged(self, incarnation, heartbeat_at, roster_version):
+        self.acknowledged.append((incarnation, heartbeat_at))
 
 
 class SilentConnectionTest(TestCase):
@@ -77,3 +88,94 @@
         self.exchange.follow()
         self.hear(BEAT_SECONDS, hears_receiver=False)
         self.assertEqual(self.transport.disconnected, [])
+
+
+OTHER = MemberAddress("o.1", "127.0.0.1:3", "a", 1000)
+
+
+class HandOverTest(TestCase):
+    def open_exchange(self, own: MemberAddress, claim: Claim | None = None) -> PeerExchange:
+        structlog.configure(wrapper_class=structlog.make_filtering_bound_logger(logging.CRITICAL))
+        self.now = 100.0
+        CLOCKS.steady = lambda: self.now
+        self.addCleanup(setattr, CLOCKS, "steady", Clocks().steady)
+        group = Group(own, self.now)
+        group.claim = claim
+        exchange = PeerExchange(group, (), StubListener(), Metrics(), make_logger("x"))
+        exchange.transport = RecordingTransport()
+        exchange.follow()
+        return exchange
+
+    def hear(self, exchange: PeerExchange, sender: MemberAddress, **fields) -> None:
+        values = {"epoch": 0, "sent_at": self.now, "known_epoch": 0, "hears_receiver": True}
+        beat = Beat(sender, 1, stream=0, received=0, **values | fields)
+        exchange.deliver(sender.incarnation, beat)
+
+    def follow_two_schedulers(self) -> PeerExchange:
+        exchange = self.open_exchange(FOLLOWER)
+        self.hear(exchange, SCHEDULER, claim=Claim(1, held=1), known_epoch=0)
+        self.assertEqual(exchange.follows, SCHEDULER.incarnation)
+        self.now += 0.1
+        self.hear(exchange, OTHER, claim=Claim(2, held=2))
+        self.assertEqual(exchange.follows, OTHER.incarnation)
+        return exchange
+
+    def test_former_scheduler_that_has_taken_note_of_the_change_has_released(self):
+        # Regression: jobs were handed over while their former scheduler could still start them.
+        exchange = self.follow_two_schedulers()
+        self.assertFalse(exchange.has_released(SCHEDULER.incarnation))
+        self.hear(exchange, SCHEDULER, claim=Claim(1, held=1), known_epoch=exchange.epoch - 1)
+        self.assertFalse(exchange.has_released(SCHEDULER.incarnation))
+        self.hear(exchange, SCHEDULER, claim=Claim(1, held=1), known_epoch=exchange.epoch)
+        self.assertTrue(exchange.has_released(SCHEDULER.incarnation))
+        self.assertGreater(exchange.listener.released, 0)
+
+    def test_silent_former_scheduler_has_released(self):
+        exchange = self.follow_two_schedulers()
+        self.now = 100.0 + PEER_TIMEOUT_SECONDS - 0.01
+        self.assertFalse(exchange.has_released(SCHEDULER.incarnation))
+        self.now = 100.0 + PEER_TIMEOUT_SECONDS
+        self.assertTrue(exchange.has_released(SCHEDULER.incarnation))
+
+    def test_former_scheduler_without_a_claim_has_released(self):
+        exchange = self.follow_two_schedulers()
+        self.hear(exchange, SCHEDULER, claim=None)
+        self.assertTrue(exchange.has_released(SCHEDULER.incarnation))
+
+    def test_forgotten_former_scheduler_has_not_released_at_once(self):
+        exchange = self.follow_two_schedulers()
+        del exchange.group.members[SCHEDULER.incarnation]
+        self.assertFalse(exchange.has_released(SCHEDULER.incarnation))
+        self.now = 100.0 + PEER_TIMEOUT_SECONDS
+        self.assertTrue(exchange.has_released(SCHEDULER.incarnation))
+
+    def test_beats_of_the_scheduler_are_acknowledged_at_once(self):
+        exchange = self.open_exchange(FOLLOWER)
+        self.hear(exchange, SCHEDULER, claim=Claim(1))
+        exchange.transport.sent.clear()
+        self.now += BEAT_SECONDS
+        self.hear(exchange, SCHEDULER, claim=Claim(1), sent_at=7.0 + self.now)
+        (beat,) = exchange.transport.sent
+        self.assertEqual((beat.follows, beat.echo), (SCHEDULER.incarnation, 7.0 + self.now))
+
+    def test_scheduler_records_acknowledgements_of_its_followers(self):
+        exchange = self.open_exchange(SCHEDULER, Claim(1))
+        self.hear(exchange, FOLLOWER, follows=SCHEDULER.incarnation, epoch=1, echo=99.5)
+        self.assertEqual(exchange.listener.acknowledged, [(FOLLOWER.incarnation, 99.5)])
+
+    def test_jobs_of_an_earlier_epoch_are_dropped(self):
+        # Regression: a scheduler that did not hear that an entry instance had left it and come
+        # back kept jobs that another scheduler had received meanwhile.
+        exchange = self.open_exchange(SCHEDULER, Claim(1))
+        self.hear(exchange, FOLLOWER, follows=SCHEDULER.incarnation, epoch=1, echo=99.5)
+        exchange.listener.lost.clear()
+        self.now += 1.0
+        self.hear(exchange, FOLLOWER, follows=SCHEDULER.incarnation, epoch=3, echo=100.5)
+        self.assertEqual(exchange.listener.lost, [FOLLOWER.incarnation])
+
+    def test_scheduler_confirms_at_once_that_an_entry_instance_has_left(self):
+        exchange = self.open_exchange(SCHEDULER, Claim(1))
+        self.hear(exchange, FOLLOWER, follows=SCHEDULER.incarnation, epoch=1, echo=99.5)
+        exchange.transport.sent.clear()
+        self.hear(exchange, FOLLOWER, follows=OTHER.incarnation, epoch=2)
+        self.assertIn(2, [beat.known_epoch for beat in exchange.transport.sent])
--- a/packages/daemon/cranberryshored/pool/tests/test_scheduling.py
+++ b/packages/daemon/cranberryshored/pool/tests/test_scheduling.py
@@ -9,6 +9,7 @@
     Claim,
     PoolConfig,
     QueueSpec,
+    RosterHistory,
     StepSpec,
     WorkerRegistration,
     WorkerStatus,
@@ -49,8 +50,10 @@
         CLOCKS.steady, CLOCKS.unix = Clocks().steady, Clocks().unix
         self.calls, self.stall_count = RecordingWorkerCalls(), 0
         self.service = SchedulingService(
+            "e",
             self.calls,
             TokenSource("e"),
+            RosterHistory(),
             lambda end: None,
             self.record_stall,
             make_logger("scheduler"),
--- a/packages/daemon/cranberryshored/pool/worker_channel.py
+++ b/packages/daemon/cranberryshored/pool/worker_channel.py
@@ -25,6 +25,10 @@
 """Delay before the last ended runs of an idle worker are acknowledged, which must happen within
 4 s."""
 
+IDLE_POLL_SECONDS = 5.0
+"""Interval of polls of an idle worker, which read its clock: as it may be 2 % slow, a lease is at
+most 0.1 s shorter."""
+
 TAKEOVER_TOKEN_RETRIES = 4
 """A worker that rejects the token of a new holder is polled again with a token advanced by 1, 2, 4
 and 8 s, because the clocks of instances may differ by seconds."""
@@ -111,7 +115,8 @@
             token=order.token,
             reply=reply.value,
         )
-        if reply is StartReply.UNANSWERED:
+        if reply in (StartReply.UNANSWERED, StartReply.MALFORMED):
+            # A response that cannot be read does not prove that the run never begins.
             self.scheduler.start_unanswered(worker.name, self.tokens.next(), now())
         elif reply is StartReply.FENCED and order.token == worker.token:
             self.scheduler.fenced(worker.name, now())
@@ -142,7 +147,9 @@
                 if not self.wake.is_set() and self.worker.state is HoldState.HELD:
                     await self._poll(0)
             else:
-                await self.wake.wait()
+                await self._sleep(IDLE_POLL_SECONDS)
+                if not self.wake.is_set() and self.worker.state is HoldState.HELD:
+                    await self._poll(0)
 
     async def _sleep(self, seconds: float) -> None:
         try:
@@ -163,7 +170,7 @@
         worker = self.worker
         self.is_poll_requested = False
         request_sent_at, token, last_seen = now(), worker.token, worker.last_seen
-        lease_end_ms = worker.lease_end_ms(request_sent_at)
+        lease_end_ms = self.scheduler.lease_end_ms(worker, request_sent_at)
         if lease_end_ms is not None:
             worker.lease_extended_at = request_sent_at
         self.is_polling = True
--- a/packages/proof/cranberryshore_proof/pool_deployment.py
+++ b/packages/proof/cranberryshore_proof/pool_deployment.py
@@ -1,7 +1,7 @@
 """Simulated pool in virtual time: real entry instances with models of workers and callers."""
 
 import asyncio
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from random import Random
 from types import SimpleNamespace
 
@@ -29,6 +29,9 @@
 
 RETRY_DELAY_SECONDS = 1.3
 BUDGET_MS = 3000
+REGISTRATION_DELAY_SECONDS = 1.0
+"""Time after a fault in which workers register again."""
+
 UNIX_START_SECONDS = 1_700_000_000.0
 
 
@@ -81,7 +84,8 @@
         """Do nothing."""
 
     def _is_store_unreachable(self) -> bool:
-        return self.node in self.deployment.nodes_without_store
+        deployment = self.deployment
+        return self.node in deployment.nodes_without_store | deployment.partitioned
 
     async def follow_config(self, on_config) -> None:
         """See :class:`Registry`."""
@@ -90,7 +94,7 @@
                 on_config(self.deployment.config)
             await asyncio.sleep(0.05)
 
-    async def follow_workers(self, on_workers) -> None:
+    async def follow_workers(self, on_workers, known) -> None:
         """See :class:`Registry`."""
         while True:
             if not self._is_store_unreachable():
@@ -142,6 +146,8 @@
         Millicores and run time per task, by job.
     faults : list of str
         Violations found.
+    partitioned : set of str
+        Instances in a partitioned zone, which cannot reach the store.
     expired_registrations : set of str
         Workers whose registration has expired although they are up.
     late_share : float
@@ -158,6 +164,7 @@
     transports: dict[str, FakePoolTransport] = attrs.field(factory=dict)
     registered: dict = attrs.field(factory=dict)
     nodes_without_store: set[str] = attrs.field(factory=set)
+    partitioned: set[str] = attrs.field(factory=set)
     expired_registrations: set[str] = attrs.field(factory=set)
     demands: dict[str, int] = attrs.field(factory=dict)
     seconds: dict[str, float] = attrs.field(factory=dict)
@@ -245,7 +252,14 @@
         return None
 
     def cut(self, cut_numbers: set[int], zones: set[str]) -> None:
-        """Cut the instances ``cut_numbers`` and the workers of ``zones`` off from all others."""
+        """Cut the instances ``cut_numbers`` and the workers of ``zones`` off from all others.
+
+        The store is on the other side, so the registrations of these workers expire.
+        """
+        self.partitioned = {self.address(number) for number in cut_numbers}
+        self.expire_registrations(
+            worker.name for worker in self.workers.values() if worker.zone in zones
+        )
         for number in cut_numbers:
             for other in set(range(len(self.zones))) - cut_numbers:
                 self.network.cut(self.address(number), self.address(other))
@@ -255,9 +269,20 @@
                     self.network.cut(self.address(number), worker.name)
 
     def heal(self) -> None:
-        """Restore all links."""
+        """Restore all links; the workers register again some time later."""
         self.network.cuts.clear()
+        self.partitioned = set()
         self.network.deliver_unblocked()
+        self.restore_registrations()
+
+    def expire_registrations(self, names: Iterable[str]) -> None:
+        """Let the registrations of workers expire that are up but cannot renew them."""
+        self.expired_registrations |= set(names)
+
+    def restore_registrations(self) -> None:
+        """Register all workers again after a delay."""
+        loop = asyncio.get_running_loop()
+        loop.call_later(REGISTRATION_DELAY_SECONDS, self.expired_registrations.clear)
 
     def _check_start(self, worker: ModelWorker, key: RunKey) -> None:
         now = self.now()
--- a/packages/proof/cranberryshore_proof/pool_play.py
+++ b/packages/proof/cranberryshore_proof/pool_play.py
@@ -124,8 +124,11 @@
         }
         self._record_event(f"cut store from {sorted(cut_nodes)}")
         self.deployment.nodes_without_store |= cut_nodes
+        # Every other worker cannot reach the store either.
+        self.deployment.expire_registrations(sorted(self.deployment.workers)[::2])
         await asyncio.sleep(seconds)
         self.deployment.nodes_without_store -= cut_nodes
+        self.deployment.restore_registrations()
 
     async def run(self) -> PoolResult:
         """Submit jobs under faults, then without."""
--- a/packages/proof/cranberryshore_proof/tests/test_pool_play.py
+++ b/packages/proof/cranberryshore_proof/tests/test_pool_play.py
@@ -96,12 +96,12 @@
             job, caller = self.submit(deployment, (scheduler + 1) % len(deployment.zones), 1.2)
             await asyncio.sleep(0.1)
             expired = {worker.name for worker in deployment.workers.values() if worker.runs}
-            deployment.expired_registrations = expired
+            deployment.expire_registrations(expired)
             while expired & {entry.name for entry in other.workers}:
                 await asyncio.sleep(0.01)
             draining = deployment.network.spawn(address, deployment.daemons[address].drain())
             await asyncio.sleep(1.5)
-            deployment.expired_registrations = set()
+            deployment.restore_registrations()
             await asyncio.gather(caller, draining)
             self.assertEqual(job.answers[-1], Outcome.COMPLETED)
 
@@ -112,10 +112,6 @@
         # again some time after its jobs were handed over to the scheduler of the other zones.
         async def scenario(deployment: PoolDeployment) -> None:
             deployment.cut({0, 1}, {"a"})
-            deployment.nodes_without_store = {deployment.address(0), deployment.address(1)}
-            deployment.expired_registrations = {
-                worker.name for worker in deployment.workers.values() if worker.zone == "a"
-            }
             # These jobs show the scheduler of the partitioned zone which workers it does not reach.
             early = [self.submit(deployment, number % 2, count=4) for number in range(8)]
             await asyncio.gather(*(caller for _, caller in early))
@@ -123,9 +119,6 @@
             jobs = [self.submit(deployment, number, seconds=0.9) for number in (0, 1)]
             await asyncio.sleep(0.2)
             deployment.heal()
-            deployment.nodes_without_store = set()
-            await asyncio.sleep(1.0)
-            deployment.expired_registrations = set()
             await asyncio.gather(*(caller for _, caller in jobs))
 
         self.simulate(scenario)
