Other ways in which a task could be started twice, each with its test

Mended here: - A start relied on an old reading of the worker's clock, which is slow by up to 2 % and starts anew with the worker: a late start was carried out after its task had started elsewhere ("9.501 j.0.0.0 runs twice: w1/2 and w0/1"). A start now needs a reading of at most 0.25 s; idle workers are polled first, which replaces the polls every 5 s. - A job that its caller asked for again at the same instance was sent to a new scheduler as a fresh one ("4.204 j.0.0.0 runs twice"). The second request inherits what the first was sent to. - A job that came back to a scheduler that still had it was not verified. - Fencing tokens of instances whose addresses have the same sum of bytes were equal.

Also, as the new waiting showed them in virtual time (test_job_survives_a_scheduler_crash): the response to an earlier poll undid a verification, a lost poll of a round was not repeated, and ends reported after the hand-over were not taken over, so that the job waited or ran again.

--- a/packages/core/cranberryshore/pool/held_worker.py
+++ b/packages/core/cranberryshore/pool/held_worker.py
@@ -26,6 +26,10 @@
 MAX_CLOCK_DRIFT = 0.02
 """Share by which the steady clock of a worker may be slow."""
 
+MAX_CLOCK_AGE_SECONDS = 0.25
+"""Age of the reading of a worker's clock up to which a start may rely on it: longer than a long
+poll, and shorter than a restart of the worker, after which its clock starts anew."""
+
 TAKEOVER_BACKOFF_SECONDS = 3.0
 """Time before a worker that obeys another holder may be taken over again."""
 
@@ -159,8 +163,8 @@
         Time since which the worker is not in the roster.
     clock_offset_ms : float or None
         Worker clock minus the clock of this instance; ``None`` if unknown.
-    clock_read_at : float
-        Time at which the clock of the worker was read.
+    clock_read_at, clock_requested_at : float
+        Times at which the clock of the worker was read, and at which a poll was requested for it.
     lease_extended_at : float
         Time of the last request, of this holder or an earlier one, that could extend the lease, in
         seconds.
@@ -187,6 +191,7 @@
     foreign_ends: dict[str, ReportedEnd] = attrs.field(factory=dict)
     clock_offset_ms: float | None = None
     clock_read_at: float = float("-inf")
+    clock_requested_at: float = float("-inf")
     lease_extended_at: float = float("-inf")
     polled_at: float = float("-inf")
     lost_at: float = float("-inf")
@@ -204,6 +209,10 @@
             and not self.is_draining
         )
 
+    def is_clock_known(self, now: float) -> bool:
+        """Return whether the clock was read recently enough to set the end of a new lease."""
+        return now <= self.clock_read_at + MAX_CLOCK_AGE_SECONDS
+
     def unlist(self, now: float) -> None:
         """Record that the worker is not in the roster."""
         if self.is_listed:
@@ -309,7 +318,8 @@
                 self.confirm_start(key, now)
         self.strangers = {key for key in listed if key not in self.runs}
         self.strangers_since = min(self.strangers_since, now) if self.strangers else float("inf")
-        self.polled_at = poll_sent_at
+        # The response to a later poll may have arrived before.
+        self.polled_at = max(self.polled_at, poll_sent_at)
         if self.state is not HoldState.LOST and token == self.token:
             # A start must not carry a token that the worker has not seen: another holder could
             # acquire the worker with a lower one before the start arrives.
--- a/packages/core/cranberryshore/pool/scheduler.py
+++ b/packages/core/cranberryshore/pool/scheduler.py
@@ -54,6 +54,9 @@
 """Time for which a worker without runs that is not in the roster is held, so that it verifies the
 resumed jobs that arrive meanwhile."""
 
+CLOCK_REQUEST_SECONDS = 0.1
+"""Time after which the poll of an idle worker counts as lost."""
+
 MIN_LEASE_SECONDS = 0.5
 """No task is started on a worker whose lease ends earlier unless one of its runs ends before."""
 
@@ -115,6 +118,8 @@
         if known is not None:
             known.entry = entry
             known.deadline_at = now + (request.budget_ms - request.waited_ms) / 1000
+            if request.is_resumed:
+                self._delay_until_verified(known, exposed_workers, now)
             return
         queue = self.config.get_queue(request.queue)
         if queue is None:
@@ -128,13 +133,19 @@
         self.registry.restore_attempts(job)
         self.jobs[request.id] = job
         if request.is_resumed:
-            job.delayed_until = now + RESUMED_JOB_WAIT_SECONDS
-            job.exposed_workers = exposed_workers
-            self._adopt_job(job, now)
-            self.verification.request(now)
-            self._request_polls(now)
+            self._delay_until_verified(job, exposed_workers, now)
         self.changed_at = now
 
+    def _delay_until_verified(
+        self, job: PoolJob, exposed_workers: frozenset[str] | None, now: float
+    ) -> None:
+        """Delay the start of waiting tasks until no run of another scheduler can be active."""
+        job.received_at, job.exposed_workers = now, exposed_workers
+        job.delayed_until = now + RESUMED_JOB_WAIT_SECONDS
+        self._adopt_job(job, now)
+        self.verification.request(now)
+        self._request_polls(now)
+
     def _request_polls(self, now: float) -> None:
         self.effects += [
             PollWorker(name) for name in self.verification.start_round(self.workers.values(), now)
@@ -224,6 +235,10 @@
             return
         for end in worker.record_status(status, token, poll_sent_at, now):
             self._run_ended(worker, end, now)
+        for end in status.ended:
+            job = self.jobs.get(adoption.job_id_of((end.task, end.attempt)))
+            if job is not None and end.task in worker.foreign_ends:
+                self._adopt_ends(job, [worker], now)
         for key in sorted(worker.strangers):
             self._adopt_run(worker, key, now)
         if now >= worker.strangers_since + ADOPTION_WINDOW_SECONDS:
@@ -237,7 +252,15 @@
 
     def _adopt_job(self, job: PoolJob, now: float) -> None:
         """Adopt the active and finished runs of a job that another scheduler has started."""
-        for task, end in adoption.take_reported_ends(job, self.workers.values()):
+        self._adopt_ends(job, self.workers.values(), now)
+        for worker in self.workers.values():
+            for key in sorted(worker.strangers):
+                if adoption.job_id_of(key) == job.request.id:
+                    self._adopt_run(worker, key, now)
+
+    def _adopt_ends(self, job: PoolJob, workers: Iterable[HeldWorker], now: float) -> None:
+        """Record the tasks of a job that have ended under another scheduler."""
+        for task, end in adoption.take_reported_ends(job, workers):
             task.attempt = max(task.attempt, end.attempt)
             if end.kind is EndKind.DONE and task.phase is TaskPhase.WAITING:
                 if not job.has_started:
@@ -245,10 +268,6 @@
                 job.has_adopted_run = True
                 job.waiting_tasks -= 1
                 self._task_done(job, task, now)
-        for worker in self.workers.values():
-            for key in sorted(worker.strangers):
-                if adoption.job_id_of(key) == job.request.id:
-                    self._adopt_run(worker, key, now)
 
     def _adopt_run(self, worker: HeldWorker, key: RunKey, now: float) -> None:
         """Adopt a run that another scheduler has started, if its job was handed over."""
@@ -405,19 +424,32 @@
             if item.worker.service == queue.service
             and (usable is None or item.worker.name in usable)
         ]
+        ready = [item for item in members if item.worker.is_clock_known(now)]
+        idle = [item for item in members if not item.worker.is_clock_known(now)]
         has_placed = False
         for task in job.startable_tasks():
             name = job.name_of(task)
             if name in foreign or self.registry.is_task_active(name):
                 continue
-            worker = worker_selection.select_worker(members, job, task)
+            worker = worker_selection.select_worker(ready, job, task)
             if worker is None:
-                break
+                worker = worker_selection.select_worker(idle, job, task)
+                if worker is None:
+                    break
+                self._read_clock(worker, now)
+                idle = [item for item in idle if item.worker is not worker]
+                continue
             has_placed |= self._start_run(job, task, worker, now)
             if not self.statistics.health.allowance(worker.name, now):
-                members = [item for item in members if item.worker is not worker]
+                ready = [item for item in ready if item.worker is not worker]
         return has_placed
 
+    def _read_clock(self, worker: HeldWorker, now: float) -> None:
+        """Poll an idle worker, whose clock must be known before a start, unless that is due."""
+        if now >= worker.clock_requested_at + CLOCK_REQUEST_SECONDS:
+            worker.clock_requested_at = now
+            self.effects.append(PollWorker(worker.name))
+
     def _start_run(self, job: PoolJob, task: PoolTask, worker: HeldWorker, now: float) -> bool:
         limit_at = min(self._lease_limit(worker), self.rights.lease_limit(job.entry))
         lease_end_ms = worker.lease_end_ms(now, limit_at)
--- a/packages/core/cranberryshore/pool/tests/test_held_worker.py
+++ b/packages/core/cranberryshore/pool/tests/test_held_worker.py
@@ -117,6 +117,12 @@
         self.assertEqual(self.worker.lease_end_ms(0.0, limit_at=0.4), 400)
         self.assertIsNone(self.worker.lease_end_ms(0.5, limit_at=0.4))
 
+    def test_late_response_to_an_earlier_poll_does_not_undo_a_verification(self):
+        # Regression: a resumed job waited until all leases had ended if two polls overtook.
+        self.poll(status(), 0.2, 0.3)
+        self.poll(status(), 0.1, 0.4)
+        self.assertEqual(self.worker.polled_at, 0.2)
+
     def test_unlisted_worker_is_not_available(self):
         self.poll(status(), 0.0, 0.1)
         self.worker.unlist(0.2)
--- a/packages/core/cranberryshore/pool/tests/test_scheduler.py
+++ b/packages/core/cranberryshore/pool/tests/test_scheduler.py
@@ -20,10 +20,12 @@
     WorkerStatus,
     WorkRequest,
 )
+from cranberryshore.pool.held_worker import MAX_CLOCK_AGE_SECONDS
 from cranberryshore.pool.refusing import RESUMED_JOB_WAIT_SECONDS, VERIFICATION_SECONDS
 from cranberryshore.pool.scheduler import ADOPTION_WINDOW_SECONDS, UNLISTED_WORKER_SECONDS
 from cranberryshore.pool.start_rights import RUN_RIGHT_SECONDS, START_RIGHT_SECONDS
 from cranberryshore.pool.tests.unlimited_rights import UnlimitedRights
+from cranberryshore.pool.verifying import ROUND_INTERVAL_SECONDS
 from cranberryshore.work import Capacity
 
 QUEUE = QueueSpec("q", "h", "/q/", "s", max_attempts=2, slack_factor=2.0, aim_ms=100)
@@ -78,6 +80,11 @@
             self.scheduler.start_confirmed(start.worker, start.key, self.now)
         return starts
 
+    def answer_polls(self) -> None:
+        """Answer the polls of idle workers, whose clocks must be known before a start."""
+        for effect in self.effects(PollWorker):
+            self.poll(effect.worker, list(self.scheduler.workers[effect.worker].runs))
+
     def end(self, start: StartRun, kind: EndKind) -> None:
         worker = self.scheduler.workers[start.worker]
         running = [key for key in worker.runs if key != start.key]
@@ -146,7 +153,8 @@
         arrived = self.now
         self.poll("w1")
         self.poll("w2")
-        self.scheduler.tick(arrived + RESUMED_JOB_WAIT_SECONDS - 0.01)
+        self.now = arrived + RESUMED_JOB_WAIT_SECONDS - 0.02
+        self.poll("w1")
         self.assertEqual(self.starts(), [])
         self.scheduler.tick(arrived + RESUMED_JOB_WAIT_SECONDS)
         self.assertEqual(len(self.starts()), 1)
@@ -159,6 +167,7 @@
         self.poll("w2")
         self.assertEqual(self.starts(), [])
         self.scheduler.tick(arrived + RESUMED_JOB_WAIT_SECONDS)
+        self.answer_polls()
         self.assertEqual(len(self.starts()), 1)
 
     def test_release_of_a_resumed_job_is_logged(self):
@@ -186,9 +195,20 @@
         self.assertIsNone(self.scheduler.lease_end_ms(worker, self.now))
         rights.acknowledge("e", self.now)
         self.assertIsNotNone(self.scheduler.lease_end_ms(worker, self.now))
-        self.scheduler.tick(self.now)
+        self.poll("w1" if first.worker == "w2" else "w2")
         self.assertEqual([start.key[0] for start in self.starts()], ["k.0.0.0"])
 
+    def test_start_on_an_idle_worker_waits_until_its_clock_is_read(self):
+        # Regression: the lease end of a start relied on an old reading of the clock, which starts
+        # anew with the worker, so that a late start was carried out after its task had started
+        # elsewhere.
+        self.now += 2 * MAX_CLOCK_AGE_SECONDS
+        self.scheduler.submit(request(), "e", self.now)
+        effects = self.scheduler.take_effects()
+        self.assertEqual([type(effect) for effect in effects], [PollWorker])
+        self.poll(effects[0].worker)
+        self.assertEqual([start.worker for start in self.starts()], [effects[0].worker])
+
     def test_lease_is_not_extended_for_runs_of_a_dropped_job(self):
         # Regression: the lease of a run that did not stop was extended after its job had been
         # handed over to another scheduler, even if its entry instance had come back.
@@ -298,6 +318,22 @@
         (end,) = self.effects(JobEnded)
         self.assertEqual(end.outcome, Outcome.COMPLETED)
 
+    def test_end_reported_after_a_job_was_handed_over_is_adopted(self):
+        # Regression: a task of a resumed job ran again if the worker reported its end after the
+        # job had arrived.
+        self.scheduler.submit(request(is_resumed=True), "e", self.now, WORKERS)
+        self.poll("w1", ended=[(("j.0.0.0", 1), EndKind.DONE)])
+        (end,) = self.effects(JobEnded)
+        self.assertIs(end.outcome, Outcome.COMPLETED)
+
+    def test_lost_poll_of_a_round_is_repeated(self):
+        # Regression: a resumed job waited until all leases had ended if a single poll was lost.
+        self.scheduler.submit(request(is_resumed=True), "e", self.now, WORKERS)
+        self.effects(PollWorker)
+        self.poll("w1")
+        self.scheduler.tick(self.now + ROUND_INTERVAL_SECONDS)
+        self.assertEqual([poll.worker for poll in self.effects(PollWorker)], ["w2"])
+
     def test_only_one_run_of_a_task_is_adopted(self):
         self.poll("w1", [("j.0.0.0", 3)])
         self.poll("w2", [("j.0.0.0", 4)])
@@ -318,6 +354,7 @@
         (stop,) = self.effects(StopRun)
         self.assertEqual(stop.key, start.key)
         self.end(start, EndKind.STOPPED)
+        self.answer_polls()
         (again,) = self.starts()
         self.assertNotEqual(again.worker, start.worker)
 
--- a/packages/core/cranberryshore/pool/verifying.py
+++ b/packages/core/cranberryshore/pool/verifying.py
@@ -13,6 +13,7 @@
 import attrs
 
 from cranberryshore.pool.held_worker import HeldWorker
+from cranberryshore.pool.refusing import VERIFICATION_SECONDS
 from cranberryshore.pool.work import PoolJob
 
 ROUND_INTERVAL_SECONDS = 0.1
@@ -40,18 +41,19 @@
     def start_round(self, workers: Collection[HeldWorker], now: float) -> list[str]:
         """Start a round if one is due and return the names of the workers to poll.
 
+        Rounds are repeated for some time, since single polls are lost.
+
         Examples
         --------
         >>> Verification().start_round([], 1.0)
         []
         """
-        if (
-            self.requested_at <= self.last_round_at
-            or now < self.last_round_at + ROUND_INTERVAL_SECONDS
-        ):
+        is_due = self.requested_at > self.last_round_at
+        is_due |= now < self.requested_at + VERIFICATION_SECONDS
+        if not is_due or now < self.last_round_at + ROUND_INTERVAL_SECONDS:
             return []
         self.last_round_at = now
-        return [worker.name for worker in workers if worker.polled_at <= self.requested_at]
+        return [worker.name for worker in workers if worker.polled_at < self.requested_at]
 
 
 def release_verified(
--- a/packages/daemon/cranberryshored/pool/clock.py
+++ b/packages/daemon/cranberryshored/pool/clock.py
@@ -2,6 +2,7 @@
 
 from collections.abc import Callable
 from time import CLOCK_BOOTTIME, clock_gettime, time
+from zlib import crc32
 
 import attrs
 
@@ -40,8 +41,7 @@
     """
 
     def __init__(self, instance: str) -> None:
-        # 2654435761 is the usual multiplier of a multiplicative hash.
-        self.instance_bits = sum(instance.encode()) * 2654435761 % (1 << TOKEN_INSTANCE_BITS)
+        self.instance_bits = crc32(instance.encode()) % (1 << TOKEN_INSTANCE_BITS)
         self.last = 0
 
     def next(self) -> int:
--- a/packages/daemon/cranberryshored/pool/entry_service.py
+++ b/packages/daemon/cranberryshored/pool/entry_service.py
@@ -17,6 +17,10 @@
 """Interval of the checks for jobs that no scheduler has accepted or answered."""
 
 
+RESUBMIT = -1
+"""Epoch of a job that must be submitted again, even to the scheduler that has it."""
+
+
 class SchedulerClient(Protocol):
     """Sends jobs to the scheduler that this instance follows."""
 
@@ -54,7 +58,7 @@
     sent_to : str
         Incarnation of the last scheduler that it was submitted to; empty if it must be submitted.
     sent_epoch : int
-        Epoch of this instance at that time.
+        Epoch of this instance at that time, or ``RESUBMIT``.
     first_sent_at : float
         Time of the first submission.
     is_resumed : bool
@@ -103,6 +107,10 @@
             )
         future = asyncio.get_running_loop().create_future()
         job = self.pending[request.id] = PendingJob(request, queue, now(), future)
+        if older is not None:
+            # The scheduler of the first request may have started tasks.
+            job.sent_to, job.sent_epoch = older.sent_to, RESUBMIT
+            job.first_sent_at, job.is_resumed = older.first_sent_at, older.is_resumed
         self._submit_to_scheduler(job)
         try:
             end = await future
@@ -158,7 +166,7 @@
     def resubmit_all(self) -> None:
         """Submit all pending jobs again: this process stalled, so they may have been dropped."""
         for job in self.pending.values():
-            job.sent_epoch = -1
+            job.sent_epoch = RESUBMIT
             self._submit_to_scheduler(job)
 
     def _resubmit(self, job: PendingJob) -> None:
--- a/packages/daemon/cranberryshored/pool/exchange.py
+++ b/packages/daemon/cranberryshored/pool/exchange.py
@@ -239,6 +239,8 @@
         member.is_draining, member.claim = beat.is_draining, beat.claim
         member.heartbeat_sent_at, member.known_epoch = beat.sent_at, beat.known_epoch
         has_left = beat.epoch > member.epoch and beat.follows != self.own.incarnation
+        if is_new:
+            member.epoch = beat.epoch
         self.record_epoch(member, beat.epoch)
         member.follows, member.config_version = beat.follows, beat.config_version
         member.roster_version = beat.roster_version
--- a/packages/daemon/cranberryshored/pool/worker_channel.py
+++ b/packages/daemon/cranberryshored/pool/worker_channel.py
@@ -25,10 +25,6 @@
 """Delay before the last ended runs of an idle worker are acknowledged, which must happen within
 4 s."""
 
-IDLE_POLL_SECONDS = 5.0
-"""Interval of polls of an idle worker, which read its clock: as it may be 2 % slow, a lease is at
-most 0.1 s shorter."""
-
 TAKEOVER_TOKEN_RETRIES = 4
 """A worker that rejects the token of a new holder is polled again with a token advanced by 1, 2, 4
 and 8 s, because the clocks of instances may differ by seconds."""
@@ -147,9 +143,7 @@
                 if not self.wake.is_set() and self.worker.state is HoldState.HELD:
                     await self._poll(0)
             else:
-                await self._sleep(IDLE_POLL_SECONDS)
-                if not self.wake.is_set() and self.worker.state is HoldState.HELD:
-                    await self._poll(0)
+                await self.wake.wait()
 
     async def _sleep(self, seconds: float) -> None:
         try:
