Starts rely on a clock reading of at most 0.5 s

A reading of 0.25 s is exceeded by a long poll of 0.15 s on an event loop that lags by 0.1 s, which would hold up starts; a worker does not restart within 0.5 s either.

--- a/packages/core/cranberryshore/pool/held_worker.py
+++ b/packages/core/cranberryshore/pool/held_worker.py
@@ -26,9 +26,10 @@
 MAX_CLOCK_DRIFT = 0.02
 """Share by which the steady clock of a worker may be slow."""
 
-MAX_CLOCK_AGE_SECONDS = 0.25
+MAX_CLOCK_AGE_SECONDS = 0.5
 """Age of the reading of a worker's clock up to which a start may rely on it: longer than a long
-poll, and shorter than a restart of the worker, after which its clock starts anew."""
+poll on a lagging event loop, and shorter than a restart of the worker, after which its clock starts
+anew."""
 
 TAKEOVER_BACKOFF_SECONDS = 3.0
 """Time before a worker that obeys another holder may be taken over again."""
