Scheduler: no refusal before a new scheduler knows its capacity

Cause: a job whose estimate fills its caller's time is refused unless it starts at once. An instance is ready, and a scheduler accepts jobs, some milliseconds before it has read the worker list and the workers have responded. A job that came in between was refused by the next tick (25 ms) beside idle workers. This is what made test_run_stops_when_caller_disconnects fail; the product was at fault, the test is unchanged.

Change: such a job waits while a worker of its service is being acquired or none is known, until 0.25 s after the scheduler began or added a worker; a job that would be useless even without any run time is refused at once as before. add_worker takes the time.

Before the change, 3 of the 5 new tests of the scheduler and test_job_without_slack_waits_for_first_worker failed.

--- a/packages/core/cranberryshore/pool/refusing.py
+++ b/packages/core/cranberryshore/pool/refusing.py
@@ -2,9 +2,12 @@
 
 During an overload, a job that waits until its caller times out wastes the time of the caller.
 A waiting job is therefore refused as soon as its answer would be useless. No job is refused while
-free capacity is available.
+free capacity is available, or before a new scheduler knows whether there is any.
 """
 
+from collections.abc import Iterable
+
+from cranberryshore.pool.held_worker import HeldWorker, HoldState
 from cranberryshore.pool.work import ANSWER_LATENCY_SECONDS, PoolJob
 
 RETRY_AFTER_MS = 1000
@@ -32,3 +35,19 @@
     """Return whether a waiting job can no longer be answered before its answer is useless."""
     last_useful_end = min(job.useless_at, job.deadline_at)
     return now + expected_seconds + ANSWER_LATENCY_SECONDS > last_useful_end
+
+
+def may_gain_worker(workers: Iterable[HeldWorker], acquiring_since: float, now: float) -> bool:
+    """Return whether a worker may become available within moments.
+
+    That is the case for a limited time while a worker is being acquired or none is known yet.
+
+    Examples
+    --------
+    >>> may_gain_worker([], 1.0, 1.1), may_gain_worker([], 1.0, 2.0)
+    (True, False)
+    """
+    if now >= acquiring_since + VERIFICATION_SECONDS:
+        return False
+    states = {worker.state for worker in workers if not worker.is_draining}
+    return not states or HoldState.ACQUIRING in states
--- a/packages/core/cranberryshore/pool/scheduler.py
+++ b/packages/core/cranberryshore/pool/scheduler.py
@@ -63,6 +63,8 @@
     covers_all_workers : bool
         Whether ``workers`` includes every worker another scheduler may have used: the worker list
         was read since this scheduler started, and covers all availability zones.
+    acquiring_since : float
+        Time at which this scheduler started or last added a worker, in seconds.
     """
 
     config: PoolConfig = PoolConfig()
@@ -74,6 +76,7 @@
     registry: RunRegistry = attrs.field(factory=RunRegistry)
     verification: Verification = attrs.field(factory=Verification)
     changed_at: float | None = None
+    acquiring_since: float = float("-inf")
 
     def take_effects(self) -> list[PoolEffect]:
         """Place waiting tasks if the state has changed, and pop the pending effects."""
@@ -163,9 +166,10 @@
 
     # Workers
 
-    def add_worker(self, worker: HeldWorker) -> None:
+    def add_worker(self, worker: HeldWorker, now: float) -> None:
         """Add a worker; no task is placed on it before it has responded to a poll."""
         self.workers[worker.name] = worker
+        self.acquiring_since = now
         self.effects.append(PollWorker(worker.name))
 
     def release(self, name: str, now: float) -> None:
@@ -298,7 +302,11 @@
                 self._end_job(job, Outcome.GIVEN_UP, "The caller's time is over.", now)
             return
         earliest = refusing.earliest_start(job, now)
-        if refusing.is_infeasible(job, self.statistics.expected_seconds(job), earliest):
+        if not refusing.is_infeasible(job, self.statistics.expected_seconds(job), earliest):
+            return
+        is_useless = refusing.is_infeasible(job, 0.0, now)
+        members = self._service_workers(job)
+        if is_useless or not refusing.may_gain_worker(members, self.acquiring_since, now):
             detail = "The job can no longer be answered in time."
             self._end_job(job, Outcome.REFUSED, detail, now, refusing.RETRY_AFTER_MS)
 
--- a/packages/core/cranberryshore/pool/tests/test_scheduler.py
+++ b/packages/core/cranberryshore/pool/tests/test_scheduler.py
@@ -37,11 +37,14 @@
         self.now = 0.0
         self.ends = {}
         for name in ("w1", "w2"):
-            worker = HeldWorker(name, name, "z", "s", Capacity(2000, 1000), frozenset(), 1)
-            self.scheduler.add_worker(worker)
+            self.add_worker(name)
             self.poll(name)
         self.scheduler.take_effects()
 
+    def add_worker(self, name: str) -> None:
+        worker = HeldWorker(name, name, "z", "s", Capacity(2000, 1000), frozenset(), 1)
+        self.scheduler.add_worker(worker, self.now)
+
     def poll(self, name: str, running=(), ended=()):
         reported_keys = self.ends.setdefault(name, [])
         listed = []
@@ -191,6 +194,50 @@
         (end,) = self.effects(JobEnded)
         self.assertEqual((end.job, end.outcome), ("tight", Outcome.REFUSED))
 
+    def test_job_without_slack_waits_for_worker_being_acquired(self):
+        # Such a job was refused 2 ms after its arrival, 3 ms before the idle worker responded.
+        self.submit("full", count=4)
+        self.add_worker("w3")
+        self.submit("tight", budget_ms=100)
+        self.scheduler.tick(self.now)
+        self.assertEqual(self.effects(JobEnded), [])
+        self.poll("w3")
+        self.assertEqual([start.worker for start in self.starts()], ["w3"])
+
+    def test_job_without_slack_is_refused_once_worker_is_late(self):
+        self.submit("full", count=4)
+        self.add_worker("w3")
+        step = StepSpec(1, Capacity(1000, 10), 1000)
+        self.submit("tight", steps=(step,), budget_ms=1000)
+        self.scheduler.tick(self.now + VERIFICATION_SECONDS - 0.01)
+        self.assertEqual(self.effects(JobEnded), [])
+        self.scheduler.tick(self.now + VERIFICATION_SECONDS)
+        self.assertEqual(len(self.effects(JobEnded)), 1)
+
+    def test_job_without_slack_is_refused_once_workers_are_full(self):
+        self.add_worker("w3")
+        self.submit("full", count=4)
+        self.submit("tight", budget_ms=100)
+        self.poll("w3", running=[("other.0.0.0", 1)])
+        self.scheduler.tick(self.now)
+        self.assertEqual(len(self.effects(JobEnded)), 1)
+
+    def test_useless_job_does_not_wait_for_worker_being_acquired(self):
+        self.submit("full", count=4)
+        self.add_worker("w3")
+        self.submit("useless", budget_ms=100, waited_ms=100)
+        self.scheduler.tick(self.now)
+        self.assertEqual(len(self.effects(JobEnded)), 1)
+
+    def test_job_without_slack_waits_for_list_of_workers(self):
+        self.scheduler = Scheduler(self.scheduler.config, acquiring_since=self.now)
+        self.submit(budget_ms=100)
+        self.scheduler.tick(self.now)
+        self.assertEqual(self.effects(JobEnded), [])
+        self.add_worker("w1")
+        self.poll("w1")
+        self.assertEqual(len(self.starts()), 1)
+
     def test_stop_without_effect_is_sent_again(self):
         (start,) = self.submit()
         self.scheduler.cancel("j", "e", self.now)
--- a/packages/daemon/cranberryshored/pool/scheduling.py
+++ b/packages/daemon/cranberryshored/pool/scheduling.py
@@ -65,7 +65,7 @@
     ) -> None:
         """Start scheduling: take over the workers that a claim covers."""
         self.claim, self.last_tick_at = claim, now()
-        self.scheduler = Scheduler(config)
+        self.scheduler = Scheduler(config, acquiring_since=now())
         self.log.info("Scheduling begins.", term=claim.term, zone=claim.zone or "all")
         self.set_roster(roster)
         self.task = start_task(self._tick(), self.log)
@@ -211,7 +211,7 @@
             entry.rack,
             entry.is_draining,
         )
-        self.scheduler.add_worker(worker)
+        self.scheduler.add_worker(worker, now())
         self._open_channel(worker)
 
     @staticmethod
--- a/packages/daemon/cranberryshored/pool/tests/test_scheduling.py
+++ b/packages/daemon/cranberryshored/pool/tests/test_scheduling.py
@@ -73,8 +73,8 @@
             await asyncio.sleep(0.01)
         self.fail("the worker was not held within 1 s")
 
-    async def submit(self):
-        request = WorkRequest("j", "q", "", (StepSpec(1, Capacity(1000, 10), 100),), 5000)
+    async def submit(self, budget_ms=5000):
+        request = WorkRequest("j", "q", "", (StepSpec(1, Capacity(1000, 10), 100),), budget_ms)
         self.service.submit(request, "e")
         await asyncio.sleep(0)
 
@@ -84,6 +84,22 @@
         await self.service.channels["w"].request_tasks.copy().pop()
         self.assertEqual(self.calls.starts, [("j.0.0.0", 1)])
 
+    async def test_job_without_slack_waits_for_first_worker(self):
+        # Regression: a new scheduler refused such jobs until it had read the worker list and the
+        # workers had responded, although all of them were idle.
+        self.addCleanup(setattr, CLOCKS, "steady", CLOCKS.steady)
+        moment = CLOCKS.steady()
+        CLOCKS.steady = lambda: moment
+        self.service.end("this instance begins again")
+        self.service.begin(Claim(2), self.service.scheduler.config, ())
+        await self.submit(budget_ms=100)
+        self.service.scheduler.tick(moment)
+        self.service.set_roster((WORKER,), is_fresh=True)
+        self.service.scheduler.tick(moment)
+        await self.wait_until_held()
+        await asyncio.sleep(0.01)
+        self.assertEqual(self.calls.starts, [("j.0.0.0", 1)])
+
     async def test_no_order_is_sent_after_a_stall(self):
         # Regression: after a stall, a scheduler placed its waiting jobs before it detected the
         # stall, although another scheduler might hold the workers and the jobs.
