--- a/packages/core/cranberryshore/pool/held_worker.py
+++ b/packages/core/cranberryshore/pool/held_worker.py
@@ -31,6 +31,9 @@
 poll on a lagging event loop, and shorter than a restart of the worker, after which its clock starts
 anew."""
 
+CLOCK_REQUEST_SECONDS = 0.1
+"""Time after which a poll that should read the clock of an idle worker counts as lost."""
+
 TAKEOVER_BACKOFF_SECONDS = 3.0
 """Time before a worker that obeys another holder may be taken over again."""
 
@@ -214,6 +217,11 @@
         """Return whether the clock was read recently enough to set the end of a new lease."""
         return now <= self.clock_read_at + MAX_CLOCK_AGE_SECONDS
 
+    def is_clock_being_read(self, now: float) -> bool:
+        """Return whether a poll that reads the clock is expected to be answered."""
+        is_requested = now < self.clock_requested_at + CLOCK_REQUEST_SECONDS
+        return is_requested and not self.is_clock_known(now)
+
     def unlist(self, now: float) -> None:
         """Record that the worker is not in the roster."""
         if self.is_listed:
--- a/packages/core/cranberryshore/pool/scheduler.py
+++ b/packages/core/cranberryshore/pool/scheduler.py
@@ -54,9 +54,6 @@
 """Time for which a worker without runs that is not in the roster is held, so that it verifies the
 resumed jobs that arrive meanwhile."""
 
-CLOCK_REQUEST_SECONDS = 0.1
-"""Time after which the poll of an idle worker counts as lost."""
-
 MIN_LEASE_SECONDS = 0.5
 """No task is started on a worker whose lease ends earlier unless one of its runs ends before."""
 
@@ -76,6 +73,8 @@
         Time of the latest change that requires placement; ``None`` if jobs were placed since then.
     rights : StartRights
         Right to start and continue the tasks of an entry instance.
+    acquiring_since : float
+        Time at which this scheduler started or last added a worker, in seconds.
     """
 
     config: PoolConfig = PoolConfig()
@@ -87,6 +86,7 @@
     registry: RunRegistry = attrs.field(factory=RunRegistry)
     verification: Verification = attrs.field(factory=Verification)
     changed_at: float | None = None
+    acquiring_since: float = float("-inf")
 
     def take_effects(self) -> list[PoolEffect]:
         """Place waiting tasks if the state has changed, and pop the pending effects."""
@@ -196,9 +196,10 @@
 
     # Workers
 
-    def add_worker(self, worker: HeldWorker) -> None:
+    def add_worker(self, worker: HeldWorker, now: float) -> None:
         """Add a worker; no task is placed on it before it has responded to a poll."""
         self.workers[worker.name] = worker
+        self.acquiring_since = now
         self.effects.append(PollWorker(worker.name))
 
     def unlist(self, name: str, now: float) -> None:
@@ -327,6 +328,9 @@
                 self._run_ended(worker, end, now)
             if now > worker.unlisted_at + UNLISTED_WORKER_SECONDS and not worker.runs:
                 del self.workers[name]
+        if self.changed_at is not None:
+            # No job is refused while capacity for it is free.
+            self._place_jobs(now)
         for job in list(self.jobs.values()):
             self._check_deadline(job, now)
         self._request_polls(now)
@@ -351,7 +355,11 @@
                 self._end_job(job, Outcome.GIVEN_UP, "The caller's time is over.", now)
             return
         earliest = refusing.earliest_start(job, now)
-        if refusing.is_infeasible(job, self.statistics.expected_seconds(job), earliest):
+        if not refusing.is_infeasible(job, self.statistics.expected_seconds(job), earliest):
+            return
+        is_useless = refusing.is_infeasible(job, 0.0, now)
+        members = self._service_workers(job)
+        if is_useless or not refusing.may_gain_worker(members, self.acquiring_since, now):
             detail = "The job can no longer be answered in time."
             self._end_job(job, Outcome.REFUSED, detail, now, refusing.RETRY_AFTER_MS)
 
@@ -446,7 +454,7 @@
 
     def _read_clock(self, worker: HeldWorker, now: float) -> None:
         """Poll an idle worker, whose clock must be known before a start, unless that is due."""
-        if now >= worker.clock_requested_at + CLOCK_REQUEST_SECONDS:
+        if not worker.is_clock_being_read(now):
             worker.clock_requested_at = now
             self.effects.append(PollWorker(worker.name))
 
