Scheduler: one grouping of workers for a placement, no verification within a claim

Cause: with the rights, three lists of workers were built for each waiting job, so that the event loop of the scheduler lagged; and a job that the scheduler had rejected without starting it came back as resumed, and had to wait for the verification of all workers.

Change: the workers are grouped once for all jobs of a placement with the same service and roster; verification compares once for each set of workers. A job that is submitted again within the claim that it was submitted to is not resumed: the scheduler knows what it has started. Submissions carry the term of the claim that they are meant for, so that one that arrives under a later claim is rejected.

--- a/packages/core/cranberryshore/messages/pool.py
+++ b/packages/core/cranberryshore/messages/pool.py
@@ -74,12 +74,16 @@
         Sender's estimate of the scheduler's monotonic clock at submission, from its last heartbeat.
         It lets the scheduler reject a message that a network partition has delayed, because the
         sender may have resubmitted the job to another scheduler meanwhile.
+    term : int or None
+        Term of the claim that it is meant for: only within a claim does a scheduler know which
+        tasks it has started. ``None`` in messages of earlier versions.
     """
 
     place: StreamPosition
     request: WorkRequest
     epoch: int
     echo: float
+    term: int | None = None
 
 
 @attrs.frozen
--- a/packages/core/cranberryshore/pool/roster.py
+++ b/packages/core/cranberryshore/pool/roster.py
@@ -84,4 +84,5 @@
         rosters = [self.names(version) for version in versions]
         if not rosters or None in rosters:
             return None
-        return frozenset().union(*rosters)
+        # Jobs of one roster share its set of names.
+        return rosters[0] if len(rosters) == 1 else frozenset().union(*rosters)
--- a/packages/core/cranberryshore/pool/scheduler.py
+++ b/packages/core/cranberryshore/pool/scheduler.py
@@ -38,7 +38,7 @@
 )
 from cranberryshore.pool.verifying import Verification, release_verified
 from cranberryshore.pool.work import Outcome, PoolJob, PoolTask, TaskPhase, WorkRequest
-from cranberryshore.pool.worker_selection import Candidate
+from cranberryshore.pool.worker_selection import CandidateGroups
 
 STOP_RETRY_SECONDS = 0.15
 """Time after which a stop without effect is sent again; workers stop runs within 50 ms."""
@@ -383,6 +383,7 @@
         if not candidates:
             return
         foreign = {key[0] for worker in self.workers.values() for key in worker.strangers}
+        groups = worker_selection.CandidateGroups(candidates, now)
         waiting.sort(key=lambda job: ordering.waiting_sort_key(job, now))
         largest = worker_selection.max_free_millicores(candidates)
         for job in waiting:
@@ -390,7 +391,7 @@
                 continue
             if not self.rights.may_start(job.entry, now):
                 continue
-            if self._place_job(job, candidates, foreign, now):
+            if self._place_job(job, groups, foreign, now):
                 largest = worker_selection.max_free_millicores(candidates)
 
     def _release_resumed_jobs(self, waiting: list[PoolJob], now: float) -> None:
@@ -416,7 +417,7 @@
         )
 
     def _place_job(
-        self, job: PoolJob, candidates: list[Candidate], foreign: set[str], now: float
+        self, job: PoolJob, groups: CandidateGroups, foreign: set[str], now: float
     ) -> bool:
         """Place as many tasks of a job as fit; return whether any was placed.
 
@@ -425,15 +426,7 @@
         queue = self.config.get_queue(job.request.queue)
         if queue is None:
             return False
-        usable = self.rights.usable_workers(job.entry)
-        members = [
-            item
-            for item in candidates
-            if item.worker.service == queue.service
-            and (usable is None or item.worker.name in usable)
-        ]
-        ready = [item for item in members if item.worker.is_clock_known(now)]
-        idle = [item for item in members if not item.worker.is_clock_known(now)]
+        ready, idle = groups.get(queue.service, self.rights.usable_workers(job.entry))
         has_placed = False
         for task in job.startable_tasks():
             name = job.name_of(task)
--- a/packages/core/cranberryshore/pool/worker_selection.py
+++ b/packages/core/cranberryshore/pool/worker_selection.py
@@ -45,6 +45,37 @@
     ]
 
 
+@attrs.define(eq=False)
+class CandidateGroups:
+    """Candidates of one placement, grouped by the jobs that may use them.
+
+    Hundreds of jobs wait in a load burst, but few services and rosters are in use.
+    """
+
+    candidates: list[Candidate]
+    now: float
+    groups: dict[tuple[str, frozenset[str] | None], tuple[list[Candidate], list[Candidate]]] = (
+        attrs.field(factory=dict)
+    )
+
+    def get(
+        self, service: str, usable: frozenset[str] | None
+    ) -> tuple[list[Candidate], list[Candidate]]:
+        """Return the usable candidates of a service whose clock is known, and the others."""
+        group = self.groups.get((service, usable))
+        if group is None:
+            members = [
+                item
+                for item in self.candidates
+                if item.worker.service == service and (usable is None or item.worker.name in usable)
+            ]
+            group = self.groups[service, usable] = (
+                [item for item in members if item.worker.is_clock_known(self.now)],
+                [item for item in members if not item.worker.is_clock_known(self.now)],
+            )
+        return group
+
+
 def max_free_millicores(candidates: Iterable[Candidate]) -> int:
     """Return the largest number of free millicores on a single candidate."""
     return max(item.worker.room.millicores for item in candidates)
--- a/packages/daemon/cranberryshored/pool/app.py
+++ b/packages/daemon/cranberryshored/pool/app.py
@@ -218,12 +218,17 @@
         # means that the sender has changed its scheduler since then.
         age = now() - message.echo
         member = self.group.members.get(sender)
-        if age <= MAX_SUBMIT_AGE_SECONDS and member is not None and message.epoch >= member.epoch:
+        is_current = member is not None and message.epoch >= member.epoch
+        is_for_claim = message.term in (None, self.group.claim.term)
+        if is_current and is_for_claim and age <= MAX_SUBMIT_AGE_SECONDS:
             self.exchange.record_epoch(member, message.epoch)
             self.scheduling.submit(message.request, sender)
             return
         job = message.request.id
         self.log.warning("Rejected a job delayed in transit.", job=job, sender=sender, seconds=age)
+        if member is not None and not is_for_claim:
+            # The sender does not know the present claim yet.
+            self.exchange.inform(member)
         self._job_ended(JobEnded(sender, job, Outcome.DROPPED, "It was held up on its way."))
 
     def handle_config(self, config: PoolConfig) -> None:
@@ -305,6 +310,10 @@
         """See :class:`SchedulerClient`."""
         return self.exchange.follows
 
+    def term(self) -> int:
+        """See :class:`SchedulerClient`."""
+        return self.exchange.term()
+
     def epoch(self) -> int:
         """See :class:`SchedulerClient`."""
         return self.exchange.epoch
@@ -324,9 +333,10 @@
         if self.exchange.follows == self.group.own.incarnation:
             self.scheduling.submit(request, self.exchange.follows)
         else:
+            epoch, term = self.exchange.epoch, self.exchange.term()
             self.exchange.send(
                 self.exchange.follows,
-                lambda place, echo: SubmitWork(place, request, self.exchange.epoch, echo),
+                lambda place, echo: SubmitWork(place, request, epoch, echo, term),
             )
 
     def cancel(self, job: str) -> None:
--- a/packages/daemon/cranberryshored/pool/entry_service.py
+++ b/packages/daemon/cranberryshored/pool/entry_service.py
@@ -28,6 +28,10 @@
         """Return the incarnation of the scheduler, or an empty string if there is none."""
         ...
 
+    def term(self) -> int:
+        """Return the term of the scheduler's claim, 0 if there is none."""
+        ...
+
     def epoch(self) -> int:
         """Return how often this instance has changed its scheduler."""
         ...
@@ -57,12 +61,14 @@
     ----------
     sent_to : str
         Incarnation of the last scheduler that it was submitted to; empty if it must be submitted.
+    sent_term : int
+        Term of its claim at that time.
     sent_epoch : int
         Epoch of this instance at that time, or ``RESUBMIT``.
     first_sent_at : float
         Time of the first submission.
     is_resumed : bool
-        Whether an earlier submission may have started tasks of the job.
+        Whether another scheduler, or another claim of the same one, may have started its tasks.
     """
 
     request: WorkRequest
@@ -70,6 +76,7 @@
     arrived_at: float
     answer: asyncio.Future
     sent_to: str = ""
+    sent_term: int = 0
     sent_epoch: int = 0
     first_sent_at: float = float("inf")
     is_resumed: bool = False
@@ -109,7 +116,7 @@
         job = self.pending[request.id] = PendingJob(request, queue, now(), future)
         if older is not None:
             # The scheduler of the first request may have started tasks.
-            job.sent_to, job.sent_epoch = older.sent_to, RESUBMIT
+            job.sent_to, job.sent_term, job.sent_epoch = older.sent_to, older.sent_term, RESUBMIT
             job.first_sent_at, job.is_resumed = older.first_sent_at, older.is_resumed
         self._submit_to_scheduler(job)
         try:
@@ -171,8 +178,7 @@
 
     def _resubmit(self, job: PendingJob) -> None:
         """Submit a job again that its scheduler has dropped."""
-        job.is_resumed |= bool(job.sent_to)
-        job.sent_to = ""
+        job.sent_epoch = RESUBMIT
         self._submit_to_scheduler(job)
 
     def _submit_to_scheduler(self, job: PendingJob) -> None:
@@ -182,8 +188,10 @@
             return
         if job.sent_to not in ("", scheduler) and not client.has_released(job.sent_to):
             return
-        job.is_resumed |= bool(job.sent_to)
-        job.sent_to, job.sent_epoch = scheduler, epoch
+        # Within a claim, a scheduler knows what it has started.
+        term = client.term()
+        job.is_resumed |= bool(job.sent_to) and (job.sent_to, job.sent_term) != (scheduler, term)
+        job.sent_to, job.sent_term, job.sent_epoch = scheduler, term, epoch
         job.first_sent_at = min(job.first_sent_at, now())
         waited_ms = int((now() - job.arrived_at) * 1000)
         client.submit(
--- a/packages/daemon/cranberryshored/pool/exchange.py
+++ b/packages/daemon/cranberryshored/pool/exchange.py
@@ -190,6 +190,14 @@
             self._send_beat(scheduler, now())
         self.listener.scheduler_changed()
 
+    def term(self) -> int:
+        """Return the term of the claim of the followed scheduler, 0 if there is none."""
+        member = self.group.members.get(self.follows)
+        claim = self.group.claim if self.follows == self.own.incarnation else None
+        if member is not None:
+            claim = member.claim
+        return claim.term if claim is not None else 0
+
     def has_released(self, scheduler: str) -> bool:
         """Return whether a former scheduler can start nothing more for this instance.
 
@@ -290,6 +298,10 @@
         if self.group.claim is not None:
             self.listener.entry_lost(member.at.incarnation)
 
+    def inform(self, member: Member) -> None:
+        """Send a beat to a member now."""
+        self._send_beat(member, now())
+
     def acknowledge(self) -> None:
         """Send a beat to the scheduler now, which tells the version of the roster."""
         scheduler = self.group.members.get(self.follows)
--- a/packages/proof/cranberryshore_proof/tests/test_double_start.py
+++ b/packages/proof/cranberryshore_proof/tests/test_double_start.py
@@ -6,7 +6,7 @@
 import attrs
 import structlog
 
-from cranberryshore.messages import Beat
+from cranberryshore.messages import Beat, SubmitWork
 from cranberryshore.pool import (
     Claim,
     EndKind,
@@ -23,6 +23,7 @@
     WorkerStatus,
     WorkRequest,
 )
+from cranberryshore.pool.stream import StreamPosition
 from cranberryshore.pool.tests.unlimited_rights import UnlimitedRights
 from cranberryshore.work import Capacity
 from cranberryshore_proof.pool_deployment import (
@@ -399,6 +400,25 @@
         self.assertEqual(self.simulate(scenario, 2).faults, [])
 
 
+class EarlierClaimTest(DoubleStartTest):
+    def test_job_submitted_under_an_earlier_claim_is_not_started(self):
+        # A scheduler that ends its claim forgets which tasks it has started.
+        async def scenario(deployment: PoolDeployment) -> None:
+            scheduler = deployment.scheduler_number()
+            daemon = deployment.daemons[deployment.address(scheduler)]
+            entry = deployment.daemons[deployment.address(scheduler + 2)]
+            sender = entry.group.own.incarnation
+            request = WorkRequest("j", "q", "", (StepSpec(1, Capacity(1000), 900),), BUDGET_MS)
+            term, epoch = daemon.group.claim.term, entry.exchange.epoch
+            for claim, expected in ((term - 1, set()), (term, {"j"})):
+                place, clock = StreamPosition(1, 1, 1), deployment.now()
+                message = SubmitWork(place, request, epoch, clock, claim)
+                daemon.handle_message(sender, message)
+                self.assertEqual(daemon.scheduling.scheduler.jobs.keys(), expected)
+
+        self.simulate(scenario, 2)
+
+
 class ReturnedJobTest(TestCase):
     """An entry instance has left a scheduler and returned without being heard meanwhile."""
 
