Request missing owner reports again when a session with a worker opens

An instance that learns from a rejected start that its ownership was closed leaves the job's outcome to the workers' reports, and takes a new incarnation at once. The new incarnation replaces every session with a worker, so the requests for reports that were sent on the old sessions were lost (debug log: "Could not send to the worker.", error=closed). Nobody repeated them within the 0.3 s that are waited for reports, and the caller was told truth_pending, may_have_run, although every worker was there and nothing had run.

The closures now request the reports that are missing whenever a session opens.

The regression test fails before and holds after.

--- a/packages/daemon/cranberryshored/jobs/closures.py
+++ b/packages/daemon/cranberryshored/jobs/closures.py
@@ -86,6 +86,15 @@
             closure.on_report(worker, report.tasks)
             self.report_received.set()
 
+    def on_worker_opened(self, worker: OwnedWorker) -> None:
+        """Request the missing reports in a new session; the old one may have lost the request."""
+        link = self.links.open_link(worker)
+        if link is None:
+            return
+        for closure in self.closures.values():
+            if worker in closure.workers and worker not in closure.reports:
+                link.request_owner_report(closure.owner)
+
     async def _close(self, issuer: Incarnation) -> Result[OwnerClosure, JobOutcome]:
         record = await self._close_record(issuer)
         if isinstance(record, Err):
--- a/packages/daemon/cranberryshored/jobs/service.py
+++ b/packages/daemon/cranberryshored/jobs/service.py
@@ -124,6 +124,7 @@
         """See :class:`WorkerEvents`."""
         self.log.info("Worker session opened.", worker=worker.name)
         self.handle(WorkerOpened(worker.name, frame.worker_incarnation, frame.known))
+        self.closures.on_worker_opened(worker)
 
     def worker_lost(self, worker: OwnedWorker) -> None:
         """See :class:`WorkerEvents`."""
--- /dev/null
+++ b/packages/proof/cranberryshore_proof/tests/test_closed_issuer.py
@@ -0,0 +1,99 @@
+import asyncio
+import logging
+from unittest import TestCase
+
+import attrs
+import structlog
+from result import Result
+
+from cranberryshore.errors import ExecutionStatus, Refusal
+from cranberryshore.identity import SubmissionId
+from cranberryshore.messages import JobAnswer
+from cranberryshore.work import Capacity, JobRequest, JobState, TaskSpec
+from cranberryshore_proof.deployment import DeploymentShape, EntryNode, SimulatedDeployment
+from cranberryshore_proof.virtual_loop import run_virtual
+
+SHAPE = DeploymentShape(zones=("zone-a",), entries=2, workers=2)
+REQUEST = JobRequest(tuple(TaskSpec(Capacity(1000, 100, 0), 50) for _ in range(2)))
+CALLER = "desk"
+WAIT_MS = 1000
+RETRY_SECONDS = 0.2
+
+
+def claim_of(result: Result[JobAnswer, Refusal]) -> ExecutionStatus | None:
+    """Return what an answer says about the job; ``None`` if the job has not failed."""
+    if result.is_err():
+        return result.err_value.claim
+    failure = result.ok_value.failure
+    return None if failure is None else failure.claim
+
+
+@attrs.define(eq=False)
+class ClosedIssuer:
+    """An issuer that is cut off from its peer or frozen while the peer closes its ownership."""
+
+    deployment: SimulatedDeployment = attrs.field(factory=lambda: SimulatedDeployment(1, SHAPE))
+
+    @property
+    def issuer(self) -> EntryNode:
+        return self.deployment.entries[0]
+
+    @property
+    def peer(self) -> EntryNode:
+        return self.deployment.entries[1]
+
+    async def start(self) -> SubmissionId:
+        """Start the deployment; return an id of the issuer."""
+        await self.deployment.start()
+        await asyncio.sleep(5.0)
+        now = asyncio.get_running_loop().time()
+        return self.issuer.daemon.ownership.ledger.issue(CALLER, 1, now)[0]
+
+    async def report_as_not_run(self, id: SubmissionId) -> None:
+        """Submit at the peer until it reports that the job has not run."""
+        while True:
+            result = await self.submit(self.peer, id)
+            if claim_of(result) is ExecutionStatus.NOT_RUN:
+                return
+            await asyncio.sleep(RETRY_SECONDS)
+
+    async def submit(self, entry: EntryNode, id: SubmissionId) -> Result[JobAnswer, Refusal]:
+        """Submit the job and wait for its outcome, as the HTTP route does."""
+        router = entry.daemon.router
+
+        async def run() -> Result[JobAnswer, Refusal]:
+            answer = await router.submit(id, CALLER, REQUEST)
+            if answer.is_err() or answer.ok_value.state is JobState.FAILED:
+                return answer
+            return await router.query(id, CALLER, WAIT_MS)
+
+        return await self.deployment.network.spawn(entry.name, run())
+
+    def task_starts(self) -> int:
+        """Return the number of tasks that workers have started."""
+        models = [model for worker in self.deployment.workers.values() for model in worker.models]
+        return sum(len(model.starts) for model in models)
+
+
+class ClosedIssuerTest(TestCase):
+    def setUp(self):
+        quiet = structlog.make_filtering_bound_logger(logging.CRITICAL)
+        structlog.configure(wrapper_class=quiet)
+
+    def test_reports_are_requested_again_in_new_sessions(self):
+        # Regression: an issuer learned from a rejected start that it was closed, and lost the
+        # requests for reports with its old sessions, so its caller was told *may have run*.
+        async def run() -> tuple[ExecutionStatus | None, float, int]:
+            play = ClosedIssuer()
+            id = await play.start()
+            play.deployment.network.cut(play.issuer.name, play.peer.name)
+            await play.report_as_not_run(id)
+            started_at = asyncio.get_running_loop().time()
+            result = await play.submit(play.issuer, id)
+            seconds = asyncio.get_running_loop().time() - started_at
+            return claim_of(result), seconds, play.task_starts()
+
+        claim, seconds, task_starts = run_virtual(run())
+        self.assertIs(claim, ExecutionStatus.NOT_RUN)
+        self.assertLess(seconds, 0.1)
+        self.assertEqual(task_starts, 0)
