Wait as long as the caller asked for an outcome that is left to the workers

When a job's issuer lost its ownership while a caller waited, the outcome was asked of the workers without any wait: a report that did not come within 0.3 s made the answer truth_pending, may_have_run, even if the caller had asked to wait longer. The rest of the caller's wait is now passed on.

Evidence: in virtual time, a closed issuer whose link to a worker without tasks heals after 0.5 s, and a caller that waits 1 s: may_have_run before, not_run after.

--- a/packages/daemon/cranberryshored/jobs/router.py
+++ b/packages/daemon/cranberryshored/jobs/router.py
@@ -126,9 +126,11 @@
         answer = self._answer_to(caller, id)
         if isinstance(answer, Err) or wait_ms <= 0:
             return answer
+        loop = asyncio.get_running_loop()
+        deadline = loop.time() + wait_ms / 1000
         await self.jobs.wait(self.jobs.dispatcher.jobs[str(id)], wait_ms / 1000)
         if str(id) not in self.jobs.dispatcher.jobs:
-            return await self.query(id, caller, 0)
+            return await self.query(id, caller, max(int((deadline - loop.time()) * 1000), 0))
         return self._answer_to(caller, id)
 
     def _retain_refusal(self, key: str, refusal: Refusal) -> None:
--- a/packages/proof/cranberryshore_proof/tests/test_closed_issuer.py
+++ b/packages/proof/cranberryshore_proof/tests/test_closed_issuer.py
@@ -69,6 +69,11 @@
 
         return await self.deployment.network.spawn(entry.name, run())
 
+    async def heal_worker(self, name: str, seconds: float) -> None:
+        """Restore the issuer's link to a worker after a time."""
+        await asyncio.sleep(seconds)
+        self.deployment.network.heal(self.issuer.name, name)
+
     def task_starts(self) -> int:
         """Return the number of tasks that workers have started."""
         models = [model for worker in self.deployment.workers.values() for model in worker.models]
@@ -97,3 +102,23 @@
         self.assertIs(claim, ExecutionStatus.NOT_RUN)
         self.assertLess(seconds, 0.1)
         self.assertEqual(task_starts, 0)
+
+    def test_outcome_from_workers_is_awaited_as_long_as_the_caller_waits(self):
+        # Regression: a caller that waited for 1 s was told *may have run* 0.3 s after its job had
+        # been left to the workers' reports, although the last report came within its time.
+        async def run(worker_number: int) -> tuple[ExecutionStatus | None, int]:
+            play = ClosedIssuer()
+            id = await play.start()
+            network = play.deployment.network
+            network.cut(play.issuer.name, play.peer.name)
+            await play.report_as_not_run(id)
+            worker = list(play.deployment.workers)[worker_number]
+            network.cut(play.issuer.name, worker)
+            healing = asyncio.create_task(play.heal_worker(worker, 0.5))
+            result = await play.submit(play.issuer, id)
+            await healing
+            return claim_of(result), play.task_starts()
+
+        for worker_number in range(SHAPE.workers):
+            with self.subTest(worker_number=worker_number):
+                self.assertEqual(run_virtual(run(worker_number)), (ExecutionStatus.NOT_RUN, 0))
