Keep a key bound for its whole retention, also the last one under a lease

Bindings made within an hour share one store lease, which was granted for the 24 h of retention at the beginning of that hour. A key bound at its end was deleted after 23 h, so a job resubmitted under its key in the last hour got a new id and would have run again. The lease is now granted for the retention and the hour of reuse.

Evidence: test with a store in memory and a clock set by hand; fails before, holds after.

--- a/packages/daemon/cranberryshored/jobs/bindings.py
+++ b/packages/daemon/cranberryshored/jobs/bindings.py
@@ -67,7 +67,7 @@
     async def _current_lease(self, now: float) -> str:
         if now < self.lease_reusable_until:
             return self.lease
-        granted = await self.store.grant_lease(KEY_RETENTION_SECONDS)
+        granted = await self.store.grant_lease(KEY_RETENTION_SECONDS + LEASE_REUSE_SECONDS)
         if isinstance(granted, Err):
             return ""
         self.lease = granted.ok_value
