Obtain a new lease for keys after the store has revoked one

A lease is used for an hour without asking the store. If the store revoked it before, every write under it failed, and every job with an idempotency key was refused as store_unavailable for the rest of that hour. A binding that is not in the store after a failed write now ends the use of the lease, so that the caller's retry obtains another.

Evidence: test with a store in memory that rejects unknown leases; fails before, holds after. The stand-in of the store accepts any lease, so no process test shows this.

--- a/packages/daemon/cranberryshored/jobs/bindings.py
+++ b/packages/daemon/cranberryshored/jobs/bindings.py
@@ -60,7 +60,11 @@
             return Ok(id)
         # After a conflict or a lost reply, the store holds the id that is bound.
         read = await self.store.get(path)
-        if isinstance(read, Err) or read.ok_value is None:
+        if isinstance(read, Err):
+            return Err(_unavailable())
+        if read.ok_value is None:
+            # The store may have revoked the lease.
+            self.lease_reusable_until = 0.0
             return Err(_unavailable())
         return parse_submission_id(read.ok_value.value)
 
--- a/packages/daemon/cranberryshored/tests/test_bindings.py
+++ b/packages/daemon/cranberryshored/tests/test_bindings.py
@@ -79,3 +79,11 @@
         self.store.now = bound_at + KEY_RETENTION_SECONDS - 1.0
         self.store.model.expire(self.store.now)
         self.assertEqual((await self.bind("last")).unwrap(), id)
+
+    async def test_lease_that_the_store_has_revoked_is_replaced(self):
+        # Regression: a revoked lease was used for the rest of its hour, and every key was refused.
+        (await self.bind("first")).unwrap()
+        self.store.model.leases.clear()
+        self.assertTrue((await self.bind("second")).is_err())
+        self.store.now = 1.0
+        self.assertTrue((await self.bind("second")).is_ok())
