Ignore the heartbeat of a replaced process while its replacement is live

A heartbeat of an incarnation that a peer had not known retired all other incarnations of the same instance for good. If a replaced process was paused and resumed, and a peer had started in between, its first heartbeat retired the live replacement there: the peer gave it no work and no loans, and closed its ownership at the first question for one of its jobs, without any silence. The heartbeat of an incarnation with an earlier start time is now ignored while a later one is live.

An instance restarted with a clock set back is accepted once the old incarnation is suspected.

--- a/packages/core/cranberryshore/membership/peer_table.py
+++ b/packages/core/cranberryshore/membership/peer_table.py
@@ -80,6 +80,8 @@
             return []
         peer = self.peers.get(incarnation)
         if peer is None:
+            if self._is_replaced(incarnation):
+                return []
             changes = self._retire_other_incarnations(incarnation)
             self.peers[incarnation] = Peer(incarnation, address, now, is_draining=is_draining)
             return [*changes, MemberJoined(incarnation)]
@@ -135,14 +137,20 @@
         peer = self.peers.get(incarnation)
         return None if peer is None else peer.state
 
+    def _is_replaced(self, incarnation: Incarnation) -> bool:
+        """Return whether a live peer is a later process of the same instance."""
+        return any(
+            peer.state is PeerState.LIVE
+            and _is_same_instance(peer.incarnation, incarnation)
+            and peer.incarnation.started_at > incarnation.started_at
+            for peer in self.peers.values()
+        )
+
     def _retire_other_incarnations(self, incarnation: Incarnation) -> list[MembershipChange]:
         """Mark the other known incarnations of an instance as left."""
         changes: list[MembershipChange] = []
         for peer in self.peers.values():
-            is_same_instance = (peer.incarnation.zone, peer.incarnation.instance) == (
-                incarnation.zone,
-                incarnation.instance,
-            )
+            is_same_instance = _is_same_instance(peer.incarnation, incarnation)
             if is_same_instance and peer.state is not PeerState.LEFT:
                 if peer.state is not PeerState.DEAD:
                     changes.append(MemberLeft(peer.incarnation))
@@ -157,3 +165,7 @@
 
 
 _INACTIVE_STATES = (PeerState.DEAD, PeerState.LEFT)
+
+
+def _is_same_instance(one: Incarnation, other: Incarnation) -> bool:
+    return (one.zone, one.instance) == (other.zone, other.instance)
--- a/packages/core/cranberryshore/membership/tests/test_peer_table.py
+++ b/packages/core/cranberryshore/membership/tests/test_peer_table.py
@@ -34,6 +34,19 @@
         changes = self.table.record_heartbeat(again, "x", False, 0.1)
         self.assertEqual(changes, [MemberLeft(ONE), MemberJoined(again)])
 
+    def test_heartbeat_of_an_earlier_process_does_not_retire_a_live_peer(self):
+        # Regression: a replaced process that was resumed retired its live replacement for good at
+        # a peer that had not known it, and the peer then closed the replacement's ownership.
+        earlier = Incarnation("a", "e1", "0" * 16)
+        self.assertEqual(self.table.record_heartbeat(earlier, "x", False, 0.1), [])
+        self.assertEqual([peer.incarnation for peer in self.table.live()], [ONE])
+
+    def test_peer_restarted_with_an_earlier_clock_is_accepted_after_the_old_one_is_silent(self):
+        again = Incarnation("a", "e1", "0" * 16)
+        changes = self.run_ticks(2.5, (again,))
+        self.assertIn(MemberJoined(again), changes)
+        self.assertEqual([peer.incarnation for peer in self.table.live()], [again])
+
     def test_peer_that_left_is_not_revived_by_a_late_heartbeat(self):
         self.table.leave(ONE)
         self.assertEqual(self.table.record_heartbeat(ONE, "x", False, 0.2), [])
