Simulated network: deliver messages with the same arrival time in order

A message that would overtake an earlier one gets the arrival time of that one, but timers of the same time are not called in the order in which they were set. Each pair of nodes now has a queue of the messages in transit; times and random draws stay the same.

run_virtual also failed for a coroutine that leaves no tasks, as that of the test does.

--- a/packages/proof/cranberryshore_proof/network.py
+++ b/packages/proof/cranberryshore_proof/network.py
@@ -1,6 +1,7 @@
 """Simulated network in virtual time, with delays, cut links, and frozen and killed nodes."""
 
 import asyncio
+from collections import deque
 from collections.abc import Callable
 from contextvars import Context, ContextVar
 from random import Random
@@ -20,8 +21,8 @@
     Messages over a cut link or to a frozen node wait until it is healed or unfrozen, as in the
     buffers of a TCP connection; further ones are dropped while ``MAX_BLOCKED_MESSAGES`` wait from
     one node to another. Each restart of a node begins a new run; messages from and to a killed
-    run are dropped. The keys of ``waiting`` and of ``last_arrival_at``, which keeps messages in
-    order, are source and target.
+    run are dropped. The keys of ``waiting``, of ``in_transit`` and of
+    ``last_arrival_at``, which keeps messages in order, are source and target.
     """
 
     random: Random
@@ -32,6 +33,7 @@
     dead: set[str] = attrs.field(factory=set)
     waiting: dict[tuple[str, str], list[Callable[[], None]]] = attrs.field(factory=dict)
     last_arrival_at: dict[tuple[str, str], float] = attrs.field(factory=dict)
+    in_transit: dict[tuple[str, str], deque[Callable[[], None]]] = attrs.field(factory=dict)
     tasks: dict[str, dict[asyncio.Task, None]] = attrs.field(factory=dict)
 
     def is_blocked(self, source: str, target: str) -> bool:
@@ -64,8 +66,11 @@
                 return
             deliver()
 
+        # Timers of the same time may be called in another order than that of the messages.
+        in_transit = self.in_transit.setdefault(key, deque())
+        in_transit.append(arrive)
         # An empty context, so that a sent message arrives even while its sender is frozen.
-        loop.call_at(at, arrive, context=Context())
+        loop.call_at(at, lambda: in_transit.popleft()(), context=Context())
 
     def cut(self, first: str, second: str) -> None:
         """Cut the link between two nodes."""
--- a/packages/proof/cranberryshore_proof/virtual_loop.py
+++ b/packages/proof/cranberryshore_proof/virtual_loop.py
@@ -119,7 +119,8 @@
         tasks = asyncio.all_tasks(loop)
         for task in tasks:
             task.cancel()
-        loop.run_until_complete(asyncio.gather(*tasks, return_exceptions=True))
+        if tasks:
+            loop.run_until_complete(asyncio.gather(*tasks, return_exceptions=True))
     finally:
         loop.close()
     return result
