Place nothing on borrowed capacity after a pause

A lender that counts a borrower as dead (1.5 s of silence) writes its loans off. A borrower that was only paused went on using them: workers reject what exceeds their capacity, but upstreams do not report usage, so an upstream ran up to twice as many requests as it has slots until the borrower's queue was empty. After more than 0.5 s without an input, the balancer now counts all loans as recalled, returns the idle ones and reports those in use to the assignee.

A grant that was on its way during the pause is still used, and the pause of an assignee is not covered: it uses its slots for one service time beside the peers that took them over.

--- a/packages/core/cranberryshore/dispatch/dispatcher.py
+++ b/packages/core/cranberryshore/dispatch/dispatcher.py
@@ -98,7 +98,8 @@
 
         ``now`` is in seconds on this instance's monotonic clock.
         """
-        effects = self.handlers[type(input)](input, now)
+        effects = self.loan_balancer.check_pause(now)
+        effects += self.handlers[type(input)](input, now)
         effects += self.placer.place_waiting(now)
         effects += self.loan_balancer.balance(self.placer.backlog, now)
         return effects
--- a/packages/core/cranberryshore/dispatch/lending.py
+++ b/packages/core/cranberryshore/dispatch/lending.py
@@ -10,6 +10,7 @@
 
 REQUEST_REPEAT_SECONDS = 0.5
 MIN_REQUEST_INTERVAL_SECONDS = 0.002
+PAUSE_THRESHOLD_SECONDS = 0.5
 
 
 @attrs.frozen
@@ -35,17 +36,34 @@
         Time of the last loan request, or ``None`` if none is open.
     outstanding_count : int
         Requested copies of the demand not granted yet.
+    checked_at : float or None
+        Time of the last check for a pause of this process.
     """
 
     pool: SharedPool
     requested_at: float | None = None
     outstanding_count: int = 0
+    checked_at: float | None = None
 
     def is_idle(self) -> bool:
         """Return whether there is no open request, no borrowed capacity and no peer to serve."""
         pool = self.pool
         return self.requested_at is None and not pool.borrowed_resources and not pool.loan_requests
 
+    def check_pause(self, now: float) -> list[out.Effect]:
+        """After a pause of this process, place nothing more on loans, and report those in use.
+
+        The lenders may have counted this instance as dead and its loans as free.
+        """
+        gap = 0.0 if self.checked_at is None else now - self.checked_at
+        self.checked_at = now
+        if gap <= PAUSE_THRESHOLD_SECONDS:
+            return []
+        self.pool.recall(self.pool.borrowed_resources)
+        effects = self._return_borrowed(only_recalled=True)
+        held = self.pool.held_loans()
+        return [*effects, out.ReportHeldLoans(tuple(held))] if held else effects
+
     def balance(self, backlog: Backlog | None, now: float) -> list[out.Effect]:
         """Return the effects that the current backlog requires."""
         if backlog is not None:
--- a/packages/core/cranberryshore/placement/shared_pool.py
+++ b/packages/core/cranberryshore/placement/shared_pool.py
@@ -168,6 +168,12 @@
         }
         return held
 
+    def held_loans(self) -> list[Grant]:
+        """Return the capacity that this instance has borrowed."""
+        return [
+            Grant(name, self.members[name].borrowed) for name in sorted(self.borrowed_resources)
+        ]
+
     def record_loans(self, peer: str, grants: Iterable[Grant]) -> None:
         """Record the capacity a peer already holds on resources newly assigned here."""
         for grant in grants:
--- a/packages/core/cranberryshore/requests/gate.py
+++ b/packages/core/cranberryshore/requests/gate.py
@@ -126,15 +126,16 @@
 
     def admit(self, ticket: Ticket, now: float) -> list[out.Effect]:
         """Assign a slot to a request, queue it or refuse it."""
+        effects = self.loan_balancer.check_pause(now)
         ticket.refusal = self._refusal(ticket, now)
         if ticket.refusal is not None:
-            return [TicketDecided(ticket)]
+            return [*effects, TicketDecided(ticket)]
         if self.waiting == 0 and self._place(ticket, now):
             # With an empty queue, bypassing it overtakes no other request.
-            return [TicketDecided(ticket)]
+            return [*effects, TicketDecided(ticket)]
         self.waiting += 1
         self.queue.push(ticket.team, ticket.is_urgent, ticket)
-        return self.advance(now)
+        return effects + self.advance(now)
 
     def finish(self, upstream: str, now: float, service_ms: float, is_ok: bool) -> list[out.Effect]:
         """Release the slot of a request that has ended."""
@@ -155,7 +156,7 @@
 
     def advance(self, now: float) -> list[out.Effect]:
         """Assign free slots to waiting requests and balance slots with the peers."""
-        effects: list[out.Effect] = []
+        effects = self.loan_balancer.check_pause(now)
         if self.waiting == 0 and self.loan_balancer.is_idle():
             return effects
         backlog = None
@@ -191,9 +192,10 @@
 
     def loan_granted(self, grants: tuple[Grant, ...], now: float) -> list[out.Effect]:
         """Add slots lent by a peer and assign them."""
+        effects = self.loan_balancer.check_pause(now)
         self.pool.borrow(grants)
         self.loan_balancer.on_granted(ONE_SLOT, grants)
-        return self.advance(now)
+        return effects + self.advance(now)
 
     def wait_ms(self) -> float:
         """Estimate the queueing delay of a newly accepted request in milliseconds."""
