Close a replaced worker for placement before the owner record drops it

The owner record says of each past worker which ids are too new to have been started there. When the instance list showed a new incarnation of a worker, the old one was closed for placement only after the write of the record. If the write took effect and its answer was lost in a store outage, the issuer went on starting newly issued ids on the old incarnation, which the record excludes. After the issuer's death a peer did not count that worker and reported such a job as not run although it had run. A worker is now closed for placement as soon as the list shows another incarnation, as one that has left the list already was.

--- a/packages/daemon/cranberryshored/zone.py
+++ b/packages/daemon/cranberryshored/zone.py
@@ -185,7 +185,9 @@
         self.closures.listed_workers = {item.name: item.incarnation for item in workers}
         live = {item.name: item for item in workers if not item.is_leaving}
         for item in self.workers.values():
-            if item.name not in live:
+            listed = live.get(item.name)
+            if listed is None or listed.incarnation != item.incarnation:
+                # Before the owner record is written, which states that later ids do not use it.
                 self.jobs.handle(WorkerLost(item.name, item.incarnation, is_leaving=True))
         self.workers = live
         self.workers_changed.set()
--- a/packages/proof/cranberryshore_proof/tests/test_closed_issuer.py
+++ b/packages/proof/cranberryshore_proof/tests/test_closed_issuer.py
@@ -57,15 +57,21 @@
                 return
             await asyncio.sleep(RETRY_SECONDS)
 
-    async def submit(self, entry: EntryNode, id: SubmissionId) -> Result[JobAnswer, Refusal]:
+    async def submit(
+        self,
+        entry: EntryNode,
+        id: SubmissionId,
+        wait_ms: int = WAIT_MS,
+        request: JobRequest = REQUEST,
+    ) -> Result[JobAnswer, Refusal]:
         """Submit the job and wait for its outcome, as the HTTP route does."""
         router = entry.daemon.router
 
         async def run() -> Result[JobAnswer, Refusal]:
-            answer = await router.submit(id, CALLER, REQUEST)
+            answer = await router.submit(id, CALLER, request)
             if answer.is_err() or answer.ok_value.state is JobState.FAILED:
                 return answer
-            return await router.query(id, CALLER, WAIT_MS)
+            return await router.query(id, CALLER, wait_ms)
 
         return await self.deployment.network.spawn(entry.name, run())
 
@@ -122,3 +128,33 @@
         for worker_number in range(SHAPE.workers):
             with self.subTest(worker_number=worker_number):
                 self.assertEqual(run_virtual(run(worker_number)), (ExecutionStatus.NOT_RUN, 0))
+
+    def test_replaced_worker_receives_no_tasks_of_ids_that_its_record_excludes(self):
+        # Regression: an issuer went on using a worker whose replacement was listed, while a write
+        # without a reply had already recorded that it does not, and a peer reported *not run*.
+        async def run() -> tuple[ExecutionStatus | None, int]:
+            play = ClosedIssuer(SimulatedDeployment(1, attrs.evolve(SHAPE, workers=1)))
+            deployment = play.deployment
+            await play.start()
+            (worker,) = deployment.workers.values()
+            deployment.store.replies_to_lose = 2
+            deployment.instances[worker.name] = attrs.evolve(
+                deployment.instances[worker.name], incarnation="run-2"
+            )
+            now = asyncio.get_running_loop().time()
+            deployment.instance_list.publish(now, deployment.instances)
+            while deployment.store.replies_to_lose:
+                await asyncio.sleep(0.001)
+            deployment.store.is_down = True
+            now = asyncio.get_running_loop().time()
+            id = play.issuer.daemon.ownership.ledger.issue(CALLER, 1, now)[0]
+            await play.submit(play.issuer, id)
+            task_starts = play.task_starts()
+            play.issuer.kill()
+            worker.kill()
+            worker.launch()
+            deployment.store.is_down = False
+            await asyncio.sleep(6.0)
+            return claim_of(await play.submit(play.peer, id)), task_starts
+
+        self.assertEqual(run_virtual(run()), (ExecutionStatus.NOT_RUN, 0))
