Do not count a pause of the process as silence of its workers

After a pause of more than 3 s, a tick that came before the workers' waiting messages were read counted every worker as lost and failed every running job as task_lost, may_have_run. As in the table of peers, a gap between two checks now leaves no worker silent for more than half of the timeout.

Evidence: in virtual time, a task of 6 s, the issuer frozen for 4 s, messages delivered 0.1 s after it is resumed: task_lost before, complete after.

--- a/packages/daemon/cranberryshored/jobs/workers.py
+++ b/packages/daemon/cranberryshored/jobs/workers.py
@@ -74,10 +74,18 @@
         return link
 
     def check_silence(self, now: float) -> None:
-        """Let each session check whether its worker has been silent for too long."""
-        if now - self.checked_at < SILENCE_CHECK_INTERVAL_SECONDS:
+        """Let each session check whether its worker has been silent for too long.
+
+        After a pause of this process, no worker counts as silent for more than half of the
+        timeout: its messages may be waiting to be read.
+        """
+        gap = now - self.checked_at
+        if gap < SILENCE_CHECK_INTERVAL_SECONDS:
             return
         self.checked_at = now
+        max_silence = self.silence_timeout_seconds / 2
         for link in self.links.values():
+            if gap > max_silence:
+                link.last_received_at = max(link.last_received_at, now - max_silence)
             link.check_silence(now)
         self.metrics.open_workers.set(sum(link.is_open for link in self.links.values()))
--- a/packages/proof/cranberryshore_proof/tests/test_closed_issuer.py
+++ b/packages/proof/cranberryshore_proof/tests/test_closed_issuer.py
@@ -129,6 +129,30 @@
             with self.subTest(worker_number=worker_number):
                 self.assertEqual(run_virtual(run(worker_number)), (ExecutionStatus.NOT_RUN, 0))
 
+    def test_paused_issuer_keeps_its_workers(self):
+        # Regression: an instance counted its own pause as silence of its workers, and failed the
+        # jobs that ran on them as lost.
+        async def run() -> JobAnswer:
+            play = ClosedIssuer()
+            id = await play.start()
+            request = JobRequest((TaskSpec(Capacity(1000, 100, 0), 6000),))
+            answer = asyncio.create_task(play.submit(play.issuer, id, 9000, request))
+            await asyncio.sleep(1.0)
+            play.deployment.network.freeze(play.issuer.name)
+            await asyncio.sleep(4.0)
+            # The first tick comes before the messages of the workers are read.
+            network = play.deployment.network
+            for worker in play.deployment.workers:
+                network.cut(play.issuer.name, worker)
+            network.unfreeze(play.issuer.name)
+            await asyncio.sleep(0.1)
+            for worker in play.deployment.workers:
+                network.heal(play.issuer.name, worker)
+            return (await answer).unwrap()
+
+        answer = run_virtual(run())
+        self.assertIs(answer.state, JobState.COMPLETE, answer.failure)
+
     def test_replaced_worker_receives_no_tasks_of_ids_that_its_record_excludes(self):
         # Regression: an issuer went on using a worker whose replacement was listed, while a write
         # without a reply had already recorded that it does not, and a peer reported *not run*.
