Do not report a job as not run when its records may have been evicted

Workers evict the records of ended tasks (the stand-in 120 s after their start). When the issuer had died after that, the workers' reports held nothing on the job, and a peer reported it as not run although it had run to its end. OwnerReport now names the highest sequence number of an id of which the worker has evicted records. Ids up to it of which no record is left are answered id_expired, may_have_run; later ones are reported as not run as before. Ids that were obtained early and never used are therefore answered less precisely than before.

The worker's interface changes: a worker that does not send the field counts as one that has evicted nothing.

--- a/packages/core/cranberryshore/messages/worker.py
+++ b/packages/core/cranberryshore/messages/worker.py
@@ -109,11 +109,16 @@
 
 @attrs.frozen
 class OwnerReport:
-    """Reply to ``CloseOwner``: the records of the owner's tasks."""
+    """Reply to ``CloseOwner``: the records of the owner's tasks.
+
+    ``evicted_through`` is the highest sequence number of a job id of which the worker has evicted
+    records, -1 if there is none.
+    """
 
     number: int
     owner: str
     tasks: tuple[TaskRecord, ...]
+    evicted_through: int = -1
 
 
 Frame = (
--- a/packages/core/cranberryshore/ownership/closure.py
+++ b/packages/core/cranberryshore/ownership/closure.py
@@ -64,6 +64,8 @@
         Task records by worker, job id and task index, for each worker that has reported.
     lost_workers : set of OwnedWorker
         Workers that no longer exist and have not reported.
+    evicted_through : int
+        Highest sequence number of an id of which a worker has evicted records, -1 if none.
     """
 
     owner: str
@@ -71,13 +73,17 @@
     below: dict[OwnedWorker, int] = attrs.field(factory=dict)
     reports: dict[OwnedWorker, dict[str, dict[int, TaskRecord]]] = attrs.field(factory=dict)
     lost_workers: set[OwnedWorker] = attrs.field(factory=set)
+    evicted_through: int = -1
 
-    def on_report(self, worker: OwnedWorker, tasks: tuple[TaskRecord, ...]) -> None:
+    def on_report(
+        self, worker: OwnedWorker, tasks: tuple[TaskRecord, ...], evicted_through: int = -1
+    ) -> None:
         """Record the report of a worker, replacing an earlier one."""
         by_job: dict[str, dict[int, TaskRecord]] = {}
         for task in tasks:
             by_job.setdefault(task.job, {})[task.index] = task
         self.reports[worker] = by_job
+        self.evicted_through = max(self.evicted_through, evicted_through)
         self.lost_workers.discard(worker)
 
     def on_worker_lost(self, worker: OwnedWorker) -> None:
@@ -149,6 +155,9 @@
             names = ", ".join(sorted(worker.name for worker in lost_workers))
             detail = f"The issuer has died, and so has what its workers knew: {names}."
             return _failed(ErrorType.OWNER_LOST, ExecutionStatus.MAY_HAVE_RUN, detail)
+        if id.sequence <= self.evicted_through:
+            detail = "The issuer has died, and its workers may have evicted the job's records."
+            return _failed(ErrorType.ID_EXPIRED, ExecutionStatus.MAY_HAVE_RUN, detail)
         detail = "The issuer died before any task was started, and none will be; use a new id."
         return _failed(ErrorType.OWNER_LOST, ExecutionStatus.NOT_RUN, detail)
 
--- a/packages/core/cranberryshore/ownership/tests/test_closure.py
+++ b/packages/core/cranberryshore/ownership/tests/test_closure.py
@@ -55,6 +55,13 @@
         self.closure.on_report(TWO, ())
         self.assertEqual(self.claim(), (JobOutcomeKind.FAILED, ExecutionStatus.MAY_HAVE_RUN))
 
+    def test_evicted_records_leave_older_jobs_uncertain(self):
+        self.closure.on_report(ONE, (), ID.sequence)
+        self.closure.on_report(TWO, ())
+        self.assertEqual(self.claim(), (JobOutcomeKind.FAILED, ExecutionStatus.MAY_HAVE_RUN))
+        newer = self.closure.job_outcome(SubmissionId(OWNER, ID.sequence + 1), "desk")
+        self.assertIs(newer.refusal.claim, ExecutionStatus.NOT_RUN)
+
     def test_past_worker_concerns_older_ids_only(self):
         # Regression (seed 20033): the record dropped a replaced worker that had run the job.
         record_ = OwnerRecord(str(OWNER), (ONE, TWO)).with_workers(frozenset({ONE}), 5)
--- a/packages/daemon/cranberryshored/jobs/closures.py
+++ b/packages/daemon/cranberryshored/jobs/closures.py
@@ -83,7 +83,7 @@
         """Handle a worker's report on the tasks of an owner."""
         closure = self.closures.get(report.owner)
         if closure is not None and worker in closure.workers:
-            closure.on_report(worker, report.tasks)
+            closure.on_report(worker, report.tasks, report.evicted_through)
             self.report_received.set()
 
     def on_worker_opened(self, worker: OwnedWorker) -> None:
--- a/packages/proof/cranberryshore_proof/tests/test_closed_issuer.py
+++ b/packages/proof/cranberryshore_proof/tests/test_closed_issuer.py
@@ -153,6 +153,25 @@
         answer = run_virtual(run())
         self.assertIs(answer.state, JobState.COMPLETE, answer.failure)
 
+    def test_job_whose_records_were_evicted_is_not_reported_as_not_run(self):
+        # Regression: workers evict the records of ended tasks after a while, and a peer reported
+        # a job that had run as not run when its issuer had died after that.
+        async def run() -> tuple[ExecutionStatus | None, ExecutionStatus | None]:
+            play = ClosedIssuer()
+            id = await play.start()
+            (await play.submit(play.issuer, id)).unwrap()
+            now = asyncio.get_running_loop().time()
+            newer = play.issuer.daemon.ownership.ledger.issue(CALLER, 1, now)[0]
+            play.issuer.kill()
+            await asyncio.sleep(4.0)
+            for worker in play.deployment.workers.values():
+                worker.model.evict_ended_tasks(asyncio.get_running_loop().time())
+            answers = [await play.submit(play.peer, one) for one in (id, newer)]
+            return claim_of(answers[0]), claim_of(answers[1])
+
+        claims = run_virtual(run())
+        self.assertEqual(claims, (ExecutionStatus.MAY_HAVE_RUN, ExecutionStatus.NOT_RUN))
+
     def test_replaced_worker_receives_no_tasks_of_ids_that_its_record_excludes(self):
         # Regression: an issuer went on using a worker whose replacement was listed, while a write
         # without a reply had already recorded that it does not, and a peer reported *not run*.
--- a/packages/standins/cranberryshore_standins/worker_model.py
+++ b/packages/standins/cranberryshore_standins/worker_model.py
@@ -70,7 +70,7 @@
     """The worker's state for one owner.
 
     ``session`` is the latest session, ``ready`` holds the results that are not yet in a frame, and
-    ``unacknowledged`` the frames by sequence number.
+    ``unacknowledged`` the frames by sequence number. See ``OwnerReport`` for ``evicted_through``.
     """
 
     session: int = -1
@@ -79,6 +79,7 @@
     ready: list[tuple[str, TaskResult]] = attrs.field(factory=list)
     unacknowledged: dict[int, Results] = attrs.field(factory=dict)
     sequence: int = 0
+    evicted_through: int = -1
 
 
 @attrs.define
@@ -148,7 +149,8 @@
         """Reject further sessions and starts of an owner; return its task records."""
         state = self._owner_state(owner)
         state.is_closed = True
-        return OwnerReport(number, owner, tuple(held.record for held in state.tasks.values()))
+        records = tuple(held.record for held in state.tasks.values())
+        return OwnerReport(number, owner, records, state.evicted_through)
 
     def end_tasks(self, now: float) -> None:
         """End the tasks that are due."""
@@ -199,6 +201,8 @@
             ]
             for key in evicted_keys:
                 del state.tasks[key]
+                sequence = int(key[0].rpartition(".")[2])
+                state.evicted_through = max(state.evicted_through, sequence)
 
     def _owner_state(self, name: str) -> OwnerState:
         state = self.owners.get(name)
