Stand-in worker: keep the records of tasks whose results may not have been received

An issuer starts the tasks again that a new session of a worker does not list. The stand-in evicted the records of ended tasks 120 s after their start, also those whose result was not acknowledged: a task of over 120 s that ended while its session was broken was listed no more, and its issuer started it a second time. Such records are now kept until the owner is closed, and the interface says so.

Records of a dead owner that nobody closes stay, as its unacknowledged results did already.

--- a/packages/proof/cranberryshore_proof/tests/test_closed_issuer.py
+++ b/packages/proof/cranberryshore_proof/tests/test_closed_issuer.py
@@ -172,6 +172,29 @@
         claims = run_virtual(run())
         self.assertEqual(claims, (ExecutionStatus.MAY_HAVE_RUN, ExecutionStatus.NOT_RUN))
 
+    def test_task_whose_result_was_not_received_is_not_started_again(self):
+        # Regression: a worker evicted the record of an ended task before its result had arrived,
+        # and the issuer started the task again in the next session.
+        async def run() -> tuple[JobState, int]:
+            play = ClosedIssuer()
+            id = await play.start()
+            network, workers = play.deployment.network, play.deployment.workers
+            answer = asyncio.create_task(play.submit(play.issuer, id, 3000))
+            await asyncio.sleep(0.02)
+            for worker in workers.values():
+                network.cut(play.issuer.name, worker.name)
+            await asyncio.sleep(0.5)
+            for worker in workers.values():
+                worker.model.evict_ended_tasks(asyncio.get_running_loop().time())
+                for socket in worker.sockets.values():
+                    socket.disconnect()
+                network.heal(play.issuer.name, worker.name)
+            state = (await answer).unwrap().state
+            await asyncio.sleep(0.5)
+            return state, play.task_starts()
+
+        self.assertEqual(run_virtual(run()), (JobState.COMPLETE, len(REQUEST.tasks)))
+
     def test_replaced_worker_receives_no_tasks_of_ids_that_its_record_excludes(self):
         # Regression: an issuer went on using a worker whose replacement was listed, while a write
         # without a reply had already recorded that it does not, and a peer reported *not run*.
--- a/packages/standins/cranberryshore_standins/worker_model.py
+++ b/packages/standins/cranberryshore_standins/worker_model.py
@@ -1,6 +1,7 @@
 """Model of a worker: capacity, fencing of owners' sessions, results kept until acknowledged."""
 
 from heapq import heappop, heappush
+from itertools import chain
 
 import attrs
 
@@ -81,6 +82,11 @@
     sequence: int = 0
     evicted_through: int = -1
 
+    def unreceived_tasks(self) -> set[tuple[str, int]]:
+        """Return the job id and index of each ended task without an acknowledged result."""
+        results = chain(self.ready, *(frame.results for frame in self.unacknowledged.values()))
+        return {(job, result.index) for job, result in results}
+
 
 @attrs.define
 class WorkerModel:
@@ -192,12 +198,19 @@
         return Usage(held)
 
     def evict_ended_tasks(self, before: float) -> None:
-        """Drop the records of ended tasks that started before a time."""
+        """Drop the records of ended tasks that started before a time.
+
+        Records of results that an owner may not have received are kept until its closure, because
+        it starts the tasks again that a new session does not list.
+        """
         for state in self.owners.values():
+            kept = set() if state.is_closed else state.unreceived_tasks()
             evicted_keys = [
                 key
                 for key, held in state.tasks.items()
-                if held.started_at < before and held.record.state is not TaskRecordState.RUNNING
+                if held.started_at < before
+                and held.record.state is not TaskRecordState.RUNNING
+                and key not in kept
             ]
             for key in evicted_keys:
                 del state.tasks[key]
