Start nothing after a pause before the ownership is confirmed

An issuer that was resumed after a peer had closed its ownership accepted a waiting submission and sent a start before it learned of the closure from the worker's rejection.

The dispatcher now places nothing after a pause of more than 0.5 s until the daemon has read the owner record again: if it is closed, the waiting jobs are refused as not run and a new incarnation is taken; else placement goes on. A read that began before a further pause does not count. A read that fails counts as confirmation, so that jobs run during a store outage; they wait up to the timeout of one call. An issuer that was cut off instead of paused still learns of its closure from a rejected start, and answers from the workers' reports.

--- a/packages/core/cranberryshore/dispatch/dispatcher.py
+++ b/packages/core/cranberryshore/dispatch/dispatcher.py
@@ -37,6 +37,8 @@
     owner : str
         Text form of the current incarnation; only jobs that it issued may be started. Empty after
         its closure until the next one is set.
+    doubted_at : float or None
+        Time from which on no tasks are started until the ownership is confirmed.
     jobs : dict
         Unsettled jobs and retained settled jobs, by the text form of their id.
     late_results : int
@@ -54,6 +56,7 @@
     admission: Admission = attrs.field(init=False)
     placer: TaskPlacer = attrs.field(init=False)
     loan_balancer: LoanBalancer = attrs.field(init=False)
+    doubted_at: float | None = None
     is_draining: bool = False
     late_results: int = 0
     rejected_starts: int = 0
@@ -88,6 +91,8 @@
             inputs.QuotasSet: self._quotas_set,
             inputs.LimitsSet: self._limits_set,
             inputs.OwnerClosed: self._owner_closed,
+            inputs.OwnershipDoubted: self._ownership_doubted,
+            inputs.OwnershipConfirmed: self._ownership_confirmed,
             inputs.OwnerNamed: self._owner_named,
             inputs.Drain: self._drain,
             inputs.Tick: self._tick,
@@ -100,7 +105,8 @@
         """
         effects = self.loan_balancer.check_pause(now)
         effects += self.handlers[type(input)](input, now)
-        effects += self.placer.place_waiting(now)
+        if self.doubted_at is None:
+            effects += self.placer.place_waiting(now)
         effects += self.loan_balancer.balance(self.placer.backlog, now)
         return effects
 
@@ -324,8 +330,22 @@
                 effects += self._settle(job, refusal, now)
         return effects
 
+    def _ownership_doubted(self, input: inputs.OwnershipDoubted, now: float) -> list[out.Effect]:
+        self.doubted_at = now
+        return []
+
+    def _ownership_confirmed(
+        self, input: inputs.OwnershipConfirmed, now: float
+    ) -> list[out.Effect]:
+        """Start tasks again, unless the process was paused again after the store was asked."""
+        is_current = self.doubted_at is not None and input.asked_at >= self.doubted_at
+        if input.owner == self.owner and is_current:
+            self.doubted_at = None
+        return []
+
     def _owner_named(self, input: inputs.OwnerNamed, now: float) -> list[out.Effect]:
         self.owner = input.owner
+        self.doubted_at = None
         return []
 
     def _give_up_job(self, job: Job) -> out.Effect:
--- a/packages/core/cranberryshore/dispatch/inputs.py
+++ b/packages/core/cranberryshore/dispatch/inputs.py
@@ -181,11 +181,24 @@
 
 @attrs.frozen
 class OwnerClosed(Input):
-    """A worker rejects this owner because a peer closed it in the store."""
+    """A peer closed this owner in the store; its record or a worker says so."""
 
     owner: str
 
 
+@attrs.frozen
+class OwnershipDoubted(Input):
+    """The process was paused, and a peer may have closed the owner meanwhile."""
+
+
+@attrs.frozen
+class OwnershipConfirmed(Input):
+    """The owner was not closed in the store when asked at ``asked_at``."""
+
+    owner: str
+    asked_at: float
+
+
 @attrs.frozen
 class OwnerNamed(Input):
     """The process has adopted a new incarnation, under which it may start jobs."""
--- a/packages/core/cranberryshore/dispatch/lending.py
+++ b/packages/core/cranberryshore/dispatch/lending.py
@@ -11,6 +11,7 @@
 REQUEST_REPEAT_SECONDS = 0.5
 MIN_REQUEST_INTERVAL_SECONDS = 0.002
 PAUSE_THRESHOLD_SECONDS = 0.5
+"""Time without any input, not even a tick, after which the process counts as paused."""
 
 
 @attrs.frozen
--- a/packages/core/cranberryshore/dispatch/tests/test_dispatcher.py
+++ b/packages/core/cranberryshore/dispatch/tests/test_dispatcher.py
@@ -12,6 +12,8 @@
     JobSettled,
     OwnerClosed,
     OwnerNamed,
+    OwnershipConfirmed,
+    OwnershipDoubted,
     StartTasks,
     StopTasks,
     Submit,
@@ -215,6 +217,24 @@
         self.handle(OwnerNamed("a.e1.1111111111111111"))
         self.assertEqual(started(self.handle(Tick())), [])
 
+    def test_nothing_starts_until_ownership_is_confirmed(self):
+        self.now = 5.0
+        self.handle(OwnershipDoubted())
+        self.assertEqual(started(self.submit(0, request(2))), [])
+        self.assertEqual(started(self.handle(OwnershipConfirmed("another", 5.0))), [])
+        self.assertEqual(started(self.handle(OwnershipConfirmed(str(OWNER), 4.9))), [])
+        self.assertEqual(len(started(self.handle(OwnershipConfirmed(str(OWNER), 5.0)))), 2)
+
+    def test_owner_closed_while_doubted_refuses_its_jobs_as_not_run(self):
+        self.handle(OwnershipDoubted())
+        self.submit(0, request(2))
+        self.handle(OwnerClosed(str(OWNER)))
+        self.assertIs(self.job(0).failure.claim, ExecutionStatus.NOT_RUN)
+        new_owner = Incarnation("a", "e1", "1" * 16)
+        self.handle(OwnerNamed(str(new_owner)))
+        effects = self.handle(Submit(SubmissionId(new_owner, 0), "desk", request(2)))
+        self.assertEqual(len(started(effects)), 2)
+
     def test_final_drain_refuses_what_waits(self):
         self.submit(0, request(8))
         self.submit(1, request(3))
--- a/packages/core/cranberryshore/dispatch/tests/test_stateful.py
+++ b/packages/core/cranberryshore/dispatch/tests/test_stateful.py
@@ -14,6 +14,8 @@
     LoanGranted,
     LoansRecalled,
     LoanWanted,
+    OwnershipConfirmed,
+    OwnershipDoubted,
     StartTasks,
     Submit,
     TasksFinished,
@@ -53,6 +55,7 @@
         self.now += 0.01
         for effect in self.dispatcher.handle(input, self.now):
             if isinstance(effect, StartTasks):
+                assert self.dispatcher.doubted_at is None
                 for task in effect.batch.tasks:
                     key = (effect.batch.job, task.index)
                     self.starts[key] += 1
@@ -98,6 +101,14 @@
             number = data.draw(st.integers(0, self.sequence - 1))
             self.handle(Cancel(SubmissionId(OWNER, number)))
 
+    @rule()
+    def pause(self):
+        self.handle(OwnershipDoubted())
+
+    @rule(age=st.sampled_from((0.0, 0.5)))
+    def confirm(self, age):
+        self.handle(OwnershipConfirmed(str(OWNER), self.now - age))
+
     @rule(names=st.sets(st.sampled_from(WORKERS)))
     def assign(self, names):
         self.handle(Assigned(Assignment("me", dict.fromkeys(names, "me"))))
--- a/packages/daemon/cranberryshored/app.py
+++ b/packages/daemon/cranberryshored/app.py
@@ -7,7 +7,14 @@
 from structlog.typing import FilteringBoundLogger
 
 from cranberryshore.config import ConfigState, ServiceSpec
-from cranberryshore.dispatch import Dispatcher, Drain, OwnerClosed, OwnerNamed, Trace
+from cranberryshore.dispatch import (
+    Dispatcher,
+    Drain,
+    OwnerClosed,
+    OwnerNamed,
+    OwnershipConfirmed,
+    Trace,
+)
 from cranberryshore.identity import Incarnation
 from cranberryshore.limits import TokenBucket
 from cranberryshore.membership import PeerTable
@@ -214,12 +221,13 @@
             await part.start()
         self.tick_task = asyncio.create_task(self._tick())
         self.renewal_task = asyncio.create_task(self._replace_closed_incarnation())
+        self.confirmation_task = asyncio.create_task(self._confirm_ownership())
         self.log.info("Started.", incarnation=str(self.ownership.incarnation))
 
     async def close(self) -> None:
         """Drain, then stop all components."""
         await self.drain()
-        await cancel_tasks([self.tick_task, self.renewal_task])
+        await cancel_tasks([self.tick_task, self.renewal_task, self.confirmation_task])
         await self.web.close()
         await self.ownership.close_record()
         for part in reversed(self._components()):
@@ -385,6 +393,20 @@
             self.evidence.renew()
             self.zone.workers_changed.set()
 
+    async def _confirm_ownership(self) -> None:
+        """Read after each pause of this process whether a peer has closed the incarnation."""
+        while True:
+            await self.jobs.ownership_doubted.wait()
+            self.jobs.ownership_doubted.clear()
+            owner, asked_at = str(self.ownership.incarnation), asyncio.get_running_loop().time()
+            read = await self.ownership.is_closed()
+            if read.unwrap_or(False):
+                self.jobs.handle(OwnerClosed(owner))
+            else:
+                # A failed read counts too, so that jobs run during a store outage; the workers
+                # reject the starts of a closed owner.
+                self.jobs.handle(OwnershipConfirmed(owner, asked_at))
+
     def _set_owner(self) -> None:
         owner = str(self.ownership.incarnation)
         self.jobs.handle(OwnerNamed(owner))
--- a/packages/daemon/cranberryshored/jobs/ownership.py
+++ b/packages/daemon/cranberryshored/jobs/ownership.py
@@ -76,6 +76,16 @@
             self.is_registered = True
             return Ok(None)
 
+    async def is_closed(self) -> Result[bool, StoreFailure]:
+        """Read from the store whether a peer has closed the record."""
+        read = await self.store.get(owner_key(self.incarnation))
+        if isinstance(read, Err):
+            return read
+        if read.ok_value is None:
+            return Ok(False)
+        found = _decode(read.ok_value.value)
+        return Ok(found is None or found.is_closed)
+
     async def close_record(self) -> None:
         """Close the record on graceful shutdown, so that peers need not wait."""
         if not self.is_registered:
--- a/packages/daemon/cranberryshored/jobs/service.py
+++ b/packages/daemon/cranberryshored/jobs/service.py
@@ -16,6 +16,7 @@
     JobSettled,
     OwnerClosed,
     OwnerRetired,
+    OwnershipDoubted,
     RecallLoans,
     ReportHeldLoans,
     RequestLoans,
@@ -30,6 +31,7 @@
     WorkerLost,
     WorkerOpened,
 )
+from cranberryshore.dispatch.lending import PAUSE_THRESHOLD_SECONDS
 from cranberryshore.messages import (
     IsolatedWorker,
     JobAnswer,
@@ -70,6 +72,8 @@
         Sends loan messages to the peers of the zone.
     owner_retired : asyncio.Event
         Set when a peer has closed the incarnation, which must then be replaced.
+    ownership_doubted : asyncio.Event
+        Set when the process was paused; no tasks are started until the ownership is confirmed.
     """
 
     dispatcher: Dispatcher
@@ -83,6 +87,8 @@
     closures: ClosureService | None = None
     trace: Trace | None = None
     owner_retired: asyncio.Event = attrs.field(factory=asyncio.Event)
+    ownership_doubted: asyncio.Event = attrs.field(factory=asyncio.Event)
+    handled_at: float | None = None
     waiters: dict[str, list[asyncio.Future]] = attrs.field(factory=dict)
     task: asyncio.Task | None = None
 
@@ -97,6 +103,13 @@
     def handle(self, input: Input) -> list[Effect]:
         """Pass one input to the dispatcher, execute the effects and return them."""
         now = asyncio.get_running_loop().time()
+        if self.handled_at is not None and now - self.handled_at > PAUSE_THRESHOLD_SECONDS:
+            self._handle_at(OwnershipDoubted(), now)
+            self.ownership_doubted.set()
+        self.handled_at = now
+        return self._handle_at(input, now)
+
+    def _handle_at(self, input: Input, now: float) -> list[Effect]:
         if self.trace is not None:
             self.trace.record(input, now)
         effects = self.dispatcher.handle(input, now)
--- a/packages/daemon/cranberryshored/zone.py
+++ b/packages/daemon/cranberryshored/zone.py
@@ -9,6 +9,7 @@
 from structlog.typing import FilteringBoundLogger
 
 from cranberryshore.dispatch import Assigned, PeerDead, WorkerAdded, WorkerLost
+from cranberryshore.dispatch.lending import PAUSE_THRESHOLD_SECONDS
 from cranberryshore.identity import Incarnation
 from cranberryshore.messages.peer import JOBS_SCOPE
 from cranberryshore.ownership import OwnedWorker
@@ -24,7 +25,6 @@
 
 RECORD_RETRY_SECONDS = 0.5
 PAUSE_CHECK_INTERVAL_SECONDS = 0.1
-PAUSE_THRESHOLD_SECONDS = 0.5
 
 
 @attrs.define(eq=False)
--- a/packages/proof/cranberryshore_proof/tests/test_closed_issuer.py
+++ b/packages/proof/cranberryshore_proof/tests/test_closed_issuer.py
@@ -9,6 +9,7 @@
 from cranberryshore.errors import ExecutionStatus, Refusal
 from cranberryshore.identity import SubmissionId
 from cranberryshore.messages import JobAnswer
+from cranberryshore.timeline import EventKind
 from cranberryshore.work import Capacity, JobRequest, JobState, TaskSpec
 from cranberryshore_proof.deployment import DeploymentShape, EntryNode, SimulatedDeployment
 from cranberryshore_proof.virtual_loop import run_virtual
@@ -80,6 +81,11 @@
         await asyncio.sleep(seconds)
         self.deployment.network.heal(self.issuer.name, name)
 
+    def sent_starts(self, id: SubmissionId) -> int:
+        """Return how often the issuer has sent tasks of a job to a worker."""
+        events = self.issuer.daemon.recorder.events_for(str(id))
+        return sum(event.kind is EventKind.TASKS_STARTED for event in events)
+
     def task_starts(self) -> int:
         """Return the number of tasks that workers have started."""
         models = [model for worker in self.deployment.workers.values() for model in worker.models]
@@ -129,6 +135,41 @@
             with self.subTest(worker_number=worker_number):
                 self.assertEqual(run_virtual(run(worker_number)), (ExecutionStatus.NOT_RUN, 0))
 
+    def test_resumed_issuer_sends_no_starts_before_it_has_confirmed_its_ownership(self):
+        # Regression: an issuer that was resumed after a peer had closed it sent a start before it
+        # learned of that, and answered from the workers' reports.
+        async def run(delay: float) -> tuple[ExecutionStatus | None, int]:
+            play = ClosedIssuer()
+            id = await play.start()
+            play.deployment.network.freeze(play.issuer.name)
+            await play.report_as_not_run(id)
+            play.deployment.network.unfreeze(play.issuer.name)
+            if delay:
+                await asyncio.sleep(delay)
+            result = await play.submit(play.issuer, id)
+            return claim_of(result), play.sent_starts(id)
+
+        for delay in (0.0, 0.0003, 0.001, 0.003, 0.01, 0.1):
+            with self.subTest(delay=delay):
+                self.assertEqual(run_virtual(run(delay)), (ExecutionStatus.NOT_RUN, 0))
+
+    def test_paused_issuer_that_was_not_closed_starts_its_jobs(self):
+        async def run(is_store_down: bool) -> tuple[JobState, int]:
+            play = ClosedIssuer()
+            id = await play.start()
+            play.deployment.network.freeze(play.issuer.name)
+            await asyncio.sleep(2.0)
+            play.deployment.store.is_down = is_store_down
+            play.deployment.network.unfreeze(play.issuer.name)
+            result = await play.submit(play.issuer, id, wait_ms=2000)
+            return result.unwrap().state, play.task_starts()
+
+        for is_store_down in (False, True):
+            with self.subTest(is_store_down=is_store_down):
+                state, task_starts = run_virtual(run(is_store_down))
+                self.assertIs(state, JobState.COMPLETE)
+                self.assertEqual(task_starts, len(REQUEST.tasks))
+
     def test_paused_issuer_keeps_its_workers(self):
         # Regression: an instance counted its own pause as silence of its workers, and failed the
         # jobs that ran on them as lost.
