Do not count a worker as lost by an outdated instance list

A peer that closes an owner counts a worker of its record as lost if the instance list does not show that incarnation. A list that had not been read since, or that lags, does not show a worker that the owner has used from its start: the peer answered owner_lost, may_have_run, without a retry, although the worker was there and would have told. The list now counts only if it was read at least 2 s after the record was closed; until then the answer is truth_pending.

The outcome of jobs on a worker that is really lost comes up to 2 s later, and not during an outage of the list.

--- a/packages/daemon/cranberryshored/jobs/closures.py
+++ b/packages/daemon/cranberryshored/jobs/closures.py
@@ -27,6 +27,8 @@
 RECORD_RETENTION_SECONDS = 86_400
 REPORT_TIMEOUT_SECONDS = 0.3
 STORE_RETRY_MS = 1000
+LIST_LAG_SECONDS = 2.0
+"""Time after which the instance list shows a worker that was added to it."""
 MAX_CLOSE_ATTEMPTS = 5
 
 
@@ -50,6 +52,10 @@
     listed_workers : dict or None
         Incarnation of each listed worker, also of leaving ones; ``None`` until the instance list
         is first read.
+    listed_at : float
+        Start of the last successful poll of the instance list, on the clock of the event loop.
+    closed_at : dict
+        Time at which the record was closed or read as closed, by owner.
     """
 
     store: Store
@@ -59,6 +65,8 @@
     unix_time: Callable[[], float]
     closed_by: str = ""
     listed_workers: dict[str, str] | None = None
+    listed_at: float = 0.0
+    closed_at: dict[str, float] = attrs.field(factory=dict)
     closures: dict[str, OwnerClosure] = attrs.field(factory=dict)
     report_received: asyncio.Event = attrs.field(factory=asyncio.Event)
     lock: asyncio.Lock = attrs.field(factory=asyncio.Lock)
@@ -103,6 +111,7 @@
             return Err(_expired_outcome())
         self.recorder.record(time(), EventKind.OWNER_CLOSED, str(issuer))
         self.log.info("Owner record closed.", owner=str(issuer))
+        self.closed_at[str(issuer)] = asyncio.get_running_loop().time()
         closed = record.ok_value
         below = {entry.worker: entry.below for entry in closed.past}
         return Ok(OwnerClosure(str(issuer), frozenset(closed.workers) | below.keys(), below))
@@ -143,7 +152,7 @@
             link = self.links.open_link(worker)
             if link is not None:
                 link.request_owner_report(closure.owner)
-            elif self._is_gone(worker):
+            elif self._is_gone(worker, closure.owner):
                 closure.on_worker_lost(worker)
         deadline = asyncio.get_running_loop().time() + REPORT_TIMEOUT_SECONDS
         while closure.unreported_workers(id):
@@ -157,8 +166,10 @@
             except TimeoutError:
                 return
 
-    def _is_gone(self, worker: OwnedWorker) -> bool:
-        if self.listed_workers is None:
+    def _is_gone(self, worker: OwnedWorker, owner: str) -> bool:
+        """Return whether a worker is missing from a list that is newer than the owner's record."""
+        is_outdated = self.listed_at < self.closed_at[owner] + LIST_LAG_SECONDS
+        if self.listed_workers is None or is_outdated:
             return False
         return self.listed_workers.get(worker.name) != worker.incarnation
 
--- a/packages/daemon/cranberryshored/zone.py
+++ b/packages/daemon/cranberryshored/zone.py
@@ -147,9 +147,11 @@
             fetched = await self.instance_list.fetch(self.version)
             if isinstance(fetched, Err):
                 self.log.debug("Instance list unreachable.", error=fetched.err_value.detail)
-            elif fetched.ok_value is not None:
-                self.version = fetched.ok_value.version
-                self._apply_list(fetched.ok_value.instances)
+            else:
+                self.closures.listed_at = started_at
+                if fetched.ok_value is not None:
+                    self.version = fetched.ok_value.version
+                    self._apply_list(fetched.ok_value.instances)
             self.last_poll_started_at = started_at
             self.poll_done.set()
             self.poll_done = asyncio.Event()
--- a/packages/proof/cranberryshore_proof/tests/test_closed_issuer.py
+++ b/packages/proof/cranberryshore_proof/tests/test_closed_issuer.py
@@ -6,12 +6,13 @@
 import structlog
 from result import Result
 
-from cranberryshore.errors import ExecutionStatus, Refusal
+from cranberryshore.errors import ErrorType, ExecutionStatus, Refusal
 from cranberryshore.identity import SubmissionId
 from cranberryshore.messages import JobAnswer
 from cranberryshore.timeline import EventKind
 from cranberryshore.work import Capacity, JobRequest, JobState, TaskSpec
 from cranberryshore_proof.deployment import DeploymentShape, EntryNode, SimulatedDeployment
+from cranberryshore_proof.fake_platform import INSTANCE_LIST
 from cranberryshore_proof.virtual_loop import run_virtual
 
 SHAPE = DeploymentShape(zones=("zone-a",), entries=2, workers=2)
@@ -265,3 +266,29 @@
             return claim_of(await play.submit(play.peer, id)), task_starts
 
         self.assertEqual(run_virtual(run()), (ExecutionStatus.NOT_RUN, 0))
+
+    def test_worker_missing_from_an_outdated_list_is_not_counted_as_lost(self):
+        # Regression: a peer that could not read the instance list counted a worker that it did not
+        # know yet as lost, and answered *may have run* for good.
+        async def run() -> tuple[ErrorType, ExecutionStatus | None]:
+            play = ClosedIssuer(SimulatedDeployment(1, attrs.evolve(SHAPE, workers=1)))
+            deployment = play.deployment
+            await play.start()
+            (worker,) = deployment.workers.values()
+            deployment.network.cut(play.peer.name, INSTANCE_LIST)
+            worker.kill()
+            worker.launch()
+            deployment.publish_worker(worker)
+            await asyncio.sleep(4.0)
+            now = asyncio.get_running_loop().time()
+            id = play.issuer.daemon.ownership.ledger.issue(CALLER, 1, now)[0]
+            play.issuer.kill()
+            await asyncio.sleep(4.0)
+            refused = await play.submit(play.peer, id)
+            deployment.network.heal(play.peer.name, INSTANCE_LIST)
+            await asyncio.sleep(4.0)
+            answered = await play.submit(play.peer, id)
+            return refused.unwrap_err().type, claim_of(answered)
+
+        result = run_virtual(run())
+        self.assertEqual(result, (ErrorType.TRUTH_PENDING, ExecutionStatus.NOT_RUN))
