Obtain a new lease for evidence after the store has revoked one

A failed write now ends the use of the lease.

Evidence: test with a store in memory that rejects unknown leases; fails before, holds after.

--- a/packages/daemon/cranberryshored/evidence.py
+++ b/packages/daemon/cranberryshored/evidence.py
@@ -216,7 +216,11 @@
             return False
         written = await self.store.put(batch_key(batch), encode_batch(batch), 0, lease)
         # A conflict means that an earlier attempt took effect and only its reply was lost.
-        return isinstance(written, Ok) or isinstance(written.err_value, StoreConflict)
+        is_written = isinstance(written, Ok) or isinstance(written.err_value, StoreConflict)
+        if not is_written:
+            # The store may have revoked the lease.
+            self.lease_reusable_until = 0.0
+        return is_written
 
     async def _current_lease(self) -> str:
         now = asyncio.get_running_loop().time()
