--- a/packages/daemon/cranberryshored/zone.py
+++ b/packages/daemon/cranberryshored/zone.py
@@ -9,6 +9,7 @@
 from structlog.typing import FilteringBoundLogger
 
 from cranberryshore.dispatch import Assigned, PeerDead, WorkerAdded, WorkerLost
+from cranberryshore.dispatch.lending import PAUSE_THRESHOLD_SECONDS
 from cranberryshore.identity import Incarnation
 from cranberryshore.messages.peer import JOBS_SCOPE
 from cranberryshore.ownership import OwnedWorker
@@ -24,7 +25,6 @@
 
 RECORD_RETRY_SECONDS = 0.5
 PAUSE_CHECK_INTERVAL_SECONDS = 0.1
-PAUSE_THRESHOLD_SECONDS = 0.5
 
 
 @attrs.define(eq=False)
@@ -147,9 +147,11 @@
             fetched = await self.instance_list.fetch(self.version)
             if isinstance(fetched, Err):
                 self.log.debug("Instance list unreachable.", error=fetched.err_value.detail)
-            elif fetched.ok_value is not None:
-                self.version = fetched.ok_value.version
-                self._apply_list(fetched.ok_value.instances)
+            else:
+                self.closures.listed_at = started_at
+                if fetched.ok_value is not None:
+                    self.version = fetched.ok_value.version
+                    self._apply_list(fetched.ok_value.instances)
             self.last_poll_started_at = started_at
             self.poll_done.set()
             self.poll_done = asyncio.Event()
@@ -185,7 +187,9 @@
         self.closures.listed_workers = {item.name: item.incarnation for item in workers}
         live = {item.name: item for item in workers if not item.is_leaving}
         for item in self.workers.values():
-            if item.name not in live:
+            listed = live.get(item.name)
+            if listed is None or listed.incarnation != item.incarnation:
+                # Before the owner record is written, which states that later ids do not use it.
                 self.jobs.handle(WorkerLost(item.name, item.incarnation, is_leaving=True))
         self.workers = live
         self.workers_changed.set()
--- a/packages/standins/cranberryshore_standins/worker_model.py
+++ b/packages/standins/cranberryshore_standins/worker_model.py
@@ -1,6 +1,7 @@
 """Model of a worker: capacity, fencing of owners' sessions, results kept until acknowledged."""
 
 from heapq import heappop, heappush
+from itertools import chain
 
 import attrs
 
@@ -70,7 +71,7 @@
     """The worker's state for one owner.
 
     ``session`` is the latest session, ``ready`` holds the results that are not yet in a frame, and
-    ``unacknowledged`` the frames by sequence number.
+    ``unacknowledged`` the frames by sequence number. See ``OwnerReport`` for ``evicted_through``.
     """
 
     session: int = -1
@@ -79,6 +80,12 @@
     ready: list[tuple[str, TaskResult]] = attrs.field(factory=list)
     unacknowledged: dict[int, Results] = attrs.field(factory=dict)
     sequence: int = 0
+    evicted_through: int = -1
+
+    def unreceived_tasks(self) -> set[tuple[str, int]]:
+        """Return the job id and index of each ended task without an acknowledged result."""
+        results = chain(self.ready, *(frame.results for frame in self.unacknowledged.values()))
+        return {(job, result.index) for job, result in results}
 
 
 @attrs.define
@@ -148,7 +155,8 @@
         """Reject further sessions and starts of an owner; return its task records."""
         state = self._owner_state(owner)
         state.is_closed = True
-        return OwnerReport(number, owner, tuple(held.record for held in state.tasks.values()))
+        records = tuple(held.record for held in state.tasks.values())
+        return OwnerReport(number, owner, records, state.evicted_through)
 
     def end_tasks(self, now: float) -> None:
         """End the tasks that are due."""
@@ -190,15 +198,24 @@
         return Usage(held)
 
     def evict_ended_tasks(self, before: float) -> None:
-        """Drop the records of ended tasks that started before a time."""
+        """Drop the records of ended tasks that started before a time.
+
+        Records of results that an owner may not have received are kept until its closure, because
+        it starts the tasks again that a new session does not list.
+        """
         for state in self.owners.values():
+            kept = set() if state.is_closed else state.unreceived_tasks()
             evicted_keys = [
                 key
                 for key, held in state.tasks.items()
-                if held.started_at < before and held.record.state is not TaskRecordState.RUNNING
+                if held.started_at < before
+                and held.record.state is not TaskRecordState.RUNNING
+                and key not in kept
             ]
             for key in evicted_keys:
                 del state.tasks[key]
+                sequence = int(key[0].rpartition(".")[2])
+                state.evicted_through = max(state.evicted_through, sequence)
 
     def _owner_state(self, name: str) -> OwnerState:
         state = self.owners.get(name)
