Tests of two holders bring about their situations again

Since a start needs a fresh reading of the worker's clock, the lost request of the replaced scheduler was the poll for it, not the start, so that it took no worker from the next scheduler in the first test. In the second one it had shown the replaced scheduler at 5.40 s that most workers obey another holder, before the job that is there to show it (5.65 s).

Now only the start is lost, and both tests check that the replaced scheduler has taken the worker back. Messages over a delayed link stay in order, also within one instant of virtual time.

--- a/packages/proof/cranberryshore_proof/tests/test_double_start.py
+++ b/packages/proof/cranberryshore_proof/tests/test_double_start.py
@@ -12,6 +12,7 @@
     EndKind,
     Group,
     HeldWorker,
+    HoldState,
     MemberAddress,
     PoolConfig,
     QueueSpec,
@@ -68,7 +69,8 @@
         if seconds is None:
             return
         loop = asyncio.get_running_loop()
-        at = max(loop.time() + seconds, self.last_at.get(address, 0.0))
+        # An event loop runs timers of equal times in any order.
+        at = max(loop.time() + seconds, self.last_at.get(address, 0.0) + 1e-6)
         self.last_at[address] = at
         loop.call_at(at, self.transport.send, address, target, message)
 
@@ -128,7 +130,7 @@
         millicores: int,
         seconds: float,
         steps: int = 1,
-    ) -> None:
+    ) -> asyncio.Task:
         """Submit a job of successive steps of one task through an instance, with ample time."""
         deployment.demands[job], deployment.seconds[job] = millicores, seconds
         first = StepSpec(1, Capacity(millicores), int(seconds * 1000))
@@ -137,7 +139,7 @@
         address = deployment.address(number)
         daemon = deployment.daemons[address]
         queue = daemon.pool_config.get_queue("q")
-        deployment.network.spawn(address, daemon.entry_service.submit(request, queue))
+        return deployment.network.spawn(address, daemon.entry_service.submit(request, queue))
 
     def cut_busy_worker(self, deployment: PoolDeployment, scheduler: int) -> None:
         """Cut the worker that runs the job off from all instances but the scheduler."""
@@ -197,22 +199,57 @@
 
     async def lose_start(
         self, deployment: PoolDeployment, scheduler: int, at: float, millicores: int
-    ) -> None:
+    ) -> asyncio.Task:
         """Submit a job of the scheduler's own caller whose start request is lost."""
         await self.sleep_until(deployment, at)
         calls = deployment.daemons[deployment.address(scheduler)].calls
-        calls.late_share = 1.0
-        self.submit(deployment, scheduler, "k", millicores, 0.9)
-        await asyncio.sleep(0.02)
-        calls.late_share = 0.0
+        lost: list[StartRun] = []
+
+        async def start_run(own, worker, order, timeout):
+            if own is not calls or not order.key[0].startswith("k."):
+                return await answered(own, worker, order, timeout)
+            lost.append(order)
+            await asyncio.sleep(timeout)
+            return StartReply.UNANSWERED
+
+        answered = FakeWorkerCalls.start_run
+        with mock.patch.object(FakeWorkerCalls, "start_run", start_run):
+            caller = self.submit(deployment, scheduler, "k", millicores, 0.9)
+            await asyncio.sleep(0.02)
+        self.assertEqual(len(lost), 1)
+        return caller
+
+    async def wait_until_taken_back(
+        self, deployment: PoolDeployment, scheduler: int, name: str
+    ) -> None:
+        """Wait until the replaced scheduler has taken a worker from the next one."""
+        (following,) = (
+            daemon
+            for address, daemon in deployment.daemons.items()
+            if address != deployment.address(scheduler) and daemon.group.claim is not None
+        )
+        replaced = deployment.daemons[deployment.address(scheduler)]
+        old, new = (item.scheduling.scheduler.workers[name] for item in (replaced, following))
+        async with asyncio.timeout(0.2):
+            while new.state is not HoldState.HELD:
+                await asyncio.sleep(0.001)
+            while not deployment.workers[name].token == old.token > new.token:
+                await asyncio.sleep(0.001)
 
     def test_unanswered_start_takes_a_worker_from_the_next_scheduler(self):
         # The replaced scheduler raised its token above that of the next one and started a job that
         # had been handed over.
         async def scenario(deployment: PoolDeployment, scheduler: int, replaced_at: float) -> None:
+            replaced = deployment.daemons[deployment.address(scheduler)]
             await self.sleep_until(deployment, replaced_at - 0.2)
             self.submit(deployment, self.entry, "j", 1000, 0.9)
             await self.lose_start(deployment, scheduler, replaced_at - 0.03, 2600)
+            await self.sleep_until(deployment, replaced_at + 0.001)
+            await self.wait_until_taken_back(deployment, scheduler, "w0")
+            self.assertTrue(any(key[0] == "j.0.0.0" for key in deployment.workers["w1"].runs))
+            async with asyncio.timeout(0.1):
+                while "j" not in replaced.scheduling.scheduler.jobs:
+                    await asyncio.sleep(0.001)
             await asyncio.sleep(1.0)
 
         deployment = self.replace_scheduler(scenario, (4000, 2000), 0.25)
@@ -222,14 +259,22 @@
         # The next scheduler adopted a run and lost its worker again. It counted the run as lapsed
         # 1.1 s after its own last extension of the lease, which the replaced one had extended.
         async def scenario(deployment: PoolDeployment, scheduler: int, replaced_at: float) -> None:
+            replaced = deployment.daemons[deployment.address(scheduler)]
             await self.sleep_until(deployment, replaced_at - 1.2)
             self.submit(deployment, self.entry, "j", 2100, 5.0, steps=2)
             self.submit(deployment, self.entry + 1, "a", 1950, 5.0)
-            await self.lose_start(deployment, scheduler, replaced_at - 0.055, 1800)
+            caller = await self.lose_start(deployment, scheduler, replaced_at - 0.055, 1800)
+            # Otherwise its next start would show that another worker obeys the next scheduler.
+            caller.cancel()
+            await self.sleep_until(deployment, replaced_at + 0.001)
+            await self.wait_until_taken_back(deployment, scheduler, "w0")
+            self.assertIn(("j.0.0.0", 1), deployment.workers["w0"].runs)
             await self.sleep_until(deployment, replaced_at + 0.4)
+            self.assertIsNotNone(replaced.group.claim)
             # Shows the replaced scheduler that most workers obey another one, so its claim ends.
             self.submit(deployment, scheduler, "m", 3000, 0.9)
             await asyncio.sleep(3.0)
+            self.assertIsNone(replaced.group.claim)
 
         deployment = self.replace_scheduler(scenario, (4000, 2000, 4000), 0.6)
         self.assertEqual(deployment.faults, [])
