--- a/packages/core/cranberryshore/pool/tests/test_scheduler.py
+++ b/packages/core/cranberryshore/pool/tests/test_scheduler.py
@@ -170,6 +170,22 @@
         self.answer_polls()
         self.assertEqual(len(self.starts()), 1)
 
+    def test_job_resumed_through_two_instances_waits_for_the_workers_of_both(self):
+        # The second instance has never had the roster with the first worker, which runs the job.
+        self.submit(is_resumed=True, exposed=WORKERS)
+        self.submit(is_resumed=True, exposed=frozenset({"w2"}))
+        self.poll("w2")
+        self.assertEqual(self.starts(), [])
+        self.poll("w1")
+        self.assertEqual(len(self.starts()), 1)
+
+    def test_job_resumed_through_two_instances_with_unknown_workers_waits_full_delay(self):
+        self.submit(is_resumed=True, exposed=None)
+        self.submit(is_resumed=True, exposed=WORKERS)
+        for name in ("w1", "w2"):
+            self.poll(name)
+        self.assertEqual(self.starts(), [])
+
     def test_release_of_a_resumed_job_is_logged(self):
         self.submit(is_resumed=True)
         self.poll("w1")
