Failing test: a job dropped late is handed over before its scheduler has released it

Fails: [('second', True, (1, 2))] != []. The scheduler drops the job of an earlier epoch and has since received it again; the entry instance forgets that it has it.

--- a/packages/daemon/cranberryshored/pool/tests/test_entry_service.py
+++ b/packages/daemon/cranberryshored/pool/tests/test_entry_service.py
@@ -98,3 +98,19 @@
     async def test_job_dropped_by_its_scheduler_is_submitted_again(self):
         self.service.job_ended(JobEnded("", "j", Outcome.DROPPED), "first")
         self.assertEqual(self.client.submitted, [("first", True, (1, 2))])
+
+    async def test_job_dropped_by_a_former_scheduler_waits_until_it_has_released_it(self):
+        # The scheduler dropped the job of an earlier epoch, and then received it again.
+        self.client.change("")
+        self.service.scheduler_changed()
+        self.client.change("first")
+        self.service.scheduler_changed()
+        self.client.change("second")
+        self.service.scheduler_changed()
+        self.client.submitted.clear()
+        self.service.job_ended(JobEnded("", "j", Outcome.DROPPED), "first")
+        self.service.scheduler_changed()
+        self.assertEqual(self.client.submitted, [])
+        self.client.released.add("first")
+        self.service.scheduler_changed()
+        self.assertEqual(self.client.submitted, [("second", True, (1, 2))])
