Failing test: a delayed beat of an earlier incarnation lets a job be handed over early

Fails: True is not false. The beat displaces the scheduler at the same address from the members, so that the entry instance keeps no record of having left it and counts it as released.

--- a/packages/daemon/cranberryshored/pool/tests/test_exchange.py
+++ b/packages/daemon/cranberryshored/pool/tests/test_exchange.py
@@ -149,6 +149,18 @@
         self.now = 100.0 + PEER_TIMEOUT_SECONDS
         self.assertTrue(exchange.has_released(SCHEDULER.incarnation))
 
+    def test_former_scheduler_displaced_by_a_delayed_beat_has_not_released_at_once(self):
+        # A beat of an earlier incarnation at its address had displaced the scheduler as a member.
+        exchange = self.open_exchange(FOLLOWER)
+        self.hear(exchange, SCHEDULER, claim=Claim(1, held=2))
+        self.hear(exchange, OTHER, claim=Claim(2, held=1))
+        self.hear(exchange, attrs.evolve(SCHEDULER, incarnation="s.0"), sent_at=1.0)
+        self.hear(exchange, OTHER, claim=Claim(2, held=1))
+        self.assertEqual(exchange.follows, OTHER.incarnation)
+        self.assertFalse(exchange.has_released(SCHEDULER.incarnation))
+        self.now += PEER_TIMEOUT_SECONDS
+        self.assertTrue(exchange.has_released(SCHEDULER.incarnation))
+
     def test_beats_of_the_scheduler_are_acknowledged_at_once(self):
         exchange = self.open_exchange(FOLLOWER)
         self.hear(exchange, SCHEDULER, claim=Claim(1))
