--- a/packages/daemon/cranberryshored/pool/tests/test_exchange.py
+++ b/packages/daemon/cranberryshored/pool/tests/test_exchange.py
@@ -161,6 +161,16 @@
         self.now += PEER_TIMEOUT_SECONDS
         self.assertTrue(exchange.has_released(SCHEDULER.incarnation))
 
+    def test_new_claim_of_the_same_scheduler_begins_an_epoch(self):
+        # The scheduler ended its claim and claimed again unheard; it no longer has the jobs.
+        exchange = self.open_exchange(FOLLOWER)
+        self.hear(exchange, SCHEDULER, claim=Claim(1))
+        epoch = exchange.epoch
+        self.hear(exchange, SCHEDULER, claim=Claim(1, held=7))
+        self.assertEqual(exchange.epoch, epoch)
+        self.hear(exchange, SCHEDULER, claim=Claim(2))
+        self.assertEqual(exchange.epoch, epoch + 1)
+
     def test_beats_of_the_scheduler_are_acknowledged_at_once(self):
         exchange = self.open_exchange(FOLLOWER)
         self.hear(exchange, SCHEDULER, claim=Claim(1))
