Failing tests: a job submitted through two entry instances is started twice

A caller whose connection breaks asks again at another instance after 1.3 s; the first one does not see the break and still has the job. Fails: '6.729 j.0.0.0 runs twice: w0/1 and w1/1' when the zone of the first instance is partitioned, '4.707 j.0.0.0 runs twice: w0/1 and w1/1' when the scheduler leaves and the second instance has never had the roster with the worker.

--- a/packages/proof/cranberryshore_proof/tests/test_double_start.py
+++ b/packages/proof/cranberryshore_proof/tests/test_double_start.py
@@ -444,6 +444,50 @@
         self.assertEqual(self.simulate(scenario, 2).faults, [])
 
 
+class TwoEntryInstancesTest(DoubleStartTest):
+    """A caller asks again elsewhere, and the first entry instance does not see that it has left."""
+
+    def test_job_of_a_caller_that_has_moved_is_handed_over_by_its_first_instance(self):
+        # The first instance is partitioned with its zone, whose scheduler cannot reach the run.
+        async def scenario(deployment: PoolDeployment) -> None:
+            for number in range(6):
+                self.submit(deployment, 2, f"f{number}", 4000, 0.3)
+            await asyncio.sleep(0.1)
+            self.submit(deployment, 2, "j", 1000, 6.0)
+            await asyncio.sleep(RETRY_DELAY_SECONDS)
+            (worker,) = (model for model in deployment.workers.values() if model.runs)
+            self.assertEqual(worker.zone, "a")
+            self.submit(deployment, 4, "j", 1000, 6.0)
+            await asyncio.sleep(0.3)
+            deployment.cut({2, 3}, {"b"})
+            await asyncio.sleep(4.0)
+            self.assertTrue(worker.runs)
+
+        self.assertEqual(self.simulate(scenario, 6).faults, [])
+
+    def test_second_instance_does_not_know_the_worker_that_runs_the_job(self):
+        # The registration of the worker expired before the second instance got the job.
+        async def scenario(deployment: PoolDeployment) -> None:
+            scheduler = deployment.scheduler_number()
+            first, second = 2, 3
+            self.submit(deployment, first, "j", 1000, 6.0)
+            await asyncio.sleep(0.3)
+            (worker,) = (model for model in deployment.workers.values() if model.runs)
+            deployment.expire_registrations([worker.name])
+            await asyncio.sleep(RETRY_DELAY_SECONDS)
+            self.submit(deployment, second, "j", 1000, 6.0)
+            await asyncio.sleep(0.1)
+            self.cut_busy_worker(deployment, scheduler)
+            for number in range(len(deployment.zones)):
+                if number != first:
+                    deployment.network.cut(deployment.address(first), deployment.address(number))
+            address = deployment.address(scheduler)
+            deployment.network.spawn(address, deployment.daemons[address].drain())
+            await asyncio.sleep(1.0)
+
+        self.assertEqual(self.simulate(scenario, 6).faults, [])
+
+
 class ReturnedJobTest(TestCase):
     """An entry instance has left a scheduler and returned without being heard meanwhile."""
 
