A job resumed through two instances waits for the workers of both

The second submission replaced the workers to verify by those that its instance knows. Now they add up, and workers that one instance does not know stay unknown. The two tests pass.

--- a/packages/core/cranberryshore/pool/scheduler.py
+++ b/packages/core/cranberryshore/pool/scheduler.py
@@ -140,6 +140,10 @@
         self, job: PoolJob, exposed_workers: frozenset[str] | None, now: float
     ) -> None:
         """Delay the start of waiting tasks until no run of another scheduler can be active."""
+        if job.delayed_until > now and exposed_workers is not None:
+            # Another entry instance has handed the job over, too.
+            earlier = job.exposed_workers
+            exposed_workers = earlier if earlier is None else earlier | exposed_workers
         job.received_at, job.exposed_workers = now, exposed_workers
         job.delayed_until = now + RESUMED_JOB_WAIT_SECONDS
         self._adopt_job(job, now)
