--- a/packages/daemon/cranberryshored/pool/entry_service.py
+++ b/packages/daemon/cranberryshored/pool/entry_service.py
@@ -172,7 +172,10 @@
     def _resubmit(self, job: PendingJob) -> None:
         """Submit a job again that its scheduler has dropped."""
         job.is_resumed |= bool(job.sent_to)
-        job.sent_to = ""
+        job.sent_epoch = RESUBMIT
+        client = self.scheduler_client
+        if client.scheduler() == job.sent_to or client.has_released(job.sent_to):
+            job.sent_to = ""
         self._submit_to_scheduler(job)
 
     def _submit_to_scheduler(self, job: PendingJob) -> None:
