--- a/packages/daemon/cranberryshored/pool/app.py
+++ b/packages/daemon/cranberryshored/pool/app.py
@@ -315,8 +315,8 @@
 
     def rosters_since(self, moment: float) -> tuple[int, ...]:
         """See :class:`SchedulerClient`."""
-        older = [version for at, version in self.roster_changes if at <= moment]
-        newer = [version for at, version in self.roster_changes if at > moment]
+        older = [version for at, version in self.roster_changes if at < moment]
+        newer = [version for at, version in self.roster_changes if at >= moment]
         return (older[-1] if older else UNKNOWN_ROSTER, *newer)
 
     def submit(self, request: WorkRequest) -> None:
