--- a/packages/daemon/cranberryshored/pool/exchange.py
+++ b/packages/daemon/cranberryshored/pool/exchange.py
@@ -74,6 +74,9 @@
         Addresses to send beats to while no scheduler is known.
     follows : str
         Incarnation of the scheduler; empty if there is none.
+    follows_heard_at : float
+        Time of its latest beat. It may not be a member any more: a delayed beat of an earlier
+        incarnation at its address displaces it.
     successor : str
         Incarnation that takes over scheduling when this instance leaves; empty if none is named.
     epoch : int
@@ -94,6 +97,7 @@
     in_streams: dict[str, ReceiveStream] = attrs.field(factory=dict)
     reconnected_at: dict[str, float] = attrs.field(factory=dict)
     follows: str = ""
+    follows_heard_at: float = float("-inf")
     former: dict[str, FormerScheduler] = attrs.field(factory=dict)
     acknowledged_at: float = float("-inf")
     successor: str = ""
@@ -178,9 +182,10 @@
         self._reset_acknowledgement_times()
         self.epoch += 1
         self._withdraw_jobs(self.follows)
+        if self.follows not in ("", self.own.incarnation):
+            self.former[self.follows] = FormerScheduler(self.epoch, self.follows_heard_at)
         before, self.follows = self.group.members.get(self.follows), follows
-        if before is not None:
-            self.former[before.at.incarnation] = FormerScheduler(self.epoch, before.heard_at)
+        self.follows_heard_at = now()
         if not follows:
             self.announce()
         if before is not None and follows:
@@ -233,6 +238,8 @@
         moment = now()
         is_new = beat.sender.incarnation not in self.group.members
         member = self.group.record_contact(beat.sender, moment)
+        if beat.sender.incarnation == self.follows:
+            self.follows_heard_at = moment
         if beat.sent_at < member.heartbeat_sent_at:
             # A newer beat has already arrived over a newer connection.
             return
