An entry instance follows a new claim of the same scheduler as another one

A scheduler that ends its claim and claims again has dropped all jobs. If its heartbeats in between were lost, its entry instances did not submit theirs again, and the callers waited until their time was over.

--- a/packages/daemon/cranberryshored/pool/exchange.py
+++ b/packages/daemon/cranberryshored/pool/exchange.py
@@ -74,13 +74,15 @@
         Addresses to send beats to while no scheduler is known.
     follows : str
         Incarnation of the scheduler; empty if there is none.
+    term : int
+        Term of its claim: a scheduler that claims again has dropped all jobs.
     follows_heard_at : float
         Time of its latest beat. It may not be a member any more: a delayed beat of an earlier
         incarnation at its address displaces it.
     successor : str
         Incarnation that takes over scheduling when this instance leaves; empty if none is named.
     epoch : int
-        Number of times that ``follows`` has changed.
+        Number of times that ``follows`` or ``term`` has changed.
     former : dict
         Former schedulers by incarnation.
     acknowledged_at : float
@@ -97,6 +99,7 @@
     in_streams: dict[str, ReceiveStream] = attrs.field(factory=dict)
     reconnected_at: dict[str, float] = attrs.field(factory=dict)
     follows: str = ""
+    term: int = 0
     follows_heard_at: float = float("-inf")
     former: dict[str, FormerScheduler] = attrs.field(factory=dict)
     acknowledged_at: float = float("-inf")
@@ -174,10 +177,12 @@
         """Follow the scheduler with the strongest claim."""
         scheduler = self.group.scheduler(now())
         follows = self.own.incarnation if self.group.claim is not None else ""
+        term = 0
         if not follows and scheduler is not None:
-            follows = scheduler.at.incarnation
-        if follows == self.follows:
+            follows, term = scheduler.at.incarnation, scheduler.claim.term
+        if (follows, term) == (self.follows, self.term):
             return
+        self.term = term
         self.log.info("Scheduler followed.", before=self.follows, scheduler=follows)
         self._reset_acknowledgement_times()
         self.epoch += 1
