A job whose caller asks at another instance leaves the first one

The first instance was not told, so that it handed the job over to another scheduler while this one continued it for the second. Now its request is answered as given up; if the second instance does not know a worker that runs the job, the job begins anew there.

Not excluded: the notice is lost in a partition that begins with it; the second instance hands the job over before its runs have been stopped.

--- a/packages/core/cranberryshore/pool/scheduler.py
+++ b/packages/core/cranberryshore/pool/scheduler.py
@@ -115,6 +115,8 @@
         are not known.
         """
         known = self.jobs.get(request.id)
+        if known is not None and known.entry != entry and not request.is_resumed:
+            known = self._move_job(known, entry, now)
         if known is not None:
             known.entry = entry
             known.deadline_at = now + (request.budget_ms - request.waited_ms) / 1000
@@ -136,6 +138,21 @@
             self._delay_until_verified(job, exposed_workers, now)
         self.changed_at = now
 
+    def _move_job(self, job: PoolJob, entry: str, now: float) -> PoolJob | None:
+        """Take a job from an entry instance whose caller has asked another one.
+
+        It would hand the job over to another scheduler while this one continues it. Return ``None``
+        if the job must begin anew, since the other instance does not know all of its workers.
+        """
+        detail = "The caller has asked another instance."
+        usable = self.rights.usable_workers(entry)
+        placed = {task.worker for task in job.tasks if task.phase is TaskPhase.PLACED}
+        if usable is not None and not placed <= usable and job.delayed_until <= now:
+            self._end_job(job, Outcome.GIVEN_UP, detail, now)
+            return None
+        self.effects.append(JobEnded(job.entry, job.request.id, Outcome.GIVEN_UP, detail))
+        return job
+
     def _delay_until_verified(
         self, job: PoolJob, exposed_workers: frozenset[str] | None, now: float
     ) -> None:
