Failing test: a delayed beat of an earlier incarnation loses the jobs of the present one

Fails: TimeoutError after 3 s; the caller waits until its time is over. The scheduler drops the jobs of an instance that is no member and has no member to send the notice to.

--- a/packages/proof/cranberryshore_proof/tests/test_double_start.py
+++ b/packages/proof/cranberryshore_proof/tests/test_double_start.py
@@ -14,6 +14,7 @@
     HeldWorker,
     HoldState,
     MemberAddress,
+    Outcome,
     PoolConfig,
     QueueSpec,
     ReportedEnd,
@@ -406,6 +407,27 @@
 
         self.assertEqual(self.simulate(scenario, 2).faults, [])
 
+    def test_delayed_beat_of_an_earlier_incarnation_drops_the_jobs_of_the_present_one(self):
+        # The beat displaces the entry instance from the members of the scheduler, which drops its
+        # jobs and cannot tell it. The caller waits until its time is over.
+        async def scenario(deployment: PoolDeployment) -> None:
+            scheduler = deployment.scheduler_number()
+            entry = scheduler + 2
+            earlier = deployment.daemons[deployment.address(entry)].group.own
+            deployment.kill(entry)
+            await deployment.start_instance(entry)
+            await asyncio.sleep(1.0)
+            Impairment(deployment, scheduler, lambda now: 0.16).install()
+            caller = self.submit(deployment, entry, "j", 1000, 0.9)
+            await asyncio.sleep(0.4)
+            exchange = deployment.daemons[deployment.address(scheduler)].exchange
+            exchange.deliver(earlier.incarnation, Beat(earlier, 1, 0, 0, 0, 0.5))
+            async with asyncio.timeout(3.0):
+                end = await caller
+            self.assertEqual(end.outcome, Outcome.COMPLETED)
+
+        self.simulate(scenario, 2)
+
 
 class FreshJobTest(DoubleStartTest):
     def test_job_submitted_again_after_its_entry_instance_and_scheduler_died(self):
