A displaced entry instance keeps its jobs until its next beat

Its jobs are dropped after 0.5 s of absence, as those of a silent member. The right to start them ends 0.45 s after its last acknowledged heartbeat, as before.

--- a/packages/daemon/cranberryshored/pool/exchange.py
+++ b/packages/daemon/cranberryshored/pool/exchange.py
@@ -87,6 +87,8 @@
         Former schedulers by incarnation.
     acknowledged_at : float
         Time of the last heartbeat to the scheduler.
+    absent : dict
+        Time since which an entry instance whose jobs are scheduled here is not a member.
     """
 
     group: Group
@@ -103,6 +105,7 @@
     follows_heard_at: float = float("-inf")
     former: dict[str, FormerScheduler] = attrs.field(factory=dict)
     acknowledged_at: float = float("-inf")
+    absent: dict[str, float] = attrs.field(factory=dict)
     successor: str = ""
     beat_at: float = 0.0
     rounds: int = 0
@@ -430,9 +433,14 @@
             return
         held = self.listener.held_count()
         self.group.claim = attrs.evolve(self.group.claim, held=held)
+        members = self.group.members
         live = {member.at.incarnation for member in self.group.live(moment)}
         waiting = self.listener.waiting_entries() - live - {self.own.incarnation}
+        self.absent = {name: self.absent.get(name, moment) for name in waiting - members.keys()}
         for incarnation in sorted(waiting):
+            if moment - self.absent.get(incarnation, float("-inf")) < PEER_TIMEOUT_SECONDS:
+                # A delayed beat of an earlier incarnation displaces a member until its next beat.
+                continue
             self.log.warning("Entry instance lost.", peer=incarnation)
             self.listener.entry_lost(incarnation)
 
