--- a/packages/daemon/cranberryshored/pool/app.py
+++ b/packages/daemon/cranberryshored/pool/app.py
@@ -310,9 +310,9 @@
         """See :class:`SchedulerClient`."""
         return self.exchange.follows
 
-    def term(self) -> int:
+    def claim_term(self) -> int:
         """See :class:`SchedulerClient`."""
-        return self.exchange.term()
+        return self.exchange.claim_term()
 
     def epoch(self) -> int:
         """See :class:`SchedulerClient`."""
@@ -324,8 +324,8 @@
 
     def rosters_since(self, moment: float) -> tuple[int, ...]:
         """See :class:`SchedulerClient`."""
-        older = [version for at, version in self.roster_changes if at <= moment]
-        newer = [version for at, version in self.roster_changes if at > moment]
+        older = [version for at, version in self.roster_changes if at < moment]
+        newer = [version for at, version in self.roster_changes if at >= moment]
         return (older[-1] if older else UNKNOWN_ROSTER, *newer)
 
     def submit(self, request: WorkRequest) -> None:
@@ -333,7 +333,7 @@
         if self.exchange.follows == self.group.own.incarnation:
             self.scheduling.submit(request, self.exchange.follows)
         else:
-            epoch, term = self.exchange.epoch, self.exchange.term()
+            epoch, term = self.exchange.epoch, self.exchange.claim_term()
             self.exchange.send(
                 self.exchange.follows,
                 lambda place, echo: SubmitWork(place, request, epoch, echo, term),
--- a/packages/daemon/cranberryshored/pool/entry_service.py
+++ b/packages/daemon/cranberryshored/pool/entry_service.py
@@ -28,7 +28,7 @@
         """Return the incarnation of the scheduler, or an empty string if there is none."""
         ...
 
-    def term(self) -> int:
+    def claim_term(self) -> int:
         """Return the term of the scheduler's claim, 0 if there is none."""
         ...
 
@@ -189,7 +189,7 @@
         if job.sent_to not in ("", scheduler) and not client.has_released(job.sent_to):
             return
         # Within a claim, a scheduler knows what it has started.
-        term = client.term()
+        term = client.claim_term()
         job.is_resumed |= bool(job.sent_to) and (job.sent_to, job.sent_term) != (scheduler, term)
         job.sent_to, job.sent_term, job.sent_epoch = scheduler, term, epoch
         job.first_sent_at = min(job.first_sent_at, now())
--- a/packages/daemon/cranberryshored/pool/exchange.py
+++ b/packages/daemon/cranberryshored/pool/exchange.py
@@ -74,14 +74,21 @@
         Addresses to send beats to while no scheduler is known.
     follows : str
         Incarnation of the scheduler; empty if there is none.
+    term : int
+        Term of its claim: a scheduler that claims again has dropped all jobs.
+    follows_heard_at : float
+        Time of its latest beat. It may not be a member any more: a delayed beat of an earlier
+        incarnation at its address displaces it.
     successor : str
         Incarnation that takes over scheduling when this instance leaves; empty if none is named.
     epoch : int
-        Number of times that ``follows`` has changed.
+        Number of times that ``follows`` or ``term`` has changed.
     former : dict
         Former schedulers by incarnation.
     acknowledged_at : float
         Time of the last heartbeat to the scheduler.
+    absent : dict
+        Time since which an entry instance whose jobs are scheduled here is not a member.
     """
 
     group: Group
@@ -94,8 +101,11 @@
     in_streams: dict[str, ReceiveStream] = attrs.field(factory=dict)
     reconnected_at: dict[str, float] = attrs.field(factory=dict)
     follows: str = ""
+    term: int = 0
+    follows_heard_at: float = float("-inf")
     former: dict[str, FormerScheduler] = attrs.field(factory=dict)
     acknowledged_at: float = float("-inf")
+    absent: dict[str, float] = attrs.field(factory=dict)
     successor: str = ""
     beat_at: float = 0.0
     rounds: int = 0
@@ -170,17 +180,20 @@
         """Follow the scheduler with the strongest claim."""
         scheduler = self.group.scheduler(now())
         follows = self.own.incarnation if self.group.claim is not None else ""
+        term = 0
         if not follows and scheduler is not None:
-            follows = scheduler.at.incarnation
-        if follows == self.follows:
+            follows, term = scheduler.at.incarnation, scheduler.claim.term
+        if (follows, term) == (self.follows, self.term):
             return
+        self.term = term
         self.log.info("Scheduler followed.", before=self.follows, scheduler=follows)
         self._reset_acknowledgement_times()
         self.epoch += 1
         self._withdraw_jobs(self.follows)
+        if self.follows not in ("", self.own.incarnation):
+            self.former[self.follows] = FormerScheduler(self.epoch, self.follows_heard_at)
         before, self.follows = self.group.members.get(self.follows), follows
-        if before is not None:
-            self.former[before.at.incarnation] = FormerScheduler(self.epoch, before.heard_at)
+        self.follows_heard_at = now()
         if not follows:
             self.announce()
         if before is not None and follows:
@@ -190,13 +203,9 @@
             self._send_beat(scheduler, now())
         self.listener.scheduler_changed()
 
-    def term(self) -> int:
+    def claim_term(self) -> int:
         """Return the term of the claim of the followed scheduler, 0 if there is none."""
-        member = self.group.members.get(self.follows)
-        claim = self.group.claim if self.follows == self.own.incarnation else None
-        if member is not None:
-            claim = member.claim
-        return claim.term if claim is not None else 0
+        return self.term if self.group.claim is None else self.group.claim.term
 
     def has_released(self, scheduler: str) -> bool:
         """Return whether a former scheduler can start nothing more for this instance.
@@ -241,6 +250,8 @@
         moment = now()
         is_new = beat.sender.incarnation not in self.group.members
         member = self.group.record_contact(beat.sender, moment)
+        if beat.sender.incarnation == self.follows:
+            self.follows_heard_at = moment
         if beat.sent_at < member.heartbeat_sent_at:
             # A newer beat has already arrived over a newer connection.
             return
@@ -430,9 +441,14 @@
             return
         held = self.listener.held_count()
         self.group.claim = attrs.evolve(self.group.claim, held=held)
+        members = self.group.members
         live = {member.at.incarnation for member in self.group.live(moment)}
         waiting = self.listener.waiting_entries() - live - {self.own.incarnation}
+        self.absent = {name: self.absent.get(name, moment) for name in waiting - members.keys()}
         for incarnation in sorted(waiting):
+            if moment - self.absent.get(incarnation, float("-inf")) < PEER_TIMEOUT_SECONDS:
+                # A delayed beat of an earlier incarnation displaces a member until its next beat.
+                continue
             self.log.warning("Entry instance lost.", peer=incarnation)
             self.listener.entry_lost(incarnation)
 
--- a/packages/daemon/cranberryshored/pool/tests/test_entry_service.py
+++ b/packages/daemon/cranberryshored/pool/tests/test_entry_service.py
@@ -19,14 +19,14 @@
 
     def __init__(self):
         self.current, self.changes, self.released = "first", 1, set()
-        self.claim_term = 1
+        self.claim = 1
         self.submitted = []
 
     def scheduler(self):
         return self.current
 
-    def term(self):
-        return self.claim_term
+    def claim_term(self):
+        return self.claim
 
     def epoch(self):
         return self.changes
@@ -102,7 +102,7 @@
     async def test_job_is_resumed_under_another_claim_of_its_scheduler(self):
         # A scheduler that ends its claim forgets which tasks it has started.
         self.client.change("")
-        self.client.claim_term = 2
+        self.client.claim = 2
         self.client.change("first")
         self.service.scheduler_changed()
         self.assertEqual(self.client.submitted, [("first", True, (1, 2))])
@@ -112,3 +112,19 @@
         # started it, had to wait until all workers were verified.
         self.service.job_ended(JobEnded("", "j", Outcome.DROPPED), "first")
         self.assertEqual(self.client.submitted, [("first", False, (1, 2))])
+
+    async def test_job_dropped_by_a_former_scheduler_waits_until_it_has_released_it(self):
+        # The scheduler dropped the job of an earlier epoch, and then received it again.
+        self.client.change("")
+        self.service.scheduler_changed()
+        self.client.change("first")
+        self.service.scheduler_changed()
+        self.client.change("second")
+        self.service.scheduler_changed()
+        self.client.submitted.clear()
+        self.service.job_ended(JobEnded("", "j", Outcome.DROPPED), "first")
+        self.service.scheduler_changed()
+        self.assertEqual(self.client.submitted, [])
+        self.client.released.add("first")
+        self.service.scheduler_changed()
+        self.assertEqual(self.client.submitted, [("second", True, (1, 2))])
--- a/packages/proof/cranberryshore_proof/tests/test_double_start.py
+++ b/packages/proof/cranberryshore_proof/tests/test_double_start.py
@@ -12,7 +12,9 @@
     EndKind,
     Group,
     HeldWorker,
+    HoldState,
     MemberAddress,
+    Outcome,
     PoolConfig,
     QueueSpec,
     ReportedEnd,
@@ -69,7 +71,8 @@
         if seconds is None:
             return
         loop = asyncio.get_running_loop()
-        at = max(loop.time() + seconds, self.last_at.get(address, 0.0))
+        # An event loop runs timers of equal times in any order.
+        at = max(loop.time() + seconds, self.last_at.get(address, 0.0) + 1e-6)
         self.last_at[address] = at
         loop.call_at(at, self.transport.send, address, target, message)
 
@@ -129,7 +132,7 @@
         millicores: int,
         seconds: float,
         steps: int = 1,
-    ) -> None:
+    ) -> asyncio.Task:
         """Submit a job of successive steps of one task through an instance, with ample time."""
         deployment.demands[job], deployment.seconds[job] = millicores, seconds
         first = StepSpec(1, Capacity(millicores), int(seconds * 1000))
@@ -138,7 +141,7 @@
         address = deployment.address(number)
         daemon = deployment.daemons[address]
         queue = daemon.pool_config.get_queue("q")
-        deployment.network.spawn(address, daemon.entry_service.submit(request, queue))
+        return deployment.network.spawn(address, daemon.entry_service.submit(request, queue))
 
     def cut_busy_worker(self, deployment: PoolDeployment, scheduler: int) -> None:
         """Cut the worker that runs the job off from all instances but the scheduler."""
@@ -198,22 +201,57 @@
 
     async def lose_start(
         self, deployment: PoolDeployment, scheduler: int, at: float, millicores: int
-    ) -> None:
+    ) -> asyncio.Task:
         """Submit a job of the scheduler's own caller whose start request is lost."""
         await self.sleep_until(deployment, at)
         calls = deployment.daemons[deployment.address(scheduler)].calls
-        calls.late_share = 1.0
-        self.submit(deployment, scheduler, "k", millicores, 0.9)
-        await asyncio.sleep(0.02)
-        calls.late_share = 0.0
+        lost: list[StartRun] = []
+
+        async def start_run(own, worker, order, timeout):
+            if own is not calls or not order.key[0].startswith("k."):
+                return await answered(own, worker, order, timeout)
+            lost.append(order)
+            await asyncio.sleep(timeout)
+            return StartReply.UNANSWERED
+
+        answered = FakeWorkerCalls.start_run
+        with mock.patch.object(FakeWorkerCalls, "start_run", start_run):
+            caller = self.submit(deployment, scheduler, "k", millicores, 0.9)
+            await asyncio.sleep(0.02)
+        self.assertEqual(len(lost), 1)
+        return caller
+
+    async def wait_until_taken_back(
+        self, deployment: PoolDeployment, scheduler: int, name: str
+    ) -> None:
+        """Wait until the replaced scheduler has taken a worker from the next one."""
+        (following,) = (
+            daemon
+            for address, daemon in deployment.daemons.items()
+            if address != deployment.address(scheduler) and daemon.group.claim is not None
+        )
+        replaced = deployment.daemons[deployment.address(scheduler)]
+        old, new = (item.scheduling.scheduler.workers[name] for item in (replaced, following))
+        async with asyncio.timeout(0.2):
+            while new.state is not HoldState.HELD:
+                await asyncio.sleep(0.001)
+            while not deployment.workers[name].token == old.token > new.token:
+                await asyncio.sleep(0.001)
 
     def test_unanswered_start_takes_a_worker_from_the_next_scheduler(self):
         # The replaced scheduler raised its token above that of the next one and started a job that
         # had been handed over.
         async def scenario(deployment: PoolDeployment, scheduler: int, replaced_at: float) -> None:
+            replaced = deployment.daemons[deployment.address(scheduler)]
             await self.sleep_until(deployment, replaced_at - 0.2)
             self.submit(deployment, self.entry, "j", 1000, 0.9)
             await self.lose_start(deployment, scheduler, replaced_at - 0.03, 2600)
+            await self.sleep_until(deployment, replaced_at + 0.001)
+            await self.wait_until_taken_back(deployment, scheduler, "w0")
+            self.assertTrue(any(key[0] == "j.0.0.0" for key in deployment.workers["w1"].runs))
+            async with asyncio.timeout(0.1):
+                while "j" not in replaced.scheduling.scheduler.jobs:
+                    await asyncio.sleep(0.001)
             await asyncio.sleep(1.0)
 
         deployment = self.replace_scheduler(scenario, (4000, 2000), 0.25)
@@ -223,14 +261,26 @@
         # The next scheduler adopted a run and lost its worker again. It counted the run as lapsed
         # 1.1 s after its own last extension of the lease, which the replaced one had extended.
         async def scenario(deployment: PoolDeployment, scheduler: int, replaced_at: float) -> None:
+            replaced = deployment.daemons[deployment.address(scheduler)]
+            await self.sleep_until(deployment, replaced_at - 1.22)
+            # With all clocks known, the tasks are placed by the size of the workers.
+            for channel in replaced.scheduling.channels.values():
+                channel.poll_now()
             await self.sleep_until(deployment, replaced_at - 1.2)
             self.submit(deployment, self.entry, "j", 2100, 5.0, steps=2)
             self.submit(deployment, self.entry + 1, "a", 1950, 5.0)
-            await self.lose_start(deployment, scheduler, replaced_at - 0.055, 1800)
+            caller = await self.lose_start(deployment, scheduler, replaced_at - 0.055, 1800)
+            # Otherwise its next start would show that another worker obeys the next scheduler.
+            caller.cancel()
+            await self.sleep_until(deployment, replaced_at + 0.001)
+            await self.wait_until_taken_back(deployment, scheduler, "w0")
+            self.assertIn(("j.0.0.0", 1), deployment.workers["w0"].runs)
             await self.sleep_until(deployment, replaced_at + 0.4)
+            self.assertIsNotNone(replaced.group.claim)
             # Shows the replaced scheduler that most workers obey another one, so its claim ends.
             self.submit(deployment, scheduler, "m", 3000, 0.9)
             await asyncio.sleep(3.0)
+            self.assertIsNone(replaced.group.claim)
 
         deployment = self.replace_scheduler(scenario, (4000, 2000, 4000), 0.6)
         self.assertEqual(deployment.faults, [])
@@ -362,6 +412,27 @@
 
         self.assertEqual(self.simulate(scenario, 2).faults, [])
 
+    def test_delayed_beat_of_an_earlier_incarnation_drops_the_jobs_of_the_present_one(self):
+        # The beat displaces the entry instance from the members of the scheduler, which drops its
+        # jobs and cannot tell it. The caller waits until its time is over.
+        async def scenario(deployment: PoolDeployment) -> None:
+            scheduler = deployment.scheduler_number()
+            entry = scheduler + 2
+            earlier = deployment.daemons[deployment.address(entry)].group.own
+            deployment.kill(entry)
+            await deployment.start_instance(entry)
+            await asyncio.sleep(1.0)
+            Impairment(deployment, scheduler, lambda now: 0.16).install()
+            caller = self.submit(deployment, entry, "j", 1000, 0.9)
+            await asyncio.sleep(0.4)
+            exchange = deployment.daemons[deployment.address(scheduler)].exchange
+            exchange.deliver(earlier.incarnation, Beat(earlier, 1, 0, 0, 0, 0.5))
+            async with asyncio.timeout(3.0):
+                end = await caller
+            self.assertEqual(end.outcome, Outcome.COMPLETED)
+
+        self.simulate(scenario, 2)
+
 
 class FreshJobTest(DoubleStartTest):
     def test_job_submitted_again_after_its_entry_instance_and_scheduler_died(self):
@@ -419,6 +490,50 @@
         self.simulate(scenario, 2)
 
 
+class TwoEntryInstancesTest(DoubleStartTest):
+    """A caller asks again elsewhere, and the first entry instance does not see that it has left."""
+
+    def test_job_of_a_caller_that_has_moved_is_handed_over_by_its_first_instance(self):
+        # The first instance is partitioned with its zone, whose scheduler cannot reach the run.
+        async def scenario(deployment: PoolDeployment) -> None:
+            for number in range(6):
+                self.submit(deployment, 2, f"f{number}", 4000, 0.3)
+            await asyncio.sleep(0.1)
+            self.submit(deployment, 2, "j", 1000, 6.0)
+            await asyncio.sleep(RETRY_DELAY_SECONDS)
+            (worker,) = (model for model in deployment.workers.values() if model.runs)
+            self.assertEqual(worker.zone, "a")
+            self.submit(deployment, 4, "j", 1000, 6.0)
+            await asyncio.sleep(0.3)
+            deployment.cut({2, 3}, {"b"})
+            await asyncio.sleep(4.0)
+            self.assertTrue(worker.runs)
+
+        self.assertEqual(self.simulate(scenario, 6).faults, [])
+
+    def test_second_instance_does_not_know_the_worker_that_runs_the_job(self):
+        # The registration of the worker expired before the second instance got the job.
+        async def scenario(deployment: PoolDeployment) -> None:
+            scheduler = deployment.scheduler_number()
+            first, second = 2, 3
+            self.submit(deployment, first, "j", 1000, 6.0)
+            await asyncio.sleep(0.3)
+            (worker,) = (model for model in deployment.workers.values() if model.runs)
+            deployment.expire_registrations([worker.name])
+            await asyncio.sleep(RETRY_DELAY_SECONDS)
+            self.submit(deployment, second, "j", 1000, 6.0)
+            await asyncio.sleep(0.1)
+            self.cut_busy_worker(deployment, scheduler)
+            for number in range(len(deployment.zones)):
+                if number != first:
+                    deployment.network.cut(deployment.address(first), deployment.address(number))
+            address = deployment.address(scheduler)
+            deployment.network.spawn(address, deployment.daemons[address].drain())
+            await asyncio.sleep(1.0)
+
+        self.assertEqual(self.simulate(scenario, 6).faults, [])
+
+
 class ReturnedJobTest(TestCase):
     """An entry instance has left a scheduler and returned without being heard meanwhile."""
 
