A background task that ends by a cancellation nobody requested is logged

Cause: start_task took every cancellation for a requested one. pynng raises CancelledError from arecv when nng reports a cancelled operation, so the loop that receives from peers could have ended without a log record; and it returned without one when its socket was closed. Evidence: test_unrequested_cancellation_is_logged fails on the code before.

--- a/packages/daemon/cranberryshored/peers/transport.py
+++ b/packages/daemon/cranberryshored/peers/transport.py
@@ -130,7 +130,9 @@
         while not self.is_closing:
             try:
                 data = await self.pull_socket.arecv()
-            except (Closed, Canceled):
+            except (Closed, Canceled) as error:
+                if not self.is_closing:
+                    self.log.error("Receiving from peers ended.", error=repr(error))
                 return
             self.metrics.messages.labels("peer_in").inc()
             self._handle_envelope(data)
--- a/packages/daemon/cranberryshored/tasks.py
+++ b/packages/daemon/cranberryshored/tasks.py
@@ -10,7 +10,8 @@
     """Start a background task and log its failure as soon as it occurs.
 
     Otherwise the exception would surface only when the task is awaited, which happens at
-    shutdown.
+    shutdown. A cancellation that nobody requested, as when pynng passes on one of nng, also counts
+    as a failure.
 
     Parameters
     ----------
@@ -21,8 +22,12 @@
     """
 
     def report(task: asyncio.Task) -> None:
-        if not task.cancelled() and task.exception() is not None:
-            log.error("Background task failed.", work=name, error=repr(task.exception()))
+        if task.cancelled():
+            error = None if task.cancelling() else asyncio.CancelledError()
+        else:
+            error = task.exception()
+        if error is not None:
+            log.error("Background task failed.", work=name, error=repr(error))
 
     name = work.__qualname__
     task = asyncio.create_task(work)
--- a/packages/daemon/cranberryshored/tests/test_tasks.py
+++ b/packages/daemon/cranberryshored/tests/test_tasks.py
@@ -30,3 +30,12 @@
         task = start_task(asyncio.sleep(10), log)
         await cancel_tasks([task])
         self.assertEqual(log.errors, [])
+
+    async def test_unrequested_cancellation_is_logged(self):
+        # Regression: a background task that ended by a cancellation of its own left no log record.
+        async def end() -> None:
+            raise asyncio.CancelledError
+
+        log = RecordingLog()
+        await asyncio.gather(start_task(end(), log), return_exceptions=True)
+        self.assertEqual(log.errors, [("Background task failed.", "CancelledError()")])
