Peers: handle all queued messages at once

Cause: receiving a message took several iterations of the event loop, in each of which a busy scheduler handles hundreds of responses of workers. Change: after one message, those that have arrived from other peers are received without waiting, 200 at most. The lease limit is checked only for workers with free capacity.

--- a/packages/core/cranberryshore/pool/scheduler.py
+++ b/packages/core/cranberryshore/pool/scheduler.py
@@ -399,8 +399,10 @@
         self._release_resumed_jobs(waiting, now)
         smallest = min(job.smallest_millicores for job in waiting)
         candidates = worker_selection.find_candidates(
-            self._workers_with_lease(now), smallest, self.statistics.health, now
+            self.workers.values(), smallest, self.statistics.health, now
         )
+        lease_end = now + MIN_LEASE_SECONDS
+        candidates = [item for item in candidates if self._lease_limit(item.worker) > lease_end]
         if not candidates:
             return
         foreign = {key[0] for worker in self.workers.values() for key in worker.strangers}
@@ -429,14 +431,6 @@
             unverified = len(exposed) - verified
             self.effects.append(ResumedJobReleased(job.request.id, verified, unverified, waited_ms))
 
-    def _workers_with_lease(self, now: float) -> Iterable[HeldWorker]:
-        """Return the workers whose lease need not end soon."""
-        return (
-            worker
-            for worker in self.workers.values()
-            if self._lease_limit(worker) > now + MIN_LEASE_SECONDS
-        )
-
     def _place_job(
         self, job: PoolJob, groups: CandidateGroups, foreign: set[str], now: float
     ) -> bool:
--- a/packages/daemon/cranberryshored/peers/tests/test_transport.py
+++ b/packages/daemon/cranberryshored/peers/tests/test_transport.py
@@ -1,4 +1,5 @@
 import asyncio
+import time
 from unittest import IsolatedAsyncioTestCase
 
 from cranberryshore.messages import Leave, PeerCall
@@ -40,6 +41,28 @@
         await self.one.close()
         await self.two.close()
 
+    async def test_queued_messages_are_handled_together(self):
+        # Regression: each message took several iterations of the event loop, so that a busy
+        # scheduler received heartbeats and jobs late.
+        address = f"{HOST}:{self.ports[1]}"
+        senders = [_transport(port, f"s{port}", []) for port in free_ports(20)]
+        for sender in senders:
+            self.addAsyncCleanup(sender.close)
+            sender.send(address, "two", Leave())
+        self.addAsyncCleanup(self.two.close)
+        self.addAsyncCleanup(self.one.close)
+        async with asyncio.timeout(10):
+            while len(self.inbox) < 20:
+                await asyncio.sleep(0.01)
+        for sender in senders:
+            sender.send(address, "two", Leave())
+            sender._flush()
+        # The messages arrive while the event loop does nothing.
+        time.sleep(0.3)
+        for _ in range(10):
+            await asyncio.sleep(0)
+        self.assertEqual(len(self.inbox), 40)
+
     async def test_closes_while_messages_stream_in(self):
         # Regression: pynng's arecv lost a cancellation when a message arrived at the same moment,
         # so the receive loop continued and a leaving daemon never exited.
--- a/packages/daemon/cranberryshored/peers/transport.py
+++ b/packages/daemon/cranberryshored/peers/transport.py
@@ -15,6 +15,9 @@
 
 SEND_BUFFER_MESSAGES = 256
 RECEIVE_BUFFER_MESSAGES = 1024
+RECEIVE_BATCH = 200
+"""Maximum number of envelopes handled at once, so that the event loop also does other work."""
+
 RECONNECT_MS = 100
 MAX_MESSAGE_BYTES = 16_000_000
 
@@ -134,10 +137,27 @@
                 if not self.is_closing:
                     self.log.error("Receiving from peers ended.", error=repr(error))
                 return
-            self.metrics.messages.labels("peer_in").inc()
+            self._handle_envelope(data)
+            self._handle_queued()
+
+    def _handle_queued(self) -> None:
+        """Handle the envelopes that have arrived meanwhile.
+
+        Receiving one takes several iterations of the event loop, in each of which a busy scheduler
+        handles hundreds of responses of workers.
+        """
+        for _ in range(RECEIVE_BATCH):
+            try:
+                data = self.pull_socket.recv(block=False)
+            except TryAgain:
+                return
+            except NNGException as error:
+                self.log.warning("Receiving from a peer failed.", error=str(error))
+                return
             self._handle_envelope(data)
 
     def _handle_envelope(self, data: bytes) -> None:
+        self.metrics.messages.labels("peer_in").inc()
         envelope = decode_envelope(data)
         if envelope is None:
             self.log.warning("Ignored a malformed envelope.", size=len(data))
