A refusal of a job that was submitted again does not say that it has not run

Cause: since a job that is submitted again within a claim needs no verification, it was not marked as resumed, and that mark also told whether a refusal may say "not run". The scheduler had started and dropped the job before. Change: a mark of its own, set as soon as a job is submitted a second time. Evidence: test_refusal_of_a_job_that_was_dropped_does_not_say_that_it_has_not_run answers refused instead of given up without the change.

--- a/packages/daemon/cranberryshored/pool/entry_service.py
+++ b/packages/daemon/cranberryshored/pool/entry_service.py
@@ -69,6 +69,8 @@
         Time of the first submission.
     is_resumed : bool
         Whether another scheduler, or another claim of the same one, may have started its tasks.
+    may_have_run : bool
+        Whether an earlier submission may have started its tasks, in the same claim too.
     """
 
     request: WorkRequest
@@ -80,6 +82,7 @@
     sent_epoch: int = 0
     first_sent_at: float = float("inf")
     is_resumed: bool = False
+    may_have_run: bool = False
 
     def expires_at(self) -> float:
         """Return the time after which a result is of no use to the caller."""
@@ -118,6 +121,7 @@
             # The scheduler of the first request may have started tasks.
             job.sent_to, job.sent_term, job.sent_epoch = older.sent_to, older.sent_term, RESUBMIT
             job.first_sent_at, job.is_resumed = older.first_sent_at, older.is_resumed
+            job.may_have_run = older.may_have_run or bool(older.sent_to)
         self._submit_to_scheduler(job)
         try:
             end = await future
@@ -156,8 +160,8 @@
             self._resubmit(job)
             return
         del self.pending[end.job]
-        if end.outcome is Outcome.REFUSED and job.is_resumed:
-            # REFUSED means that the job has not run, but an earlier scheduler may have started it.
+        if end.outcome is Outcome.REFUSED and job.may_have_run:
+            # REFUSED means that the job has not run, but an earlier submission may have started it.
             end = attrs.evolve(end, outcome=Outcome.GIVEN_UP)
         if not job.answer.done():
             job.answer.set_result(end)
@@ -188,6 +192,7 @@
             return
         if job.sent_to not in ("", scheduler) and not client.has_released(job.sent_to):
             return
+        job.may_have_run |= bool(job.sent_to)
         # Within a claim, a scheduler knows what it has started.
         term = client.claim_term()
         job.is_resumed |= bool(job.sent_to) and (job.sent_to, job.sent_term) != (scheduler, term)
@@ -217,7 +222,7 @@
             moment = now()
             for job in list(self.pending.values()):
                 if not job.sent_to and moment > job.expires_at():
-                    outcome = Outcome.GIVEN_UP if job.is_resumed else Outcome.REFUSED
+                    outcome = Outcome.GIVEN_UP if job.may_have_run else Outcome.REFUSED
                     self._give_up(job, outcome, "No instance schedules the pool now.")
                 # A scheduler ends the job when its budget is used up; its message gets 0.2 s more.
                 elif moment > job.arrived_at + job.request.budget_ms / 1000 + 0.2:
--- a/packages/daemon/cranberryshored/pool/tests/test_entry_service.py
+++ b/packages/daemon/cranberryshored/pool/tests/test_entry_service.py
@@ -128,3 +128,10 @@
         self.client.released.add("first")
         self.service.scheduler_changed()
         self.assertEqual(self.client.submitted, [("second", True, (1, 2))])
+
+    async def test_refusal_of_a_job_that_was_dropped_does_not_say_that_it_has_not_run(self):
+        # Regression (soak test_seeds): a job that its scheduler had started and dropped was refused
+        # as not run after it had been submitted again within the claim.
+        self.service.job_ended(JobEnded("", "j", Outcome.DROPPED), "first")
+        self.service.job_ended(JobEnded("", "j", Outcome.REFUSED), "first")
+        self.assertIs((await self.caller).outcome, Outcome.GIVEN_UP)
