--- a/packages/core/cranberryshore/pool/tests/test_scheduler.py
+++ b/packages/core/cranberryshore/pool/tests/test_scheduler.py
@@ -158,6 +158,7 @@
         self.poll("w2")
         self.now = arrived + RESUMED_JOB_WAIT_SECONDS - 0.02
         self.poll("w1")
+        self.scheduler.tick(arrived + RESUMED_JOB_WAIT_SECONDS - 0.01)
         self.assertEqual(self.starts(), [])
         self.scheduler.tick(arrived + RESUMED_JOB_WAIT_SECONDS)
         self.assertEqual(len(self.starts()), 1)
--- a/packages/daemon/cranberryshored/pool/exchange.py
+++ b/packages/daemon/cranberryshored/pool/exchange.py
@@ -274,8 +274,8 @@
             self._take_over(beat)
         if is_new:
             self.log.info("Peer discovered.", peer=beat.sender.incarnation)
-        is_confused = self._follows_wrong_scheduler(beat) or self._is_competing_claim(beat)
-        if is_new or has_left or is_confused:
+        is_outdated = self._follows_wrong_scheduler(beat) or self._is_competing_claim(beat)
+        if is_new or has_left or is_outdated:
             self._send_beat(member, moment)
         if member.config_version < self.listener.config().version:
             news = ConfigNews(self.listener.config())
