Placement no longer scans all workers for each change

Cause: each placement walked all workers of the pool, several times (candidates, lease limits, foreign runs, free capacity), and sorted all waiting jobs, so a start became dearer with the pool.

Change: WorkerIndex keeps the workers sorted by free capacity, WaitingJobs keeps the waiting jobs sorted, and Placer, split from Scheduler, uses both.

--- a/packages/core/cranberryshore/placement/health.py
+++ b/packages/core/cranberryshore/placement/health.py
@@ -9,6 +9,9 @@
 INITIAL_ISOLATION_SECONDS = 5.0
 MAX_ISOLATION_SECONDS = 60.0
 
+PLACEMENT_RANKS = (0, 1, 2)
+"""Ranks of workers in placement: sound, slow, and recently isolated."""
+
 
 @attrs.define
 class WorkerHealth:
@@ -94,12 +97,12 @@
         """Return whether the run time ratio of a worker is well above the pool average."""
         return self.record_for(name).run_ratio > SLOW_FACTOR * self.run_ratio
 
-    def placement_rank(self, name: str) -> float:
+    def placement_rank(self, name: str) -> int:
         """Return the placement rank of a worker; lower ranks are preferred."""
         record = self.record_for(name)
         if record.isolation_seconds:
-            return 2.0
-        return 1.0 if self.is_slow(name) else 0.0
+            return 2
+        return 1 if self.is_slow(name) else 0
 
     def allowance(self, name: str, now: float) -> int:
         """Return how many tasks may be placed on a worker now."""
--- /dev/null
+++ b/packages/core/cranberryshore/pool/placing.py
@@ -0,0 +1,183 @@
+"""Placement of waiting tasks on workers."""
+
+from collections.abc import Mapping
+
+import attrs
+
+from cranberryshore.pool.config import PoolConfig
+from cranberryshore.pool.effects import PollWorker, PoolEffect, ResumedJobReleased, StartRun
+from cranberryshore.pool.held_worker import HeldWorker
+from cranberryshore.pool.run_registry import RunRegistry
+from cranberryshore.pool.run_statistics import RunStatistics
+from cranberryshore.pool.start_rights import StartRights
+from cranberryshore.pool.verifying import release_verified
+from cranberryshore.pool.waiting_jobs import WaitingJobs
+from cranberryshore.pool.work import PoolJob, PoolTask
+from cranberryshore.pool.worker_selection import Query, WorkerIndex
+
+REFRESHED_SHARE = 8
+"""A tick sorts one in so many workers again: their ranks change with the mean of the pool."""
+
+
+@attrs.define(eq=False)
+class Placer:
+    """Starts the waiting tasks of a scheduler's jobs on its workers.
+
+    Parameters
+    ----------
+    effects : list of PoolEffect
+        Receives the required actions.
+    resumed_jobs : dict
+        Jobs that start when no run of another scheduler can be active; an ordered set.
+    stranger_holders : set of str
+        Workers with active runs of another scheduler.
+    """
+
+    workers: Mapping[str, HeldWorker]
+    rights: StartRights
+    registry: RunRegistry
+    statistics: RunStatistics
+    effects: list[PoolEffect]
+    waiting: WaitingJobs = attrs.field(factory=WaitingJobs)
+    resumed_jobs: dict[PoolJob, None] = attrs.field(factory=dict)
+    stranger_holders: set[str] = attrs.field(factory=set)
+    refreshed_count: int = 0
+    index: WorkerIndex = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self.index = WorkerIndex(self.workers, self.statistics.health, self.lease_limit)
+
+    def replace_rights(self, rights: StartRights) -> StartRights:
+        """Use other rights of the scheduler, and return them."""
+        self.rights = rights
+        return rights
+
+    def lease_limit(self, worker: HeldWorker) -> float:
+        """Return the time at which the lease of a worker must have ended.
+
+        The lease covers all runs, so the entry instance heard longest ago determines it.
+        """
+        limit = float("inf")
+        for key in worker.runs:
+            job = self.registry.tasks_by_run[key][0]
+            limit = min(
+                limit, job.lease_limit if job.is_ended else self.rights.lease_limit(job.entry)
+            )
+        return limit
+
+    def worker_changed(self, worker: HeldWorker) -> None:
+        """Record that a worker has changed."""
+        self.index.mark_changed(worker.name)
+        if worker.strangers:
+            self.stranger_holders.add(worker.name)
+        else:
+            self.stranger_holders.discard(worker.name)
+
+    def job_ended(self, job: PoolJob) -> None:
+        """Remove a job that has ended."""
+        self.waiting.remove(job)
+        self.resumed_jobs.pop(job, None)
+
+    def tick(self, now: float) -> None:
+        """Sort the waiting jobs, and a part of the workers, again."""
+        self.waiting.sort(now)
+        self.refreshed_count += 1
+        part = self.refreshed_count % REFRESHED_SHARE
+        self.index.outdated.update(list(self.workers)[part::REFRESHED_SHARE])
+
+    def place_jobs(self, config: PoolConfig, now: float) -> None:
+        """Start as many waiting tasks as fit."""
+        if not self.waiting:
+            return
+        self._release_resumed_jobs(now)
+        self.index.refresh(now)
+        largest = {queue.service: 0 for queue in config.queues}
+        for service in largest:
+            largest[service] = self.index.largest_millicores(service)
+        if max(largest.values(), default=0) < self.waiting.smallest_millicores:
+            return
+        foreign = self._foreign_tasks()
+        changed = []
+        for job in self.waiting:
+            queue = config.get_queue(job.request.queue)
+            if queue is None or job.smallest_millicores > largest[queue.service]:
+                continue
+            if job.delayed_until > now or not self.rights.may_start(job.entry, now):
+                continue
+            if self._place_job(job, queue.service, foreign, now):
+                changed.append(job)
+                largest[queue.service] = self.index.largest_millicores(queue.service)
+                if max(largest.values()) < self.waiting.smallest_millicores:
+                    break
+        for job in changed:
+            self.waiting.update(job, now)
+
+    def _foreign_tasks(self) -> set[str]:
+        """Return the tasks of which another scheduler has active runs."""
+        holders = (self.workers.get(name) for name in self.stranger_holders)
+        return {key[0] for worker in holders if worker is not None for key in worker.strangers}
+
+    def _release_resumed_jobs(self, now: float) -> None:
+        waiting = [job for job in self.resumed_jobs if job.waiting_tasks]
+        if not waiting:
+            return
+        released = release_verified(waiting, self.workers, now)
+        waited = [job for job in waiting if 0.0 < job.delayed_until <= now]
+        for job in (*released, *waited):
+            job.delayed_until = 0.0
+            del self.resumed_jobs[job]
+            exposed = job.exposed_workers or ()
+            verified = sum(
+                name in self.workers and self.workers[name].polled_at >= job.received_at
+                for name in exposed
+            )
+            waited_ms = int((now - job.received_at) * 1000)
+            unverified = len(exposed) - verified
+            self.effects.append(ResumedJobReleased(job.request.id, verified, unverified, waited_ms))
+
+    def _place_job(self, job: PoolJob, service: str, foreign: set[str], now: float) -> bool:
+        """Place as many tasks of a job as fit; return whether any was placed.
+
+        ``foreign`` are the tasks of which another scheduler has active runs.
+        """
+        usable = self.rights.usable_workers(job.entry)
+        asked: set[str] = set()
+        has_placed = False
+        for task in job.startable_tasks():
+            name = job.name_of(task)
+            if name in foreign or self.registry.is_task_active(name):
+                continue
+            query = Query(job, task, service, usable, asked, now)
+            worker = self.index.select(query, is_ready=True)
+            if worker is not None:
+                has_placed |= self._start_run(job, task, worker, now)
+                continue
+            self.index.refresh(now)
+            worker = self.index.select(query, is_ready=False)
+            if worker is None:
+                break
+            self._read_clock(worker, now)
+            asked.add(worker.name)
+        return has_placed
+
+    def _read_clock(self, worker: HeldWorker, now: float) -> None:
+        """Poll an idle worker, whose clock must be known before a start, unless that is due."""
+        if not worker.is_clock_being_read(now):
+            worker.clock_requested_at = now
+            self.effects.append(PollWorker(worker.name))
+
+    def _start_run(self, job: PoolJob, task: PoolTask, worker: HeldWorker, now: float) -> bool:
+        limit_at = min(self.lease_limit(worker), self.rights.lease_limit(job.entry))
+        lease_end_ms = worker.lease_end_ms(now, limit_at)
+        if lease_end_ms is None:
+            return False
+        task.attempt += 1
+        key = (job.name_of(task), task.attempt)
+        self.registry.record_start(job, task, worker.name, key, now)
+        worker.add_run(key, job.step_of(task).demand, now)
+        record = self.statistics.health.record_for(worker.name)
+        record.probe_running = bool(record.isolation_seconds)
+        self.index.update(worker.name, now)
+        payload = job.request.payload
+        self.effects.append(StartRun(worker.name, key, payload, worker.token, lease_end_ms))
+        return True
--- a/packages/core/cranberryshore/pool/scheduler.py
+++ b/packages/core/cranberryshore/pool/scheduler.py
@@ -8,17 +8,9 @@
 
 import attrs
 
-from cranberryshore.pool import adoption, ordering, refusing, worker_selection
+from cranberryshore.pool import adoption, refusing
 from cranberryshore.pool.config import PoolConfig
-from cranberryshore.pool.effects import (
-    JobEnded,
-    PollWorker,
-    PoolEffect,
-    ResumedJobReleased,
-    StartRun,
-    StopRun,
-    UnsuccessfulRun,
-)
+from cranberryshore.pool.effects import JobEnded, PollWorker, PoolEffect, StopRun, UnsuccessfulRun
 from cranberryshore.pool.held_worker import (
     EndKind,
     HeldWorker,
@@ -28,6 +20,7 @@
     WorkerStatus,
 )
 from cranberryshore.pool.job_summary import summarize_job
+from cranberryshore.pool.placing import Placer
 from cranberryshore.pool.refusing import RESUMED_JOB_WAIT_SECONDS
 from cranberryshore.pool.run_registry import RunRegistry
 from cranberryshore.pool.run_statistics import RunStatistics
@@ -36,9 +29,9 @@
     AcknowledgedRights,
     StartRights,
 )
-from cranberryshore.pool.verifying import Verification, release_verified
+from cranberryshore.pool.verifying import Verification
 from cranberryshore.pool.work import Outcome, PoolJob, PoolTask, TaskPhase, WorkRequest
-from cranberryshore.pool.worker_selection import CandidateGroups
+from cranberryshore.work.capacity import Capacity
 
 STOP_RETRY_SECONDS = 0.15
 """Time after which a stop without effect is sent again; workers stop runs within 50 ms."""
@@ -54,9 +47,6 @@
 """Time for which a worker without runs that is not in the roster is held, so that it verifies the
 resumed jobs that arrive meanwhile."""
 
-MIN_LEASE_SECONDS = 0.5
-"""No task is started on a worker whose lease ends earlier unless one of its runs ends before."""
-
 ATTEMPT_INCREMENT = 8
 """Increment of an attempt number that a worker has rejected as too low."""
 
@@ -78,7 +68,10 @@
     """
 
     config: PoolConfig = PoolConfig()
-    rights: StartRights = attrs.field(factory=AcknowledgedRights)
+    rights: StartRights = attrs.field(
+        factory=AcknowledgedRights,
+        on_setattr=lambda scheduler, _, rights: scheduler.placer.replace_rights(rights),
+    )
     jobs: dict[str, PoolJob] = attrs.field(factory=dict)
     workers: dict[str, HeldWorker] = attrs.field(factory=dict)
     statistics: RunStatistics = attrs.field(factory=RunStatistics)
@@ -87,13 +80,20 @@
     verification: Verification = attrs.field(factory=Verification)
     changed_at: float | None = None
     acquiring_since: float = float("-inf")
+    placer: Placer = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self.placer = Placer(
+            self.workers, self.rights, self.registry, self.statistics, self.effects
+        )
 
     def take_effects(self) -> list[PoolEffect]:
         """Place waiting tasks if the state has changed, and pop the pending effects."""
         if self.changed_at is not None:
-            self._place_jobs(self.changed_at)
+            self.placer.place_jobs(self.config, self.changed_at)
             self.changed_at = None
-        effects, self.effects = self.effects, []
+        effects = self.effects.copy()
+        self.effects.clear()
         return effects
 
     def waiting_tasks(self) -> int:
@@ -136,6 +136,7 @@
         self.jobs[request.id] = job
         if request.is_resumed:
             self._delay_until_verified(job, exposed_workers, now)
+        self.placer.waiting.update(job, now)
         self.changed_at = now
 
     def _move_job(self, job: PoolJob, entry: str, now: float) -> PoolJob | None:
@@ -163,6 +164,7 @@
             exposed_workers = earlier if earlier is None else earlier | exposed_workers
         job.received_at, job.exposed_workers = now, exposed_workers
         job.delayed_until = now + RESUMED_JOB_WAIT_SECONDS
+        self.placer.resumed_jobs[job] = None
         self._adopt_job(job, now)
         self.verification.request(now)
         self._request_polls(now)
@@ -173,12 +175,15 @@
         ]
 
     def _fits_any_worker(self, job: PoolJob) -> bool:
-        members = list(self._service_workers(job))
-        if not members:
-            # The workers of the service may not be known yet.
-            return True
         demands = {step.demand for step in job.request.steps}
-        return all(any(worker.total.holds(demand) for worker in members) for demand in demands)
+        is_any_known = False
+        for worker in self._service_workers(job):
+            is_any_known = True
+            demands = {demand for demand in demands if not worker.total.holds(demand)}
+            if not demands:
+                return True
+        # The workers of the service may not be known yet.
+        return not is_any_known
 
     def cancel(self, job_id: str, entry: str, now: float) -> None:
         """Cancel a job whose caller has disconnected."""
@@ -206,6 +211,7 @@
         job.is_ended = True
         job.lease_limit = min(self.rights.lease_limit(job.entry), now + RUN_RIGHT_SECONDS)
         del self.jobs[job.request.id]
+        self.placer.job_ended(job)
         self.registry.save_attempts(job)
         for task in job.tasks:
             if task.phase is TaskPhase.PLACED:
@@ -220,6 +226,7 @@
     def add_worker(self, worker: HeldWorker, now: float) -> None:
         """Add a worker; no task is placed on it before it has responded to a poll."""
         self.workers[worker.name] = worker
+        self.placer.worker_changed(worker)
         self.acquiring_since = now
         self.effects.append(PollWorker(worker.name))
 
@@ -232,21 +239,19 @@
         worker = self.workers.get(name)
         if worker is not None:
             worker.unlist(now)
+            self.placer.worker_changed(worker)
+
+    def relist(self, name: str, total: Capacity, labels: frozenset[str], is_draining: bool) -> None:
+        """Apply the present registration of a held worker."""
+        worker = self.workers[name]
+        worker.is_draining, worker.labels = is_draining, labels
+        worker.relist()
+        worker.resize(total)
+        self.placer.worker_changed(worker)
 
     def lease_end_ms(self, worker: HeldWorker, now: float) -> int | None:
         """Return the new lease end on the clock of a worker; ``None`` to keep the old one."""
-        return worker.lease_end_ms(now, self._lease_limit(worker))
-
-    def _lease_limit(self, worker: HeldWorker) -> float:
-        """Return the time at which the lease of a worker must have ended.
-
-        The lease covers all runs, so the entry instance heard longest ago determines it.
-        """
-        jobs = [self.registry.tasks_by_run[key][0] for key in worker.runs]
-        limits = (
-            job.lease_limit if job.is_ended else self.rights.lease_limit(job.entry) for job in jobs
-        )
-        return min(limits, default=float("inf"))
+        return worker.lease_end_ms(now, self.placer.lease_limit(worker))
 
     def record_status(
         self, name: str, status: WorkerStatus, token: int, poll_sent_at: float, now: float
@@ -270,6 +275,7 @@
         for key, run in worker.runs.items():
             if run.state is RunState.STOPPING and now > run.stop_requested_at + STOP_RETRY_SECONDS:
                 self._stop_run(name, key, now)
+        self.placer.worker_changed(worker)
         self.changed_at = now
 
     def _adopt_job(self, job: PoolJob, now: float) -> None:
@@ -299,6 +305,7 @@
             task.attempt = max(task.attempt, key[1])
             self.registry.record_start(job, task, worker.name, key, now)
             worker.adopt_run(key, job.step_of(task).demand, now)
+            self.placer.worker_changed(worker)
 
     def record_poll_failure(self, name: str, failures: int, now: float) -> None:
         """Record a number of consecutive failed polls of a worker.
@@ -309,12 +316,14 @@
         worker = self.workers.get(name)
         if worker is not None and failures >= FAILED_POLLS_UNTIL_SILENT:
             worker.mark_silent()
+            self.placer.worker_changed(worker)
 
     def fenced(self, name: str, now: float) -> None:
         """Record that a worker obeys another holder."""
         worker = self.workers.get(name)
         if worker is not None:
             worker.mark_lost(now)
+            self.placer.worker_changed(worker)
 
     def start_confirmed(self, name: str, key: RunKey, now: float) -> None:
         """Record that a worker has confirmed the start of a run."""
@@ -338,6 +347,7 @@
         if worker is not None:
             worker.raise_token(token)
             worker.mark_silent()
+            self.placer.worker_changed(worker)
             self.effects.append(PollWorker(name))
 
     # Time
@@ -349,9 +359,11 @@
                 self._run_ended(worker, end, now)
             if now > worker.unlisted_at + UNLISTED_WORKER_SECONDS and not worker.runs:
                 del self.workers[name]
+                self.placer.index.mark_changed(name)
+        self.placer.tick(now)
         if self.changed_at is not None:
             # No job is refused while capacity for it is free.
-            self._place_jobs(now)
+            self.placer.place_jobs(self.config, now)
         for job in list(self.jobs.values()):
             self._check_deadline(job, now)
         self._request_polls(now)
@@ -384,103 +396,12 @@
             detail = "The job can no longer be answered in time."
             self._end_job(job, Outcome.REFUSED, detail, now, refusing.RETRY_AFTER_MS)
 
-    # Placement
-
     def _service_workers(self, job: PoolJob) -> Iterable[HeldWorker]:
         queue = self.config.get_queue(job.request.queue)
         if queue is None:
             return ()
         return (worker for worker in self.workers.values() if worker.service == queue.service)
 
-    def _place_jobs(self, now: float) -> None:
-        waiting = [job for job in self.jobs.values() if job.waiting_tasks]
-        if not waiting:
-            return
-        self._release_resumed_jobs(waiting, now)
-        smallest = min(job.smallest_millicores for job in waiting)
-        candidates = worker_selection.find_candidates(
-            self.workers.values(), smallest, self.statistics.health, now
-        )
-        lease_end = now + MIN_LEASE_SECONDS
-        candidates = [item for item in candidates if self._lease_limit(item.worker) > lease_end]
-        if not candidates:
-            return
-        foreign = {key[0] for worker in self.workers.values() for key in worker.strangers}
-        groups = worker_selection.CandidateGroups(candidates, now)
-        waiting.sort(key=lambda job: ordering.waiting_sort_key(job, now))
-        largest = worker_selection.max_free_millicores(candidates)
-        for job in waiting:
-            if job.smallest_millicores > largest or job.delayed_until > now:
-                continue
-            if not self.rights.may_start(job.entry, now):
-                continue
-            if self._place_job(job, groups, foreign, now):
-                largest = worker_selection.max_free_millicores(candidates)
-
-    def _release_resumed_jobs(self, waiting: list[PoolJob], now: float) -> None:
-        released = release_verified(waiting, self.workers, now)
-        waited = [job for job in waiting if 0.0 < job.delayed_until <= now]
-        for job in (*released, *waited):
-            job.delayed_until = 0.0
-            exposed = job.exposed_workers or ()
-            verified = sum(
-                name in self.workers and self.workers[name].polled_at >= job.received_at
-                for name in exposed
-            )
-            waited_ms = int((now - job.received_at) * 1000)
-            unverified = len(exposed) - verified
-            self.effects.append(ResumedJobReleased(job.request.id, verified, unverified, waited_ms))
-
-    def _place_job(
-        self, job: PoolJob, groups: CandidateGroups, foreign: set[str], now: float
-    ) -> bool:
-        """Place as many tasks of a job as fit; return whether any was placed.
-
-        ``foreign`` are the tasks of which another scheduler has active runs.
-        """
-        queue = self.config.get_queue(job.request.queue)
-        if queue is None:
-            return False
-        ready, idle = groups.get(queue.service, self.rights.usable_workers(job.entry))
-        has_placed = False
-        for task in job.startable_tasks():
-            name = job.name_of(task)
-            if name in foreign or self.registry.is_task_active(name):
-                continue
-            worker = worker_selection.select_worker(ready, job, task)
-            if worker is None:
-                worker = worker_selection.select_worker(idle, job, task)
-                if worker is None:
-                    break
-                self._read_clock(worker, now)
-                idle = [item for item in idle if item.worker is not worker]
-                continue
-            has_placed |= self._start_run(job, task, worker, now)
-            if not self.statistics.health.allowance(worker.name, now):
-                ready = [item for item in ready if item.worker is not worker]
-        return has_placed
-
-    def _read_clock(self, worker: HeldWorker, now: float) -> None:
-        """Poll an idle worker, whose clock must be known before a start, unless that is due."""
-        if not worker.is_clock_being_read(now):
-            worker.clock_requested_at = now
-            self.effects.append(PollWorker(worker.name))
-
-    def _start_run(self, job: PoolJob, task: PoolTask, worker: HeldWorker, now: float) -> bool:
-        limit_at = min(self._lease_limit(worker), self.rights.lease_limit(job.entry))
-        lease_end_ms = worker.lease_end_ms(now, limit_at)
-        if lease_end_ms is None:
-            return False
-        task.attempt += 1
-        key = (job.name_of(task), task.attempt)
-        self.registry.record_start(job, task, worker.name, key, now)
-        worker.add_run(key, job.step_of(task).demand, now)
-        record = self.statistics.health.record_for(worker.name)
-        record.probe_running = bool(record.isolation_seconds)
-        payload = job.request.payload
-        self.effects.append(StartRun(worker.name, key, payload, worker.token, lease_end_ms))
-        return True
-
     def _stop_run(self, name: str, key: RunKey, now: float) -> None:
         worker = self.workers.get(name)
         run = worker.runs.get(key) if worker is not None else None
@@ -492,6 +413,7 @@
 
     def _run_ended(self, worker: HeldWorker, end: RunEnd, now: float) -> None:
         job, task = self.registry.remove(end.key)
+        self.placer.worker_changed(worker)
         self.statistics.record_end(worker.name, end, job, task, now)
         if end.kind is not EndKind.DONE:
             ran_ms = int((now - end.run.started_at) * 1000)
@@ -505,6 +427,7 @@
         job.waiting_tasks += 1
         if end.kind is not EndKind.NEVER_BEGAN:
             task.avoided_workers.add(worker.name)
+        self.placer.waiting.update(job, now)
         if end.kind is EndKind.FAILED:
             task.failures += 1
             if task.failures >= job.max_attempts:
--- a/packages/core/cranberryshore/pool/tests/load_replay.py
+++ b/packages/core/cranberryshore/pool/tests/load_replay.py
@@ -98,9 +98,17 @@
 
 
 def generate_load(
-    seed: int, seconds: float, per_second: float, bursts: tuple[Burst, ...] = (), kinds=JOB_KINDS
+    seed: int,
+    seconds: float,
+    per_second: float,
+    bursts: tuple[Burst, ...] = (),
+    kinds=JOB_KINDS,
+    rack: str = "",
 ) -> list[Arrival]:
-    """Generate arrivals; run times vary by 40 %, and estimates are off by about as much."""
+    """Generate arrivals; run times vary by 40 %, and estimates are off by about as much.
+
+    ``rack`` is preferred by all tasks.
+    """
     random = Random(seed)
     total = sum(kind.share for kind in kinds)
     arrivals = []
@@ -112,18 +120,18 @@
                 if burst.start <= at < burst.end and burst.kind in ("", kind.name):
                     rate *= burst.factor
             at += random.expovariate(rate)
-            arrivals.append(_generate_job(random, kind, at, len(arrivals)))
+            arrivals.append(_generate_job(random, kind, at, len(arrivals), rack))
     return sorted(arrivals, key=lambda arrival: arrival.at)
 
 
-def _generate_job(random: Random, kind: JobKind, at: float, number: int) -> Arrival:
+def _generate_job(random: Random, kind: JobKind, at: float, number: int, rack: str) -> Arrival:
     # A lognormal variate with parameters -0.08 and 0.4 has mean 1, because 0.08 is half of 0.4**2.
     count = max(1, min(round(kind.tasks * random.lognormvariate(-0.08, 0.4)), 32))
     work = min(kind.work_ms * random.lognormvariate(-0.08, 0.4), 4 * kind.work_ms) / 1000
     millicores = min(int(random.gauss(kind.millicores, 0.2 * kind.millicores)), 20_000)
     runs = [work * random.lognormvariate(0, 0.15) for _ in range(count)]
     estimate = max(1, int(work * 1000 * random.lognormvariate(0, 0.35)))
-    step = StepSpec(count, Capacity(max(millicores, 2000), 64), estimate)
+    step = StepSpec(count, Capacity(max(millicores, 2000), 64), estimate, rack=rack)
     request = WorkRequest(f"{kind.name}{number}", kind.name, "", (step,), CALLER_TIMEOUT_MS)
     return Arrival(at, kind, request, runs)
 
--- a/packages/core/cranberryshore/pool/worker_selection.py
+++ b/packages/core/cranberryshore/pool/worker_selection.py
@@ -3,16 +3,26 @@
 A typical task needs 14 cores and a worker has 32 or 48, so only two or three tasks fit, and a
 poorly placed task leaves capacity that no other task can use. Best fit preserves the largest free
 blocks. Workers that have failed or are slow are used last.
+
+A pool of hundreds of workers starts thousands of tasks a second, and most of its workers have too
+little room for the next one. The workers are therefore kept sorted by their free capacity, so that
+the cost of a selection does not grow with the pool.
 """
 
-from collections.abc import Iterable
+from bisect import bisect_left, insort
+from collections.abc import Callable, Iterator, Mapping
 
 import attrs
 
-from cranberryshore.placement.health import PoolHealth
+from cranberryshore.placement.health import PLACEMENT_RANKS, PoolHealth
 from cranberryshore.pool.held_worker import HeldWorker
 from cranberryshore.pool.work import PoolJob, PoolTask
 
+MIN_LEASE_SECONDS = 0.5
+"""No task is started on a worker whose lease ends earlier unless one of its runs ends before."""
+
+TIER_COUNT = 2 * len(PLACEMENT_RANKS)
+
 
 def meets_constraints(worker: HeldWorker, job: PoolJob, task: PoolTask) -> bool:
     """Return whether a worker satisfies the constraints of a task, regardless of free capacity."""
@@ -25,83 +35,137 @@
 
 
 @attrs.frozen
-class Candidate:
-    """Available worker with its placement rank; lower ranks are preferred."""
-
-    worker: HeldWorker
-    placement_rank: float
-
+class Query:
+    """Task to be placed, and the conditions that do not depend on its demand.
+
+    Parameters
+    ----------
+    usable : frozenset of str or None
+        Workers on which the entry instance of the job allows starts; ``None`` for all.
+    excluded : set of str
+        Workers that are not selected.
+    """
 
-def find_candidates(
-    workers: Iterable[HeldWorker], smallest: int, health: PoolHealth, now: float
-) -> list[Candidate]:
-    """Return the available workers that have at least ``smallest`` free millicores."""
-    return [
-        Candidate(worker, health.placement_rank(worker.name))
-        for worker in workers
-        if worker.room.millicores >= smallest
-        and worker.is_available()
-        and health.allowance(worker.name, now) > 0
-    ]
+    job: PoolJob
+    task: PoolTask
+    service: str
+    usable: frozenset[str] | None
+    excluded: set[str]
+    now: float
 
 
 @attrs.define(eq=False)
-class CandidateGroups:
-    """Candidates of one placement, grouped by the jobs that may use them.
-
-    Hundreds of jobs wait in a load burst, but few services and rosters are in use.
+class WorkerIndex:
+    """Available workers of each service, sorted by free capacity within tiers.
+
+    There is a tier for each placement rank of the workers whose clocks are known, and one for each
+    rank of the others. An entry may be outdated until ``refresh`` processes its worker, so the
+    state of a worker is checked before it is selected.
+
+    Parameters
+    ----------
+    workers : mapping
+        Held workers by name, maintained by the scheduler.
+    lease_limit : callable
+        Returns the time at which the lease of a worker must have ended.
+    tiers : dict
+        Free millicores and names of the workers of each tier, sorted, by service.
+    entries : dict
+        Service, tier and free millicores of each worker, as sorted.
+    outdated : set of str
+        Workers that have changed since they were sorted.
     """
 
-    candidates: list[Candidate]
-    now: float
-    groups: dict[tuple[str, frozenset[str] | None], tuple[list[Candidate], list[Candidate]]] = (
-        attrs.field(factory=dict)
-    )
-
-    def get(
-        self, service: str, usable: frozenset[str] | None
-    ) -> tuple[list[Candidate], list[Candidate]]:
-        """Return the usable candidates of a service whose clock is known, and the others."""
-        group = self.groups.get((service, usable))
-        if group is None:
-            members = [
-                item
-                for item in self.candidates
-                if item.worker.service == service and (usable is None or item.worker.name in usable)
-            ]
-            group = self.groups[service, usable] = (
-                [item for item in members if item.worker.is_clock_known(self.now)],
-                [item for item in members if not item.worker.is_clock_known(self.now)],
-            )
-        return group
-
-
-def max_free_millicores(candidates: Iterable[Candidate]) -> int:
-    """Return the largest number of free millicores on a single candidate."""
-    return max(item.worker.room.millicores for item in candidates)
-
-
-def select_worker(
-    candidates: Iterable[Candidate], job: PoolJob, task: PoolTask
-) -> HeldWorker | None:
-    """Return the best of the workers of a service for a task, or ``None`` if it fits on none."""
-    step = job.step_of(task)
-    demand = step.demand
-    best, best_key = None, None
-    for candidate in candidates:
-        worker = candidate.worker
-        room = worker.room
-        if room.millicores < demand.millicores or not room.holds(demand):
-            continue
-        if not meets_constraints(worker, job, task):
-            continue
-        key = (
-            worker.name in task.avoided_workers,
-            candidate.placement_rank,
-            bool(step.rack) and worker.rack != step.rack,
-            room.millicores,
-            worker.name,
+    workers: Mapping[str, HeldWorker]
+    health: PoolHealth
+    lease_limit: Callable[[HeldWorker], float]
+    tiers: dict[str, list[list[tuple[int, str]]]] = attrs.field(factory=dict)
+    entries: dict[str, tuple[str, int, int]] = attrs.field(factory=dict)
+    names_by_rack: dict[str, set[str]] = attrs.field(factory=dict)
+    outdated: set[str] = attrs.field(factory=set)
+
+    def mark_changed(self, name: str) -> None:
+        """Record that a worker has changed, was added or was removed."""
+        self.outdated.add(name)
+
+    def refresh(self, now: float) -> None:
+        """Sort the changed workers again."""
+        for name in self.outdated:
+            self.update(name, now)
+        self.outdated.clear()
+
+    def update(self, name: str, now: float) -> None:
+        """Sort one worker again."""
+        worker = self.workers.get(name)
+        entry = None
+        if worker is not None and worker.is_available():
+            tier = _tier_number(worker.is_clock_known(now), self.health.placement_rank(name))
+            entry = (worker.service, tier, worker.room.millicores)
+        previous = self.entries.get(name)
+        if entry == previous:
+            return
+        if previous is not None:
+            members = self.tiers[previous[0]][previous[1]]
+            del members[bisect_left(members, (previous[2], name))]
+            del self.entries[name]
+        if entry is not None:
+            tiers = self.tiers.setdefault(worker.service, [[] for _ in range(TIER_COUNT)])
+            insort(tiers[entry[1]], (entry[2], name))
+            self.entries[name] = entry
+            if worker.rack:
+                self.names_by_rack.setdefault(worker.rack, set()).add(name)
+
+    def largest_millicores(self, service: str) -> int:
+        """Return the largest number of free millicores on a worker of a service."""
+        tiers = self.tiers.get(service, ())
+        return max((members[-1][0] for members in tiers if members), default=0)
+
+    def select(self, query: Query, is_ready: bool) -> HeldWorker | None:
+        """Return the best worker for a task, or ``None`` if it fits on none.
+
+        With ``is_ready``, only workers are considered whose clock is known, else only the others.
+        """
+        tiers = self.tiers.get(query.service)
+        if tiers is None:
+            return None
+        avoided = query.task.avoided_workers
+        for is_avoided in (False, True) if avoided else (False,):
+            for rank in PLACEMENT_RANKS:
+                tier = _tier_number(is_ready, rank)
+                for name in self._by_preference(tier, tiers[tier], query):
+                    if (name in avoided) is is_avoided and self._can_run(name, query, is_ready):
+                        return self.workers[name]
+        return None
+
+    def _by_preference(
+        self, tier: int, members: list[tuple[int, str]], query: Query
+    ) -> Iterator[str]:
+        """Yield the workers of a tier with enough millicores, the preferred ones first."""
+        step = query.job.step_of(query.task)
+        if step.rack:
+            entries = self.entries
+            names = self.names_by_rack.get(step.rack, set()) & entries.keys()
+            chosen = [name for name in names if entries[name][:2] == (query.service, tier)]
+            yield from sorted(chosen, key=lambda name: (entries[name][2], name))
+        for position in range(bisect_left(members, (step.demand.millicores, "")), len(members)):
+            yield members[position][1]
+
+    def _can_run(self, name: str, query: Query, is_ready: bool) -> bool:
+        """Return whether a task can be placed on a worker as it is now."""
+        worker, now = self.workers.get(name), query.now
+        if worker is None or worker.is_clock_known(now) is not is_ready:
+            self.outdated.add(name)
+            return False
+        return (
+            worker.is_available()
+            and worker.room.holds(query.job.step_of(query.task).demand)
+            and name not in query.excluded
+            and (query.usable is None or name in query.usable)
+            and self.health.allowance(name, now) > 0
+            and self.lease_limit(worker) > now + MIN_LEASE_SECONDS
+            and meets_constraints(worker, query.job, query.task)
         )
-        if best_key is None or key < best_key:
-            best, best_key = worker, key
-    return best
+
+
+def _tier_number(is_ready: bool, rank: int) -> int:
+    return rank if is_ready else rank + len(PLACEMENT_RANKS)
--- a/packages/daemon/cranberryshored/pool/scheduling.py
+++ b/packages/daemon/cranberryshored/pool/scheduling.py
@@ -227,10 +227,8 @@
         if worker is not None and worker.address == entry.address and self._keeps_hold(worker):
             if entry.is_draining and not worker.is_draining:
                 self.log.info("Worker is leaving.", worker=entry.name)
-            worker.is_draining = entry.is_draining
-            worker.relist()
-            worker.resize(entry.capacity)
-            worker.labels = frozenset(entry.labels)
+            labels = frozenset(entry.labels)
+            self.scheduler.relist(entry.name, entry.capacity, labels, entry.is_draining)
             return
         if worker is not None and worker.runs:
             # These runs must have ended, or their lease expired, before the worker is replaced.
