Instances get the changes of the list of workers, not the whole list with each heartbeat

Cause: a scheduler sent the whole list (80 KB with 540 workers) for each heartbeat of each instance that did not have it yet. While workers are replaced, the list changes every 0.7 s, so the lists to 96 instances filled the scheduler's link; its heartbeats waited behind them, its followers left it, and each new scheduler began in the same way.

Change: RosterChanges carries the differences to the version that the receiver has; whole lists go to 8 instances at a time, and to none again before it has been acknowledged or is lost (Transfers). The simulation gives its hosts a processor and a link.

--- a/packages/core/cranberryshore/messages/codec.py
+++ b/packages/core/cranberryshore/messages/codec.py
@@ -31,6 +31,7 @@
     | pool.WorkEnded
     | pool.ConfigNews
     | pool.RosterNews
+    | pool.RosterChanges
 )
 
 _MESSAGE_TYPES: dict[str, type] = {
@@ -53,6 +54,7 @@
         pool.WorkEnded,
         pool.ConfigNews,
         pool.RosterNews,
+        pool.RosterChanges,
         peer.SubmitCall,
         peer.JobQuery,
         peer.CancelCall,
--- a/packages/core/cranberryshore/messages/pool.py
+++ b/packages/core/cranberryshore/messages/pool.py
@@ -122,3 +122,23 @@
 
     version: int
     workers: tuple[WorkerRegistration, ...]
+
+
+@attrs.frozen
+class RosterChanges:
+    """The changes of the list of workers since a version that the receiver has.
+
+    Parameters
+    ----------
+    base : int
+        Version of the list that the changes refer to.
+    changed : tuple of WorkerRegistration
+        Workers that were added or whose registrations differ.
+    removed : tuple of str
+        Names of the workers that are not in the list any more.
+    """
+
+    base: int
+    version: int
+    changed: tuple[WorkerRegistration, ...] = ()
+    removed: tuple[str, ...] = ()
--- a/packages/core/cranberryshore/pool/roster.py
+++ b/packages/core/cranberryshore/pool/roster.py
@@ -36,18 +36,38 @@
     return (moment << PUBLISHER_BITS) + crc32(publisher.encode()) % (1 << PUBLISHER_BITS)
 
 
+def apply_differences(
+    workers: Iterable[WorkerRegistration],
+    changed: Iterable[WorkerRegistration],
+    removed: Iterable[str],
+) -> tuple[WorkerRegistration, ...]:
+    """Return a roster with some entries changed or added and others removed, sorted by name."""
+    entries = {entry.name: entry for entry in workers}
+    entries.update({entry.name: entry for entry in changed})
+    for name in removed:
+        entries.pop(name, None)
+    return tuple(entries[name] for name in sorted(entries))
+
+
 @attrs.define(eq=False)
 class RosterHistory:
-    """Latest rosters by version, with the latest registration of each of their workers."""
+    """Latest rosters by version, with the latest registration of each of their workers.
+
+    ``names_by_version`` has ``None`` for a version that two publishers have used.
+    """
 
     names_by_version: dict[int, frozenset[str] | None] = attrs.field(
         factory=lambda: {0: frozenset()}
     )
     registrations: dict[str, WorkerRegistration] = attrs.field(factory=dict)
+    entries_by_version: dict[int, dict[str, WorkerRegistration]] = attrs.field(
+        factory=lambda: {0: {}}
+    )
 
     def record(self, version: int, workers: Iterable[WorkerRegistration]) -> None:
         """Add a roster."""
         entries = {entry.name: entry for entry in workers}
+        self.entries_by_version[version] = entries
         self.registrations.update(entries)
         names = frozenset(entries)
         for known in self.names_by_version.values():
@@ -63,11 +83,31 @@
             self._forget_oldest()
 
     def _forget_oldest(self) -> None:
-        del self.names_by_version[next(iter(self.names_by_version))]
+        oldest = next(iter(self.names_by_version))
+        del self.names_by_version[oldest]
+        self.entries_by_version.pop(oldest, None)
         remembered = frozenset().union(*filter(None, self.names_by_version.values()))
         for name in self.registrations.keys() - remembered:
             del self.registrations[name]
 
+    def differences(
+        self, base: int, version: int
+    ) -> tuple[tuple[WorkerRegistration, ...], tuple[str, ...]] | None:
+        """Return the entries that differ in a later roster, and the names that it lacks.
+
+        ``None`` if either roster is unknown.
+
+        Examples
+        --------
+        >>> RosterHistory().differences(0, 0)
+        ((), ())
+        """
+        before, after = self.entries_by_version.get(base), self.entries_by_version.get(version)
+        if before is None or after is None or None in (self.names(base), self.names(version)):
+            return None
+        changed = tuple(item for name, item in after.items() if before.get(name) != item)
+        return changed, tuple(sorted(before.keys() - after.keys()))
+
     def names(self, version: int) -> frozenset[str] | None:
         """Return the names of the workers of a roster; ``None`` if it is unknown."""
         return self.names_by_version.get(version)
--- /dev/null
+++ b/packages/core/cranberryshore/pool/transfers.py
@@ -0,0 +1,62 @@
+"""Transfers of large documents to the other instances of a pool.
+
+The list of some hundred workers has 80 KB and changes several times a second while workers are
+replaced. Sent whole, for each heartbeat of each of a hundred instances that does not have it yet,
+it fills the links, and the heartbeats behind it arrive too late. A document therefore goes to a few
+instances at a time, and to none again before it has been acknowledged or is certainly lost.
+"""
+
+import attrs
+
+MAX_TRANSFERS = 8
+"""Transfers under way at the same time: 80 KB each occupy a link of 200 Mbit/s for 26 ms."""
+
+TRANSFER_TIMEOUT_SECONDS = 0.5
+"""Time after which an unacknowledged transfer counts as lost, as a silent peer counts as failed."""
+
+SMALL_TRANSFER_ENTRIES = 32
+"""Transfers of at most so many entries, a few kilobytes, are not limited in their number."""
+
+
+@attrs.define(eq=False)
+class Transfers:
+    """Transfers of one document that have not been acknowledged.
+
+    Parameters
+    ----------
+    under_way : dict
+        Version and time of the transfer to each receiver.
+    """
+
+    under_way: dict[str, tuple[int, float]] = attrs.field(factory=dict)
+
+    def begin(self, receiver: str, version: int, entries: int, now: float) -> bool:
+        """Begin a transfer unless it must wait, and return whether it has begun.
+
+        Examples
+        --------
+        >>> transfers = Transfers()
+        >>> transfers.begin("a.1", 7, 540, 0.0), transfers.begin("a.1", 8, 1, 0.1)
+        (True, False)
+        >>> transfers.acknowledge("a.1", 7)
+        >>> transfers.begin("a.1", 8, 1, 0.1)
+        True
+        """
+        self._forget_lost(now)
+        is_small = entries <= SMALL_TRANSFER_ENTRIES
+        if receiver in self.under_way or (len(self.under_way) >= MAX_TRANSFERS and not is_small):
+            return False
+        self.under_way[receiver] = (version, now)
+        return True
+
+    def acknowledge(self, receiver: str, version: int) -> None:
+        """Record that a receiver has a version of the document."""
+        sent = self.under_way.get(receiver)
+        if sent is not None and version >= sent[0]:
+            del self.under_way[receiver]
+
+    def _forget_lost(self, now: float) -> None:
+        limit = now - TRANSFER_TIMEOUT_SECONDS
+        lost = [name for name, (_, sent_at) in self.under_way.items() if sent_at <= limit]
+        for name in lost:
+            del self.under_way[name]
--- a/packages/daemon/cranberryshored/pool/app.py
+++ b/packages/daemon/cranberryshored/pool/app.py
@@ -8,7 +8,14 @@
 from structlog.typing import FilteringBoundLogger
 
 from cranberryshore.errors import SettingsError
-from cranberryshore.messages import CancelWork, PeerMessage, SubmitWork, WorkEnded
+from cranberryshore.messages import (
+    CancelWork,
+    PeerMessage,
+    RosterChanges,
+    RosterNews,
+    SubmitWork,
+    WorkEnded,
+)
 from cranberryshore.pool import (
     Claim,
     Group,
@@ -20,7 +27,12 @@
     WorkerRegistration,
     WorkRequest,
 )
-from cranberryshore.pool.roster import MAX_REMEMBERED_ROSTERS, UNKNOWN_ROSTER, next_version
+from cranberryshore.pool.roster import (
+    MAX_REMEMBERED_ROSTERS,
+    UNKNOWN_ROSTER,
+    apply_differences,
+    next_version,
+)
 from cranberryshore.settings.pool import PoolSettings
 from cranberryshore.timeline import EventRecorder
 from cranberryshored.log import make_logger
@@ -70,6 +82,9 @@
     ----------
     make_transport : callable
         Returns the transport to the peers.
+    news : tuple or None
+        Latest message with changes of the roster, with the version that it refers to and the new
+        one.
     roster_changes : list
         Times at which the latest rosters were adopted, and their versions.
     """
@@ -85,6 +100,7 @@
     roster_version: int = 0
     rosters: RosterHistory = attrs.field(factory=RosterHistory)
     roster_changes: list[tuple[float, int]] = attrs.field(factory=lambda: [(float("-inf"), 0)])
+    news: tuple[int, int, RosterNews | RosterChanges] | None = None
     tasks: list[asyncio.Task] = attrs.field(factory=list)
     workers_task: asyncio.Task | None = None
     log: FilteringBoundLogger = attrs.field(factory=lambda: make_logger("daemon"))
@@ -249,6 +265,28 @@
             self._adopt_roster(version, workers)
             self.exchange.acknowledge()
 
+    def handle_roster_changes(self, changes: RosterChanges) -> None:
+        """See :class:`ExchangeListener`."""
+        if changes.base == self.roster_version:
+            workers = apply_differences(self.workers, changes.changed, changes.removed)
+            self.handle_roster(changes.version, workers)
+        else:
+            # The acknowledgement tells which version this instance has.
+            self.exchange.acknowledge()
+
+    def roster_news(self, base: int) -> RosterNews | RosterChanges:
+        """See :class:`ExchangeListener`."""
+        if self.news is None or self.news[:2] != (base, self.roster_version):
+            differences = self.rosters.differences(base, self.roster_version)
+            message = (
+                RosterNews(self.roster_version, self.workers)
+                if differences is None
+                else RosterChanges(base, self.roster_version, *differences)
+            )
+            # Most peers have the same version.
+            self.news = (base, self.roster_version, message)
+        return self.news[2]
+
     def _set_roster(self, previous: int, workers: tuple[WorkerRegistration, ...]) -> None:
         """Publish a roster under a version that is higher than ``previous``."""
         self._adopt_roster(next_version(self.group.own.incarnation, unix_ms(), previous), workers)
--- a/packages/daemon/cranberryshored/pool/exchange.py
+++ b/packages/daemon/cranberryshored/pool/exchange.py
@@ -11,6 +11,7 @@
     Beat,
     CancelWork,
     ConfigNews,
+    RosterChanges,
     RosterNews,
     SubmitWork,
 )
@@ -28,6 +29,7 @@
     PEER_TIMEOUT_SECONDS,
 )
 from cranberryshore.pool.stream import StreamPosition
+from cranberryshore.pool.transfers import Transfers
 from cranberryshored.metrics import Metrics
 from cranberryshored.peers.transport import Transport
 from cranberryshored.pool.clock import now, unix_ms
@@ -87,6 +89,8 @@
         Former schedulers by incarnation.
     acknowledged_at : float
         Time of the last heartbeat to the scheduler.
+    roster_transfers : Transfers
+        Transfers of the list of workers to the followers.
     absent : dict
         Time since which an entry instance whose jobs are scheduled here is not a member.
     """
@@ -105,6 +109,7 @@
     follows_heard_at: float = float("-inf")
     former: dict[str, FormerScheduler] = attrs.field(factory=dict)
     acknowledged_at: float = float("-inf")
+    roster_transfers: Transfers = attrs.field(factory=Transfers)
     absent: dict[str, float] = attrs.field(factory=dict)
     successor: str = ""
     beat_at: float = 0.0
@@ -154,6 +159,8 @@
             self.listener.handle_config(message.config)
         elif isinstance(message, RosterNews):
             self.listener.handle_roster(message.version, message.workers)
+        elif isinstance(message, RosterChanges):
+            self.listener.handle_roster_changes(message)
         elif isinstance(message, NumberedMessage):
             for ready in self.in_streams.setdefault(sender, ReceiveStream()).take(message):
                 self.listener.handle_message(sender, ready)
@@ -347,10 +354,15 @@
         return not beat.follows and beat.claim is None and bool(self.follows)
 
     def _send_roster(self, member: Member) -> None:
-        version, workers = self.listener.roster()
-        if member.roster_version < version:
-            news = RosterNews(version, workers)
-            self.transport.send(member.at.address, member.at.incarnation, news)
+        version, _ = self.listener.roster()
+        receiver = member.at.incarnation
+        self.roster_transfers.acknowledge(receiver, member.roster_version)
+        if member.roster_version >= version:
+            return
+        news = self.listener.roster_news(member.roster_version)
+        entries = news.changed if isinstance(news, RosterChanges) else news.workers
+        if self.roster_transfers.begin(receiver, version, len(entries), now()):
+            self.transport.send(member.at.address, receiver, news)
 
     def _send_beat(self, member: Member, moment: float) -> None:
         if member.at.incarnation == self.follows:
--- a/packages/daemon/cranberryshored/pool/protocols.py
+++ b/packages/daemon/cranberryshored/pool/protocols.py
@@ -7,7 +7,13 @@
 import attrs
 from result import Result
 
-from cranberryshore.messages import CancelWork, SubmitWork, WorkEnded
+from cranberryshore.messages import (
+    CancelWork,
+    RosterChanges,
+    RosterNews,
+    SubmitWork,
+    WorkEnded,
+)
 from cranberryshore.pool import (
     Claim,
     HeldWorker,
@@ -176,6 +182,17 @@
         """Handle a peer's list of workers."""
         ...
 
+    def handle_roster_changes(self, changes: RosterChanges) -> None:
+        """Handle the changes of a peer's list of workers."""
+        ...
+
+    def roster_news(self, base: int) -> RosterNews | RosterChanges:
+        """Return the message that brings a peer's list of workers up to date.
+
+        ``base`` is the version that the peer has.
+        """
+        ...
+
     def config(self) -> PoolConfig:
         """Return the configuration in force."""
         ...
--- a/packages/daemon/cranberryshored/pool/tests/test_exchange.py
+++ b/packages/daemon/cranberryshored/pool/tests/test_exchange.py
@@ -4,9 +4,11 @@
 import attrs
 import structlog
 
-from cranberryshore.messages import Beat
-from cranberryshore.pool import Claim, Group, MemberAddress, PoolConfig
+from cranberryshore.messages import Beat, RosterNews
+from cranberryshore.pool import Claim, Group, MemberAddress, PoolConfig, WorkerRegistration
 from cranberryshore.pool.group import PEER_TIMEOUT_SECONDS
+from cranberryshore.pool.transfers import MAX_TRANSFERS, TRANSFER_TIMEOUT_SECONDS
+from cranberryshore.work import Capacity
 from cranberryshored.log import make_logger
 from cranberryshored.metrics import Metrics
 from cranberryshored.pool.clock import CLOCKS, Clocks
@@ -31,12 +33,16 @@
 class StubListener:
     def __init__(self):
         self.acknowledged, self.lost, self.released = [], [], 0
+        self.workers = ()
 
     def config(self):
         return PoolConfig(1)
 
     def roster(self):
-        return 0, ()
+        return len(self.workers), self.workers
+
+    def roster_news(self, base):
+        return RosterNews(len(self.workers), self.workers)
 
     def scheduler_changed(self):
         pass
@@ -90,6 +96,53 @@
         self.assertEqual(self.transport.disconnected, [])
 
 
+class RosterTransferTest(TestCase):
+    def setUp(self):
+        structlog.configure(wrapper_class=structlog.make_filtering_bound_logger(logging.CRITICAL))
+        self.now = 100.0
+        CLOCKS.steady = lambda: self.now
+        self.addCleanup(setattr, CLOCKS, "steady", Clocks().steady)
+        group = Group(SCHEDULER, self.now)
+        group.claim = Claim(1)
+        listener = StubListener()
+        listener.workers = tuple(
+            WorkerRegistration(f"w{number}", "127.0.0.1:9", "a", "s", Capacity(1000))
+            for number in range(540)
+        )
+        self.exchange = PeerExchange(group, (), listener, Metrics(), make_logger("x"))
+        self.exchange.transport = RecordingTransport()
+        self.exchange.follow()
+
+    def hear(self, number: int, roster_version: int = 0) -> None:
+        follower = MemberAddress(f"f{number}.1", f"127.0.1.{number}:2", "b", 1000)
+        beat = Beat(follower, 1, 0, 0, 0, self.now, follows="s.1", roster_version=roster_version)
+        self.exchange.deliver(follower.incarnation, beat)
+
+    def transfers(self) -> int:
+        sent = self.exchange.transport.sent
+        return sum(isinstance(message, RosterNews) for message in sent)
+
+    def test_list_of_workers_was_sent_again_for_each_heartbeat(self):
+        for _ in range(3):
+            self.hear(1)
+            self.now += BEAT_SECONDS
+        self.assertEqual(self.transfers(), 1)
+
+    def test_lost_list_of_workers_is_sent_again(self):
+        self.hear(1)
+        self.now += TRANSFER_TIMEOUT_SECONDS
+        self.hear(1)
+        self.assertEqual(self.transfers(), 2)
+
+    def test_few_lists_of_workers_are_under_way_at_the_same_time(self):
+        for number in range(2 * MAX_TRANSFERS):
+            self.hear(number)
+        self.assertEqual(self.transfers(), MAX_TRANSFERS)
+        self.hear(0, roster_version=540)
+        self.hear(2 * MAX_TRANSFERS - 1)
+        self.assertEqual(self.transfers(), MAX_TRANSFERS + 1)
+
+
 OTHER = MemberAddress("o.1", "127.0.0.1:3", "a", 1000)
 
 
--- a/packages/proof/cranberryshore_proof/network.py
+++ b/packages/proof/cranberryshore_proof/network.py
@@ -42,8 +42,13 @@
             return True
         return frozenset((source, target)) in self.cuts
 
-    def send(self, source: str, target: str, deliver: Callable[[], None]) -> None:
-        """Send a message; ``deliver`` is called when it arrives."""
+    def send(
+        self, source: str, target: str, deliver: Callable[[], None], transfer_seconds: float = 0.0
+    ) -> None:
+        """Send a message; ``deliver`` is called when it arrives.
+
+        ``transfer_seconds`` is the time that the links need for it, in addition to the delay.
+        """
         if source in self.dead or target in self.dead:
             return
         source_run = self.runs.get(source, 0)
@@ -51,7 +56,7 @@
             return
         loop = asyncio.get_running_loop()
         key = (source, target)
-        at = loop.time() + self.random.uniform(*self.delay_range_seconds)
+        at = loop.time() + self.random.uniform(*self.delay_range_seconds) + transfer_seconds
         at = max(at, self.last_arrival_at.get(key, 0.0))
         self.last_arrival_at[key] = at
         target_run = self.runs.get(target, 0)
@@ -119,6 +124,14 @@
             CURRENT_NODE.reset(node_token)
             _CURRENT_RUN.reset(run_token)
 
+    def run_on(self, node: str, callback: Callable[[], None]) -> None:
+        """Run a callback of the present run of a node, in turn with its other callbacks."""
+        token = CURRENT_NODE.set(node)
+        try:
+            asyncio.get_running_loop().call_soon(callback)
+        finally:
+            CURRENT_NODE.reset(token)
+
     def task_factory(self, loop: asyncio.AbstractEventLoop, coroutine, **options) -> asyncio.Task:
         """Create a task that is cancelled when its node's run is killed."""
         task = asyncio.Task(coroutine, loop=loop, **options)
--- a/packages/proof/cranberryshore_proof/pool_deployment.py
+++ b/packages/proof/cranberryshore_proof/pool_deployment.py
@@ -23,6 +23,7 @@
 from cranberryshore.work import Capacity
 from cranberryshore_proof.network import Network
 from cranberryshore_proof.pool_workers import FakeWorkerCalls, ModelWorker
+from cranberryshore_proof.virtual_loop import Processor
 from cranberryshored.metrics import Metrics
 from cranberryshored.pool.app import PoolDaemon
 from cranberryshored.pool.clock import CLOCKS
@@ -34,15 +35,47 @@
 
 UNIX_START_SECONDS = 1_700_000_000.0
 
+MESSAGE_SECONDS = 1e-4
+"""Processor time to send or to receive a message between instances."""
+
+BYTE_SECONDS = 1e-8
+"""Processor time to encode or to decode a byte of it."""
+
+
+@attrs.frozen
+class Host:
+    """Host of an instance.
+
+    Parameters
+    ----------
+    speed : float
+        Speed of its processor, relative to one that the ``*_SECONDS`` constants refer to.
+    link_bytes_per_second : float
+        Rate of its network link in each direction.
+    """
+
+    speed: float
+    link_bytes_per_second: float
+
+    @property
+    def millicores(self) -> int:
+        """Return the capacity of the processor in thousandths of a core."""
+        return int(1000 * self.speed)
+
 
 @attrs.define(eq=False)
 class FakePoolTransport:
-    """Transport between instances over the simulated network."""
+    """Transport between instances over the simulated network.
+
+    ``link_free_at`` holds the time at which the link of each host has sent all earlier messages.
+    """
 
     own: MemberAddress
     deliver: Callable
     network: Network
     transports: dict[str, "FakePoolTransport"]
+    hosts: dict[str, Host]
+    link_free_at: dict[str, float]
     recorder: object = None
 
     async def start(self) -> None:
@@ -58,15 +91,42 @@
     def send(self, address: str, target: str, message) -> None:
         """Send a message, encoded as on the wire."""
         data = encode_envelope(self.own.incarnation, target, HybridTimestamp(0, 0), [message])
-        self.network.send(self.own.address, address, lambda: self._arrive(address, data))
+        own = self.own.address
+        loop = asyncio.get_running_loop()
+        loop.spend(own, MESSAGE_SECONDS + BYTE_SECONDS * len(data))
+        seconds = self._transfer_seconds(own, len(data)) + self._transfer_seconds(
+            address, len(data)
+        )
+        self.network.send(own, address, lambda: self._arrive(address, data), seconds)
+
+    def _transfer_seconds(self, address: str, size: int) -> float:
+        """Return the time until a host's link has transferred a message after earlier ones."""
+        host = self.hosts.get(address)
+        if host is None:
+            return 0.0
+        now = asyncio.get_running_loop().time()
+        start = max(now, self.link_free_at.get(address, 0.0))
+        self.link_free_at[address] = start + size / host.link_bytes_per_second
+        return self.link_free_at[address] - now
 
     def _arrive(self, address: str, data: bytes) -> None:
         receiver = self.transports.get(address)
+        if receiver is None:
+            return
+        if address in self.hosts:
+            self.network.run_on(address, lambda: receiver.handle_envelope(data))
+        else:
+            receiver.handle_envelope(data)
+
+    def handle_envelope(self, data: bytes) -> None:
+        """Deliver the messages of an envelope."""
+        loop = asyncio.get_running_loop()
+        loop.spend(self.own.address, MESSAGE_SECONDS + BYTE_SECONDS * len(data))
         envelope = decode_envelope(data)
-        if receiver is None or envelope.target not in ("", receiver.own.incarnation):
+        if envelope.target not in ("", self.own.incarnation):
             return
         for part in envelope.parts:
-            receiver.deliver(envelope.sender, decode_message(part.kind, part.body))
+            self.deliver(envelope.sender, decode_message(part.kind, part.body))
 
 
 @attrs.define(eq=False)
@@ -152,6 +212,8 @@
         Workers whose registration has expired although they are up.
     late_share : float
         See :class:`FakeWorkerCalls`.
+    hosts : tuple of Host
+        Hosts of the instances; without them, processors and links are infinitely fast.
     """
 
     seed: int
@@ -171,6 +233,9 @@
     jobs: list[SimulatedJob] = attrs.field(factory=list)
     faults: list[str] = attrs.field(factory=list)
     late_share: float = 0.0
+    hosts: tuple[Host, ...] = ()
+    hosts_by_address: dict[str, Host] = attrs.field(factory=dict)
+    link_free_at: dict[str, float] = attrs.field(factory=dict)
     config: PoolConfig = PoolConfig(1, (QueueSpec("q", "h", "/q/", "s", 0, 4, 3.0, 500),))
 
     def __attrs_post_init__(self) -> None:
@@ -206,6 +271,9 @@
             zone = sorted(set(self.zones))[number % len(set(self.zones))]
             seconds = self._run_seconds
             self.workers[name] = ModelWorker(name, zone, 4000, seconds, self._check_start)
+        for number, host in enumerate(self.hosts):
+            self.hosts_by_address[self.address(number)] = host
+            loop.processors[self.address(number)] = Processor(host.speed)
         for number in range(len(self.zones)):
             await self.start_instance(number)
         await asyncio.sleep(3.0)
@@ -223,6 +291,8 @@
         settings = PoolSettings(
             f"e{number}", self.zones[number], address, address, address, address, address
         )
+        if self.hosts:
+            settings = attrs.evolve(settings, processor_share=self.hosts[number].speed)
         calls = FakeWorkerCalls(address, self.workers, self.demands, self.network, self.random)
         calls.late_share = self.late_share
         daemon = PoolDaemon(
@@ -230,12 +300,17 @@
             Metrics(),
             calls,
             FakeRegistry(self, address),
-            lambda own, deliver: FakePoolTransport(own, deliver, self.network, self.transports),
+            self._make_transport,
         )
         self.daemons[address] = daemon
         # The wait also ends if the run is killed while it starts.
         await asyncio.wait([self.network.spawn(address, daemon.start())])
 
+    def _make_transport(self, own: MemberAddress, deliver: Callable) -> FakePoolTransport:
+        return FakePoolTransport(
+            own, deliver, self.network, self.transports, self.hosts_by_address, self.link_free_at
+        )
+
     def kill(self, number: int) -> None:
         """Kill the present run of an instance."""
         address = self.address(number)
--- a/packages/proof/cranberryshore_proof/pool_workers.py
+++ b/packages/proof/cranberryshore_proof/pool_workers.py
@@ -24,6 +24,9 @@
 LATE_DELAY_RANGE_SECONDS = (2.0, 12.0)
 MAX_LEASE_MS = 1000
 
+CALL_SECONDS = 1.5e-4
+"""Processor time of a caller to send a request, and to handle the response."""
+
 
 @attrs.define
 class ModelRun:
@@ -228,6 +231,7 @@
         A request over a cut link takes effect later in half of the cases.
         """
         loop = asyncio.get_running_loop()
+        loop.spend(self.node, CALL_SECONDS)
         await self._simulate_delay()
         if self.random.random() < self.late_share:
             self._execute_late(model, execute)
@@ -243,6 +247,7 @@
         if self._is_unreachable(model):
             await asyncio.sleep(seconds)
             return None
+        loop.spend(self.node, CALL_SECONDS)
         return result
 
     def _execute_late(self, model: ModelWorker, execute) -> None:
--- a/packages/proof/cranberryshore_proof/virtual_loop.py
+++ b/packages/proof/cranberryshore_proof/virtual_loop.py
@@ -2,10 +2,13 @@
 
 import asyncio
 import selectors
+from collections import deque
 from collections.abc import Callable, Coroutine, Mapping
 from contextvars import Context, ContextVar, copy_context
 from typing import Any, TypeVar
 
+import attrs
+
 T = TypeVar("T")
 
 CURRENT_NODE: ContextVar[str] = ContextVar("current_node", default="")
@@ -46,12 +49,42 @@
         return []
 
 
+CALLBACK_SECONDS = 5e-6
+"""Processor time of a callback, without the work that is charged separately."""
+
+
+@attrs.define(eq=False)
+class Processor:
+    """Processor of a simulated node.
+
+    Parameters
+    ----------
+    speed : float
+        Share of a processor of speed 1.
+    busy_until : float
+        Virtual time at which the work so far is done.
+    queue : deque
+        Callbacks that wait for the processor.
+    """
+
+    speed: float
+    busy_until: float = 0.0
+    queue: deque[Callable[[], None]] = attrs.field(factory=deque)
+
+    def spend(self, seconds: float, now: float) -> None:
+        """Add work of some seconds at speed 1."""
+        self.busy_until = max(self.busy_until, now) + seconds / self.speed
+
+
 class VirtualLoop(asyncio.SelectorEventLoop):
     """Event loop in virtual time; the same program runs its callbacks in the same order each time.
 
     A callback belongs to the node that ``CURRENT_NODE`` names in its context. While that node is
     frozen, the callback is deferred, as in a process stopped by ``SIGSTOP``; ``deferred_by_node``
     has a key for each frozen node.
+
+    A node with a processor in ``processors`` runs one callback after the other, each after the
+    processor time of those before it.
     """
 
     def __init__(self) -> None:
@@ -60,6 +93,7 @@
         selector.loop = self
         self.now = 0.0
         self.deferred_by_node: dict[str, list[Callable[[], None]]] = {}
+        self.processors: dict[str, Processor] = {}
 
     def freeze(self, node: str) -> None:
         """Defer all callbacks of a node until it is unfrozen."""
@@ -99,13 +133,36 @@
 
         def run() -> None:
             held = self.deferred_by_node.get(node)
-            if held is None:
-                callback(*args)
-            else:
+            processor = self.processors.get(node)
+            if held is not None:
                 held.append(lambda: self.call_soon(callback, *args, context=context))
+            elif processor is not None and (processor.queue or processor.busy_until > self.now):
+                self._run_later(processor, lambda: context.run(callback, *args))
+            else:
+                self.spend(node, CALLBACK_SECONDS)
+                callback(*args)
 
         return run
 
+    def _run_later(self, processor: "Processor", callback: Callable[[], None]) -> None:
+        """Run a callback when the processor has finished its present work."""
+        processor.queue.append(callback)
+        if len(processor.queue) == 1:
+            super().call_at(processor.busy_until, self._run_queued, processor, context=Context())
+
+    def _run_queued(self, processor: "Processor") -> None:
+        while processor.queue and processor.busy_until <= self.now:
+            processor.spend(CALLBACK_SECONDS, self.now)
+            processor.queue.popleft()()
+        if processor.queue:
+            super().call_at(processor.busy_until, self._run_queued, processor, context=Context())
+
+    def spend(self, node: str, seconds: float) -> None:
+        """Charge a node with processor time, in seconds of a processor of speed 1."""
+        processor = self.processors.get(node)
+        if processor is not None:
+            processor.spend(seconds, self.now)
+
     def time(self) -> float:
         """Return the virtual time in seconds."""
         return self.now
