Take-over: resumed jobs are no longer looked up on every worker; longer polls in large pools

Cause: a new scheduler looked for the runs of each resumed job on every worker, and for unpolled workers of all resumed jobs at each answered poll, so hundreds of jobs times hundreds of workers kept it from its heartbeats just when it had to take over. Half of the polls of a calm pool of 540 workers end without news after 0.15 s, and each costs 0.2 ms of the scheduler's processor.

Change: ForeignRuns indexes reported runs by job; ResumedJobs remembers one unpolled worker for all jobs with the same workers; polling.wait_seconds lets polls wait up to 0.3 s in a pool of more than 225 workers.

--- a/packages/core/cranberryshore/pool/placing.py
+++ b/packages/core/cranberryshore/pool/placing.py
@@ -10,7 +10,7 @@
 from cranberryshore.pool.run_registry import RunRegistry
 from cranberryshore.pool.run_statistics import RunStatistics
 from cranberryshore.pool.start_rights import StartRights
-from cranberryshore.pool.verifying import release_verified
+from cranberryshore.pool.verifying import ResumedJobs
 from cranberryshore.pool.waiting_jobs import WaitingJobs
 from cranberryshore.pool.work import PoolJob, PoolTask
 from cranberryshore.pool.worker_selection import Query, WorkerIndex
@@ -27,8 +27,6 @@
     ----------
     effects : list of PoolEffect
         Receives the required actions.
-    resumed_jobs : dict
-        Jobs that start when no run of another scheduler can be active; an ordered set.
     stranger_holders : set of str
         Workers with active runs of another scheduler.
     """
@@ -39,7 +37,7 @@
     statistics: RunStatistics
     effects: list[PoolEffect]
     waiting: WaitingJobs = attrs.field(factory=WaitingJobs)
-    resumed_jobs: dict[PoolJob, None] = attrs.field(factory=dict)
+    resumed_jobs: ResumedJobs = attrs.field(factory=ResumedJobs)
     stranger_holders: set[str] = attrs.field(factory=set)
     refreshed_count: int = 0
     index: WorkerIndex = attrs.field(init=False)
@@ -73,10 +71,15 @@
         else:
             self.stranger_holders.discard(worker.name)
 
+    def worker_removed(self, name: str) -> None:
+        """Record that a worker is not held any more."""
+        self.index.mark_changed(name)
+        self.stranger_holders.discard(name)
+
     def job_ended(self, job: PoolJob) -> None:
         """Remove a job that has ended."""
         self.waiting.remove(job)
-        self.resumed_jobs.pop(job, None)
+        self.resumed_jobs.remove(job)
 
     def tick(self, now: float) -> None:
         """Sort the waiting jobs, and a part of the workers, again."""
@@ -118,14 +121,8 @@
         return {key[0] for worker in holders if worker is not None for key in worker.strangers}
 
     def _release_resumed_jobs(self, now: float) -> None:
-        waiting = [job for job in self.resumed_jobs if job.waiting_tasks]
-        if not waiting:
-            return
-        released = release_verified(waiting, self.workers, now)
-        waited = [job for job in waiting if 0.0 < job.delayed_until <= now]
-        for job in (*released, *waited):
+        for job in self.resumed_jobs.release(self.workers, bool(self.stranger_holders), now):
             job.delayed_until = 0.0
-            del self.resumed_jobs[job]
             exposed = job.exposed_workers or ()
             verified = sum(
                 name in self.workers and self.workers[name].polled_at >= job.received_at
--- a/packages/core/cranberryshore/pool/scheduler.py
+++ b/packages/core/cranberryshore/pool/scheduler.py
@@ -11,6 +11,7 @@
 from cranberryshore.pool import adoption, refusing
 from cranberryshore.pool.config import PoolConfig
 from cranberryshore.pool.effects import JobEnded, PollWorker, PoolEffect, StopRun, UnsuccessfulRun
+from cranberryshore.pool.foreign_runs import ForeignRuns
 from cranberryshore.pool.held_worker import (
     EndKind,
     HeldWorker,
@@ -78,6 +79,7 @@
     effects: list[PoolEffect] = attrs.field(factory=list)
     registry: RunRegistry = attrs.field(factory=RunRegistry)
     verification: Verification = attrs.field(factory=Verification)
+    foreign: ForeignRuns = attrs.field(factory=ForeignRuns)
     changed_at: float | None = None
     acquiring_since: float = float("-inf")
     placer: Placer = attrs.field(init=False)
@@ -162,9 +164,10 @@
             # Another entry instance has handed the job over, too.
             earlier = job.exposed_workers
             exposed_workers = earlier if earlier is None else earlier | exposed_workers
+        self.placer.resumed_jobs.remove(job)
         job.received_at, job.exposed_workers = now, exposed_workers
         job.delayed_until = now + RESUMED_JOB_WAIT_SECONDS
-        self.placer.resumed_jobs[job] = None
+        self.placer.resumed_jobs.add(job)
         self._adopt_job(job, now)
         self.verification.request(now)
         self._request_polls(now)
@@ -262,6 +265,7 @@
             return
         for end in worker.record_status(status, token, poll_sent_at, now):
             self._run_ended(worker, end, now)
+        self.foreign.record(worker, [end.task for end in status.ended])
         for end in status.ended:
             job = self.jobs.get(adoption.job_id_of((end.task, end.attempt)))
             if job is not None and end.task in worker.foreign_ends:
@@ -280,8 +284,10 @@
 
     def _adopt_job(self, job: PoolJob, now: float) -> None:
         """Adopt the active and finished runs of a job that another scheduler has started."""
-        self._adopt_ends(job, self.workers.values(), now)
-        for worker in self.workers.values():
+        names = self.foreign.workers_of(job.request.id)
+        workers = [self.workers[name] for name in names if name in self.workers]
+        self._adopt_ends(job, workers, now)
+        for worker in workers:
             for key in sorted(worker.strangers):
                 if adoption.job_id_of(key) == job.request.id:
                     self._adopt_run(worker, key, now)
@@ -359,8 +365,9 @@
                 self._run_ended(worker, end, now)
             if now > worker.unlisted_at + UNLISTED_WORKER_SECONDS and not worker.runs:
                 del self.workers[name]
-                self.placer.index.mark_changed(name)
+                self.placer.worker_removed(name)
         self.placer.tick(now)
+        self.foreign.discard_outdated(self.workers.values())
         if self.changed_at is not None:
             # No job is refused while capacity for it is free.
             self.placer.place_jobs(self.config, now)
--- a/packages/core/cranberryshore/pool/verifying.py
+++ b/packages/core/cranberryshore/pool/verifying.py
@@ -8,7 +8,7 @@
 job would need tens of thousands of polls.
 """
 
-from collections.abc import Collection, Iterable, Mapping
+from collections.abc import Collection, Mapping
 
 import attrs
 
@@ -56,32 +56,71 @@
         return [worker.name for worker in workers if worker.polled_at < self.requested_at]
 
 
-def release_verified(
-    jobs: Iterable[PoolJob], workers: Mapping[str, HeldWorker], now: float
-) -> list[PoolJob]:
-    """Allow the start of jobs of which no run can be active; return them.
+@attrs.define(eq=False)
+class ResumedJobs:
+    """Jobs that start when no run of an earlier scheduler can be active.
 
-    These are the jobs whose workers have all been polled since the jobs arrived. No job is released
-    while any worker still has runs of another scheduler.
+    A job may start when all workers that may have runs of it have been polled since its arrival,
+    or at its ``delayed_until``. Most jobs share their set of workers, so one worker that has not
+    been polled yet shows for all of them that they cannot start.
+
+    Parameters
+    ----------
+    groups : dict
+        Jobs by the workers that may have runs of them, in the order of their arrival.
+    blockers : dict
+        For each of these sets, a worker that had not been polled at the last check.
     """
-    delayed = [job for job in jobs if job.delayed_until > now]
-    if not delayed or any(worker.strangers for worker in workers.values()):
-        return []
-    exposures = {job.exposed_workers for job in delayed if job.exposed_workers is not None}
-    verified_until = {names: earliest_poll(names, workers) for names in exposures}
-    released = [
-        job
-        for job in delayed
-        if verified_until.get(job.exposed_workers, float("-inf")) >= job.received_at
-    ]
-    for job in released:
-        job.delayed_until = 0.0
-    return released
-
-
-def earliest_poll(names: frozenset[str], workers: Mapping[str, HeldWorker]) -> float:
-    """Return the time since when all of some workers have been polled."""
-    return min(
-        (workers[name].polled_at if name in workers else float("-inf") for name in names),
-        default=float("inf"),
-    )
+
+    groups: dict[frozenset[str] | None, dict[PoolJob, None]] = attrs.field(factory=dict)
+    blockers: dict[frozenset[str], str] = attrs.field(factory=dict)
+
+    def add(self, job: PoolJob) -> None:
+        """Add a job that has just arrived."""
+        self.groups.setdefault(job.exposed_workers, {})[job] = None
+
+    def remove(self, job: PoolJob) -> None:
+        """Remove a job that has ended, may start, or is about to arrive again."""
+        group = self.groups.get(job.exposed_workers)
+        if group is None or job not in group:
+            return
+        del group[job]
+        if not group:
+            del self.groups[job.exposed_workers]
+            self.blockers.pop(job.exposed_workers, None)
+
+    def release(
+        self, workers: Mapping[str, HeldWorker], has_strangers: bool, now: float
+    ) -> list[PoolJob]:
+        """Remove and return the jobs that may start.
+
+        No job is verified while any worker has runs of another scheduler (``has_strangers``).
+        """
+        released = []
+        for names, group in list(self.groups.items()):
+            polled_at = float("-inf")
+            if names is not None and not has_strangers:
+                polled_at = self._earliest_poll(names, group, workers)
+            for job in list(group):
+                if job.received_at > polled_at and job.delayed_until > now:
+                    break
+                released.append(job)
+                self.remove(job)
+        return released
+
+    def _earliest_poll(
+        self, names: frozenset[str], group: dict[PoolJob, None], workers: Mapping[str, HeldWorker]
+    ) -> float:
+        """Return the time since when all of some workers have been polled.
+
+        ``-inf`` also stands for a time before the arrival of all jobs of the group.
+        """
+        blocker = workers.get(self.blockers.get(names, ""))
+        if blocker is not None and blocker.polled_at < next(iter(group)).received_at:
+            return float("-inf")
+        if not names:
+            return float("inf")
+        polled_at, self.blockers[names] = min(
+            (workers[name].polled_at if name in workers else float("-inf"), name) for name in names
+        )
+        return polled_at
--- a/packages/daemon/cranberryshored/pool/worker_channel.py
+++ b/packages/daemon/cranberryshored/pool/worker_channel.py
@@ -6,7 +6,7 @@
 from result import Err
 from structlog.typing import FilteringBoundLogger
 
-from cranberryshore.pool import HeldWorker, HoldState, Scheduler, StartRun, StopRun
+from cranberryshore.pool import HeldWorker, HoldState, Scheduler, StartRun, StopRun, polling
 from cranberryshored.pool.clock import (
     IMMEDIATE_RETRIES,
     BaseTimeout,
@@ -17,10 +17,6 @@
 from cranberryshored.pool.protocols import PollFailure, PollRequest, StartReply, WorkerCalls
 from cranberryshored.tasks import cancel_tasks, start_task
 
-POLL_WAIT_MS = 150
-"""Longest wait of a long poll, by which each lost poll delays the detection of ended runs. The
-lease lasts 1 s, so several polls may be lost."""
-
 ACK_DELAY_SECONDS = 1.0
 """Delay before the last ended runs of an idle worker are acknowledged, which must happen within
 4 s."""
@@ -158,7 +154,9 @@
             return 0
         # Foreign runs block new tasks until they are adopted or stopped, so their ends are polled
         # more often.
-        return 20 if worker.strangers else POLL_WAIT_MS
+        if worker.strangers:
+            return 20
+        return int(1000 * polling.wait_seconds(len(self.scheduler.workers)))
 
     async def _poll(self, wait_ms: int) -> None:
         worker = self.worker
