--- a/packages/core/cranberryshore/pool/verifying.py
+++ b/packages/core/cranberryshore/pool/verifying.py
@@ -120,7 +120,11 @@
             return float("-inf")
         if not names:
             return float("inf")
-        polled_at, self.blockers[names] = min(
-            (workers[name].polled_at if name in workers else float("-inf"), name) for name in names
-        )
-        return polled_at
+        # Workers respond in any order, so the choice among those that have not must not follow one.
+        blocker = min(names, key=lambda name: _polled_at(workers.get(name)))
+        self.blockers[names] = blocker
+        return _polled_at(workers.get(blocker))
+
+
+def _polled_at(worker: HeldWorker | None) -> float:
+    return float("-inf") if worker is None else worker.polled_at
