Configurations of thousands of routes: queues are looked up by name and host

Cause: every placement, submission and request compared the names or prefixes of all routes; some installations declare 1,940 of them.

--- a/packages/core/cranberryshore/pool/config.py
+++ b/packages/core/cranberryshore/pool/config.py
@@ -1,5 +1,7 @@
 """Queue configuration, declared by the operators as one versioned document."""
 
+from functools import cached_property
+
 import attrs
 
 MAX_LATENESS_FACTOR = 3.0
@@ -62,14 +64,24 @@
         >>> config.match_queue("h", "/a/1").name, config.match_queue("h", "/b/1")
         ('q', None)
         """
-        matching = [
-            queue for queue in self.queues if queue.host == host and path.startswith(queue.prefix)
-        ]
+        matching = (
+            queue for queue in self._queues_by_host.get(host, ()) if path.startswith(queue.prefix)
+        )
         return max(matching, key=lambda queue: len(queue.prefix), default=None)
 
     def get_queue(self, name: str) -> QueueSpec | None:
         """Return the queue with the given name, or ``None``."""
+        return self._queues_by_name.get(name)
+
+    # Private, because public attributes are encoded in messages.
+    @cached_property
+    def _queues_by_name(self) -> dict[str, QueueSpec]:
+        # The first of several queues with one name is in force.
+        return {queue.name: queue for queue in reversed(self.queues)}
+
+    @cached_property
+    def _queues_by_host(self) -> dict[str, list[QueueSpec]]:
+        queues: dict[str, list[QueueSpec]] = {}
         for queue in self.queues:
-            if queue.name == name:
-                return queue
-        return None
+            queues.setdefault(queue.host, []).append(queue)
+        return queues
--- a/packages/core/cranberryshore/pool/placing.py
+++ b/packages/core/cranberryshore/pool/placing.py
@@ -94,22 +94,21 @@
             return
         self._release_resumed_jobs(now)
         self.index.refresh(now)
-        largest = {queue.service: 0 for queue in config.queues}
-        for service in largest:
-            largest[service] = self.index.largest_millicores(service)
+        index = self.index
+        largest = {service: index.largest_millicores(service) for service in index.tiers}
         if max(largest.values(), default=0) < self.waiting.smallest_millicores:
             return
         foreign = self._foreign_tasks()
         changed = []
         for job in self.waiting:
             queue = config.get_queue(job.request.queue)
-            if queue is None or job.smallest_millicores > largest[queue.service]:
+            if queue is None or job.smallest_millicores > largest.get(queue.service, 0):
                 continue
             if job.delayed_until > now or not self.rights.may_start(job.entry, now):
                 continue
             if self._place_job(job, queue.service, foreign, now):
                 changed.append(job)
-                largest[queue.service] = self.index.largest_millicores(queue.service)
+                largest[queue.service] = index.largest_millicores(queue.service)
                 if max(largest.values()) < self.waiting.smallest_millicores:
                     break
         for job in changed:
