An instance requests a newer configuration instead of getting it with each heartbeat

Cause: every instance sent its whole configuration (200 KB with 1,940 routes) for each heartbeat of a peer that was behind, and each entry instance sent it to the scheduler when it changed. All instances read it from the store within milliseconds anyway, so after each change some tens of megabytes filled the links and delayed the heartbeats.

Change: a new configuration is announced by a heartbeat; an instance that has not read it from the store after 0.1 s requests it from one peer at a time (ConfigRequest). Jobs whose entry instance has a newer configuration wait up to 0.2 s for it at the scheduler.

--- a/packages/core/cranberryshore/messages/codec.py
+++ b/packages/core/cranberryshore/messages/codec.py
@@ -30,6 +30,7 @@
     | pool.CancelWork
     | pool.WorkEnded
     | pool.ConfigNews
+    | pool.ConfigRequest
     | pool.RosterNews
     | pool.RosterChanges
 )
@@ -53,6 +54,7 @@
         pool.CancelWork,
         pool.WorkEnded,
         pool.ConfigNews,
+        pool.ConfigRequest,
         pool.RosterNews,
         pool.RosterChanges,
         peer.SubmitCall,
--- a/packages/core/cranberryshore/messages/pool.py
+++ b/packages/core/cranberryshore/messages/pool.py
@@ -109,6 +109,13 @@
     retry_after_ms: int = 0
 
 
+@attrs.frozen
+class ConfigRequest:
+    """Requests the receiver's configuration, of which the sender knows the version only."""
+
+    version: int
+
+
 @attrs.frozen
 class ConfigNews:
     """The sender's active configuration, which is newer than the receiver's."""
--- a/packages/core/cranberryshore/pool/transfers.py
+++ b/packages/core/cranberryshore/pool/transfers.py
@@ -1,9 +1,11 @@
 """Transfers of large documents to the other instances of a pool.
 
 The list of some hundred workers has 80 KB and changes several times a second while workers are
-replaced. Sent whole, for each heartbeat of each of a hundred instances that does not have it yet,
-it fills the links, and the heartbeats behind it arrive too late. A document therefore goes to a few
-instances at a time, and to none again before it has been acknowledged or is certainly lost.
+replaced; a configuration has up to 200 KB. Sent whole, for each heartbeat of each of a hundred
+instances that does not have it yet, they fill the links, and the heartbeats behind them arrive too
+late. A document therefore goes to a few instances at a time, and to none again before it has been
+acknowledged or is certainly lost. An instance that can read the document from the store itself
+requests it from a peer only if that does not succeed.
 """
 
 import attrs
@@ -18,6 +20,11 @@
 """Transfers of at most so many entries, a few kilobytes, are not limited in their number."""
 
 
+OWN_READ_SECONDS = 0.1
+"""Time in which an instance usually reads a new document from the store itself, before it requests
+the document from a peer."""
+
+
 @attrs.define(eq=False)
 class Transfers:
     """Transfers of one document that have not been acknowledged.
--- a/packages/daemon/cranberryshored/pool/app.py
+++ b/packages/daemon/cranberryshored/pool/app.py
@@ -20,6 +20,7 @@
     Claim,
     Group,
     JobEnded,
+    Member,
     MemberAddress,
     Outcome,
     PoolConfig,
@@ -49,6 +50,10 @@
 """A job that was in transit for longer is rejected, since it may have been submitted to another
 scheduler. That happens 0.5 s after the last beat at the earliest."""
 
+MAX_EARLY_SECONDS = 0.2
+"""Time for which a job waits for the configuration of its entry instance, which this instance reads
+from the store in milliseconds or else requests from a peer."""
+
 MEMBER_LIST_SECONDS = 0.5
 """Interval of reading the registered instances while no scheduler is known."""
 
@@ -82,6 +87,8 @@
     ----------
     make_transport : callable
         Returns the transport to the peers.
+    early_jobs : list
+        Jobs that wait for the configuration of their entry instance, with that instance.
     news : tuple or None
         Latest message with changes of the roster, with the version that it refers to and the new
         one.
@@ -100,6 +107,7 @@
     roster_version: int = 0
     rosters: RosterHistory = attrs.field(factory=RosterHistory)
     roster_changes: list[tuple[float, int]] = attrs.field(factory=lambda: [(float("-inf"), 0)])
+    early_jobs: list[tuple[str, SubmitWork]] = attrs.field(factory=list)
     news: tuple[int, int, RosterNews | RosterChanges] | None = None
     tasks: list[asyncio.Task] = attrs.field(factory=list)
     workers_task: asyncio.Task | None = None
@@ -227,6 +235,9 @@
         elif isinstance(message, SubmitWork):
             self._handle_submit(sender, message)
         else:
+            self.early_jobs = [
+                item for item in self.early_jobs if item[1].request.id != message.job
+            ]
             self.scheduling.cancel(message.job, sender)
 
     def _handle_submit(self, sender: str, message: SubmitWork) -> None:
@@ -234,6 +245,12 @@
         # means that the sender has changed its scheduler since then.
         age = now() - message.echo
         member = self.group.members.get(sender)
+        if self._is_early(member, message, age):
+            if not self.early_jobs:
+                loop = asyncio.get_running_loop()
+                loop.call_later(MAX_EARLY_SECONDS, self._submit_early_jobs)
+            self.early_jobs.append((sender, message))
+            return
         is_current = member is not None and message.epoch >= member.epoch
         is_for_claim = message.term in (None, self.group.claim.term)
         if is_current and is_for_claim and age <= MAX_SUBMIT_AGE_SECONDS:
@@ -247,6 +264,22 @@
             self.exchange.inform(member)
         self._job_ended(JobEnded(sender, job, Outcome.DROPPED, "It was held up on its way."))
 
+    def _is_early(self, member: Member | None, message: SubmitWork, age: float) -> bool:
+        """Return whether a job must wait for the configuration that its entry instance has.
+
+        It waits for a part of the time for which it may be in transit.
+        """
+        if member is None or member.config_version <= self.pool_config.version:
+            return False
+        return age < MAX_EARLY_SECONDS
+
+    def _submit_early_jobs(self) -> None:
+        """Schedule the jobs whose configuration has not arrived in time."""
+        early_jobs, self.early_jobs = self.early_jobs, []
+        for sender, message in early_jobs:
+            if self.scheduling.claim is not None:
+                self._handle_submit(sender, message)
+
     def handle_config(self, config: PoolConfig) -> None:
         """Apply a configuration if it is newer than the one in force."""
         if config.version <= self.pool_config.version:
@@ -257,7 +290,8 @@
         self.pool_config = config
         self.metrics.revision.set(config.version)
         self.scheduling.set_config(config)
-        self.exchange.push_config()
+        self.exchange.announce_config()
+        self._submit_early_jobs()
 
     def handle_roster(self, version: int, workers: tuple[WorkerRegistration, ...]) -> None:
         """Store a scheduler's list of workers, for a takeover by this instance."""
--- a/packages/daemon/cranberryshored/pool/exchange.py
+++ b/packages/daemon/cranberryshored/pool/exchange.py
@@ -11,6 +11,7 @@
     Beat,
     CancelWork,
     ConfigNews,
+    ConfigRequest,
     RosterChanges,
     RosterNews,
     SubmitWork,
@@ -29,7 +30,7 @@
     PEER_TIMEOUT_SECONDS,
 )
 from cranberryshore.pool.stream import StreamPosition
-from cranberryshore.pool.transfers import Transfers
+from cranberryshore.pool.transfers import OWN_READ_SECONDS, Transfers
 from cranberryshored.metrics import Metrics
 from cranberryshored.peers.transport import Transport
 from cranberryshored.pool.clock import now, unix_ms
@@ -89,8 +90,12 @@
         Former schedulers by incarnation.
     acknowledged_at : float
         Time of the last heartbeat to the scheduler.
-    roster_transfers : Transfers
-        Transfers of the list of workers to the followers.
+    roster_transfers, config_transfers : Transfers
+        Transfers of the list of workers to the followers, and of the configuration to any member.
+    config_outdated_since : float or None
+        Time since which a member is known to have a newer configuration.
+    config_requested_at : float
+        Time of the latest request for it.
     absent : dict
         Time since which an entry instance whose jobs are scheduled here is not a member.
     """
@@ -110,6 +115,9 @@
     former: dict[str, FormerScheduler] = attrs.field(factory=dict)
     acknowledged_at: float = float("-inf")
     roster_transfers: Transfers = attrs.field(factory=Transfers)
+    config_transfers: Transfers = attrs.field(factory=Transfers)
+    config_outdated_since: float | None = None
+    config_requested_at: float = float("-inf")
     absent: dict[str, float] = attrs.field(factory=dict)
     successor: str = ""
     beat_at: float = 0.0
@@ -157,6 +165,8 @@
                 self._handle_beat(message)
         elif isinstance(message, ConfigNews):
             self.listener.handle_config(message.config)
+        elif isinstance(message, ConfigRequest):
+            self._send_config(sender)
         elif isinstance(message, RosterNews):
             self.listener.handle_roster(message.version, message.workers)
         elif isinstance(message, RosterChanges):
@@ -165,12 +175,16 @@
             for ready in self.in_streams.setdefault(sender, ReceiveStream()).take(message):
                 self.listener.handle_message(sender, ready)
 
-    def push_config(self) -> None:
-        """Send the configuration to the scheduler, before jobs that depend on it."""
-        scheduler = self.group.members.get(self.follows)
-        if scheduler is not None and scheduler.config_version < self.listener.config().version:
-            news = ConfigNews(self.listener.config())
-            self.transport.send(scheduler.at.address, self.follows, news)
+    def announce_config(self) -> None:
+        """Tell the scheduler, or as a scheduler all members, the version of a new configuration.
+
+        The scheduler then knows of it before the jobs that depend on it.
+        """
+        self.config_outdated_since = None
+        if self.group.claim is not None:
+            self.announce()
+        else:
+            self.acknowledge()
 
     def push_roster(self) -> None:
         """Send the list of workers to all live members."""
@@ -284,9 +298,8 @@
         is_outdated = self._follows_wrong_scheduler(beat) or self._is_competing_claim(beat)
         if is_new or has_left or is_outdated:
             self._send_beat(member, moment)
-        if member.config_version < self.listener.config().version:
-            news = ConfigNews(self.listener.config())
-            self.transport.send(member.at.address, beat.sender.incarnation, news)
+        self.config_transfers.acknowledge(member.at.incarnation, member.config_version)
+        self._request_config(member, moment)
         self._handle_follower(member, beat, moment)
         if beat.claim is not None or member.at.incarnation == self.follows:
             self._update_claim(moment)
@@ -353,6 +366,26 @@
             return self.group.claim is None
         return not beat.follows and beat.claim is None and bool(self.follows)
 
+    def _request_config(self, member: Member, moment: float) -> None:
+        """Request a newer configuration that this instance has not read from the store."""
+        if member.config_version <= self.listener.config().version:
+            return
+        if self.config_outdated_since is None:
+            self.config_outdated_since = moment
+        is_due = moment - self.config_requested_at >= BEAT_SECONDS
+        if is_due and moment - self.config_outdated_since >= OWN_READ_SECONDS:
+            self.config_requested_at = moment
+            request = ConfigRequest(member.config_version)
+            self.transport.send(member.at.address, member.at.incarnation, request)
+
+    def _send_config(self, receiver: str) -> None:
+        """Send the configuration to a member that has requested it."""
+        member, config = self.group.members.get(receiver), self.listener.config()
+        if member is not None and self.config_transfers.begin(
+            receiver, config.version, len(config.queues), now()
+        ):
+            self.transport.send(member.at.address, receiver, ConfigNews(config))
+
     def _send_roster(self, member: Member) -> None:
         version, _ = self.listener.roster()
         receiver = member.at.incarnation
--- a/packages/daemon/cranberryshored/pool/tests/test_exchange.py
+++ b/packages/daemon/cranberryshored/pool/tests/test_exchange.py
@@ -4,7 +4,7 @@
 import attrs
 import structlog
 
-from cranberryshore.messages import Beat, RosterNews
+from cranberryshore.messages import Beat, ConfigNews, ConfigRequest, RosterNews
 from cranberryshore.pool import Claim, Group, MemberAddress, PoolConfig, WorkerRegistration
 from cranberryshore.pool.group import PEER_TIMEOUT_SECONDS
 from cranberryshore.pool.transfers import MAX_TRANSFERS, TRANSFER_TIMEOUT_SECONDS
@@ -96,7 +96,7 @@
         self.assertEqual(self.transport.disconnected, [])
 
 
-class RosterTransferTest(TestCase):
+class TransferTestCase(TestCase):
     def setUp(self):
         structlog.configure(wrapper_class=structlog.make_filtering_bound_logger(logging.CRITICAL))
         self.now = 100.0
@@ -113,15 +113,18 @@
         self.exchange.transport = RecordingTransport()
         self.exchange.follow()
 
-    def hear(self, number: int, roster_version: int = 0) -> None:
+    def hear(self, number: int, roster_version: int = 0, config_version: int = 1) -> None:
         follower = MemberAddress(f"f{number}.1", f"127.0.1.{number}:2", "b", 1000)
-        beat = Beat(follower, 1, 0, 0, 0, self.now, follows="s.1", roster_version=roster_version)
+        beat = Beat(follower, config_version, 0, 0, 0, self.now, follows="s.1")
+        beat = attrs.evolve(beat, roster_version=roster_version)
         self.exchange.deliver(follower.incarnation, beat)
 
-    def transfers(self) -> int:
+    def transfers(self, kind: type = RosterNews) -> int:
         sent = self.exchange.transport.sent
-        return sum(isinstance(message, RosterNews) for message in sent)
+        return sum(isinstance(message, kind) for message in sent)
 
+
+class RosterTransferTest(TransferTestCase):
     def test_list_of_workers_was_sent_again_for_each_heartbeat(self):
         for _ in range(3):
             self.hear(1)
@@ -143,6 +146,29 @@
         self.assertEqual(self.transfers(), MAX_TRANSFERS + 1)
 
 
+class ConfigTransferTest(TransferTestCase):
+    def test_config_was_sent_for_each_heartbeat_of_an_outdated_instance(self):
+        for _ in range(4):
+            self.hear(1, config_version=0)
+            self.now += BEAT_SECONDS
+        self.assertEqual(self.transfers(ConfigNews), 0)
+        for _ in range(3):
+            self.exchange.deliver("f1.1", ConfigRequest(0))
+        self.assertEqual(self.transfers(ConfigNews), 1)
+
+    def test_newer_config_is_requested_from_one_peer_after_the_time_to_read_it(self):
+        for number in range(5):
+            self.hear(number, config_version=2)
+        self.assertEqual(self.transfers(ConfigRequest), 0)
+        self.now += BEAT_SECONDS
+        for number in range(5):
+            self.hear(number, config_version=2)
+        self.assertEqual(self.transfers(ConfigRequest), 1)
+        self.now += BEAT_SECONDS
+        self.hear(1, config_version=2)
+        self.assertEqual(self.transfers(ConfigRequest), 2)
+
+
 OTHER = MemberAddress("o.1", "127.0.0.1:3", "a", 1000)
 
 
--- a/packages/proof/cranberryshore_proof/tests/test_large_pool.py
+++ b/packages/proof/cranberryshore_proof/tests/test_large_pool.py
@@ -6,8 +6,10 @@
 """
 
 import asyncio
+from collections.abc import Callable, Coroutine
 from unittest import TestCase
 
+from cranberryshore.pool import PoolConfig, QueueSpec
 from cranberryshore_proof.pool_deployment import Host, PoolDeployment
 from cranberryshore_proof.virtual_loop import run_virtual
 from cranberryshored.pool.app import PoolDaemon
@@ -23,6 +25,11 @@
 RELEASE_INTERVAL_SECONDS = 0.7
 """Interval between the restarts of workers in a release."""
 
+ROUTE_COUNT = 390
+"""A fifth of the routes of a large configuration."""
+
+CONFIG_INTERVAL_SECONDS = 0.8
+
 
 class RecordedClaims:
     """Records the beginning of each claim of the instances of a deployment."""
@@ -55,26 +62,40 @@
         deployment.expired_registrations.discard(name)
 
 
+async def change_config(deployment: PoolDeployment) -> None:
+    """Publish configurations with many routes in quick succession."""
+    routes = tuple(QueueSpec(f"r{n}", f"h{n}.example", f"/r{n}/", "s") for n in range(ROUTE_COUNT))
+    for version in range(2, 12):
+        await asyncio.sleep(CONFIG_INTERVAL_SECONDS)
+        deployment.config = PoolConfig(version, deployment.config.queues[:1] + routes)
+
+
 class LargePoolTest(TestCase):
-    def simulate(self, seed: int):
+    def simulate(self, seed: int, trouble: Callable[[PoolDeployment], Coroutine]):
         async def run():
             deployment = PoolDeployment(seed, ZONES, WORKER_COUNT, hosts=HOSTS)
             recorded = RecordedClaims(deployment)
             watching = asyncio.ensure_future(recorded.run())
             await deployment.start()
-            release = asyncio.ensure_future(release_workers(deployment))
+            troubled = asyncio.ensure_future(trouble(deployment))
             callers = await deployment.load(LOAD_SECONDS, JOBS_PER_SECOND)
             await asyncio.gather(*callers)
             watching.cancel()
-            release.cancel()
+            troubled.cancel()
             return deployment, recorded.claims
 
         return run_virtual(run())
 
-    def test_scheduler_changed_again_and_again_without_a_fault(self):
+    def check_one_claim(self, seed: int, trouble: Callable[[PoolDeployment], Coroutine]) -> None:
+        deployment, claims = self.simulate(seed, trouble)
+        self.assertEqual(deployment.faults, [])
+        self.assertEqual(len(claims), 1, claims)
+        summary = deployment.summary()
+        self.assertEqual(summary.completed, summary.jobs)
+
+    def test_scheduler_changed_again_and_again_while_workers_were_replaced(self):
         for seed in (1, 2):
-            deployment, claims = self.simulate(seed)
-            self.assertEqual(deployment.faults, [])
-            self.assertEqual(len(claims), 1, claims)
-            summary = deployment.summary()
-            self.assertEqual(summary.completed, summary.jobs)
+            self.check_one_claim(seed, release_workers)
+
+    def test_scheduler_changed_again_and_again_while_configurations_changed(self):
+        self.check_one_claim(3, change_config)
