Split the exchange and the pool daemon by subject

DocumentExchange (transfers of configuration and roster), RosterKeeper and SubmissionHandler. test_app, which tested the list of rosters, became test_roster_keeper; its assertion is the same.

--- a/packages/daemon/cranberryshored/pool/app.py
+++ b/packages/daemon/cranberryshored/pool/app.py
@@ -20,20 +20,11 @@
     Claim,
     Group,
     JobEnded,
-    Member,
     MemberAddress,
-    Outcome,
     PoolConfig,
-    RosterHistory,
     WorkerRegistration,
     WorkRequest,
 )
-from cranberryshore.pool.roster import (
-    MAX_REMEMBERED_ROSTERS,
-    UNKNOWN_ROSTER,
-    apply_differences,
-    next_version,
-)
 from cranberryshore.settings.pool import PoolSettings
 from cranberryshore.timeline import EventRecorder
 from cranberryshored.log import make_logger
@@ -43,17 +34,11 @@
 from cranberryshored.pool.entry_service import EntryService
 from cranberryshored.pool.exchange import PeerExchange
 from cranberryshored.pool.protocols import NumberedMessage, Registry, WorkerCalls
+from cranberryshored.pool.roster_keeper import RosterKeeper
 from cranberryshored.pool.scheduling import SchedulingService
+from cranberryshored.pool.submissions import SubmissionHandler
 from cranberryshored.tasks import cancel_tasks, start_task
 
-MAX_SUBMIT_AGE_SECONDS = 0.4
-"""A job that was in transit for longer is rejected, since it may have been submitted to another
-scheduler. That happens 0.5 s after the last beat at the earliest."""
-
-MAX_EARLY_SECONDS = 0.2
-"""Time for which a job waits for the configuration of its entry instance, which this instance reads
-from the store in milliseconds or else requests from a peer."""
-
 MEMBER_LIST_SECONDS = 0.5
 """Interval of reading the registered instances while no scheduler is known."""
 
@@ -87,13 +72,6 @@
     ----------
     make_transport : callable
         Returns the transport to the peers.
-    early_jobs : list
-        Jobs that wait for the configuration of their entry instance, with that instance.
-    news : tuple or None
-        Latest message with changes of the roster, with the version that it refers to and the new
-        one.
-    roster_changes : list
-        Times at which the latest rosters were adopted, and their versions.
     """
 
     settings: PoolSettings
@@ -103,12 +81,6 @@
     make_transport: TransportFactory
     is_draining: bool = False
     pool_config: PoolConfig = PoolConfig()
-    workers: tuple[WorkerRegistration, ...] = ()
-    roster_version: int = 0
-    rosters: RosterHistory = attrs.field(factory=RosterHistory)
-    roster_changes: list[tuple[float, int]] = attrs.field(factory=lambda: [(float("-inf"), 0)])
-    early_jobs: list[tuple[str, SubmitWork]] = attrs.field(factory=list)
-    news: tuple[int, int, RosterNews | RosterChanges] | None = None
     tasks: list[asyncio.Task] = attrs.field(factory=list)
     workers_task: asyncio.Task | None = None
     log: FilteringBoundLogger = attrs.field(factory=lambda: make_logger("daemon"))
@@ -119,6 +91,7 @@
         millicores = int(1000 * settings.processor_share * settings.processor_speed)
         own = MemberAddress(incarnation, settings.peer_address, settings.zone, millicores)
         self.tokens = TokenSource(own.address)
+        self.rosters = RosterKeeper(incarnation)
         log = make_logger("group")
         self.exchange = PeerExchange(Group(own, now()), settings.seeds, self, self.metrics, log)
         self.exchange.transport = self.make_transport(own, self.exchange.deliver)
@@ -126,12 +99,15 @@
             own.incarnation,
             self.calls,
             self.tokens,
-            self.rosters,
+            self.rosters.history,
             self._job_ended,
             lambda: self.exchange.process_stalled(),
             make_logger("scheduler"),
             self.metrics,
         )
+        self.submissions = SubmissionHandler(
+            self.exchange, self.scheduling, self.config, self._job_ended, make_logger("daemon")
+        )
         self.entry_service = EntryService(self, self.metrics, make_logger("entry"))
 
     @property
@@ -215,9 +191,9 @@
         self, incarnation: str, heartbeat_at: float, roster_version: int
     ) -> None:
         """See :class:`ExchangeListener`."""
-        if roster_version > self.roster_version:
+        if roster_version > self.rosters.version:
             # The peer would ignore the roster of this instance.
-            self._set_roster(roster_version, self.workers)
+            self.rosters.publish(roster_version, self.rosters.workers)
         self.scheduling.acknowledge(incarnation, heartbeat_at, roster_version)
 
     def entry_lost(self, incarnation: str) -> None:
@@ -233,53 +209,11 @@
         elif self.scheduling.claim is None:
             self.log.debug("Ignored work because this instance does not schedule.", sender=sender)
         elif isinstance(message, SubmitWork):
-            self._handle_submit(sender, message)
+            self.submissions.handle(sender, message)
         else:
-            self.early_jobs = [
-                item for item in self.early_jobs if item[1].request.id != message.job
-            ]
+            self.submissions.cancel(message.job)
             self.scheduling.cancel(message.job, sender)
 
-    def _handle_submit(self, sender: str, message: SubmitWork) -> None:
-        # The echo is the sender's estimate of this instance's clock at submission. A lower epoch
-        # means that the sender has changed its scheduler since then.
-        age = now() - message.echo
-        member = self.group.members.get(sender)
-        if self._is_early(member, message, age):
-            if not self.early_jobs:
-                loop = asyncio.get_running_loop()
-                loop.call_later(MAX_EARLY_SECONDS, self._submit_early_jobs)
-            self.early_jobs.append((sender, message))
-            return
-        is_current = member is not None and message.epoch >= member.epoch
-        is_for_claim = message.term in (None, self.group.claim.term)
-        if is_current and is_for_claim and age <= MAX_SUBMIT_AGE_SECONDS:
-            self.exchange.record_epoch(member, message.epoch)
-            self.scheduling.submit(message.request, sender)
-            return
-        job = message.request.id
-        self.log.warning("Rejected a job delayed in transit.", job=job, sender=sender, seconds=age)
-        if member is not None and not is_for_claim:
-            # The sender does not know the present claim yet.
-            self.exchange.inform(member)
-        self._job_ended(JobEnded(sender, job, Outcome.DROPPED, "It was held up on its way."))
-
-    def _is_early(self, member: Member | None, message: SubmitWork, age: float) -> bool:
-        """Return whether a job must wait for the configuration that its entry instance has.
-
-        It waits for a part of the time for which it may be in transit.
-        """
-        if member is None or member.config_version <= self.pool_config.version:
-            return False
-        return age < MAX_EARLY_SECONDS
-
-    def _submit_early_jobs(self) -> None:
-        """Schedule the jobs whose configuration has not arrived in time."""
-        early_jobs, self.early_jobs = self.early_jobs, []
-        for sender, message in early_jobs:
-            if self.scheduling.claim is not None:
-                self._handle_submit(sender, message)
-
     def handle_config(self, config: PoolConfig) -> None:
         """Apply a configuration if it is newer than the one in force."""
         if config.version <= self.pool_config.version:
@@ -291,18 +225,18 @@
         self.metrics.revision.set(config.version)
         self.scheduling.set_config(config)
         self.exchange.announce_config()
-        self._submit_early_jobs()
+        self.submissions.retry()
 
     def handle_roster(self, version: int, workers: tuple[WorkerRegistration, ...]) -> None:
         """Store a scheduler's list of workers, for a takeover by this instance."""
-        if self.group.claim is None and version > self.roster_version:
-            self._adopt_roster(version, workers)
+        if self.group.claim is None and version > self.rosters.version:
+            self.rosters.adopt(version, workers)
             self.exchange.acknowledge()
 
     def handle_roster_changes(self, changes: RosterChanges) -> None:
         """See :class:`ExchangeListener`."""
-        if changes.base == self.roster_version:
-            workers = apply_differences(self.workers, changes.changed, changes.removed)
+        workers = self.rosters.apply(changes)
+        if workers is not None:
             self.handle_roster(changes.version, workers)
         else:
             # The acknowledgement tells which version this instance has.
@@ -310,26 +244,7 @@
 
     def roster_news(self, base: int) -> RosterNews | RosterChanges:
         """See :class:`ExchangeListener`."""
-        if self.news is None or self.news[:2] != (base, self.roster_version):
-            differences = self.rosters.differences(base, self.roster_version)
-            message = (
-                RosterNews(self.roster_version, self.workers)
-                if differences is None
-                else RosterChanges(base, self.roster_version, *differences)
-            )
-            # Most peers have the same version.
-            self.news = (base, self.roster_version, message)
-        return self.news[2]
-
-    def _set_roster(self, previous: int, workers: tuple[WorkerRegistration, ...]) -> None:
-        """Publish a roster under a version that is higher than ``previous``."""
-        self._adopt_roster(next_version(self.group.own.incarnation, unix_ms(), previous), workers)
-
-    def _adopt_roster(self, version: int, workers: tuple[WorkerRegistration, ...]) -> None:
-        self.roster_version, self.workers = version, workers
-        self.rosters.record(version, workers)
-        self.roster_changes.append((now(), version))
-        del self.roster_changes[:-MAX_REMEMBERED_ROSTERS]
+        return self.rosters.news_since(base)
 
     def config(self) -> PoolConfig:
         """See :class:`ExchangeListener`."""
@@ -337,7 +252,7 @@
 
     def roster(self) -> tuple[int, tuple[WorkerRegistration, ...]]:
         """See :class:`ExchangeListener`."""
-        return self.roster_version, self.workers
+        return self.rosters.version, self.rosters.workers
 
     def held_count(self) -> int:
         """See :class:`ExchangeListener`."""
@@ -361,9 +276,9 @@
             return
         claim = attrs.evolve(claim, term=self.tokens.next())
         self.group.claim = claim
-        self.scheduling.begin(claim, self.pool_config, self.workers)
+        self.scheduling.begin(claim, self.pool_config, self.rosters.workers)
         self.workers_task = start_task(
-            self.registry.follow_workers(self._handle_workers, self.workers), self.log
+            self.registry.follow_workers(self._handle_workers, self.rosters.workers), self.log
         )
         self.exchange.follow()
         self.exchange.announce()
@@ -396,9 +311,7 @@
 
     def rosters_since(self, moment: float) -> tuple[int, ...]:
         """See :class:`SchedulerClient`."""
-        older = [version for at, version in self.roster_changes if at < moment]
-        newer = [version for at, version in self.roster_changes if at >= moment]
-        return (older[-1] if older else UNKNOWN_ROSTER, *newer)
+        return self.rosters.versions_since(moment)
 
     def submit(self, request: WorkRequest) -> None:
         """See :class:`SchedulerClient`."""
@@ -430,11 +343,11 @@
         )
 
     def _handle_workers(self, workers: tuple[WorkerRegistration, ...]) -> None:
-        if workers != self.workers or not self.roster_version:
-            is_extended = not {entry.name for entry in workers} <= {
-                entry.name for entry in self.workers
-            }
-            self._set_roster(self.roster_version, workers)
+        rosters = self.rosters
+        if workers != rosters.workers or not rosters.version:
+            known = {entry.name for entry in rosters.workers}
+            is_extended = not {entry.name for entry in workers} <= known
+            rosters.publish(rosters.version, workers)
             if is_extended:
                 # New workers are used only for instances that know them.
                 self.exchange.push_roster()
--- /dev/null
+++ b/packages/daemon/cranberryshored/pool/documents.py
@@ -0,0 +1,79 @@
+"""Transfers of the configuration and of the list of workers between the instances of a pool."""
+
+from collections.abc import Callable
+
+import attrs
+
+from cranberryshore.messages import ConfigNews, ConfigRequest, PeerMessage, RosterChanges
+from cranberryshore.pool import Group, Member
+from cranberryshore.pool.transfers import OWN_READ_SECONDS, Transfers
+from cranberryshored.pool.clock import now
+from cranberryshored.pool.protocols import ExchangeListener
+
+CONFIG_REQUEST_SECONDS = 0.15
+"""Interval of requests for a configuration, each to the peer whose heartbeat has just arrived."""
+
+
+@attrs.define(eq=False)
+class DocumentExchange:
+    """Sends documents to the peers that lack them, and requests newer ones.
+
+    Parameters
+    ----------
+    send : callable
+        Sends a message to a member.
+    rosters, configs : Transfers
+        Transfers that are under way.
+    config_outdated_since : float or None
+        Time since which a peer is known to have a newer configuration.
+    config_requested_at : float
+        Time of the latest request for it.
+    """
+
+    group: Group
+    listener: ExchangeListener
+    send: Callable[[Member, PeerMessage], None]
+    rosters: Transfers = attrs.field(factory=Transfers)
+    configs: Transfers = attrs.field(factory=Transfers)
+    config_outdated_since: float | None = None
+    config_requested_at: float = float("-inf")
+
+    def config_applied(self) -> None:
+        """Record that the configuration in force has changed."""
+        self.config_outdated_since = None
+
+    def compare_config(self, member: Member, moment: float) -> None:
+        """Request the configuration of a peer if it is newer and could not be read from the store.
+
+        Called with each heartbeat of the peer.
+        """
+        self.configs.acknowledge(member.at.incarnation, member.config_version)
+        if member.config_version <= self.listener.config().version:
+            return
+        if self.config_outdated_since is None:
+            self.config_outdated_since = moment
+        is_due = moment - self.config_requested_at >= CONFIG_REQUEST_SECONDS
+        if is_due and moment - self.config_outdated_since >= OWN_READ_SECONDS:
+            self.config_requested_at = moment
+            request = ConfigRequest(member.config_version)
+            self.send(member, request)
+
+    def send_config(self, receiver: str) -> None:
+        """Send the configuration to a peer that has requested it."""
+        member, config = self.group.members.get(receiver), self.listener.config()
+        if member is not None and self.configs.begin(
+            receiver, config.version, len(config.queues), now()
+        ):
+            self.send(member, ConfigNews(config))
+
+    def send_roster(self, member: Member) -> None:
+        """Send the list of workers, or its changes, to a follower that lacks them."""
+        version, _ = self.listener.roster()
+        receiver = member.at.incarnation
+        self.rosters.acknowledge(receiver, member.roster_version)
+        if member.roster_version >= version:
+            return
+        news = self.listener.roster_news(member.roster_version)
+        entries = news.changed if isinstance(news, RosterChanges) else news.workers
+        if self.rosters.begin(receiver, version, len(entries), now()):
+            self.send(member, news)
--- a/packages/daemon/cranberryshored/pool/exchange.py
+++ b/packages/daemon/cranberryshored/pool/exchange.py
@@ -12,6 +12,7 @@
     CancelWork,
     ConfigNews,
     ConfigRequest,
+    PeerMessage,
     RosterChanges,
     RosterNews,
     SubmitWork,
@@ -30,10 +31,10 @@
     PEER_TIMEOUT_SECONDS,
 )
 from cranberryshore.pool.stream import StreamPosition
-from cranberryshore.pool.transfers import OWN_READ_SECONDS, Transfers
 from cranberryshored.metrics import Metrics
 from cranberryshored.peers.transport import Transport
 from cranberryshored.pool.clock import now, unix_ms
+from cranberryshored.pool.documents import DocumentExchange
 from cranberryshored.pool.protocols import ExchangeListener, NumberedMessage
 from cranberryshored.tasks import cancel_tasks, start_task
 
@@ -90,12 +91,6 @@
         Former schedulers by incarnation.
     acknowledged_at : float
         Time of the last heartbeat to the scheduler.
-    roster_transfers, config_transfers : Transfers
-        Transfers of the list of workers to the followers, and of the configuration to any member.
-    config_outdated_since : float or None
-        Time since which a member is known to have a newer configuration.
-    config_requested_at : float
-        Time of the latest request for it.
     absent : dict
         Time since which an entry instance whose jobs are scheduled here is not a member.
     """
@@ -114,16 +109,16 @@
     follows_heard_at: float = float("-inf")
     former: dict[str, FormerScheduler] = attrs.field(factory=dict)
     acknowledged_at: float = float("-inf")
-    roster_transfers: Transfers = attrs.field(factory=Transfers)
-    config_transfers: Transfers = attrs.field(factory=Transfers)
-    config_outdated_since: float | None = None
-    config_requested_at: float = float("-inf")
     absent: dict[str, float] = attrs.field(factory=dict)
     successor: str = ""
     beat_at: float = 0.0
     rounds: int = 0
     epoch: int = 0
     task: asyncio.Task | None = None
+    documents: DocumentExchange = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self.documents = DocumentExchange(self.group, self.listener, self._send_document)
 
     async def start(self) -> None:
         """Start sending beats."""
@@ -158,6 +153,9 @@
         stream.record_sent(message, moment)
         self.transport.send(member.at.address, incarnation, message)
 
+    def _send_document(self, member: Member, message: PeerMessage) -> None:
+        self.transport.send(member.at.address, member.at.incarnation, message)
+
     def deliver(self, sender: str, message: Any) -> None:
         """Handle a message from the transport."""
         if isinstance(message, Beat):
@@ -166,7 +164,7 @@
         elif isinstance(message, ConfigNews):
             self.listener.handle_config(message.config)
         elif isinstance(message, ConfigRequest):
-            self._send_config(sender)
+            self.documents.send_config(sender)
         elif isinstance(message, RosterNews):
             self.listener.handle_roster(message.version, message.workers)
         elif isinstance(message, RosterChanges):
@@ -180,7 +178,7 @@
 
         The scheduler then knows of it before the jobs that depend on it.
         """
-        self.config_outdated_since = None
+        self.documents.config_applied()
         if self.group.claim is not None:
             self.announce()
         else:
@@ -189,7 +187,7 @@
     def push_roster(self) -> None:
         """Send the list of workers to all live members."""
         for member in self.group.live(now()):
-            self._send_roster(member)
+            self.documents.send_roster(member)
 
     def announce(self) -> None:
         """Send a beat to all members now."""
@@ -298,8 +296,7 @@
         is_outdated = self._follows_wrong_scheduler(beat) or self._is_competing_claim(beat)
         if is_new or has_left or is_outdated:
             self._send_beat(member, moment)
-        self.config_transfers.acknowledge(member.at.incarnation, member.config_version)
-        self._request_config(member, moment)
+        self.documents.compare_config(member, moment)
         self._handle_follower(member, beat, moment)
         if beat.claim is not None or member.at.incarnation == self.follows:
             self._update_claim(moment)
@@ -319,7 +316,7 @@
             )
         else:
             self.listener.entry_lost(beat.sender.incarnation)
-        self._send_roster(member)
+        self.documents.send_roster(member)
 
     def record_epoch(self, member: Member, epoch: int) -> None:
         """Record the epoch of a peer, which has handed over its jobs of earlier epochs."""
@@ -366,37 +363,6 @@
             return self.group.claim is None
         return not beat.follows and beat.claim is None and bool(self.follows)
 
-    def _request_config(self, member: Member, moment: float) -> None:
-        """Request a newer configuration that this instance has not read from the store."""
-        if member.config_version <= self.listener.config().version:
-            return
-        if self.config_outdated_since is None:
-            self.config_outdated_since = moment
-        is_due = moment - self.config_requested_at >= BEAT_SECONDS
-        if is_due and moment - self.config_outdated_since >= OWN_READ_SECONDS:
-            self.config_requested_at = moment
-            request = ConfigRequest(member.config_version)
-            self.transport.send(member.at.address, member.at.incarnation, request)
-
-    def _send_config(self, receiver: str) -> None:
-        """Send the configuration to a member that has requested it."""
-        member, config = self.group.members.get(receiver), self.listener.config()
-        if member is not None and self.config_transfers.begin(
-            receiver, config.version, len(config.queues), now()
-        ):
-            self.transport.send(member.at.address, receiver, ConfigNews(config))
-
-    def _send_roster(self, member: Member) -> None:
-        version, _ = self.listener.roster()
-        receiver = member.at.incarnation
-        self.roster_transfers.acknowledge(receiver, member.roster_version)
-        if member.roster_version >= version:
-            return
-        news = self.listener.roster_news(member.roster_version)
-        entries = news.changed if isinstance(news, RosterChanges) else news.workers
-        if self.roster_transfers.begin(receiver, version, len(entries), now()):
-            self.transport.send(member.at.address, receiver, news)
-
     def _send_beat(self, member: Member, moment: float) -> None:
         if member.at.incarnation == self.follows:
             self.acknowledged_at = moment
--- /dev/null
+++ b/packages/daemon/cranberryshored/pool/submissions.py
@@ -0,0 +1,90 @@
+"""Jobs that entry instances submit to this instance while it schedules."""
+
+import asyncio
+from collections.abc import Callable
+
+import attrs
+from structlog.typing import FilteringBoundLogger
+
+from cranberryshore.messages import SubmitWork
+from cranberryshore.pool import JobEnded, Member, Outcome, PoolConfig
+from cranberryshored.pool.clock import now
+from cranberryshored.pool.exchange import PeerExchange
+from cranberryshored.pool.scheduling import SchedulingService
+
+MAX_SUBMIT_AGE_SECONDS = 0.4
+"""A job that was in transit for longer is rejected, since it may have been submitted to another
+scheduler. That happens 0.5 s after the last beat at the earliest."""
+
+MAX_EARLY_SECONDS = 0.2
+"""Time for which a job waits for the configuration of its entry instance, which this instance reads
+from the store in milliseconds or else requests from a peer."""
+
+
+@attrs.define(eq=False)
+class SubmissionHandler:
+    """Schedules submitted jobs unless they are delayed, or meant for another claim.
+
+    Parameters
+    ----------
+    config : callable
+        Returns the configuration in force.
+    on_ended : callable
+        Called with the outcome of a rejected job.
+    early_jobs : list
+        Jobs that wait for the configuration of their entry instance, with that instance.
+    """
+
+    exchange: PeerExchange
+    scheduling: SchedulingService
+    config: Callable[[], PoolConfig]
+    on_ended: Callable[[JobEnded], None]
+    log: FilteringBoundLogger
+    early_jobs: list[tuple[str, SubmitWork]] = attrs.field(factory=list)
+
+    def handle(self, sender: str, message: SubmitWork) -> None:
+        """Schedule a job, or let it wait for a newer configuration.
+
+        Requires a claim. The message tells the sender's estimate of this instance's clock at
+        submission. A lower epoch means that the sender has changed its scheduler since then.
+        """
+        age = now() - message.echo
+        group = self.exchange.group
+        member = group.members.get(sender)
+        if self._is_early(member, age):
+            if not self.early_jobs:
+                asyncio.get_running_loop().call_later(MAX_EARLY_SECONDS, self.retry)
+            self.early_jobs.append((sender, message))
+            return
+        is_current = member is not None and message.epoch >= member.epoch
+        is_for_claim = message.term in (None, group.claim.term)
+        if is_current and is_for_claim and age <= MAX_SUBMIT_AGE_SECONDS:
+            self.exchange.record_epoch(member, message.epoch)
+            self.scheduling.submit(message.request, sender)
+            return
+        job = message.request.id
+        self.log.warning("Rejected a job delayed in transit.", job=job, sender=sender, seconds=age)
+        if member is not None and not is_for_claim:
+            # The sender does not know the present claim yet.
+            self.exchange.inform(member)
+        self.on_ended(JobEnded(sender, job, Outcome.DROPPED, "It was held up on its way."))
+
+    def cancel(self, job: str) -> None:
+        """Drop a waiting job whose caller has disconnected."""
+        self.early_jobs = [item for item in self.early_jobs if item[1].request.id != job]
+
+    def retry(self) -> None:
+        """Handle the waiting jobs again, since the configuration or their age has changed."""
+        early_jobs, self.early_jobs = self.early_jobs, []
+        for sender, message in early_jobs:
+            if self.scheduling.claim is not None:
+                self.handle(sender, message)
+
+    def _is_early(self, member: Member | None, age: float) -> bool:
+        """Return whether a job waits for the configuration that its entry instance has.
+
+        It waits for a part of the time for which it may be in transit.
+        """
+        if member is None or member.config_version <= self.config().version:
+            return False
+        return age < MAX_EARLY_SECONDS
--- a/packages/daemon/cranberryshored/pool/tests/test_app.py
+++ b/packages/daemon/cranberryshored/pool/tests/test_roster_keeper.py
@@ -1,10 +1,9 @@
-from types import SimpleNamespace
 from unittest import TestCase
 
-from cranberryshore.pool import RosterHistory, WorkerRegistration
+from cranberryshore.pool import WorkerRegistration
 from cranberryshore.work import Capacity
-from cranberryshored.pool.app import PoolDaemon
 from cranberryshored.pool.clock import CLOCKS, Clocks
+from cranberryshored.pool.roster_keeper import RosterKeeper
 
 
 class RostersSinceTest(TestCase):
@@ -12,9 +11,9 @@
         # The job was submitted under the first roster; both have the same clock reading.
         self.addCleanup(setattr, CLOCKS, "steady", Clocks().steady)
         CLOCKS.steady = lambda: 100.0
-        daemon = SimpleNamespace(roster_changes=[(float("-inf"), 0)], rosters=RosterHistory())
+        rosters = RosterKeeper("e.1")
         worker = WorkerRegistration("w", "w", "z", "s", Capacity(1000))
-        PoolDaemon._adopt_roster(daemon, 1, (worker,))
+        rosters.adopt(1, (worker,))
         CLOCKS.steady = lambda: 101.0
-        PoolDaemon._adopt_roster(daemon, 2, ())
-        self.assertEqual(PoolDaemon.rosters_since(daemon, 101.0), (1, 2))
+        rosters.adopt(2, ())
+        self.assertEqual(rosters.versions_since(101.0), (1, 2))
--- a/packages/proof/cranberryshore_proof/tests/test_pool_play.py
+++ b/packages/proof/cranberryshore_proof/tests/test_pool_play.py
@@ -97,7 +97,7 @@
             await asyncio.sleep(0.1)
             expired = {worker.name for worker in deployment.workers.values() if worker.runs}
             deployment.expire_registrations(expired)
-            while expired & {entry.name for entry in other.workers}:
+            while expired & {entry.name for entry in other.rosters.workers}:
                 await asyncio.sleep(0.01)
             draining = deployment.network.spawn(address, deployment.daemons[address].drain())
             await asyncio.sleep(1.5)
