Test: the lease of a start ends with the right of its entry instance

The check of foreign runs at the release of resumed jobs is not needed to keep a task from running twice, since placement passes over tasks with foreign runs; its doc comment says so.

--- a/packages/core/cranberryshore/pool/tests/test_scheduler.py
+++ b/packages/core/cranberryshore/pool/tests/test_scheduler.py
@@ -218,6 +218,20 @@
         self.poll("w1" if first.worker == "w2" else "w2")
         self.assertEqual([start.key[0] for start in self.starts()], ["k.0.0.0"])
 
+    def test_lease_of_a_start_outlived_the_right_of_its_entry_instance(self):
+        # With a whole lease, a run that is started just before the right ends would go on while
+        # the task is started by another scheduler 1.3 s after the last heartbeat.
+        rights = self.scheduler.rights = AcknowledgedRights("own")
+        rights.rosters.record(1, [registration("w1"), registration("w2")])
+        rights.record_roster("e", 1)
+        acknowledged_at = self.now
+        rights.acknowledge("e", acknowledged_at)
+        self.now = acknowledged_at + START_RIGHT_SECONDS - 0.01
+        (start,) = self.submit()
+        worker = self.scheduler.workers[start.worker]
+        end_ms = (acknowledged_at + RUN_RIGHT_SECONDS) * 1000 + worker.clock_offset_ms
+        self.assertLessEqual(start.lease_end_ms, end_ms)
+
     def test_start_on_an_idle_worker_waits_until_its_clock_is_read(self):
         # Regression: the lease end of a start relied on an old reading of the clock, which starts
         # anew with the worker, so that a late start was carried out after its task had started
--- a/packages/core/cranberryshore/pool/verifying.py
+++ b/packages/core/cranberryshore/pool/verifying.py
@@ -94,7 +94,8 @@
     ) -> list[PoolJob]:
         """Remove and return the jobs that may start.
 
-        No job is verified while any worker has runs of another scheduler (``has_strangers``).
+        No job is verified while any worker has runs of another scheduler (``has_strangers``): these
+        runs are about to be adopted or stopped, and their tasks are not started beside them.
         """
         released = []
         for names, group in list(self.groups.items()):
