The daemon on the platform no longer loads the dispatcher and membership of the product's zones

Cause: the settings, a message type and the transport were in packages whose other modules are not used on the platform, so that each start loaded these. Starts take seconds on instances with half a core, and callers wait for them after a restart of everything.

--- a/packages/core/cranberryshore/dispatch/__init__.py
+++ b/packages/core/cranberryshore/dispatch/__init__.py
@@ -15,8 +15,6 @@
     ReturnLoans,
     StartTasks,
     StopTasks,
-    TaskBatch,
-    TaskStart,
 )
 from cranberryshore.dispatch.inputs import (
     Assigned,
@@ -82,8 +80,6 @@
     "StartTasks",
     "StopTasks",
     "Submit",
-    "TaskBatch",
-    "TaskStart",
     "TasksFinished",
     "TasksRejected",
     "Tick",
--- a/packages/core/cranberryshore/dispatch/admission.py
+++ b/packages/core/cranberryshore/dispatch/admission.py
@@ -2,9 +2,9 @@
 
 import attrs
 
-from cranberryshore.dispatch.settings import DispatchSettings
 from cranberryshore.dispatch.workers import WorkerSet
 from cranberryshore.errors import ErrorType, ExecutionStatus, Refusal
+from cranberryshore.settings.dispatch import DispatchSettings
 from cranberryshore.work.capacity import ZERO_CAPACITY, Capacity
 from cranberryshore.work.job import Job
 
--- a/packages/core/cranberryshore/dispatch/dispatcher.py
+++ b/packages/core/cranberryshore/dispatch/dispatcher.py
@@ -11,11 +11,11 @@
 from cranberryshore.dispatch.admission import Admission
 from cranberryshore.dispatch.lending import LoanBalancer
 from cranberryshore.dispatch.placer import TaskPlacer
-from cranberryshore.dispatch.settings import DispatchSettings
 from cranberryshore.dispatch.workers import WorkerSet
 from cranberryshore.errors import ErrorType, ExecutionStatus, Refusal
 from cranberryshore.limits.fair_queue import FairQueue
 from cranberryshore.limits.quota import TeamQuotas
+from cranberryshore.settings.dispatch import DispatchSettings
 from cranberryshore.work.job import Job, TaskResult
 
 __all__ = ["DispatchSettings", "Dispatcher"]
--- a/packages/core/cranberryshore/dispatch/effects.py
+++ b/packages/core/cranberryshore/dispatch/effects.py
@@ -5,37 +5,14 @@
 from cranberryshore.errors import Refusal
 from cranberryshore.identity.submission_id import SubmissionId
 from cranberryshore.placement.shared_pool import Grant
+from cranberryshore.work.batch import TaskBatch
 from cranberryshore.work.capacity import Capacity
-from cranberryshore.work.task import TaskSpec
 
 
 class Effect:
     """Base class of effects."""
 
 
-@attrs.frozen
-class TaskStart:
-    """One task to start."""
-
-    index: int
-    spec: TaskSpec
-
-
-@attrs.frozen
-class TaskBatch:
-    """Tasks of one job to start on one worker.
-
-    ``task_count`` counts the tasks of the whole job. If the issuer dies, the peer that closes its
-    ownership has only the workers' records; from ``task_count`` and ``caller`` it determines
-    whether every task was started and who may receive the answer.
-    """
-
-    job: str
-    caller: str
-    task_count: int
-    tasks: tuple[TaskStart, ...]
-
-
 @attrs.frozen
 class StartTasks(Effect):
     """Send a batch of tasks to a worker incarnation."""
--- a/packages/core/cranberryshore/dispatch/placer.py
+++ b/packages/core/cranberryshore/dispatch/placer.py
@@ -12,6 +12,7 @@
 from cranberryshore.dispatch.workers import WorkerSet
 from cranberryshore.limits.fair_queue import FairQueue
 from cranberryshore.limits.quota import TeamQuotas
+from cranberryshore.work.batch import TaskBatch, TaskStart
 from cranberryshore.work.capacity import Capacity
 from cranberryshore.work.job import Job
 from cranberryshore.work.task import TaskSpec
@@ -174,8 +175,8 @@
             indexes = job.start_tasks(number, worker)
             specs = [job.request.tasks[index] for index in indexes]
             self._count_waiting(job, specs, -1)
-            tasks = tuple(map(out.TaskStart, indexes, specs))
-            batch = out.TaskBatch(str(job.id), job.caller, len(job.states), tasks)
+            tasks = tuple(map(TaskStart, indexes, specs))
+            batch = TaskBatch(str(job.id), job.caller, len(job.states), tasks)
             incarnation = self.workers.states[worker].incarnation
             effects.append(out.StartTasks(worker, incarnation, batch))
             team = job.request.team
--- a/packages/core/cranberryshore/messages/worker.py
+++ b/packages/core/cranberryshore/messages/worker.py
@@ -10,8 +10,8 @@
 import attrs
 import msgspec
 
-from cranberryshore.dispatch.effects import TaskBatch
 from cranberryshore.ownership.record import TaskRecord
+from cranberryshore.work.batch import TaskBatch
 from cranberryshore.work.capacity import Capacity
 from cranberryshore.work.job import TaskResult
 
--- a/packages/core/cranberryshore/settings/schema.py
+++ b/packages/core/cranberryshore/settings/schema.py
@@ -7,9 +7,9 @@
 from msgspec import Meta
 from result import Err, Ok, Result
 
-from cranberryshore.dispatch.settings import DispatchSettings
 from cranberryshore.errors import SettingsError
 from cranberryshore.settings.check import check_document, parse_document
+from cranberryshore.settings.dispatch import DispatchSettings
 
 Name = Annotated[str, Meta(pattern=r"^[a-z0-9]([a-z0-9-]{0,38}[a-z0-9])?$")]
 Port = Annotated[int, Meta(ge=1, le=65535)]
--- a/packages/daemon/cranberryshored/peers/__init__.py
+++ b/packages/daemon/cranberryshored/peers/__init__.py
@@ -2,7 +2,7 @@
 
 from cranberryshored.peers.calls import CallHandler, PeerCalls
 from cranberryshored.peers.membership import MembershipListener, MembershipService
-from cranberryshored.peers.transport import PeerTransport, Transport
+from cranberryshored.transport import PeerTransport, Transport
 
 __all__ = [
     "CallHandler",
--- a/packages/daemon/cranberryshored/peers/calls.py
+++ b/packages/daemon/cranberryshored/peers/calls.py
@@ -10,8 +10,8 @@
 
 from cranberryshore.messages import PeerCall, PeerReply, decode_message
 from cranberryshore.messages.codec import encode_message
-from cranberryshored.peers.transport import Transport
 from cranberryshored.tasks import cancel_tasks
+from cranberryshored.transport import Transport
 
 CallHandler = Callable[[Any], Awaitable[Any]]
 
--- a/packages/daemon/cranberryshored/peers/membership.py
+++ b/packages/daemon/cranberryshored/peers/membership.py
@@ -18,8 +18,8 @@
 from cranberryshore.messages import Heartbeat, KnownPeer, Leave
 from cranberryshore.settings import DaemonSettings
 from cranberryshore.timeline import EventKind
-from cranberryshored.peers.transport import Transport
 from cranberryshored.tasks import cancel_tasks
+from cranberryshored.transport import Transport
 
 HEARTBEATS_PER_PEER_LIST = 10
 """One in this many periodic heartbeats carries the list of live peers."""
--- a/packages/daemon/cranberryshored/pool/app.py
+++ b/packages/daemon/cranberryshored/pool/app.py
@@ -29,7 +29,6 @@
 from cranberryshore.timeline import EventRecorder
 from cranberryshored.log import make_logger
 from cranberryshored.metrics import Metrics
-from cranberryshored.peers.transport import PeerTransport, Transport
 from cranberryshored.pool.clock import TokenSource, now, unix_ms
 from cranberryshored.pool.entry_service import EntryService
 from cranberryshored.pool.exchange import PeerExchange
@@ -38,6 +37,7 @@
 from cranberryshored.pool.scheduling import SchedulingService
 from cranberryshored.pool.submissions import SubmissionHandler
 from cranberryshored.tasks import cancel_tasks, start_task
+from cranberryshored.transport import PeerTransport, Transport
 
 MEMBER_LIST_SECONDS = 0.5
 """Interval of reading the registered instances while no scheduler is known."""
--- a/packages/daemon/cranberryshored/pool/exchange.py
+++ b/packages/daemon/cranberryshored/pool/exchange.py
@@ -32,11 +32,11 @@
 )
 from cranberryshore.pool.stream import StreamPosition
 from cranberryshored.metrics import Metrics
-from cranberryshored.peers.transport import Transport
 from cranberryshored.pool.clock import now, unix_ms
 from cranberryshored.pool.documents import DocumentExchange
 from cranberryshored.pool.protocols import ExchangeListener, NumberedMessage
 from cranberryshored.tasks import cancel_tasks, start_task
+from cranberryshored.transport import Transport
 
 BEAT_SECONDS = 0.15
 """Interval of beats: about a third of the 0.5 s of silence after which a peer counts as failed."""
--- a/packages/standins/cranberryshore_standins/worker_model.py
+++ b/packages/standins/cranberryshore_standins/worker_model.py
@@ -5,7 +5,6 @@
 
 import attrs
 
-from cranberryshore.dispatch import TaskBatch, TaskStart
 from cranberryshore.messages import (
     Open,
     Opened,
@@ -17,7 +16,7 @@
     Usage,
 )
 from cranberryshore.ownership import TaskRecord, TaskRecordState
-from cranberryshore.work import ZERO_CAPACITY, Capacity, TaskResult
+from cranberryshore.work import ZERO_CAPACITY, Capacity, TaskBatch, TaskResult, TaskStart
 
 RUN_MS_PREFIX = "run_ms="
 FAIL_PAYLOAD_PREFIX = "fail"
