--- a/packages/daemon/cranberryshored/pool/exchange.py
+++ b/packages/daemon/cranberryshored/pool/exchange.py
@@ -401,8 +401,10 @@
 
     async def _run(self) -> None:
         while True:
+            planned = now() + BEAT_SECONDS
             await asyncio.sleep(BEAT_SECONDS)
             moment = now()
+            self.metrics.loop_lag.observe(max(moment - planned, 0.0))
             if moment - self.beat_at > STALL_SECONDS:
                 self._handle_stall(moment)
             self.beat_at = moment
