--- /dev/null
+++ b/packages/proof/cranberryshore_proof/pool_mutate.py
@@ -0,0 +1,133 @@
+"""Mutation tests of a pool: each defect in who may start a job has to fail a test."""
+
+import io
+import logging
+import sys
+import unittest
+from argparse import ArgumentParser
+from collections.abc import Callable
+from contextlib import ExitStack
+from unittest.mock import patch
+
+import attrs
+import structlog
+
+from cranberryshore.pool import AcknowledgedRights, HeldWorker, RosterHistory, scheduler
+from cranberryshore.pool.placing import Placer
+from cranberryshore.pool.verifying import ResumedJobs
+from cranberryshored.pool import submissions
+from cranberryshored.pool.exchange import PeerExchange
+from cranberryshored.pool.roster_keeper import RosterKeeper
+
+TEST_MODULES = (
+    "cranberryshore.pool.tests.test_start_rights",
+    "cranberryshore.pool.tests.test_scheduler",
+    "cranberryshore.pool.tests.test_takeover",
+    "cranberryshore.pool.tests.test_worker_selection",
+    "cranberryshored.pool.tests.test_exchange",
+    "cranberryshored.pool.tests.test_roster_keeper",
+    "cranberryshored.pool.tests.test_entry_service",
+    "cranberryshored.pool.tests.test_submissions",
+    "cranberryshore_proof.tests.test_double_start",
+)
+
+
+@attrs.frozen
+class PoolMutation:
+    """Defect, as the owner, the attribute and the substitute that it consists of."""
+
+    name: str
+    owner: object
+    attribute: str
+    substitute: object
+
+
+def _release_all(self: ResumedJobs, workers: object, has_strangers: bool, now: float) -> list:
+    released = [job for group in self.groups.values() for job in group]
+    for job in released:
+        self.remove(job)
+    return released
+
+
+def _acknowledge_any(self: AcknowledgedRights, entry: str, heartbeat_at: float) -> None:
+    self.heartbeats[entry] = max(heartbeat_at, self.heartbeats.get(entry, heartbeat_at))
+
+
+def _constant(value: object) -> Callable:
+    return lambda *arguments: value
+
+
+MUTATIONS = (
+    PoolMutation("a right never ends", AcknowledgedRights, "may_start", _constant(True)),
+    PoolMutation(
+        "leases are not limited by rights",
+        AcknowledgedRights,
+        "lease_limit",
+        _constant(float("inf")),
+    ),
+    PoolMutation(
+        "leases of started runs are not limited", Placer, "lease_limit", _constant(float("inf"))
+    ),
+    PoolMutation(
+        "a heartbeat of an earlier claim counts",
+        AcknowledgedRights,
+        "acknowledge",
+        _acknowledge_any,
+    ),
+    PoolMutation(
+        "workers unknown to the entry instance are used",
+        AcknowledgedRights,
+        "usable_workers",
+        _constant(None),
+    ),
+    PoolMutation("a release is not awaited", PeerExchange, "has_released", _constant(True)),
+    PoolMutation("resumed jobs are not verified", ResumedJobs, "release", _release_all),
+    PoolMutation("a resumed job waits for no lease", scheduler, "RESUMED_JOB_WAIT_SECONDS", 0.0),
+    PoolMutation(
+        "jobs are exposed to no workers", RosterHistory, "names_in_any", _constant(frozenset())
+    ),
+    PoolMutation(
+        "jobs are exposed to the present workers only",
+        RosterKeeper,
+        "versions_since",
+        lambda self, moment: (self.version,),
+    ),
+    PoolMutation(
+        "the clock of a worker is always known", HeldWorker, "is_clock_known", _constant(True)
+    ),
+    PoolMutation(
+        "delayed submissions are accepted", submissions, "MAX_SUBMIT_AGE_SECONDS", float("inf")
+    ),
+)
+
+
+def count_failing_tests(mutation: PoolMutation) -> int:
+    """Return the number of tests that fail with a mutation."""
+    suite = unittest.defaultTestLoader.loadTestsFromNames(TEST_MODULES)
+    with ExitStack() as stack:
+        stack.enter_context(patch.object(mutation.owner, mutation.attribute, mutation.substitute))
+        result = unittest.TextTestRunner(stream=io.StringIO()).run(suite)
+    return len(result.failures) + len(result.errors)
+
+
+def main() -> None:
+    """Run the mutations; exit with status 1 if any fails no test."""
+    parser = ArgumentParser(description=__doc__)
+    parser.add_argument("--only", default="", help="part of the name of the mutation to run")
+    arguments = parser.parse_args()
+    structlog.configure(wrapper_class=structlog.make_filtering_bound_logger(logging.CRITICAL))
+    # Tests that fail leave tasks behind, which asyncio reports.
+    logging.getLogger("asyncio").setLevel(logging.CRITICAL + 1)
+    undetected = 0
+    for mutation in MUTATIONS:
+        if arguments.only not in mutation.name:
+            continue
+        count = count_failing_tests(mutation)
+        undetected += not count
+        verdict = f"fails {count} tests" if count else "NOT caught"
+        print(f"mutation «{mutation.name}»: {verdict}", flush=True)
+    sys.exit(1 if undetected else 0)
+
+
+if __name__ == "__main__":
+    main()
