An instance without a scheduler sends heartbeats to the possible schedulers only

Cause: after the loss of a scheduler, and at a start of everything, each of 97 instances sent and answered 640 heartbeats a second. One costs 0.2 ms of processor on each side (PeerTransport, one at a time, a trial beside other work), so this took half of an instance with half a core.

Change: in groups of more than 16 members, heartbeats go to the 8 best-ranked members that respond, 4 of the own zone, known schedulers, and 2 others in turn.

--- a/packages/core/cranberryshore/messages/pool.py
+++ b/packages/core/cranberryshore/messages/pool.py
@@ -13,7 +13,7 @@
 class Beat:
     """Periodic heartbeat: followers send it to the scheduler, the scheduler to all instances.
 
-    An instance that follows no scheduler sends it to all instances too.
+    An instance that follows no scheduler sends it to those that may become one.
 
     Parameters
     ----------
--- a/packages/core/cranberryshore/pool/group.py
+++ b/packages/core/cranberryshore/pool/group.py
@@ -30,6 +30,18 @@
 RANK_DELAY_SECONDS = 0.3
 """Additional delay for each better-ranked live instance, which should claim first."""
 
+SMALL_GROUP_SIZE = 16
+"""Number of members up to which an instance without a scheduler sends heartbeats to all of them."""
+
+CANDIDATE_COUNT = 8
+"""Number of best-ranked members that get the heartbeats in a larger group."""
+
+ZONE_CANDIDATE_COUNT = 4
+"""Number of best-ranked members of the own zone that get them too, since it may be cut off."""
+
+OTHERS_PER_ROUND = 2
+"""Number of further members that get them in each round, in turn, so that all are discovered."""
+
 FENCED_BACKOFF_SECONDS = 4.0
 """Time without claims after an instance has lost its workers to another scheduler."""
 
@@ -199,6 +211,47 @@
         ]
         return max(claimed, key=lambda member: member.claim.precedence(), default=None)
 
+    def possible_schedulers(self, since: float, round_number: int, now: float) -> list[Member]:
+        """Return the members that an instance without a scheduler sends heartbeats to.
+
+        When a scheduler of a hundred instances is lost, heartbeats between all of them would take
+        half of the processor of a small one. Only an instance that hears most others can claim, so
+        it is enough that all send theirs to the same few: the best-ranked ones that respond.
+
+        Parameters
+        ----------
+        since : float
+            Time since which this instance has had no scheduler, in seconds.
+        round_number : int
+            Number of the round of heartbeats.
+        now : float
+            Present time, in seconds.
+        """
+        members = sorted(self.members.values(), key=lambda member: member.at.rank())
+        if len(members) <= SMALL_GROUP_SIZE:
+            return members
+        candidates = [member for member in members if self._may_respond(member, since, now)]
+        in_zone = [member for member in candidates if member.at.zone == self.own.zone]
+        chosen = {
+            member.at.incarnation: member
+            for member in (
+                *candidates[:CANDIDATE_COUNT],
+                *in_zone[:ZONE_CANDIDATE_COUNT],
+                *(member for member in members if member.claim is not None),
+            )
+        }
+        first = round_number * OTHERS_PER_ROUND
+        for number in range(first, first + OTHERS_PER_ROUND):
+            member = members[number % len(members)]
+            chosen[member.at.incarnation] = member
+        return list(chosen.values())
+
+    @staticmethod
+    def _may_respond(member: Member, since: float, now: float) -> bool:
+        """Return whether a member has responded, or has not had the time to respond."""
+        latest = max(member.heard_at, member.listed_at, since)
+        return not member.is_draining and now - latest < PEER_TIMEOUT_SECONDS
+
     def must_yield(self, now: float) -> bool:
         """Return whether a peer has a stronger claim than this instance."""
         if self.claim is None:
--- a/packages/core/cranberryshore/pool/tests/test_group.py
+++ b/packages/core/cranberryshore/pool/tests/test_group.py
@@ -4,9 +4,13 @@
 
 from cranberryshore.pool import Claim, Group, MemberAddress
 from cranberryshore.pool.group import (
+    CANDIDATE_COUNT,
     CLAIM_DELAY_SECONDS,
+    OTHERS_PER_ROUND,
     PEER_TIMEOUT_SECONDS,
+    SMALL_GROUP_SIZE,
     STARTUP_DELAY_SECONDS,
+    ZONE_CANDIDATE_COUNT,
 )
 
 
@@ -118,3 +122,50 @@
         again = attrs.evolve(address(2), incarnation="e2.2")
         self.group.record_contact(again, self.now)
         self.assertEqual(list(self.group.members), ["e2.2"])
+
+
+class PossibleSchedulersTest(TestCase):
+    """Heartbeats of an instance without a scheduler, in a group of 97."""
+
+    def setUp(self):
+        self.group = Group(address(96, "z4"), 0.0)
+        for number in range(96):
+            self.group.record_contact(address(number, f"z{number % 5}"), 0.0)
+        self.now = 100.0
+
+    def chosen(self, since: float, round_number: int = 0) -> set[str]:
+        members = self.group.possible_schedulers(since, round_number, self.now)
+        return {member.at.incarnation for member in members}
+
+    def best(self, count: int) -> set[str]:
+        ranked = sorted(self.group.members.values(), key=lambda member: member.at.rank())
+        return {member.at.incarnation for member in ranked[:count]}
+
+    def test_all_instances_sent_heartbeats_to_all_after_the_loss_of_a_scheduler(self):
+        limit = CANDIDATE_COUNT + ZONE_CANDIDATE_COUNT + OTHERS_PER_ROUND
+        self.assertLessEqual(len(self.chosen(self.now)), limit)
+        self.assertLessEqual(self.best(CANDIDATE_COUNT), self.chosen(self.now))
+
+    def test_all_get_them_in_turn(self):
+        rounds = [self.chosen(self.now, number) for number in range(48)]
+        self.assertEqual(set().union(*rounds), set(self.group.members))
+
+    def test_members_that_do_not_respond_are_replaced_by_the_next_ones(self):
+        since = self.now - PEER_TIMEOUT_SECONDS
+        responding = address(11, "z1")
+        self.group.record_contact(responding, self.now)
+        best = self.best(CANDIDATE_COUNT)
+        self.assertIn(responding.incarnation, self.chosen(since, 20))
+        self.assertFalse(best & self.chosen(since, 20) - {responding.incarnation})
+
+    def test_members_of_the_own_zone_and_schedulers_are_included(self):
+        self.group.members["e50.1"].claim = Claim(1, "z0")
+        in_zone = {name for name, member in self.group.members.items() if member.at.zone == "z4"}
+        chosen = self.chosen(self.now)
+        self.assertIn("e50.1", chosen)
+        self.assertGreaterEqual(len(chosen & in_zone), ZONE_CANDIDATE_COUNT)
+
+    def test_small_group_sends_to_all(self):
+        for number in range(SMALL_GROUP_SIZE, 96):
+            del self.group.members[f"e{number}.1"]
+        self.assertEqual(self.chosen(0.0), set(self.group.members))
--- a/packages/daemon/cranberryshored/pool/exchange.py
+++ b/packages/daemon/cranberryshored/pool/exchange.py
@@ -85,6 +85,8 @@
         incarnation at its address displaces it.
     successor : str
         Incarnation that takes over scheduling when this instance leaves; empty if none is named.
+    leaderless_at : float
+        Time since which this instance has had no scheduler, if it has none.
     epoch : int
         Number of times that ``follows`` or ``term`` has changed.
     former : dict
@@ -111,6 +113,7 @@
     acknowledged_at: float = float("-inf")
     absent: dict[str, float] = attrs.field(factory=dict)
     successor: str = ""
+    leaderless_at: float = float("-inf")
     beat_at: float = 0.0
     rounds: int = 0
     epoch: int = 0
@@ -122,7 +125,7 @@
 
     async def start(self) -> None:
         """Start sending beats."""
-        self.beat_at = now()
+        self.beat_at = self.leaderless_at = now()
         self.task = start_task(self._run(), self.log)
 
     async def close(self) -> None:
@@ -214,7 +217,9 @@
         before, self.follows = self.group.members.get(self.follows), follows
         self.follows_heard_at = now()
         if not follows:
-            self.announce()
+            self.leaderless_at = now()
+            for member in self.group.possible_schedulers(now(), self.rounds, now()):
+                self._send_beat(member, now())
         if before is not None and follows:
             # The previous scheduler then stops this instance's jobs, so the new one can start them.
             self._send_beat(before, now())
@@ -481,17 +486,19 @@
     def _beat_targets(self, moment: float) -> list[Member]:
         """Return the members to send a beat to.
 
-        A scheduler, or an instance without one, sends to all members; others send to the scheduler.
+        A scheduler sends to all members, an instance without one to those that may become one, and
+        others to the scheduler.
         Without a scheduler, this method itself sends a beat to the seeds that are not members.
         """
         members = self.group.members
-        if self.group.claim is not None or not self.follows:
-            member_addresses = {member.at.address for member in members.values()}
-            if not self.follows:
-                for address in self.seeds:
-                    if address not in member_addresses and address != self.own.address:
-                        self.transport.send(address, "", self._seed_beat())
+        if self.group.claim is not None:
             return list(members.values())
+        if not self.follows:
+            member_addresses = {member.at.address for member in members.values()}
+            for address in self.seeds:
+                if address not in member_addresses and address != self.own.address:
+                    self.transport.send(address, "", self._seed_beat())
+            return self.group.possible_schedulers(self.leaderless_at, self.rounds, moment)
         # The beats of the scheduler are answered at once, which is usually enough.
         scheduler = members.get(self.follows)
         is_due = moment - self.acknowledged_at >= BEAT_SECONDS
