A large pool is divided: each availability zone has a scheduler of its own

The exposure of a job names the zones of the claims it was submitted under, so that the next scheduler of the zone can verify it. If a zone has too few workers, one scheduler holds all. Smaller pools behave as before.

--- a/packages/core/cranberryshore/pool/group.py
+++ b/packages/core/cranberryshore/pool/group.py
@@ -6,12 +6,18 @@
 most of its own availability zone claims only the workers of that zone, since the zone may be
 partitioned. An instance that receives no heartbeats, or only heartbeats of followers of a scheduler
 it cannot reach, claims nothing: taking workers away from a scheduler that others reach would
-disrupt the pool. Conflicting claims are resolved by the scope and the number of workers held.
+disrupt the pool. In a large pool, which is divided, each availability zone has a scheduler of its
+own. Conflicting claims are resolved by the scope and the number of workers held.
 Safety does not depend on the election: workers obey only the highest fencing token.
 """
 
+from collections.abc import Collection
+
 import attrs
 
+from cranberryshore.pool import division
+from cranberryshore.pool.worker_registration import WorkerRegistration
+
 PEER_TIMEOUT_SECONDS = 0.5
 """Time without heartbeats after which a peer is down: three intervals of 0.15 s plus delay."""
 
@@ -88,15 +94,21 @@
         Availability zone whose workers are claimed; empty for all zones.
     held : int
         Number of workers currently held.
+    is_divided : bool
+        Whether each availability zone has a scheduler of its own.
+    is_uneven : bool
+        Whether that cannot be, because some zone has too few workers.
     """
 
     term: int
     zone: str = ""
     held: int = 0
+    is_divided: bool = False
+    is_uneven: bool = False
 
-    def precedence(self) -> tuple[bool, int, int]:
+    def precedence(self, is_divided: bool = False) -> tuple[bool, int, int]:
         """Return the sort key for conflicting claims; the highest one wins."""
-        return (not self.zone, self.held, self.term)
+        return (bool(self.zone) is is_divided, self.held, self.term)
 
 
 @attrs.define
@@ -145,6 +157,8 @@
     ----------
     listed : frozenset of str or None
         Addresses registered with the platform; ``None`` if unknown.
+    is_large, is_uneven : bool
+        Whether the pool is large enough to be divided, and whether some zone has too few workers.
     """
 
     own: MemberAddress
@@ -155,6 +169,13 @@
     leaderless_since: float | None = None
     fenced_until: float = float("-inf")
     listed: frozenset[str] | None = None
+    is_large: bool = False
+    is_uneven: bool = False
+
+    @property
+    def is_divided(self) -> bool:
+        """Return whether each availability zone should have a scheduler of its own."""
+        return self.is_large and not self.is_uneven
 
     def record_contact(self, sender: MemberAddress, now: float) -> Member:
         """Record contact with a peer; a new incarnation at an address replaces the old one.
@@ -174,10 +195,27 @@
     def list_members(self, listed: tuple[MemberAddress, ...]) -> None:
         """Set the addresses of the instances that are registered with the platform."""
         self.listed = frozenset(item.address for item in listed)
+        zones = {item.zone for item in listed}
+        self.is_large = division.is_large(len(self.listed), len(zones), self.is_large)
+
+    def learn_division(self, claim: Claim) -> None:
+        """Record from the claim of a peer whether the pool is divided.
+
+        Followers read neither the list of registered instances nor that of the workers.
+        """
+        if claim.is_uneven:
+            self.is_uneven = True
+        elif claim.is_divided:
+            self.is_large = True
+        elif not claim.zone:
+            self.is_uneven = False
 
     def add_reported_member(self, item: MemberAddress, now: float) -> None:
         """Add a peer that a scheduler or the platform lists, unless its address is known."""
-        if item.address == self.own.address or item.incarnation in self.members:
+        if item.address == self.own.address:
+            return
+        if item.incarnation in self.members:
+            self.members[item.incarnation].listed_at = now
             return
         if any(member.at.address == item.address for member in self.members.values()):
             return
@@ -209,7 +247,9 @@
             for member in self.live(now)
             if member.claim is not None and member.claim.zone in ("", self.own.zone)
         ]
-        return max(claimed, key=lambda member: member.claim.precedence(), default=None)
+        return max(
+            claimed, key=lambda member: member.claim.precedence(self.is_divided), default=None
+        )
 
     def possible_schedulers(self, since: float, round_number: int, now: float) -> list[Member]:
         """Return the members that an instance without a scheduler sends heartbeats to.
@@ -257,7 +297,10 @@
         if self.claim is None:
             return False
         competitor = self.scheduler(now)
-        return competitor is not None and competitor.claim.precedence() > self.claim.precedence()
+        if competitor is None:
+            return False
+        own = self.claim.precedence(self.is_divided)
+        return competitor.claim.precedence(self.is_divided) > own
 
     def next_claim(self, now: float) -> Claim | None:
         """Return the claim, with term 0, that this instance should make now, or ``None``."""
@@ -272,7 +315,7 @@
             return None
         if self.leaderless_since is None:
             self.leaderless_since = now
-        reachable = [member for member in self.live(now) if not member.is_draining]
+        reachable = self._possible_successors(now)
         better_ranked_count = sum(member.at.rank() < self.own.rank() for member in reachable)
         if (
             now
@@ -283,8 +326,51 @@
 
     def successor(self, now: float) -> Member | None:
         """Return the peer that should become scheduler when this instance leaves."""
-        reachable = [member for member in self.live(now) if not member.is_draining]
-        return min(reachable, key=lambda member: member.at.rank(), default=None)
+        return min(
+            self._possible_successors(now), key=lambda member: member.at.rank(), default=None
+        )
+
+    def _possible_successors(self, now: float) -> list[Member]:
+        """Return the live peers that may schedule the workers that this instance may schedule."""
+        return [
+            member
+            for member in self.live(now)
+            if not member.is_draining and (not self.is_divided or member.at.zone == self.own.zone)
+        ]
+
+    def claim_of_successor(self) -> Claim:
+        """Return the claim, with term 0, to take over from a scheduler that leaves."""
+        if self.is_divided:
+            return Claim(0, self.own.zone, is_divided=True)
+        return Claim(0, is_uneven=self.is_uneven)
+
+    def compare_workers(self, workers: Collection[WorkerRegistration], is_first: bool) -> bool:
+        """Check as a scheduler whether the workers are spread evenly enough for a division.
+
+        A scheduler of a zone checks only the first list (``is_first``): later, the registrations of
+        a whole zone may have expired in a partition. Return whether the result has changed.
+        """
+        if self.claim is None:
+            return False
+        was_uneven = self.is_uneven
+        if not self.claim.zone:
+            zones = {member.at.zone for member in self.members.values()} | {self.own.zone}
+            self.is_uneven = division.is_uneven(zones, workers)
+            self.claim = attrs.evolve(self.claim, is_uneven=self.is_uneven)
+        elif is_first and self.claim.is_divided:
+            self.is_uneven |= division.is_without_workers(self.own.zone, workers)
+        return self.is_uneven is not was_uneven
+
+    def scheduled_members(self) -> list[Member]:
+        """Return the members that a scheduler of a divided pool sends heartbeats to.
+
+        These are the instances of its zone, and the schedulers of the others.
+        """
+        return [
+            member
+            for member in self.members.values()
+            if member.at.zone == self.own.zone or member.claim is not None
+        ]
 
     def _has_leaderless_majority(self, now: float) -> bool:
         """Return whether most registered instances are live and follow no scheduler.
@@ -293,12 +379,17 @@
         """
         if self.listed is None or len(self.listed) < 2:
             return False
+        listed = self.listed
+        if self.is_divided:
+            zones = {member.at.address: member.at.zone for member in self.members.values()}
+            listed = {address for address in listed if zones.get(address) == self.own.zone}
+            listed.add(self.own.address)
         reachable = {
             member.at.address
             for member in self.live(now)
             if not member.follows and member.claim is None
         }
-        return 2 * len((reachable | {self.own.address}) & self.listed) > len(self.listed)
+        return 2 * len((reachable | {self.own.address}) & listed) > len(listed)
 
     def _widest_claim(self, now: float) -> Claim | None:
         """Return the claim with the widest scope for which this instance has a majority.
@@ -315,11 +406,12 @@
             member.at.address for member in live if member.follows in replaceable
         }
         known = self._known_zones(now)
-        if 2 * len(reachable & known.keys()) > len(known):
-            return Claim(0)
+        if not self.is_divided and 2 * len(reachable & known.keys()) > len(known):
+            return Claim(0, is_uneven=self.is_uneven)
         zone = {address for address, where in known.items() if where == self.own.zone}
-        if len(zone) > 1 and 2 * len(reachable & zone) > len(zone):
-            return Claim(0, self.own.zone)
+        is_alone = len(zone) == 1 and not self.is_divided
+        if not is_alone and 2 * len(reachable & zone) > len(zone):
+            return Claim(0, self.own.zone, 0, self.is_divided, self.is_uneven)
         return None
 
     def _known_zones(self, now: float) -> dict[str, str]:
--- a/packages/core/cranberryshore/pool/roster.py
+++ b/packages/core/cranberryshore/pool/roster.py
@@ -60,6 +60,7 @@
         factory=lambda: {0: frozenset()}
     )
     registrations: dict[str, WorkerRegistration] = attrs.field(factory=dict)
+    latest_exposure: tuple[tuple, frozenset[str] | None] | None = None
     entries_by_version: dict[int, dict[str, WorkerRegistration]] = attrs.field(
         factory=lambda: {0: {}}
     )
@@ -68,6 +69,7 @@
         """Add a roster."""
         entries = {entry.name: entry for entry in workers}
         self.entries_by_version[version] = entries
+        self.latest_exposure = None
         self.registrations.update(entries)
         names = frozenset(entries)
         for known in self.names_by_version.values():
@@ -126,3 +128,20 @@
             return None
         # Jobs of one roster share its set of names.
         return rosters[0] if len(rosters) == 1 else frozenset().union(*rosters)
+
+    def exposed_workers(
+        self, versions: tuple[int, ...], zones: tuple[str, ...]
+    ) -> frozenset[str] | None:
+        """Return the workers of any of the rosters that are in one of the zones.
+
+        ``None`` if a roster is unknown. Without zones, or with the empty one, the workers of all
+        zones are returned.
+        """
+        if self.latest_exposure is None or self.latest_exposure[0] != (versions, zones):
+            names = self.names_in_any(versions)
+            if names is not None and zones and "" not in zones:
+                known = self.registrations
+                names = frozenset(name for name in names if known[name].zone in zones)
+            # Hundreds of jobs that are handed over at the same time have the same exposure.
+            self.latest_exposure = ((versions, zones), names)
+        return self.latest_exposure[1]
--- a/packages/core/cranberryshore/pool/work.py
+++ b/packages/core/cranberryshore/pool/work.py
@@ -84,6 +84,10 @@
         Versions of the rosters that the entry instance has had since it first submitted the job,
         the current one last. An earlier scheduler has started tasks of the job only on workers of
         these rosters.
+    zones : tuple of str
+        Zones of the claims that the job was submitted under before: earlier schedulers have started
+        tasks of it on workers of these zones only. An empty string stands for all zones; if the
+        tuple is empty, the zones are not known.
     """
 
     id: str
@@ -94,6 +98,7 @@
     waited_ms: int = 0
     is_resumed: bool = False
     rosters: tuple[int, ...] = ()
+    zones: tuple[str, ...] = ()
 
 
 @attrs.define
--- a/packages/daemon/cranberryshored/pool/app.py
+++ b/packages/daemon/cranberryshored/pool/app.py
@@ -72,6 +72,8 @@
     ----------
     make_transport : callable
         Returns the transport to the peers.
+    is_first_roster : bool
+        Whether the workers have not been read from the store since the latest claim.
     """
 
     settings: PoolSettings
@@ -80,6 +82,7 @@
     registry: Registry
     make_transport: TransportFactory
     is_draining: bool = False
+    is_first_roster: bool = False
     pool_config: PoolConfig = PoolConfig()
     tasks: list[asyncio.Task] = attrs.field(factory=list)
     workers_task: asyncio.Task | None = None
@@ -145,7 +148,7 @@
         self.is_draining = self.group.is_draining = True
         successor = self.group.successor(now())
         if self.group.claim is not None and successor is not None:
-            if not self.group.claim.zone:
+            if not self.group.claim.zone or self.group.claim.is_divided:
                 self.exchange.successor = successor.at.incarnation
             self.group.claim = None
             self.claim_ended("this instance leaves")
@@ -276,6 +279,7 @@
             return
         claim = attrs.evolve(claim, term=self.tokens.next())
         self.group.claim = claim
+        self.is_first_roster = True
         self.scheduling.begin(claim, self.pool_config, self.rosters.workers)
         self.workers_task = start_task(
             self.registry.follow_workers(self._handle_workers, self.rosters.workers), self.log
@@ -301,6 +305,10 @@
         """See :class:`SchedulerClient`."""
         return self.exchange.claim_term()
 
+    def claim_zone(self) -> str:
+        """See :class:`SchedulerClient`."""
+        return self.exchange.claim_zone()
+
     def epoch(self) -> int:
         """See :class:`SchedulerClient`."""
         return self.exchange.epoch
@@ -343,6 +351,10 @@
         )
 
     def _handle_workers(self, workers: tuple[WorkerRegistration, ...]) -> None:
+        if self.group.compare_workers(workers, self.is_first_roster):
+            # Before the pool is divided, which the others must agree to.
+            self.exchange.announce()
+        self.is_first_roster = False
         rosters = self.rosters
         if workers != rosters.workers or not rosters.version:
             known = {entry.name for entry in rosters.workers}
--- a/packages/daemon/cranberryshored/pool/entry_service.py
+++ b/packages/daemon/cranberryshored/pool/entry_service.py
@@ -32,6 +32,10 @@
         """Return the term of the scheduler's claim, 0 if there is none."""
         ...
 
+    def claim_zone(self) -> str:
+        """Return the zone that the scheduler's claim is limited to, or an empty string."""
+        ...
+
     def epoch(self) -> int:
         """Return how often this instance has changed its scheduler."""
         ...
@@ -67,6 +71,8 @@
         Epoch of this instance at that time, or ``RESUBMIT``.
     first_sent_at : float
         Time of the first submission.
+    zones : set of str
+        Zones of the claims that it was submitted under; an empty string stands for all zones.
     is_resumed : bool
         Whether another scheduler, or another claim of the same one, may have started its tasks.
     may_have_run : bool
@@ -81,6 +87,7 @@
     sent_term: int = 0
     sent_epoch: int = 0
     first_sent_at: float = float("inf")
+    zones: set[str] = attrs.field(factory=set)
     is_resumed: bool = False
     may_have_run: bool = False
 
@@ -121,6 +128,7 @@
             # The scheduler of the first request may have started tasks.
             job.sent_to, job.sent_term, job.sent_epoch = older.sent_to, older.sent_term, RESUBMIT
             job.first_sent_at, job.is_resumed = older.first_sent_at, older.is_resumed
+            job.zones = older.zones
             job.may_have_run = older.may_have_run or bool(older.sent_to)
         self._submit_to_scheduler(job)
         try:
@@ -199,12 +207,15 @@
         job.sent_to, job.sent_term, job.sent_epoch = scheduler, term, epoch
         job.first_sent_at = min(job.first_sent_at, now())
         waited_ms = int((now() - job.arrived_at) * 1000)
+        zones = tuple(sorted(job.zones))
+        job.zones.add(client.claim_zone())
         client.submit(
             attrs.evolve(
                 job.request,
                 waited_ms=waited_ms,
                 is_resumed=job.is_resumed,
                 rosters=client.rosters_since(job.first_sent_at),
+                zones=zones,
             )
         )
 
--- a/packages/daemon/cranberryshored/pool/exchange.py
+++ b/packages/daemon/cranberryshored/pool/exchange.py
@@ -18,7 +18,6 @@
     SubmitWork,
 )
 from cranberryshore.pool import (
-    Claim,
     Group,
     Member,
     MemberAddress,
@@ -80,6 +79,8 @@
         Incarnation of the scheduler; empty if there is none.
     term : int
         Term of its claim: a scheduler that claims again has dropped all jobs.
+    zone : str
+        Zone that this claim is limited to; empty for all zones.
     follows_heard_at : float
         Time of its latest beat. It may not be a member any more: a delayed beat of an earlier
         incarnation at its address displaces it.
@@ -108,6 +109,7 @@
     reconnected_at: dict[str, float] = attrs.field(factory=dict)
     follows: str = ""
     term: int = 0
+    zone: str = ""
     follows_heard_at: float = float("-inf")
     former: dict[str, FormerScheduler] = attrs.field(factory=dict)
     acknowledged_at: float = float("-inf")
@@ -202,12 +204,13 @@
         """Follow the scheduler with the strongest claim."""
         scheduler = self.group.scheduler(now())
         follows = self.own.incarnation if self.group.claim is not None else ""
-        term = 0
+        term, zone = 0, ""
         if not follows and scheduler is not None:
             follows, term = scheduler.at.incarnation, scheduler.claim.term
+            zone = scheduler.claim.zone
         if (follows, term) == (self.follows, self.term):
             return
-        self.term = term
+        self.term, self.zone = term, zone
         self.log.info("Scheduler followed.", before=self.follows, scheduler=follows)
         self._reset_acknowledgement_times()
         self.epoch += 1
@@ -227,6 +230,10 @@
             self._send_beat(scheduler, now())
         self.listener.scheduler_changed()
 
+    def claim_zone(self) -> str:
+        """Return the zone that the claim of the followed scheduler is limited to, if any."""
+        return self.zone if self.group.claim is None else self.group.claim.zone
+
     def claim_term(self) -> int:
         """Return the term of the claim of the followed scheduler, 0 if there is none."""
         return self.term if self.group.claim is None else self.group.claim.term
@@ -303,6 +310,8 @@
             self._send_beat(member, moment)
         self.documents.compare_config(member, moment)
         self._handle_follower(member, beat, moment)
+        if beat.claim is not None:
+            self.group.learn_division(beat.claim)
         if beat.claim is not None or member.at.incarnation == self.follows:
             self._update_claim(moment)
         if member.at.incarnation == self.follows:
@@ -319,9 +328,9 @@
             self.listener.entry_acknowledged(
                 beat.sender.incarnation, heartbeat_at, beat.roster_version
             )
+            self.documents.send_roster(member)
         else:
             self.listener.entry_lost(beat.sender.incarnation)
-        self.documents.send_roster(member)
 
     def record_epoch(self, member: Member, epoch: int) -> None:
         """Record the epoch of a peer, which has handed over its jobs of earlier epochs."""
@@ -345,7 +354,7 @@
         """Take over from a scheduler that has named this instance as its successor."""
         if beat.sender.incarnation == self.follows and not self.group.is_draining:
             self.log.info("Taking over from a leaving scheduler.", peer=self.follows)
-            self.listener.claim_due(Claim(0))
+            self.listener.claim_due(self.group.claim_of_successor())
 
     def _reconnect_if_unheard(self, member: Member, beat: Beat, moment: float) -> None:
         """Replace the connection to a peer that no longer hears this instance.
@@ -366,7 +375,12 @@
         """
         if beat.follows == self.own.incarnation:
             return self.group.claim is None
-        return not beat.follows and beat.claim is None and bool(self.follows)
+        is_searching = not beat.follows and beat.claim is None
+        return is_searching and bool(self.follows) and self._may_share_scheduler(beat.sender)
+
+    def _may_share_scheduler(self, peer: MemberAddress) -> bool:
+        """Return whether a peer can follow the same scheduler as this instance."""
+        return not self.group.is_divided or peer.zone == self.own.zone
 
     def _send_beat(self, member: Member, moment: float) -> None:
         if member.at.incarnation == self.follows:
@@ -392,13 +406,17 @@
         self.transport.send(member.at.address, "", beat)
 
     def _is_competing_claim(self, beat: Beat) -> bool:
-        """Return whether a peer other than the followed scheduler has a claim."""
-        return beat.claim is not None and self.follows not in ("", beat.sender.incarnation)
+        """Return whether a peer claims workers of the own zone beside the followed scheduler."""
+        if beat.claim is None or self.follows in ("", beat.sender.incarnation):
+            return False
+        return beat.claim.zone in ("", self.own.zone) or not self.group.is_divided
 
     def _members_to_send(self, member: Member, moment: float) -> tuple[MemberAddress, ...]:
         followed = self.group.members.get(self.follows)
-        if member.claim is not None and followed is not None and followed is not member:
-            # The two schedulers may not know of each other.
+        is_searching = not member.follows and self.group.is_divided
+        may_need_scheduler = is_searching and self._may_share_scheduler(member.at)
+        if followed not in (None, member) and (member.claim is not None or may_need_scheduler):
+            # The two schedulers, or the peer and the scheduler, may not know of each other.
             return (followed.at,)
         if self.group.claim is None or self.rounds % ROUNDS_PER_MEMBER_LIST:
             return ()
@@ -457,6 +475,12 @@
             self.group.fenced_until = moment + FENCED_BACKOFF_SECONDS
             self._end_claim("most workers obey another holder")
             return
+        if self.group.is_divided and not self.group.claim.zone:
+            self._end_claim("each availability zone of a large pool has its own scheduler")
+            return
+        if self.group.claim.is_divided and self.group.is_uneven:
+            self._end_claim("the workers of another zone are needed")
+            return
         held = self.listener.held_count()
         self.group.claim = attrs.evolve(self.group.claim, held=held)
         members = self.group.members
@@ -492,7 +516,8 @@
         """
         members = self.group.members
         if self.group.claim is not None:
-            return list(members.values())
+            is_divided = self.group.claim.is_divided
+            return self.group.scheduled_members() if is_divided else list(members.values())
         if not self.follows:
             member_addresses = {member.at.address for member in members.values()}
             for address in self.seeds:
--- a/packages/daemon/cranberryshored/pool/scheduling.py
+++ b/packages/daemon/cranberryshored/pool/scheduling.py
@@ -143,7 +143,9 @@
         """Schedule a job."""
         if request.rosters:
             self.rights.record_roster(entry, request.rosters[-1])
-        exposed = self.rosters.names_in_any(request.rosters) if request.is_resumed else None
+        exposed = None
+        if request.is_resumed:
+            exposed = self.rosters.exposed_workers(request.rosters, request.zones)
         self._hold_unlisted_workers(exposed or frozenset())
         self.scheduler.submit(request, entry, now(), exposed)
         self.apply_effects_soon()
--- a/packages/daemon/cranberryshored/pool/tests/test_entry_service.py
+++ b/packages/daemon/cranberryshored/pool/tests/test_entry_service.py
@@ -28,6 +28,9 @@
     def claim_term(self):
         return self.claim
 
+    def claim_zone(self):
+        return ""
+
     def epoch(self):
         return self.changes
 
