--- a/packages/core/cranberryshore/pool/tests/test_group.py
+++ b/packages/core/cranberryshore/pool/tests/test_group.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from cranberryshore.pool import Claim, Group, MemberAddress
+from cranberryshore.pool import Claim, Group, MemberAddress, WorkerRegistration
 from cranberryshore.pool.group import (
     CANDIDATE_COUNT,
     CLAIM_DELAY_SECONDS,
@@ -12,6 +12,7 @@
     STARTUP_DELAY_SECONDS,
     ZONE_CANDIDATE_COUNT,
 )
+from cranberryshore.work import Capacity
 
 
 def address(number: int, zone: str = "a") -> MemberAddress:
@@ -169,3 +170,66 @@
         for number in range(SMALL_GROUP_SIZE, 96):
             del self.group.members[f"e{number}.1"]
         self.assertEqual(self.chosen(0.0), set(self.group.members))
+
+
+class DivisionTest(TestCase):
+    """A group of 97 instances in five zones."""
+
+    def setUp(self):
+        self.members = tuple(address(number, f"z{number % 5}") for number in range(97))
+        self.group = Group(self.members[14], 0.0)
+        self.now = STARTUP_DELAY_SECONDS + 1.0
+
+    def list_members(self, count: int) -> None:
+        self.group.list_members(self.members[:count])
+
+    def hear(self, *zones: str) -> None:
+        for item in self.members:
+            if item.zone in zones and item != self.group.own:
+                self.group.record_contact(item, self.now)
+
+    def claim_after_delay(self) -> Claim | None:
+        self.group.next_claim(self.now)
+        return self.group.next_claim(self.now + CLAIM_DELAY_SECONDS)
+
+    def test_large_group_is_divided_until_it_is_much_smaller(self):
+        sizes = (59, 60, 45, 44, 59)
+        divided = []
+        for size in sizes:
+            self.list_members(size)
+            divided.append(self.group.is_divided)
+        self.assertEqual(divided, [False, True, True, False, False])
+
+    def test_best_ranked_instance_of_a_zone_claims_the_zone(self):
+        self.list_members(97)
+        self.hear("z0", "z1", "z4")
+        self.assertEqual(self.claim_after_delay(), Claim(0, "z4", is_divided=True))
+
+    def test_claim_of_the_zone_is_stronger_than_one_of_all_zones(self):
+        self.list_members(97)
+        self.hear("z4")
+        self.group.members["e9.1"].claim = Claim(1, "z4", held=10, is_divided=True)
+        self.group.members["e19.1"].claim = Claim(2, "", held=270)
+        self.assertEqual(self.group.scheduler(self.now).at.incarnation, "e9.1")
+
+    def test_followers_learn_from_claims_that_the_pool_is_divided_or_uneven(self):
+        self.group.learn_division(Claim(1, "z0", is_divided=True))
+        self.assertTrue(self.group.is_divided)
+        self.group.learn_division(Claim(2, "z1", is_uneven=True))
+        self.group.learn_division(Claim(1, "z0", is_divided=True))
+        self.assertFalse(self.group.is_divided)
+        self.group.learn_division(Claim(3))
+        self.assertTrue(self.group.is_divided)
+
+    def test_expired_registrations_of_a_zone_do_not_end_the_division(self):
+        self.list_members(97)
+        self.group.claim = Claim(1, "z4", is_divided=True)
+        workers = [WorkerRegistration("w", "w", "z0", "s", Capacity(1000))]
+        self.assertFalse(self.group.compare_workers(workers, is_first=False))
+        self.assertTrue(self.group.compare_workers(workers, is_first=True))
+
+    def test_successor_is_in_the_own_zone(self):
+        self.list_members(97)
+        self.hear("z0", "z4")
+        self.assertEqual(self.group.successor(self.now).at.zone, "z4")
+        self.assertEqual(self.group.claim_of_successor(), Claim(0, "z4", is_divided=True))
