--- a/packages/core/cranberryshore/messages/pool.py
+++ b/packages/core/cranberryshore/messages/pool.py
@@ -2,8 +2,8 @@
 
 import attrs
 
+from cranberryshore.pool.claims import Claim, MemberAddress
 from cranberryshore.pool.config import PoolConfig
-from cranberryshore.pool.group import Claim, MemberAddress
 from cranberryshore.pool.stream import StreamPosition
 from cranberryshore.pool.work import Outcome, WorkRequest
 from cranberryshore.pool.worker_registration import WorkerRegistration
--- a/packages/core/cranberryshore/pool/__init__.py
+++ b/packages/core/cranberryshore/pool/__init__.py
@@ -3,6 +3,7 @@
 The load policies are in ``ordering``, ``worker_selection`` and ``refusing``.
 """
 
+from cranberryshore.pool.claims import Claim, Member, MemberAddress
 from cranberryshore.pool.config import PoolConfig, QueueSpec
 from cranberryshore.pool.effects import (
     JobEnded,
@@ -13,7 +14,7 @@
     StopRun,
     UnsuccessfulRun,
 )
-from cranberryshore.pool.group import Claim, Group, Member, MemberAddress
+from cranberryshore.pool.group import Group
 from cranberryshore.pool.held_worker import (
     EndKind,
     HeldWorker,
--- a/packages/core/cranberryshore/pool/group.py
+++ b/packages/core/cranberryshore/pool/group.py
@@ -16,6 +16,7 @@
 import attrs
 
 from cranberryshore.pool import division
+from cranberryshore.pool.claims import Claim, Member, MemberAddress
 from cranberryshore.pool.worker_registration import WorkerRegistration
 
 PEER_TIMEOUT_SECONDS = 0.5
@@ -52,103 +53,6 @@
 """Time without claims after an instance has lost its workers to another scheduler."""
 
 
-@attrs.frozen
-class MemberAddress:
-    """Incarnation of an instance and the address on which it listens for its peers.
-
-    Parameters
-    ----------
-    incarnation : str
-        Identifier of the current start of the instance.
-    address : str
-        IP address and port.
-    millicores : int
-        CPU capacity, in thousandths of a core.
-    """
-
-    incarnation: str
-    address: str
-    zone: str
-    millicores: int = 1000
-
-    def rank(self) -> tuple[int, str]:
-        """Return the sort key for claims: most CPU first, since it limits the throughput.
-
-        Examples
-        --------
-        >>> MemberAddress("a", "1", "z", 500).rank() > MemberAddress("b", "2", "z", 2000).rank()
-        True
-        """
-        return (-self.millicores, self.address)
-
-
-@attrs.frozen
-class Claim:
-    """Claim of a scheduler to the workers of a pool or of one zone.
-
-    Parameters
-    ----------
-    term : int
-        Fencing token at the time of the claim; later claims have higher ones.
-    zone : str
-        Availability zone whose workers are claimed; empty for all zones.
-    held : int
-        Number of workers currently held.
-    is_divided : bool
-        Whether each availability zone has a scheduler of its own.
-    is_uneven : bool
-        Whether that cannot be, because some zone has too few workers.
-    """
-
-    term: int
-    zone: str = ""
-    held: int = 0
-    is_divided: bool = False
-    is_uneven: bool = False
-
-    def precedence(self, is_divided: bool = False) -> tuple[bool, int, int]:
-        """Return the sort key for conflicting claims; the highest one wins."""
-        return (bool(self.zone) is is_divided, self.held, self.term)
-
-
-@attrs.define
-class Member:
-    """State of a peer according to its last heartbeat.
-
-    Parameters
-    ----------
-    acknowledged_at : float
-        Time of the last heartbeat that confirmed contact with this instance, or of first contact.
-    follows : str
-        Incarnation of its scheduler; empty if there is none.
-    roster_version : int
-        Version of its worker list.
-    epoch : int
-        Number of times that it has changed its scheduler.
-    known_epoch : int or None
-        Latest epoch of this instance that it has taken note of; ``None`` if it does not tell.
-    heartbeat_sent_at : float
-        Time on the monotonic clock of the peer.
-    """
-
-    at: MemberAddress
-    heard_at: float = float("-inf")
-    acknowledged_at: float = float("-inf")
-    listed_at: float = float("-inf")
-    is_draining: bool = False
-    claim: Claim | None = None
-    follows: str = ""
-    config_version: int = 0
-    roster_version: int = 0
-    epoch: int = 0
-    known_epoch: int | None = 0
-    heartbeat_sent_at: float = float("-inf")
-
-    def clock(self, now: float) -> float:
-        """Return the monotonic clock of the peer, late by the transit time of its heartbeat."""
-        return self.heartbeat_sent_at + now - self.heard_at
-
-
 @attrs.define(eq=False)
 class Group:
     """Membership and leader election of a pool, as one instance sees them.
--- a/packages/daemon/cranberryshored/pool/exchange.py
+++ b/packages/daemon/cranberryshored/pool/exchange.py
@@ -415,7 +415,8 @@
         followed = self.group.members.get(self.follows)
         is_searching = not member.follows and self.group.is_divided
         may_need_scheduler = is_searching and self._may_share_scheduler(member.at)
-        if followed not in (None, member) and (member.claim is not None or may_need_scheduler):
+        is_other = followed is not None and followed is not member
+        if is_other and (member.claim is not None or may_need_scheduler):
             # The two schedulers, or the peer and the scheduler, may not know of each other.
             return (followed.at,)
         if self.group.claim is None or self.rounds % ROUNDS_PER_MEMBER_LIST:
--- a/packages/proof/cranberryshore_proof/tests/test_double_start.py
+++ b/packages/proof/cranberryshore_proof/tests/test_double_start.py
@@ -28,11 +28,8 @@
 from cranberryshore.pool.stream import StreamPosition
 from cranberryshore.pool.tests.unlimited_rights import UnlimitedRights
 from cranberryshore.work import Capacity
-from cranberryshore_proof.pool_deployment import (
-    RETRY_DELAY_SECONDS,
-    FakePoolTransport,
-    PoolDeployment,
-)
+from cranberryshore_proof.pool_deployment import RETRY_DELAY_SECONDS, PoolDeployment
+from cranberryshore_proof.pool_transport import FakePoolTransport
 from cranberryshore_proof.pool_workers import FakeWorkerCalls, ModelWorker
 from cranberryshore_proof.virtual_loop import run_virtual
 from cranberryshored.log import make_logger
--- a/packages/proof/cranberryshore_proof/tests/test_large_pool.py
+++ b/packages/proof/cranberryshore_proof/tests/test_large_pool.py
@@ -10,7 +10,8 @@
 from unittest import TestCase
 
 from cranberryshore.pool import PoolConfig, QueueSpec
-from cranberryshore_proof.pool_deployment import Host, PoolDeployment
+from cranberryshore_proof.pool_deployment import PoolDeployment
+from cranberryshore_proof.pool_transport import Host
 from cranberryshore_proof.virtual_loop import run_virtual
 from cranberryshored.pool.app import PoolDaemon
 
