Simulation: a callback cancelled while it waits for the processor does not run

Cause: the simulated processor ran queued callbacks whose timers had been cancelled, as no event loop does; a trial at 120 jobs a second ended in an assertion of asyncio's timeouts. Change: DeferredCallback checks its handle.

--- a/packages/proof/cranberryshore_proof/virtual_loop.py
+++ b/packages/proof/cranberryshore_proof/virtual_loop.py
@@ -71,11 +71,55 @@
     busy_until: float = 0.0
     queue: deque[Callable[[], None]] = attrs.field(factory=deque)
 
+    def is_busy(self, now: float) -> bool:
+        """Return whether work or callbacks are pending."""
+        return bool(self.queue) or self.busy_until > now
+
     def spend(self, seconds: float, now: float) -> None:
         """Add work of some seconds at speed 1."""
         self.busy_until = max(self.busy_until, now) + seconds / self.speed
 
 
+@attrs.define(eq=False)
+class DeferredCallback:
+    """Callback of a node, which waits while the node is frozen or its processor is busy.
+
+    Parameters
+    ----------
+    handle : asyncio.Handle or None
+        Its handle, which may be cancelled while the callback waits for the processor.
+    """
+
+    loop: "VirtualLoop"
+    node: str
+    callback: Callable[..., Any]
+    args: tuple[Any, ...]
+    context: Context
+    handle: asyncio.Handle | None = None
+
+    def __call__(self) -> None:
+        """Run the callback, now or when the node can run it."""
+        if not self.node:
+            self.callback(*self.args)
+            return
+        held = self.loop.deferred_by_node.get(self.node)
+        processor = self.loop.processors.get(self.node)
+        if held is not None:
+            held.append(self._reschedule)
+        elif processor is not None and processor.is_busy(self.loop.now):
+            self.loop.run_later(processor, self._run_unless_cancelled)
+        else:
+            self.loop.spend(self.node, CALLBACK_SECONDS)
+            self.callback(*self.args)
+
+    def _reschedule(self) -> None:
+        self.loop.call_soon(self.callback, *self.args, context=self.context)
+
+    def _run_unless_cancelled(self) -> None:
+        if not self.handle.cancelled():
+            self.context.run(self.callback, *self.args)
+
+
 class VirtualLoop(asyncio.SelectorEventLoop):
     """Event loop in virtual time; the same program runs its callbacks in the same order each time.
 
@@ -109,7 +153,9 @@
     ) -> asyncio.Handle:
         """Schedule a callback for the next iteration of the loop."""
         context = context or copy_context()
-        return super().call_soon(self._defer_while_frozen(callback, args, context), context=context)
+        deferred = self._defer_while_frozen(callback, args, context)
+        deferred.handle = super().call_soon(deferred, context=context)
+        return deferred.handle
 
     def call_at(
         self,
@@ -120,31 +166,17 @@
     ) -> asyncio.TimerHandle:
         """Schedule a callback for the virtual time ``when``."""
         context = context or copy_context()
-        return super().call_at(
-            when, self._defer_while_frozen(callback, args, context), context=context
-        )
+        deferred = self._defer_while_frozen(callback, args, context)
+        deferred.handle = super().call_at(when, deferred, context=context)
+        return deferred.handle
 
     def _defer_while_frozen(
         self, callback: Callable[..., Any], args: tuple[Any, ...], context: Context
-    ) -> Callable[[], None]:
+    ) -> "DeferredCallback":
         node = context.get(CURRENT_NODE, "")
-        if not node:
-            return lambda: callback(*args)
-
-        def run() -> None:
-            held = self.deferred_by_node.get(node)
-            processor = self.processors.get(node)
-            if held is not None:
-                held.append(lambda: self.call_soon(callback, *args, context=context))
-            elif processor is not None and (processor.queue or processor.busy_until > self.now):
-                self._run_later(processor, lambda: context.run(callback, *args))
-            else:
-                self.spend(node, CALLBACK_SECONDS)
-                callback(*args)
-
-        return run
-
-    def _run_later(self, processor: "Processor", callback: Callable[[], None]) -> None:
+        return DeferredCallback(self, node, callback, args, context)
+
+    def run_later(self, processor: "Processor", callback: Callable[[], None]) -> None:
         """Run a callback when the processor has finished its present work."""
         processor.queue.append(callback)
         if len(processor.queue) == 1:
