--- a/packages/core/cranberryshore/pool/group.py
+++ b/packages/core/cranberryshore/pool/group.py
@@ -37,7 +37,7 @@
 RANK_DELAY_SECONDS = 0.3
 """Additional delay for each better-ranked live instance, which should claim first."""
 
-SMALL_GROUP_SIZE = 16
+SMALL_GROUP_SIZE = 48
 """Number of members up to which an instance without a scheduler sends heartbeats to all of them."""
 
 CANDIDATE_COUNT = 8
