--- a/packages/core/cranberryshore/pool/division.py
+++ b/packages/core/cranberryshore/pool/division.py
@@ -1,9 +1,9 @@
 """Division of a large pool: one scheduler for each availability zone instead of one for all.
 
 At 97 instances, 270 workers and 600 jobs a second, one scheduler of all zones has little processor
-left for bursts, and each fault of it, of its links or of its zone concerns the callers of all zones:
-their jobs are handed over at the same moment. A zone has a fifth of the load and a fifth of the
-workers, so its own scheduler has room for bursts, and a fault of it concerns its zone only. The
+left for bursts, and each fault of it, of its links or of its zone concerns the callers of all
+zones: their jobs are handed over at the same moment. A zone has a fifth of the load and a fifth of
+the workers, so its own scheduler has room for bursts, and a fault of it concerns its zone only. The
 workers must be spread evenly for that, since a zone uses its own workers only.
 """
 
