Lists of workers go to waiting instances as soon as others have acknowledged theirs

Cause: 8 whole lists were sent in each round of heartbeats, since a waiting instance was tried again at its next heartbeat only. After a restart of everything, the last of 38 instances had no list for 0.75 s, and no task is started for an instance without one. Change: an acknowledgement starts the next transfer, and the limit is the number of entries under way, so that small lists go to more instances.

--- a/packages/core/cranberryshore/pool/transfers.py
+++ b/packages/core/cranberryshore/pool/transfers.py
@@ -10,8 +10,8 @@
 
 import attrs
 
-MAX_TRANSFERS = 8
-"""Transfers under way at the same time: 80 KB each occupy a link of 200 Mbit/s for 26 ms."""
+MAX_ENTRIES_UNDER_WAY = 4_500
+"""Entries of all transfers under way: 0.7 MB, which occupy a link of 200 Mbit/s for 27 ms."""
 
 TRANSFER_TIMEOUT_SECONDS = 0.5
 """Time after which an unacknowledged transfer counts as lost, as a silent peer counts as failed."""
@@ -32,10 +32,13 @@
     Parameters
     ----------
     under_way : dict
-        Version and time of the transfer to each receiver.
+        Version, time and number of entries of the transfer to each receiver.
+    waiting : dict
+        Receivers whose transfers must wait, in the order of their requests; an ordered set.
     """
 
-    under_way: dict[str, tuple[int, float]] = attrs.field(factory=dict)
+    under_way: dict[str, tuple[int, float, int]] = attrs.field(factory=dict)
+    waiting: dict[str, None] = attrs.field(factory=dict)
 
     def begin(self, receiver: str, version: int, entries: int, now: float) -> bool:
         """Begin a transfer unless it must wait, and return whether it has begun.
@@ -46,24 +49,38 @@
         >>> transfers.begin("a.1", 7, 540, 0.0), transfers.begin("a.1", 8, 1, 0.1)
         (True, False)
         >>> transfers.acknowledge("a.1", 7)
+        True
         >>> transfers.begin("a.1", 8, 1, 0.1)
         True
         """
         self._forget_lost(now)
-        is_small = entries <= SMALL_TRANSFER_ENTRIES
-        if receiver in self.under_way or (len(self.under_way) >= MAX_TRANSFERS and not is_small):
+        if receiver in self.under_way:
+            return False
+        entries_under_way = sum(count for _, _, count in self.under_way.values())
+        is_free = not self.under_way or entries_under_way + entries <= MAX_ENTRIES_UNDER_WAY
+        if not is_free and entries > SMALL_TRANSFER_ENTRIES:
+            self.waiting[receiver] = None
             return False
-        self.under_way[receiver] = (version, now)
+        self.waiting.pop(receiver, None)
+        self.under_way[receiver] = (version, now, entries)
         return True
 
-    def acknowledge(self, receiver: str, version: int) -> None:
-        """Record that a receiver has a version of the document."""
+    def next_waiting(self) -> str | None:
+        """Remove and return the receiver that has waited longest, ``None`` if none waits."""
+        receiver = next(iter(self.waiting), None)
+        self.waiting.pop(receiver, None)
+        return receiver
+
+    def acknowledge(self, receiver: str, version: int) -> bool:
+        """Record that a receiver has a version; return whether this ends a transfer."""
         sent = self.under_way.get(receiver)
-        if sent is not None and version >= sent[0]:
-            del self.under_way[receiver]
+        if sent is None or version < sent[0]:
+            return False
+        del self.under_way[receiver]
+        return True
 
     def _forget_lost(self, now: float) -> None:
         limit = now - TRANSFER_TIMEOUT_SECONDS
-        lost = [name for name, (_, sent_at) in self.under_way.items() if sent_at <= limit]
+        lost = [name for name, (_, sent_at, _) in self.under_way.items() if sent_at <= limit]
         for name in lost:
             del self.under_way[name]
--- a/packages/daemon/cranberryshored/pool/documents.py
+++ b/packages/daemon/cranberryshored/pool/documents.py
@@ -70,10 +70,18 @@
         """Send the list of workers, or its changes, to a follower that lacks them."""
         version, _ = self.listener.roster()
         receiver = member.at.incarnation
-        self.rosters.acknowledge(receiver, member.roster_version)
+        if self.rosters.acknowledge(receiver, member.roster_version):
+            # Waiting for their next heartbeats would leave them without workers for some rounds.
+            self._send_to_next_waiting()
         if member.roster_version >= version:
             return
         news = self.listener.roster_news(member.roster_version)
         entries = news.changed if isinstance(news, RosterChanges) else news.workers
         if self.rosters.begin(receiver, version, len(entries), now()):
             self.send(member, news)
+
+    def _send_to_next_waiting(self) -> None:
+        receiver = self.rosters.next_waiting()
+        waiting = self.group.members.get(receiver) if receiver is not None else None
+        if waiting is not None:
+            self.send_roster(waiting)
