Workers: a refused call, an ended connection and silence are told apart

Logs could not tell a crashed worker from one that is cut off: each failed call was 'unanswered'. The adapter now reports which of the three it was, and a change of the reason is logged; decisions are the same.

--- a/packages/daemon/cranberryshored/pool/protocols.py
+++ b/packages/daemon/cranberryshored/pool/protocols.py
@@ -30,8 +30,9 @@
 class StartReply(Enum):
     """A worker's reply to a start request.
 
-    ``ATTEMPT_LOW`` means that the attempt number is not higher than an earlier one of the task, and
-    ``UNANSWERED`` that no reply arrived before the timeout.
+    ``ATTEMPT_LOW`` means that the attempt number is not higher than an earlier one of the task.
+    The last three are failures of the call: no process listens at the worker's address, so the
+    request was not delivered; the connection ended before the reply; no reply arrived in time.
     """
 
     STARTED = "started"
@@ -42,15 +43,19 @@
     UNHEALTHY = "unhealthy"
     WORKER_RESTARTED = "other_life"
     MALFORMED = "malformed"
+    REFUSED = "refused"
+    DISCONNECTED = "disconnected"
     UNANSWERED = "unanswered"
 
 
 class PollFailure(Enum):
-    """Why a poll of a worker failed."""
+    """Why a poll of a worker failed; the last three are as in :class:`StartReply`."""
 
     FENCED = "fenced"
     WORKER_RESTARTED = "other_life"
     MALFORMED = "malformed"
+    REFUSED = "refused"
+    DISCONNECTED = "disconnected"
     UNANSWERED = "unanswered"
 
 
--- a/packages/daemon/cranberryshored/pool/worker_channel.py
+++ b/packages/daemon/cranberryshored/pool/worker_channel.py
@@ -31,6 +31,8 @@
 RETRY_SECONDS = 0.15
 """Delay between polls of a worker after repeated failures."""
 
+FAILED_CALLS = (StartReply.REFUSED, StartReply.DISCONNECTED, StartReply.UNANSWERED)
+
 
 @attrs.define(eq=False)
 class WorkerChannel:
@@ -44,6 +46,8 @@
         Called after the scheduler was notified.
     request_tasks : set of asyncio.Task
         Orders in progress, and polls that run in parallel with a long poll.
+    latest_failure : PollFailure or None
+        Why the latest failed poll has failed.
     """
 
     worker: HeldWorker
@@ -59,6 +63,7 @@
     is_polling: bool = False
     is_poll_requested: bool = False
     failed_polls: int = 0
+    latest_failure: PollFailure | None = None
     timeout: WorkerTimeout = attrs.field(
         default=attrs.Factory(lambda self: WorkerTimeout(self.base_timeout), takes_self=True)
     )
@@ -94,20 +99,20 @@
         worker = self.worker
         request_sent_at = now()
         reply = await self.calls.start_run(worker, order, self.timeout.seconds(self.failed_polls))
-        if reply is not StartReply.UNANSWERED:
+        if reply not in FAILED_CALLS:
             self.timeout.answered(now() - request_sent_at)
         if reply is StartReply.STARTED:
             self.scheduler.start_confirmed(worker.name, order.key, now())
             return
         self.log.info(
-            "Start request failed." if reply is StartReply.UNANSWERED else "Start was rejected.",
+            "Start request failed." if reply in FAILED_CALLS else "Start was rejected.",
             worker=worker.name,
             job=order.key[0],
             attempt=order.key[1],
             token=order.token,
             reply=reply.value,
         )
-        if reply in (StartReply.UNANSWERED, StartReply.MALFORMED):
+        if reply is StartReply.MALFORMED or reply in FAILED_CALLS:
             # A response that cannot be read does not prove that the run never begins.
             self.scheduler.start_unanswered(worker.name, self.tokens.next(), now())
         elif reply is StartReply.FENCED and order.token == worker.token:
@@ -204,7 +209,8 @@
     def _poll_failed(self, failure: PollFailure, token: int) -> None:
         worker = self.worker
         self.failed_polls += 1
-        if self.failed_polls == 1:
+        before, self.latest_failure = self.latest_failure, failure
+        if self.failed_polls == 1 or failure is not before:
             self.log.warning("Poll failed.", worker=worker.name, reason=failure.value, token=token)
         if failure is PollFailure.FENCED:
             # The token may have been raised since the poll was sent.
