--- a/packages/core/cranberryshore/messages/codec.py
+++ b/packages/core/cranberryshore/messages/codec.py
@@ -33,6 +33,7 @@
     | pool.ConfigRequest
     | pool.RosterNews
     | pool.RosterChanges
+    | pool.LossNews
 )
 
 _MESSAGE_TYPES: dict[str, type] = {
@@ -57,6 +58,7 @@
         pool.ConfigRequest,
         pool.RosterNews,
         pool.RosterChanges,
+        pool.LossNews,
         peer.SubmitCall,
         peer.JobQuery,
         peer.CancelCall,
--- a/packages/core/cranberryshore/messages/pool.py
+++ b/packages/core/cranberryshore/messages/pool.py
@@ -4,6 +4,8 @@
 
 from cranberryshore.pool.claims import Claim, MemberAddress
 from cranberryshore.pool.config import PoolConfig
+from cranberryshore.pool.crashes import LostRun
+from cranberryshore.pool.job_failure import JobFailure
 from cranberryshore.pool.stream import StreamPosition
 from cranberryshore.pool.work import Outcome, WorkRequest
 from cranberryshore.pool.worker_registration import WorkerRegistration
@@ -111,6 +113,14 @@
     outcome: Outcome
     detail: str = ""
     retry_after_ms: int = 0
+    failure: JobFailure | None = None
+
+
+@attrs.frozen
+class LossNews:
+    """Runs that were lost with their workers, as the scheduler has recorded them."""
+
+    lost_runs: tuple[LostRun, ...]
 
 
 @attrs.frozen
--- a/packages/core/cranberryshore/pool/__init__.py
+++ b/packages/core/cranberryshore/pool/__init__.py
@@ -6,6 +6,7 @@
 from cranberryshore.pool.claims import Claim, Member, MemberAddress
 from cranberryshore.pool.config import PoolConfig, QueueSpec, VersionedQueue
 from cranberryshore.pool.confirmation import ConfigConfirmation
+from cranberryshore.pool.crashes import CrashHistory, LossState, LostRun
 from cranberryshore.pool.effects import (
     JobEnded,
     PollWorker,
@@ -14,6 +15,7 @@
     StartRun,
     StopRun,
     UnsuccessfulRun,
+    WorkerLost,
 )
 from cranberryshore.pool.group import Group
 from cranberryshore.pool.held_worker import (
@@ -25,6 +27,7 @@
     RunKey,
     WorkerStatus,
 )
+from cranberryshore.pool.job_failure import FailureCause, JobFailure
 from cranberryshore.pool.roster import RosterHistory
 from cranberryshore.pool.scheduler import Scheduler
 from cranberryshore.pool.start_rights import AcknowledgedRights, StartRights
@@ -36,12 +39,17 @@
     "AcknowledgedRights",
     "Claim",
     "ConfigConfirmation",
+    "CrashHistory",
     "EndKind",
+    "FailureCause",
     "Group",
     "HeldWorker",
     "HoldState",
     "ReceiveStream",
     "JobEnded",
+    "JobFailure",
+    "LossState",
+    "LostRun",
     "ReportedEnd",
     "ReportedRun",
     "WorkerStatus",
@@ -57,6 +65,7 @@
     "RosterHistory",
     "RunKey",
     "UnsuccessfulRun",
+    "WorkerLost",
     "Scheduler",
     "StartRights",
     "StartRun",
--- /dev/null
+++ b/packages/core/cranberryshore/pool/crashes.py
@@ -0,0 +1,246 @@
+"""Tasks under which workers have crashed, and which of them is to blame.
+
+A task can crash every worker that starts it. Started again and again, it takes the workers of a
+service away one after another, and with each of them the other runs there. The load that these
+rules are for is a kind of jobs of which some crash their workers, among sound jobs on the same
+workers.
+
+A worker that refuses connections has crashed or is behind a partition that resets them, so a
+refusal makes the tasks on it *suspects*. They are started again, apart from each other. The loss is
+*proven* if another process answers at the address of the worker, or if the worker has a later
+start, and *refuted* if the same process answers again. A task is the culprit if two workers have
+provably crashed under it and nothing else was on one of them, apart from tasks that have ended well
+elsewhere.
+
+Every instance has a copy of the records, so that the next scheduler does not begin anew.
+"""
+
+from collections.abc import Iterable
+from enum import Enum
+
+import attrs
+
+from cranberryshore.pool.held_worker import RunKey
+
+MAX_LOST_WORKERS = 2
+"""Number of workers that crash under a task before it is given up."""
+
+PROOF_SECONDS = 5.0
+"""Time for which a task with several losses waits for a proof. A worker is back after some 3 s. The
+time doubles with each further loss."""
+
+SIMULTANEOUS_SECONDS = 0.1
+MIN_SIMULTANEOUS_WORKERS = 3
+"""Number of workers that, lost within ``SIMULTANEOUS_SECONDS``, have a common cause: a rack, a zone
+or a partition."""
+
+RETENTION_SECONDS = 120.0
+"""Time for which a loss is remembered. Callers submit a job again within seconds."""
+
+MAX_RECORDS = 1000
+MAX_CLEARED_TASKS = 1000
+
+
+class LossState(Enum):
+    """What is known of a loss; a later member replaces an earlier one."""
+
+    SUSPECTED = "suspected"
+    REFUTED = "refuted"
+    PROVEN = "proven"
+
+
+LossKey = tuple[str, int, int]
+"""Name and start of a worker, and attempt of a task."""
+
+STATE_ORDER = tuple(LossState)
+
+
+@attrs.frozen
+class LostRun:
+    """Run that was on a worker when the worker was lost.
+
+    Parameters
+    ----------
+    born : int
+        Identifier of the start of the worker process.
+    beside : tuple of str
+        Other tasks on the worker.
+    """
+
+    task: str
+    attempt: int
+    worker: str
+    born: int
+    beside: tuple[str, ...] = ()
+    state: LossState = LossState.SUSPECTED
+
+    @property
+    def key(self) -> LossKey:
+        """Return what distinguishes it from the other losses of the task.
+
+        Attempts are numbered anew by the next scheduler.
+        """
+        return (self.worker, self.born, self.attempt)
+
+
+@attrs.define
+class Entry:
+    """Record of a loss at this instance.
+
+    Parameters
+    ----------
+    learned_at : float
+        Time at which this instance has learned of it, in seconds.
+    has_common_cause : bool
+        Whether several workers were lost at the same time.
+    """
+
+    lost: LostRun
+    learned_at: float
+    has_common_cause: bool = False
+
+
+@attrs.define(eq=False)
+class CrashHistory:
+    """Records of lost runs by task.
+
+    Parameters
+    ----------
+    entries : dict
+        Entries of each task.
+    unresolved : set of str
+        Workers with losses that are neither proven nor refuted.
+    cleared : dict
+        Suspects that have ended well.
+    changes : list of LostRun
+        New and changed records that other instances lack.
+    recent : list
+        Latest losses that this instance has noticed: time, worker and entries.
+    """
+
+    entries: dict[str, dict[LossKey, Entry]] = attrs.field(factory=dict)
+    unresolved: set[str] = attrs.field(factory=set)
+    cleared: dict[str, None] = attrs.field(factory=dict)
+    changes: list[LostRun] = attrs.field(factory=list)
+    recent: list[tuple[float, str, list[Entry]]] = attrs.field(factory=list)
+
+    def record(
+        self, worker: str, born: int, runs: Iterable[RunKey], state: LossState, now: float
+    ) -> None:
+        """Record the runs that were on a worker when it was lost."""
+        tasks = dict(runs)
+        entries = []
+        for task, attempt in tasks.items():
+            beside = tuple(sorted(tasks.keys() - {task}))
+            lost = LostRun(task, attempt, worker, born, beside, state)
+            self._merge(lost, now)
+            entries.append(self.entries[task][lost.key])
+        self.recent = [item for item in self.recent if now <= item[0] + SIMULTANEOUS_SECONDS]
+        self.recent.append((now, worker, entries))
+        if len({name for _, name, _ in self.recent}) >= MIN_SIMULTANEOUS_WORKERS:
+            for _, _, simultaneous in self.recent:
+                for entry in simultaneous:
+                    entry.has_common_cause = True
+
+    def merge(self, records: Iterable[LostRun], now: float) -> None:
+        """Add the records of another instance."""
+        for lost in records:
+            self._merge(lost, now)
+
+    def _merge(self, lost: LostRun, now: float) -> None:
+        found = self.entries.setdefault(lost.task, {})
+        known = found.get(lost.key)
+        if known is None:
+            found[lost.key] = Entry(lost, now)
+        elif STATE_ORDER.index(lost.state) > STATE_ORDER.index(known.lost.state):
+            known.lost = attrs.evolve(known.lost, state=lost.state)
+        else:
+            return
+        self.changes.append(found[lost.key].lost)
+        if lost.state is LossState.SUSPECTED:
+            self.unresolved.add(lost.worker)
+
+    def resolve(self, worker: str, born: int | None, now: float) -> None:
+        """Prove or refute the losses of a worker that has answered.
+
+        ``born`` is the start of the process that has; ``None`` stands for another worker.
+        """
+        if worker not in self.unresolved:
+            return
+        self.unresolved.discard(worker)
+        for lost in self.records():
+            if lost.worker == worker and lost.state is LossState.SUSPECTED:
+                is_same = born == lost.born
+                state = LossState.REFUTED if is_same else LossState.PROVEN
+                self._merge(attrs.evolve(lost, state=state), now)
+
+    def clear(self, task: str) -> None:
+        """Record that a task has ended well, so that it is to blame for no loss."""
+        if self.entries.pop(task, None) is not None:
+            self.cleared[task] = None
+            while len(self.cleared) > MAX_CLEARED_TASKS:
+                del self.cleared[next(iter(self.cleared))]
+
+    def records(self) -> tuple[LostRun, ...]:
+        """Return all records."""
+        return tuple(entry.lost for found in self.entries.values() for entry in found.values())
+
+    def take_changes(self) -> tuple[LostRun, ...]:
+        """Pop the records that other instances lack."""
+        changes = tuple(self.changes)
+        self.changes.clear()
+        return changes
+
+    def is_suspect(self, task: str) -> bool:
+        """Return whether a worker was lost under a task, perhaps because of it."""
+        losses = self._losses(task)
+        return len(losses) > 1 or any(not entry.has_common_cause for entry in losses)
+
+    def must_run_alone(self, task: str) -> bool:
+        """Return whether a task must not be started beside others."""
+        return len(self._lost_workers(task)) >= MAX_LOST_WORKERS
+
+    def awaits_proof(self, task: str, now: float) -> bool:
+        """Return whether a task must not be started before its losses are proven or refuted."""
+        excess = len(self._lost_workers(task)) - MAX_LOST_WORKERS
+        open_since = [
+            entry.learned_at
+            for entry in self._losses(task)
+            if entry.lost.state is LossState.SUSPECTED
+        ]
+        return excess >= 0 and any(now < at + PROOF_SECONDS * 2**excess for at in open_since)
+
+    def crashed_workers(self, task: str) -> int:
+        """Return the number of workers that have provably crashed under a task."""
+        return len({(lost.worker, lost.born) for lost in self._proven(task)})
+
+    def is_culprit(self, task: str) -> bool:
+        """Return whether a task crashes the workers that start it."""
+        if self.crashed_workers(task) < MAX_LOST_WORKERS:
+            return False
+        return any(self.cleared.keys() >= set(lost.beside) for lost in self._proven(task))
+
+    def discard_outdated(self, now: float) -> None:
+        """Forget old losses, and the oldest ones if there are too many."""
+        if not self.entries:
+            return
+        entries = [entry for found in self.entries.values() for entry in found.values()]
+        entries.sort(key=lambda entry: entry.learned_at, reverse=True)
+        for number, entry in enumerate(entries):
+            if number >= MAX_RECORDS or now > entry.learned_at + RETENTION_SECONDS:
+                found = self.entries[entry.lost.task]
+                del found[entry.lost.key]
+                if not found:
+                    del self.entries[entry.lost.task]
+
+    def _losses(self, task: str) -> list[Entry]:
+        found = self.entries.get(task)
+        if found is None:
+            return []
+        return [entry for entry in found.values() if entry.lost.state is not LossState.REFUTED]
+
+    def _lost_workers(self, task: str) -> set[tuple[str, int]]:
+        return {(entry.lost.worker, entry.lost.born) for entry in self._losses(task)}
+
+    def _proven(self, task: str) -> list[LostRun]:
+        return [entry.lost for entry in self._losses(task) if entry.lost.state is LossState.PROVEN]
--- a/packages/core/cranberryshore/pool/effects.py
+++ b/packages/core/cranberryshore/pool/effects.py
@@ -2,7 +2,9 @@
 
 import attrs
 
+from cranberryshore.pool.crashes import LossState
 from cranberryshore.pool.held_worker import EndKind, RunKey
+from cranberryshore.pool.job_failure import JobFailure
 from cranberryshore.pool.job_summary import JobSummary
 from cranberryshore.pool.work import Outcome
 
@@ -60,6 +62,21 @@
     ran_ms: int
 
 
+@attrs.frozen
+class WorkerLost(PoolEffect):
+    """Log that a worker was lost, with the runs on it.
+
+    Parameters
+    ----------
+    state : LossState
+        Whether its process has provably ended.
+    """
+
+    worker: str
+    runs: tuple[RunKey, ...]
+    state: LossState
+
+
 @attrs.frozen
 class ResumedJobReleased(PoolEffect):
     """Log that a resumed job may be started by this scheduler.
@@ -92,6 +109,8 @@
         Delay after which the caller may retry a refused job; 0 if a retry cannot succeed.
     summary : JobSummary or None
         Summary for the log; not sent to other instances.
+    failure : JobFailure or None
+        Why the job has failed, if it has.
     """
 
     entry: str
@@ -100,3 +119,4 @@
     detail: str = ""
     retry_after_ms: int = 0
     summary: JobSummary | None = None
+    failure: JobFailure | None = None
--- a/packages/core/cranberryshore/pool/held_worker.py
+++ b/packages/core/cranberryshore/pool/held_worker.py
@@ -156,6 +156,13 @@
         Highest end number acknowledged in an answered poll.
     polled_at : float
         Send time of the last answered poll, in seconds.
+    isolated_runs : set of RunKey
+        Runs beside which nothing else is started, because they may crash the worker.
+    runs_at_failure : frozenset of RunKey or None
+        Runs, foreign ones included, when the first of the failed polls failed; ``None`` if the
+        worker has answered since.
+    is_loss_recorded : bool
+        Whether they have been recorded as lost.
     strangers : set of RunKey
         Foreign runs: active, but not started or adopted by this holder.
     foreign_ends : dict
@@ -190,6 +197,9 @@
     last_seen: int = 0
     acknowledged_end: int = 0
     runs: dict[RunKey, Run] = attrs.field(factory=dict)
+    isolated_runs: set[RunKey] = attrs.field(factory=set)
+    runs_at_failure: frozenset[RunKey] | None = None
+    is_loss_recorded: bool = False
     strangers: set[RunKey] = attrs.field(factory=set)
     strangers_since: float = float("inf")
     foreign_ends: dict[str, ReportedEnd] = attrs.field(factory=dict)
@@ -211,6 +221,7 @@
             and self.is_listed
             and not self.strangers
             and not self.is_draining
+            and not self.isolated_runs
         )
 
     def is_clock_known(self, now: float) -> bool:
@@ -269,6 +280,7 @@
 
     def remove_run(self, key: RunKey) -> Run | None:
         """Remove a run that has ended or never started, and free its capacity."""
+        self.isolated_runs.discard(key)
         run = self.runs.pop(key, None)
         if run is not None:
             self.room = self.room + run.demand
@@ -278,6 +290,15 @@
         """Switch to a higher token, which invalidates all requests in transit."""
         self.token = max(token, self.token + 1)
 
+    def record_failure(self) -> None:
+        """Record that a poll has failed."""
+        if self.runs_at_failure is None:
+            self.runs_at_failure = frozenset(self.runs) | self.strangers
+
+    def remove_ended_runs(self) -> list[RunEnd]:
+        """Remove and return all runs of a process that has ended."""
+        return [RunEnd(key, EndKind.VANISHED, self.remove_run(key)) for key in list(self.runs)]
+
     def mark_silent(self) -> None:
         """Record that the worker does not respond; its lease is no longer extended."""
         if self.state is HoldState.HELD:
@@ -302,6 +323,7 @@
         ``token`` is the token that was sent with the poll.
         """
         ends: list[RunEnd] = []
+        self.runs_at_failure = None
         if self.born != status.born:
             # The worker has restarted: earlier runs are missing from the report, but runs
             # started since then may be in it.
--- a/packages/core/cranberryshore/pool/placing.py
+++ b/packages/core/cranberryshore/pool/placing.py
@@ -5,8 +5,10 @@
 import attrs
 
 from cranberryshore.pool.config import PoolConfig
+from cranberryshore.pool.crashes import CrashHistory
 from cranberryshore.pool.effects import PollWorker, PoolEffect, ResumedJobReleased, StartRun
 from cranberryshore.pool.held_worker import HeldWorker
+from cranberryshore.pool.isolation import Isolation
 from cranberryshore.pool.run_registry import RunRegistry
 from cranberryshore.pool.run_statistics import RunStatistics
 from cranberryshore.pool.start_rights import StartRights
@@ -35,14 +37,17 @@
     rights: StartRights
     registry: RunRegistry
     statistics: RunStatistics
+    crashes: CrashHistory
     effects: list[PoolEffect]
     waiting: WaitingJobs = attrs.field(factory=WaitingJobs)
     resumed_jobs: ResumedJobs = attrs.field(factory=ResumedJobs)
     stranger_holders: set[str] = attrs.field(factory=set)
     refreshed_count: int = 0
+    isolation: Isolation = attrs.field(init=False)
     index: WorkerIndex = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
+        self.isolation = Isolation(self.registry, self.statistics)
         self.index = WorkerIndex(self.workers, self.statistics.health, self.lease_limit)
 
     def replace_rights(self, rights: StartRights) -> StartRights:
@@ -144,6 +149,9 @@
             if name in foreign or self.registry.is_task_active(name):
                 continue
             query = Query(job, task, service, usable, asked, now)
+            if self.crashes.is_suspect(name):
+                has_placed |= self._place_suspect(query)
+                continue
             worker = self.index.select(query, is_ready=True)
             if worker is not None:
                 has_placed |= self._start_run(job, task, worker, now)
@@ -156,6 +164,29 @@
             asked.add(worker.name)
         return has_placed
 
+    def _place_suspect(self, query: Query) -> bool:
+        """Place a task that may crash its worker; return whether it was placed."""
+        job, task, now = query.job, query.task, query.now
+        name = job.name_of(task)
+        if self.crashes.awaits_proof(name, now):
+            return False
+        if not self.isolation.may_start(self.workers.values(), query.service, now):
+            return False
+        self.index.refresh(now)
+        is_alone = self.crashes.must_run_alone(name)
+        worker = self.index.select_isolated(query, self.isolation.is_suitable, is_alone)
+        if worker is None:
+            return False
+        if not worker.is_clock_known(now):
+            self._read_clock(worker, now)
+            query.excluded.add(worker.name)
+            return False
+        if not self._start_run(job, task, worker, now):
+            return False
+        worker.isolated_runs.add((name, task.attempt))
+        self.index.update(worker.name, now)
+        return True
+
     def _read_clock(self, worker: HeldWorker, now: float) -> None:
         """Poll an idle worker, whose clock must be known before a start, unless that is due."""
         if not worker.is_clock_being_read(now):
--- a/packages/core/cranberryshore/pool/scheduler.py
+++ b/packages/core/cranberryshore/pool/scheduler.py
@@ -10,7 +10,14 @@
 
 from cranberryshore.pool import adoption, refusing
 from cranberryshore.pool.config import PoolConfig
-from cranberryshore.pool.effects import JobEnded, PollWorker, PoolEffect, StopRun, UnsuccessfulRun
+from cranberryshore.pool.crashes import CrashHistory
+from cranberryshore.pool.effects import (
+    JobEnded,
+    PollWorker,
+    PoolEffect,
+    StopRun,
+    UnsuccessfulRun,
+)
 from cranberryshore.pool.foreign_runs import ForeignRuns
 from cranberryshore.pool.held_worker import (
     EndKind,
@@ -20,7 +27,9 @@
     RunState,
     WorkerStatus,
 )
+from cranberryshore.pool.job_failure import FailureCause, JobFailure
 from cranberryshore.pool.job_summary import summarize_job
+from cranberryshore.pool.loss_tracking import LossTracker
 from cranberryshore.pool.placing import Placer
 from cranberryshore.pool.refusing import RESUMED_JOB_WAIT_SECONDS
 from cranberryshore.pool.run_registry import RunRegistry
@@ -80,14 +89,22 @@
     registry: RunRegistry = attrs.field(factory=RunRegistry)
     verification: Verification = attrs.field(factory=Verification)
     foreign: ForeignRuns = attrs.field(factory=ForeignRuns)
+    crashes: CrashHistory = attrs.field(factory=CrashHistory)
     changed_at: float | None = None
     acquiring_since: float = float("-inf")
     placer: Placer = attrs.field(init=False)
+    losses: LossTracker = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
         self.placer = Placer(
-            self.workers, self.rights, self.registry, self.statistics, self.effects
+            self.workers,
+            self.rights,
+            self.registry,
+            self.statistics,
+            self.crashes,
+            self.effects,
         )
+        self.losses = LossTracker(self.crashes, self.placer.isolation, self.effects)
 
     def take_effects(self) -> list[PoolEffect]:
         """Place waiting tasks if the state has changed, and pop the pending effects."""
@@ -136,6 +153,10 @@
             return
         self.registry.restore_attempts(job)
         self.jobs[request.id] = job
+        failure = self.losses.find_failure(job)
+        if failure is not None:
+            self._fail_job(job, failure, now)
+            return
         if request.is_resumed:
             self._delay_until_verified(job, exposed_workers, now)
         self.placer.waiting.update(job, now)
@@ -207,8 +228,31 @@
     def _refuse(self, job_id: str, entry: str, detail: str, retry_after_ms: int) -> None:
         self.effects.append(JobEnded(entry, job_id, Outcome.REFUSED, detail, retry_after_ms))
 
+    def losses_changed(self, now: float) -> None:
+        """Apply the records of lost runs of another instance."""
+        self._end_failed_jobs(now)
+        self.changed_at = now
+
+    def _end_failed_jobs(self, now: float) -> None:
+        """End the jobs with a task that crashes its workers, if any of them is newly known."""
+        if not self.crashes.changes:
+            return
+        for job in list(self.jobs.values()):
+            failure = self.losses.find_failure(job)
+            if failure is not None:
+                self._fail_job(job, failure, now)
+
+    def _fail_job(self, job: PoolJob, failure: JobFailure, now: float) -> None:
+        self._end_job(job, Outcome.FAILED, failure.describe(), now, failure=failure)
+
     def _end_job(
-        self, job: PoolJob, outcome: Outcome | None, detail: str, now: float, retry_ms: int = 0
+        self,
+        job: PoolJob,
+        outcome: Outcome | None,
+        detail: str,
+        now: float,
+        retry_ms: int = 0,
+        failure: JobFailure | None = None,
     ) -> None:
         """End a job and stop its runs; notify its entry instance if there is an outcome."""
         job.is_ended = True
@@ -221,8 +265,9 @@
                 self._stop_run(task.worker, (job.name_of(task), task.attempt), now)
         if outcome is not None:
             summary = summarize_job(job, self.statistics.expected_seconds(job), len(self.jobs), now)
-            end = JobEnded(job.entry, job.request.id, outcome, detail, retry_ms, summary)
-            self.effects.append(end)
+            self.effects.append(
+                JobEnded(job.entry, job.request.id, outcome, detail, retry_ms, summary, failure)
+            )
 
     # Workers
 
@@ -263,7 +308,12 @@
         worker = self.workers.get(name)
         if worker is None:
             return
-        for end in worker.record_status(status, token, poll_sent_at, now):
+        born, runs_at_failure = worker.born, worker.runs_at_failure
+        ends = worker.record_status(status, token, poll_sent_at, now)
+        vanished = {end.key for end in ends if end.kind is EndKind.VANISHED}
+        self.losses.worker_answered(worker, born, runs_at_failure or vanished, now)
+        self._end_failed_jobs(now)
+        for end in ends:
             self._run_ended(worker, end, now)
         self.foreign.record(worker, [end.task for end in status.ended])
         for end in status.ended:
@@ -311,8 +361,27 @@
             task.attempt = max(task.attempt, key[1])
             self.registry.record_start(job, task, worker.name, key, now)
             worker.adopt_run(key, job.step_of(task).demand, now)
+            if self.crashes.is_suspect(key[0]):
+                worker.isolated_runs.add(key)
             self.placer.worker_changed(worker)
 
+    def worker_refuses(self, name: str, now: float) -> None:
+        """Record that no process listens at the address of a worker."""
+        if name in self.workers:
+            self.losses.worker_refuses(self.workers[name], now)
+            self._end_failed_jobs(now)
+
+    def worker_replaced(self, name: str, now: float) -> None:
+        """Record that another process answers at the address of a worker."""
+        worker = self.workers.get(name)
+        if worker is None:
+            return
+        self.losses.worker_replaced(worker, now)
+        for end in worker.remove_ended_runs():
+            self._run_ended(worker, end, now)
+        self._end_failed_jobs(now)
+        self.changed_at = now
+
     def record_poll_failure(self, name: str, failures: int, now: float) -> None:
         """Record a number of consecutive failed polls of a worker.
 
@@ -320,7 +389,10 @@
         since it carries the lease end as an absolute time.
         """
         worker = self.workers.get(name)
-        if worker is not None and failures >= FAILED_POLLS_UNTIL_SILENT:
+        if worker is None:
+            return
+        worker.record_failure()
+        if failures >= FAILED_POLLS_UNTIL_SILENT:
             worker.mark_silent()
             self.placer.worker_changed(worker)
 
@@ -368,6 +440,7 @@
                 self.placer.worker_removed(name)
         self.placer.tick(now)
         self.foreign.discard_outdated(self.workers.values())
+        self.crashes.discard_outdated(now)
         if self.changed_at is not None:
             # No job is refused while capacity for it is free.
             self.placer.place_jobs(self.config, now)
@@ -428,6 +501,7 @@
         if job.is_ended:
             return
         if end.kind is EndKind.DONE:
+            self.crashes.clear(end.key[0])
             self._task_done(job, task, now)
             return
         task.phase, task.worker = TaskPhase.WAITING, ""
@@ -438,7 +512,8 @@
         if end.kind is EndKind.FAILED:
             task.failures += 1
             if task.failures >= job.max_attempts:
-                self._end_job(job, Outcome.FAILED, f"Task {end.key[0]} failed too often.", now)
+                failure = JobFailure(FailureCause.TASK_FAILED, end.key[0], task.attempt)
+                self._fail_job(job, failure, now)
 
     def _task_done(self, job: PoolJob, task: PoolTask, now: float) -> None:
         task.phase = TaskPhase.DONE
--- /dev/null
+++ b/packages/core/cranberryshore/pool/tests/test_lost_workers.py
@@ -0,0 +1,135 @@
+from cranberryshore.pool import EndKind, HeldWorker, HoldState, JobEnded, Outcome, WorkerStatus
+from cranberryshore.pool.held_worker import LEASE_EXPIRY_SECONDS
+from cranberryshore.pool.isolation import RECOVERY_SECONDS
+from cranberryshore.pool.job_failure import FailureCause
+from cranberryshore.pool.tests.test_scheduler import SchedulerTestCase, request
+from cranberryshore.work import Capacity
+
+
+class LostWorkerTest(SchedulerTestCase):
+    """Workers that stop to answer, with the runs on them."""
+
+    def fail_polls(self, name: str) -> None:
+        for failures in (1, 2):
+            self.scheduler.record_poll_failure(name, failures, self.now)
+
+    def crash(self, name: str) -> None:
+        """Let a worker refuse connections until its lease has expired."""
+        self.fail_polls(name)
+        self.scheduler.worker_refuses(name, self.now)
+        self.now += LEASE_EXPIRY_SECONDS + 0.01
+        self.scheduler.tick(self.now)
+
+    def replace(self, name: str) -> None:
+        """Let another worker answer at the address of a crashed one."""
+        self.scheduler.worker_replaced(name, self.now)
+        self.scheduler.unlist(name, self.now)
+        self.add_worker(name + "+")
+        self.poll(name + "+")
+
+    def known(self, name: str):
+        """Poll the other workers, whose clocks must be known before a start."""
+        for worker in sorted(self.scheduler.workers.values(), key=lambda item: item.name):
+            if worker.state is HoldState.HELD and worker.name != name:
+                self.poll(worker.name, list(worker.runs))
+        return self.starts()
+
+    def test_task_is_given_up_after_two_crashes(self):
+        (first,) = self.submit()
+        self.crash(first.worker)
+        (second,) = self.known(first.worker)
+        self.assertNotEqual(second.worker, first.worker)
+        self.replace(first.worker)
+        self.crash(second.worker)
+        self.replace(second.worker)
+        (end,) = self.effects(JobEnded)
+        self.assertEqual((end.outcome, end.failure.lost_workers), (Outcome.FAILED, 2))
+        self.assertIs(end.failure.cause, FailureCause.WORKERS_CRASHED)
+
+    def test_task_is_given_up_when_it_is_submitted_again(self):
+        self.test_task_is_given_up_after_two_crashes()
+        self.assertEqual(self.submit(), [])
+        self.scheduler.submit(request(), "f", self.now)
+        self.assertIs(self.effects(JobEnded)[-1].outcome, Outcome.FAILED)
+
+    def test_two_lapses_of_silent_workers_give_up_no_task(self):
+        (first,) = self.submit()
+        for _ in range(2):
+            (worker,) = [item for item in self.scheduler.workers.values() if item.runs]
+            self.fail_polls(worker.name)
+            self.now += LEASE_EXPIRY_SECONDS + 0.01
+            self.scheduler.tick(self.now)
+            self.poll(worker.name)
+            self.known("")
+        self.assertEqual(self.effects(JobEnded), [])
+        self.assertFalse(self.scheduler.crashes.records())
+
+    def test_restart_under_the_same_name_is_a_crash(self):
+        (start,) = self.submit()
+        self.now += 0.01
+        status = WorkerStatus(2, 0, (), ())
+        self.scheduler.record_status(start.worker, status, 1, self.now, self.now)
+        self.assertEqual(self.scheduler.crashes.crashed_workers(start.key[0]), 1)
+
+    def test_end_of_a_leaving_worker_is_no_crash(self):
+        (start,) = self.submit()
+        worker = self.scheduler.workers[start.worker]
+        self.scheduler.relist(start.worker, worker.total, worker.labels, is_draining=True)
+        self.crash(start.worker)
+        self.scheduler.worker_replaced(start.worker, self.now)
+        self.assertFalse(self.scheduler.crashes.records())
+
+    def test_run_of_another_scheduler_is_recorded_with_its_worker(self):
+        self.poll("w1", [("x.0.0.0", 1)])
+        self.crash("w1")
+        self.assertTrue(self.scheduler.crashes.is_suspect("x.0.0.0"))
+
+    def test_nothing_is_started_beside_a_suspect(self):
+        (start,) = self.submit()
+        self.crash(start.worker)
+        (again,) = self.known(start.worker)
+        self.assertEqual(self.submit("k"), [])
+        self.end(again, EndKind.DONE)
+        self.assertEqual(len(self.starts()), 1)
+
+    def test_suspect_is_not_started_beside_long_work(self):
+        (long,) = self.submit("long", estimate_ms=900)
+        (short,) = self.submit("short")
+        self.assertEqual(short.worker, long.worker)
+        (start,) = self.submit("j")
+        self.end(short, EndKind.DONE)
+        self.crash(start.worker)
+        self.assertEqual(self.known(start.worker), [])
+        self.end(long, EndKind.DONE)
+        self.assertEqual([run.worker for run in self.known(start.worker)], [long.worker])
+
+    def test_workers_exposed_to_suspects_are_limited(self):
+        for number in range(3, 9):
+            self.add_worker(f"w{number}")
+            self.poll(f"w{number}")
+        starts = self.submit(count=2, millicores=2000)
+        for start in starts:
+            self.fail_polls(start.worker)
+            self.scheduler.worker_refuses(start.worker, self.now)
+            self.now += 0.2
+        self.now += LEASE_EXPIRY_SECONDS
+        self.scheduler.tick(self.now)
+        (first,) = self.known("")
+        self.crash(first.worker)
+        self.assertEqual(self.known(""), [])
+        self.now += RECOVERY_SECONDS
+        self.assertEqual(len(self.known("")), 1)
+
+    def test_run_on_a_worker_that_refuses_connections_waits_for_its_lease(self):
+        # The worker may be alive behind a partition that resets connections.
+        (start,) = self.submit()
+        self.fail_polls(start.worker)
+        self.scheduler.worker_refuses(start.worker, self.now)
+        self.assertEqual(self.known(start.worker), [])
+
+    def test_worker_without_room_gets_nothing(self):
+        worker = HeldWorker("w", "w", "z", "s", Capacity(2000, 1000), frozenset(), 1)
+        worker.add_run(("j.0.0.0", 1), Capacity(2000, 10), 0.0)
+        worker.resize(Capacity(1000, 1000))
+        self.assertEqual(worker.room.millicores, -1000)
+        self.assertFalse(worker.room.holds(Capacity(0, 10)))
--- a/packages/core/cranberryshore/pool/tests/test_scheduler.py
+++ b/packages/core/cranberryshore/pool/tests/test_scheduler.py
@@ -33,8 +33,8 @@
 WORKERS = frozenset({"w1", "w2"})
 
 
-def request(job_id="j", count=1, millicores=1000, **options) -> WorkRequest:
-    step = StepSpec(count, Capacity(millicores, 10), 100)
+def request(job_id="j", count=1, millicores=1000, estimate_ms=100, **options) -> WorkRequest:
+    step = StepSpec(count, Capacity(millicores, 10), estimate_ms)
     values = {"steps": (step,), "budget_ms": 5000} | options
     return WorkRequest(job_id, "q", "p", **values)
 
@@ -43,7 +43,7 @@
     return WorkerRegistration(name, name, "z", "s", Capacity(2000, 1000))
 
 
-class SchedulerTest(TestCase):
+class SchedulerTestCase(TestCase):
     def setUp(self):
         self.scheduler = Scheduler(PoolConfig(1, (QUEUE, OTHER)), UnlimitedRights())
         self.now = 0.0
@@ -93,6 +93,8 @@
         running = [key for key in worker.runs if key != start.key]
         self.poll(start.worker, running, [(start.key, kind)])
 
+
+class SchedulerTest(SchedulerTestCase):
     def test_job_completes_when_all_tasks_are_done(self):
         starts = self.submit(count=3)
         self.assertEqual(len(starts), 3)
--- a/packages/core/cranberryshore/pool/worker_selection.py
+++ b/packages/core/cranberryshore/pool/worker_selection.py
@@ -137,6 +137,24 @@
                         return self.workers[name]
         return None
 
+    def select_isolated(
+        self, query: Query, is_suitable: Callable[[HeldWorker], bool], is_alone: bool
+    ) -> HeldWorker | None:
+        """Return the worker with the fewest runs beside a task that may crash it.
+
+        With ``is_alone``, only workers without runs are considered.
+        """
+        candidates = [
+            (name in query.task.avoided_workers, len(worker.runs), tier, name)
+            for tier, members in enumerate(self.tiers.get(query.service, ()))
+            for _, name in list(members)
+            if (worker := self.workers.get(name)) is not None
+            and not (is_alone and worker.runs)
+            and self._can_run(name, query, worker.is_clock_known(query.now))
+            and is_suitable(worker)
+        ]
+        return self.workers[min(candidates)[-1]] if candidates else None
+
     def _by_preference(
         self, tier: int, members: list[tuple[int, str]], query: Query
     ) -> Iterator[str]:
--- a/packages/daemon/cranberryshored/metrics.py
+++ b/packages/daemon/cranberryshored/metrics.py
@@ -77,6 +77,9 @@
     config_age: Gauge = _gauge(
         "cranberryshore_configuration_age_seconds", "Time since it was known to be the newest one."
     )
+    lost_workers: Counter = _counter(
+        "cranberryshore_lost_workers", "Workers lost with runs on them.", "crash"
+    )
     denied_requests: Counter = _counter(
         "cranberryshore_denied_requests", "Requests without a queue, by answer.", "answer"
     )
--- a/packages/daemon/cranberryshored/pool/app.py
+++ b/packages/daemon/cranberryshored/pool/app.py
@@ -17,8 +17,10 @@
 from cranberryshore.pool import (
     Claim,
     ConfigConfirmation,
+    CrashHistory,
     Group,
     JobEnded,
+    LostRun,
     MemberAddress,
     PoolConfig,
     QueueSpec,
@@ -81,6 +83,7 @@
         own = MemberAddress(incarnation, settings.peer_address, settings.zone, millicores)
         self.tokens = TokenSource(own.address)
         self.rosters = RosterKeeper(incarnation)
+        self.crashes = CrashHistory()
         log = make_logger("group")
         self.exchange = PeerExchange(Group(own, now()), settings.seeds, self, self.metrics, log)
         self.exchange.transport = self.make_transport(own, self.exchange.deliver)
@@ -91,6 +94,8 @@
             self.rosters.history,
             self._job_ended,
             lambda: self.exchange.process_stalled(),
+            self.exchange.push_losses,
+            self.crashes,
             make_logger("scheduler"),
             self.metrics,
         )
@@ -210,7 +215,14 @@
     def handle_message(self, sender: str, message: NumberedMessage) -> None:
         """See :class:`ExchangeListener`."""
         if isinstance(message, WorkEnded):
-            end = JobEnded("", message.job, message.outcome, message.detail, message.retry_after_ms)
+            end = JobEnded(
+                "",
+                message.job,
+                message.outcome,
+                message.detail,
+                message.retry_after_ms,
+                failure=message.failure,
+            )
             self.entry_service.job_ended(end, sender)
         elif self.scheduling.claim is None:
             self.log.debug("Ignored work because this instance does not schedule.", sender=sender)
@@ -248,6 +260,17 @@
             # The acknowledgement tells which version this instance has.
             self.exchange.acknowledge()
 
+    def handle_losses(self, lost_runs: tuple[LostRun, ...]) -> None:
+        """See :class:`ExchangeListener`."""
+        self.crashes.merge(lost_runs, now())
+        if self.scheduling.claim is None:
+            self.crashes.take_changes()
+        self.scheduling.losses_changed()
+
+    def lost_runs(self) -> tuple[LostRun, ...]:
+        """See :class:`ExchangeListener`."""
+        return self.crashes.records()
+
     def roster_news(self, base: int) -> RosterNews | RosterChanges:
         """See :class:`ExchangeListener`."""
         return self.rosters.news_since(base)
@@ -293,6 +316,7 @@
         )
         self.exchange.follow()
         self.exchange.announce()
+        self.exchange.push_losses(self.crashes.records())
 
     def claim_ended(self, reason: str) -> None:
         """See :class:`ExchangeListener`."""
@@ -357,7 +381,7 @@
         self.exchange.send(
             end.entry,
             lambda place, echo: WorkEnded(
-                place, end.job, end.outcome, end.detail, end.retry_after_ms
+                place, end.job, end.outcome, end.detail, end.retry_after_ms, end.failure
             ),
         )
 
--- a/packages/daemon/cranberryshored/pool/documents.py
+++ b/packages/daemon/cranberryshored/pool/documents.py
@@ -5,8 +5,15 @@
 
 import attrs
 
-from cranberryshore.messages import Beat, ConfigNews, ConfigRequest, PeerMessage, RosterChanges
-from cranberryshore.pool import Group, Member
+from cranberryshore.messages import (
+    Beat,
+    ConfigNews,
+    ConfigRequest,
+    LossNews,
+    PeerMessage,
+    RosterChanges,
+)
+from cranberryshore.pool import Group, LostRun, Member
 from cranberryshore.pool.transfers import OWN_READ_SECONDS, Transfers
 from cranberryshored.pool.clock import now
 from cranberryshored.pool.protocols import ExchangeListener
@@ -95,6 +102,11 @@
         if self.rosters.begin(receiver, version, len(entries), now()):
             self.send(member, news)
 
+    def send_losses(self, member: Member, lost_runs: tuple[LostRun, ...]) -> None:
+        """Send records of lost runs to a peer, which may schedule next."""
+        if lost_runs:
+            self.send(member, LossNews(lost_runs))
+
     def _send_to_next_waiting(self) -> None:
         receiver = self.rosters.next_waiting()
         waiting = self.group.members.get(receiver) if receiver is not None else None
--- a/packages/daemon/cranberryshored/pool/exchange.py
+++ b/packages/daemon/cranberryshored/pool/exchange.py
@@ -12,6 +12,7 @@
     CancelWork,
     ConfigNews,
     ConfigRequest,
+    LossNews,
     PeerMessage,
     RosterChanges,
     RosterNews,
@@ -19,6 +20,7 @@
 )
 from cranberryshore.pool import (
     Group,
+    LostRun,
     Member,
     MemberAddress,
     ReceiveStream,
@@ -174,6 +176,8 @@
             self.listener.handle_roster(message.version, message.workers)
         elif isinstance(message, RosterChanges):
             self.listener.handle_roster_changes(message)
+        elif isinstance(message, LossNews):
+            self.listener.handle_losses(message.lost_runs)
         elif isinstance(message, NumberedMessage):
             for ready in self.in_streams.setdefault(sender, ReceiveStream()).take(message):
                 self.listener.handle_message(sender, ready)
@@ -194,6 +198,11 @@
         for member in self.group.live(now()):
             self.documents.send_roster(member)
 
+    def push_losses(self, lost_runs: tuple[LostRun, ...]) -> None:
+        """Send records of lost runs to all live members."""
+        for member in self.group.live(now()):
+            self.documents.send_losses(member, lost_runs)
+
     def announce(self) -> None:
         """Send a beat to all members now."""
         moment = now()
@@ -305,6 +314,8 @@
             self._take_over(beat)
         if is_new:
             self.log.info("Peer discovered.", peer=beat.sender.incarnation)
+            if self.group.claim is not None:
+                self.documents.send_losses(member, self.listener.lost_runs())
         is_outdated = self._follows_wrong_scheduler(beat) or self._is_competing_claim(beat)
         if is_new or has_left or is_outdated:
             self._send_beat(member, moment)
--- a/packages/daemon/cranberryshored/pool/protocols.py
+++ b/packages/daemon/cranberryshored/pool/protocols.py
@@ -18,6 +18,7 @@
     Claim,
     ConfigConfirmation,
     HeldWorker,
+    LostRun,
     MemberAddress,
     PoolConfig,
     StartRun,
@@ -200,6 +201,14 @@
         """Handle the changes of a peer's list of workers."""
         ...
 
+    def handle_losses(self, lost_runs: tuple[LostRun, ...]) -> None:
+        """Handle runs that were lost with their workers."""
+        ...
+
+    def lost_runs(self) -> tuple[LostRun, ...]:
+        """Return the runs that were lost with their workers."""
+        ...
+
     def roster_news(self, base: int) -> RosterNews | RosterChanges:
         """Return the message that brings a peer's list of workers up to date.
 
--- a/packages/daemon/cranberryshored/pool/scheduling.py
+++ b/packages/daemon/cranberryshored/pool/scheduling.py
@@ -9,15 +9,18 @@
 from cranberryshore.pool import (
     AcknowledgedRights,
     Claim,
+    CrashHistory,
     HeldWorker,
     HoldState,
     JobEnded,
+    LostRun,
     PollWorker,
     PoolConfig,
     ResumedJobReleased,
     RosterHistory,
     Scheduler,
     UnsuccessfulRun,
+    WorkerLost,
     WorkerRegistration,
     WorkRequest,
 )
@@ -48,6 +51,8 @@
         Called with the outcome of each job.
     on_stall : callable
         Called after a stall of this process, when another instance may hold the workers.
+    on_losses : callable
+        Called with the records of lost runs that other instances lack.
     """
 
     own: str
@@ -56,6 +61,8 @@
     rosters: RosterHistory
     on_ended: Callable[[JobEnded], None]
     on_stall: Callable[[], None]
+    on_losses: Callable[[tuple[LostRun, ...]], None]
+    crashes: CrashHistory
     log: FilteringBoundLogger
     metrics: Metrics
     base_timeout: BaseTimeout = attrs.field(factory=BaseTimeout)
@@ -74,7 +81,7 @@
         """Start scheduling: take over the workers that a claim covers."""
         self.claim, self.last_tick_at = claim, now()
         self.rights = AcknowledgedRights(self.own, now(), self.rosters)
-        self.scheduler = Scheduler(config, self.rights, acquiring_since=now())
+        self.scheduler = Scheduler(config, self.rights, crashes=self.crashes, acquiring_since=now())
         self.log.info("Scheduling begins.", term=claim.term, zone=claim.zone or "all")
         self.set_roster(roster)
         self.task = start_task(self._tick(), self.log)
@@ -159,6 +166,12 @@
                 self._hold_worker(registration)
                 self.scheduler.unlist(name, now())
 
+    def losses_changed(self) -> None:
+        """Apply the records of lost runs that another instance has sent."""
+        if self.claim is not None:
+            self.scheduler.losses_changed(now())
+            self.apply_effects_soon()
+
     def cancel(self, job: str, entry: str) -> None:
         """Cancel a job whose caller has disconnected."""
         self.scheduler.cancel(job, entry, now())
@@ -181,10 +194,17 @@
         if now() - self.last_tick_at > STALL_SECONDS:
             self.on_stall()
             return
-        for effect in self.scheduler.take_effects():
+        effects = self.scheduler.take_effects()
+        changes = self.crashes.take_changes()
+        if changes:
+            self.on_losses(changes)
+        for effect in effects:
             if isinstance(effect, UnsuccessfulRun):
                 self._log_unsuccessful_run(effect)
                 continue
+            if isinstance(effect, WorkerLost):
+                self._log_lost_worker(effect)
+                continue
             if isinstance(effect, ResumedJobReleased):
                 self.log.info("Resumed job may start.", **attrs.asdict(effect))
                 continue
@@ -212,6 +232,15 @@
             ran_ms=lost.ran_ms,
         )
 
+    def _log_lost_worker(self, lost: WorkerLost) -> None:
+        self.metrics.lost_workers.labels(lost.state.value).inc()
+        self.log.warning(
+            "Worker was lost with its runs.",
+            worker=lost.worker,
+            crash=lost.state.value,
+            runs=[f"{task}/{attempt}" for task, attempt in lost.runs],
+        )
+
     def _log_end(self, end: JobEnded) -> None:
         summary = attrs.asdict(end.summary) if end.summary is not None else {}
         self.log.info(
--- a/packages/daemon/cranberryshored/pool/tests/test_exchange.py
+++ b/packages/daemon/cranberryshored/pool/tests/test_exchange.py
@@ -55,6 +55,9 @@
     def roster_news(self, base):
         return RosterNews(len(self.workers), self.workers)
 
+    def lost_runs(self):
+        return ()
+
     def scheduler_changed(self):
         pass
 
--- a/packages/daemon/cranberryshored/pool/tests/test_scheduling.py
+++ b/packages/daemon/cranberryshored/pool/tests/test_scheduling.py
@@ -7,6 +7,7 @@
 
 from cranberryshore.pool import (
     Claim,
+    CrashHistory,
     PoolConfig,
     QueueSpec,
     RosterHistory,
@@ -56,6 +57,8 @@
             RosterHistory(),
             lambda end: None,
             self.record_stall,
+            lambda lost_runs: None,
+            CrashHistory(),
             make_logger("scheduler"),
             Metrics(),
         )
--- a/packages/daemon/cranberryshored/pool/worker_channel.py
+++ b/packages/daemon/cranberryshored/pool/worker_channel.py
@@ -112,7 +112,11 @@
             token=order.token,
             reply=reply.value,
         )
-        if reply is StartReply.MALFORMED or reply in FAILED_CALLS:
+        if reply is StartReply.REFUSED:
+            # The request was not delivered, since nothing listens there.
+            self.scheduler.start_rejected(worker.name, order.key, False, now())
+            self.poll_now()
+        elif reply is StartReply.MALFORMED or reply in FAILED_CALLS:
             # A response that cannot be read does not prove that the run never begins.
             self.scheduler.start_unanswered(worker.name, self.tokens.next(), now())
         elif reply is StartReply.FENCED and order.token == worker.token:
@@ -218,3 +222,7 @@
                 self._fenced()
             return
         self.scheduler.record_poll_failure(worker.name, self.failed_polls, now())
+        if failure is PollFailure.REFUSED:
+            self.scheduler.worker_refuses(worker.name, now())
+        elif failure is PollFailure.WORKER_RESTARTED:
+            self.scheduler.worker_replaced(worker.name, now())
--- a/packages/proof/cranberryshore_proof/pool_deployment.py
+++ b/packages/proof/cranberryshore_proof/pool_deployment.py
@@ -22,6 +22,7 @@
 from cranberryshore.work import Capacity
 from cranberryshore_proof.config_checks import STORE, ConfigChecks, Disturbances
 from cranberryshore_proof.network import Network
+from cranberryshore_proof.pool_crashes import CrashModel
 from cranberryshore_proof.pool_probe import HOST, QueueProbe
 from cranberryshore_proof.pool_registry import CONFIG_KEY, LAYOUT, WORKERS_PREFIX, FakeRegistry
 from cranberryshore_proof.pool_store import ModelStore, ModelStoreClient
@@ -77,6 +78,10 @@
         Workers whose registration has expired although they are up.
     late_share : float
         See :class:`FakeWorkerCalls`.
+    budget_ms : int
+        Time that callers wait for a job.
+    deadly_share : float
+        Share of the jobs with a task that crashes its workers.
     hosts : tuple of Host
         Hosts of the instances; without them, processors and links are infinitely fast.
     is_store_simulated : bool
@@ -101,8 +106,11 @@
     demands: dict[str, int] = attrs.field(factory=dict)
     seconds: dict[str, float] = attrs.field(factory=dict)
     jobs: list[SimulatedJob] = attrs.field(factory=list)
+    job_count: int = 0
     faults: list[str] = attrs.field(factory=list)
     late_share: float = 0.0
+    budget_ms: int = BUDGET_MS
+    deadly_share: float = 0.0
     hosts: tuple[Host, ...] = ()
     hosts_by_address: dict[str, Host] = attrs.field(factory=dict)
     link_free_at: dict[str, float] = attrs.field(factory=dict)
@@ -114,9 +122,12 @@
     background: list[asyncio.Task] = attrs.field(factory=list)
     config: PoolConfig = PoolConfig(1, (QueueSpec("q", HOST, "/q/", "s", 0, 4, 3.0, 500),))
 
+    crash_model: CrashModel = attrs.field(init=False)
+
     def __attrs_post_init__(self) -> None:
         self.random = Random(self.seed)
         self.network = Network(self.random)
+        self.crash_model = CrashModel(Random(self.seed + 1), self._add_worker, self.faults)
 
     def now(self) -> float:
         """Return the virtual time in seconds."""
@@ -145,8 +156,7 @@
         for number in range(self.worker_count):
             name = f"w{number}"
             zone = sorted(set(self.zones))[number % len(set(self.zones))]
-            seconds = self._run_seconds
-            self.workers[name] = ModelWorker(name, zone, 4000, seconds, self._check_start)
+            self._add_worker(name, zone)
         for number, host in enumerate(self.hosts):
             self.hosts_by_address[self.address(number)] = host
             loop.processors[self.address(number)] = Processor(host.speed)
@@ -156,6 +166,11 @@
             await self.start_instance(number)
         await asyncio.sleep(3.0)
 
+    def _add_worker(self, name: str, zone: str) -> ModelWorker:
+        worker = ModelWorker(name, zone, 4000, self._run_seconds, self._check_start)
+        self.workers[name] = worker
+        return worker
+
     def _start_store(self) -> None:
         self.change_config(self.config)
         numbers = range(len(self.zones))
@@ -304,6 +319,7 @@
 
     def _check_start(self, worker: ModelWorker, key: RunKey) -> None:
         now = self.now()
+        self.crash_model.task_started(worker, key)
         if worker.used() > worker.millicores:
             self.faults.append(f"{now:.3f} {worker.name} over capacity: {sorted(worker.runs)}")
         for other in self.workers.values():
@@ -315,8 +331,8 @@
 
     async def call(self, number: int, job: SimulatedJob, tasks: int) -> None:
         """Submit a job until its outcome is known or its time budget is used up."""
-        while self.now() < job.submitted_at + BUDGET_MS / 1000:
-            left = int((job.submitted_at - self.now()) * 1000) + BUDGET_MS
+        while self.now() < job.submitted_at + self.budget_ms / 1000:
+            left = int((job.submitted_at - self.now()) * 1000) + self.budget_ms
             outcome = await self._submit_once(number, job, tasks, left)
             if outcome is not None:
                 job.answers.append(outcome)
@@ -343,6 +359,7 @@
             return None
         if task.cancelled() or task.exception() is not None:
             return None
+        self.crash_model.check_end(task.result())
         return task.result().outcome
 
     async def load(self, seconds: float, per_second: float) -> list[asyncio.Task]:
@@ -351,10 +368,13 @@
         callers = []
         while self.now() < end:
             await asyncio.sleep(self.random.expovariate(per_second))
-            job = SimulatedJob(f"{len(self.jobs):016x}", self.now())
+            job = SimulatedJob(f"{self.job_count:016x}", self.now())
+            self.job_count += 1
             self.demands[job.id] = self.random.choice((900, 1400, 2000))
             self.seconds[job.id] = self.random.choice((0.06, 0.2, 0.9))
             self.jobs.append(job)
+            if self.deadly_share and self.crash_model.random.random() < self.deadly_share:
+                self.crash_model.deadly_tasks.add(f"{job.id}.0.0.0")
             number = self.random.randrange(len(self.zones))
             count = self.random.choice((1, 2, 4))
             callers.append(asyncio.ensure_future(self.call(number, job, count)))
--- a/packages/proof/cranberryshore_proof/pool_mutate.py
+++ b/packages/proof/cranberryshore_proof/pool_mutate.py
@@ -1,6 +1,7 @@
 """Mutation tests of a pool: each defect has to fail a test.
 
-The defects concern who may start a job, and by which configuration instances act.
+The defects concern who may start a job, by which configuration instances act, and which task is to
+blame for crashed workers.
 """
 
 import io
@@ -19,14 +20,20 @@
 from cranberryshore.pool import (
     AcknowledgedRights,
     ConfigConfirmation,
+    CrashHistory,
     HeldWorker,
+    HoldState,
+    LossState,
     PoolConfig,
     QueueSpec,
     RosterHistory,
     VersionedQueue,
     confirmation,
+    crashes,
     scheduler,
 )
+from cranberryshore.pool.isolation import Isolation
+from cranberryshore.pool.loss_tracking import LossTracker
 from cranberryshore.pool.placing import Placer
 from cranberryshore.pool.verifying import ResumedJobs
 from cranberryshored.pool import PoolDaemon, registry, store_follower, submissions
@@ -38,6 +45,8 @@
 
 TEST_MODULES = (
     "cranberryshore.pool.tests.test_confirmation",
+    "cranberryshore.pool.tests.test_crashes",
+    "cranberryshore.pool.tests.test_lost_workers",
     "cranberryshore.pool.tests.test_queue_versions",
     "cranberryshore.pool.tests.test_start_rights",
     "cranberryshore.pool.tests.test_scheduler",
@@ -49,6 +58,7 @@
     "cranberryshored.pool.tests.test_submissions",
     "cranberryshored.pool.tests.test_routing",
     "cranberryshore_proof.tests.test_configurations",
+    "cranberryshore_proof.tests.test_crashing_tasks",
     "cranberryshore_proof.tests.test_double_start",
     "cranberryshore_proof.tests.test_store_follower",
 )
@@ -97,6 +107,27 @@
     return self.get_queue(name) if known is None else known.queue
 
 
+def _blame_all(self: CrashHistory, task: str) -> bool:
+    return self.crashed_workers(task) >= crashes.MAX_LOST_WORKERS
+
+
+def _prove_refusal(self: LossTracker, worker: HeldWorker, now: float) -> None:
+    if not worker.is_loss_recorded:
+        self._record(worker, worker.born, worker.runs_at_failure, LossState.PROVEN, now)
+
+
+def _record_leaving(
+    self: LossTracker, worker: HeldWorker, born: int, runs: set, state: LossState, now: float
+) -> None:
+    worker.is_loss_recorded = True
+    self.crashes.record(worker.name, born, runs or (), state, now)
+
+
+def _is_available(self: HeldWorker) -> bool:
+    is_held = self.state is HoldState.HELD and self.is_listed
+    return is_held and not self.strangers and not self.is_draining
+
+
 def _constant(value: object) -> Callable:
     return lambda *arguments: value
 
@@ -163,6 +194,22 @@
     ),
     PoolMutation("the entry instance's queue is ignored", PoolConfig, "newest_queue", _own_queue),
     PoolMutation("the entry instance's queue is preferred", PoolConfig, "newest_queue", _any_queue),
+    PoolMutation("loss: no task is the culprit", CrashHistory, "is_culprit", _constant(False)),
+    PoolMutation(
+        "loss: all tasks on a worker are to blame", CrashHistory, "is_culprit", _blame_all
+    ),
+    PoolMutation("loss: one crash is enough", crashes, "MAX_LOST_WORKERS", 1),
+    PoolMutation("loss: a refusal is a proof", LossTracker, "worker_refuses", _prove_refusal),
+    PoolMutation("loss: a leaving worker has crashed", LossTracker, "_record", _record_leaving),
+    PoolMutation("loss: a replaced worker is no proof", CrashHistory, "resolve", _constant(None)),
+    PoolMutation("loss: proof is not awaited", CrashHistory, "awaits_proof", _constant(False)),
+    PoolMutation("loss: a lost rack makes suspects", crashes, "MIN_SIMULTANEOUS_WORKERS", 1000),
+    PoolMutation("loss: no task is a suspect", CrashHistory, "is_suspect", _constant(False)),
+    PoolMutation("loss: tasks run beside suspects", HeldWorker, "is_available", _is_available),
+    PoolMutation("loss: suspects run beside long work", Isolation, "is_suitable", _constant(True)),
+    PoolMutation("loss: suspects run anywhere", Isolation, "may_start", _constant(True)),
+    PoolMutation("loss: records are not sent", PeerExchange, "push_losses", _constant(None)),
+    PoolMutation("loss: records are ignored", PoolDaemon, "handle_losses", _constant(None)),
 )
 
 
--- a/packages/proof/cranberryshore_proof/pool_play.py
+++ b/packages/proof/cranberryshore_proof/pool_play.py
@@ -14,6 +14,13 @@
 LOAD_SECONDS = 14.0
 LOAD_AFTER_FAULTS_SECONDS = 8.0
 
+DEADLY_SHARE = 0.04
+"""Share of the jobs with a task that crashes its workers: with 8 jobs a second, some five of the
+load's 14 s."""
+
+LONG_BUDGET_MS = 9000
+"""Time that callers wait in simulations with such tasks, so that they are started several times."""
+
 
 @attrs.frozen
 class PoolResult:
@@ -40,9 +47,16 @@
 
 @attrs.define(eq=False)
 class PoolSimulation:
-    """Injects faults into a deployment while callers submit jobs."""
+    """Injects faults into a deployment while callers submit jobs.
+
+    Parameters
+    ----------
+    has_crashes : bool
+        Whether some tasks crash their workers, and some workers refuse connections for a while.
+    """
 
     deployment: PoolDeployment
+    has_crashes: bool = False
     events: list[str] = attrs.field(factory=list)
 
     @property
@@ -145,6 +159,7 @@
     async def _crash_worker(self, seconds: float) -> None:
         worker = self.deployment.random.choice(list(self.deployment.workers.values()))
         self._record_event(f"crash {worker.name}")
+        self.deployment.crash_model.record_crash(worker, is_injected=True)
         worker.crash()
         worker.is_down = True
         await asyncio.sleep(seconds)
@@ -157,6 +172,16 @@
         await asyncio.sleep(seconds)
         worker.fails_all = False
 
+    async def _refuse_connections(self, seconds: float) -> None:
+        worker = self.random.choice(list(self.deployment.workers.values()))
+        if worker.refuses or worker.is_replaced:
+            return
+        self._record_event(f"{worker.name} refuses connections for {seconds:.2f} s")
+        born, worker.refuses = worker.born, True
+        await asyncio.sleep(seconds)
+        if worker.born == born:
+            worker.refuses = False
+
     async def _delay_orders(self, seconds: float) -> None:
         self._record_event("delay orders to workers")
         self.deployment.late_share = 0.2
@@ -197,6 +222,9 @@
             self._delay_orders,
             self._cut_store,
         )
+        if self.has_crashes:
+            kinds += (self._refuse_connections,) * 2
+            deployment.deadly_share, deployment.budget_ms = DEADLY_SHARE, LONG_BUDGET_MS
         if deployment.is_store_simulated:
             store_kinds = (
                 self._silence,
@@ -216,7 +244,7 @@
         await asyncio.gather(*faults)
         await asyncio.gather(*callers)
         under_faults = deployment.summary()
-        deployment.jobs = []
+        deployment.jobs, deployment.deadly_share = [], 0.0
         await asyncio.sleep(4.0)
         await asyncio.gather(*await deployment.load(LOAD_AFTER_FAULTS_SECONDS, 5.0))
         after_faults = deployment.summary()
@@ -231,12 +259,14 @@
         )
 
 
-def simulate_pool(seed: int, is_store_simulated: bool = True) -> PoolResult:
+def simulate_pool(
+    seed: int, is_store_simulated: bool = True, has_crashes: bool = False
+) -> PoolResult:
     """Simulate a pool; the seed determines load, faults, configurations and delays."""
 
     async def run() -> PoolResult:
         deployment = PoolDeployment(seed, is_store_simulated=is_store_simulated)
-        return await PoolSimulation(deployment).run()
+        return await PoolSimulation(deployment, has_crashes).run()
 
     return run_virtual(run())
 
@@ -246,10 +276,11 @@
     parser = ArgumentParser(description="Simulate a pool under random faults in virtual time.")
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--rounds", type=int, default=20)
+    parser.add_argument("--crashes", action="store_true", help="some tasks crash their workers")
     arguments = parser.parse_args()
     failed = 0
     for seed in range(arguments.seed, arguments.seed + arguments.rounds):
-        result = simulate_pool(seed)
+        result = simulate_pool(seed, has_crashes=arguments.crashes)
         has_failed = bool(result.faults) or result.completed_after_faults < result.jobs_after_faults
         failed += has_failed
         print(
--- a/packages/proof/cranberryshore_proof/pool_workers.py
+++ b/packages/proof/cranberryshore_proof/pool_workers.py
@@ -45,6 +45,10 @@
     ----------
     born : int
         Start identifier, which changes with each restart.
+    refuses : bool
+        Whether new connections are refused, as after a crash or behind a partition with resets.
+    is_replaced : bool
+        Whether another worker has its address.
     fails_all : bool
         Whether the runs that start now will fail.
     token : int
@@ -61,6 +65,8 @@
     on_end: Callable[["ModelWorker", RunKey, EndKind], None] | None = None
     born: int = 1
     is_down: bool = False
+    refuses: bool = False
+    is_replaced: bool = False
     fails_all: bool = False
     token: int = 0
     lease_end: float = 0.0
@@ -86,6 +92,8 @@
         """Restart with a new start identifier and without any state."""
         self.runs.clear()
         self.ended.clear()
+        self.changed.set()
+        self.changed = asyncio.Event()
         self.highest_attempts.clear()
         self.token, self.last_end_number, self.born = 0, 0, self.born + 1
 
@@ -187,13 +195,13 @@
         model = self.workers[worker.name]
         demand = self.demands[start.key[0].partition(".")[0]]
         reply = await self._call_worker(model, lambda now: model.start(start, demand, now), seconds)
-        return StartReply.UNANSWERED if reply is None else reply
+        return StartReply(reply.value) if isinstance(reply, PollFailure) else reply
 
     async def stop_run(self, worker: HeldWorker, stop: StopRun, seconds: float) -> bool:
         """See :class:`WorkerCalls`."""
         model = self.workers[worker.name]
         done = await self._call_worker(model, lambda now: model.stop(stop, now) or True, seconds)
-        return done is not None
+        return done is True
 
     async def poll(
         self, worker: HeldWorker, poll: PollRequest, seconds: float
@@ -203,15 +211,18 @@
         loop = asyncio.get_running_loop()
         deadline = loop.time() + seconds
         is_accepted = await self._call_worker(model, lambda now: model.poll(poll, now), seconds)
-        if is_accepted is None:
-            return Err(PollFailure.UNANSWERED)
+        if isinstance(is_accepted, PollFailure):
+            return Err(is_accepted)
         if not is_accepted:
             return Err(PollFailure.FENCED)
+        born = model.born
         if poll.wait_ms and not model.ended:
             changed = model.changed
             waiter = asyncio.ensure_future(changed.wait())
             await asyncio.wait([waiter], timeout=poll.wait_ms / 1000)
             waiter.cancel()
+        if model.born != born:
+            return Err(PollFailure.DISCONNECTED)
         answer = model.answer(loop.time())
         await self._simulate_delay()
         if self._is_unreachable(model):
@@ -226,7 +237,7 @@
         await asyncio.sleep(self.random.uniform(0.0003, 0.002))
 
     async def _call_worker(self, model: ModelWorker, execute, seconds: float):
-        """Run ``execute`` at the worker and return its result, ``None`` if there is no answer.
+        """Run ``execute`` at the worker and return its result, or why there is none.
 
         A request over a cut link takes effect later in half of the cases.
         """
@@ -236,17 +247,25 @@
         if self.random.random() < self.late_share:
             self._execute_late(model, execute)
             await asyncio.sleep(seconds)
-            return None
+            return PollFailure.UNANSWERED
+        if not self.network.is_blocked(self.node, model.name):
+            if model.is_replaced:
+                return PollFailure.WORKER_RESTARTED
+            if model.refuses:
+                return PollFailure.REFUSED
         if self._is_unreachable(model):
             if not model.is_down and self.random.random() < 0.5:
                 self._execute_late(model, execute)
             await asyncio.sleep(seconds)
-            return None
+            return PollFailure.UNANSWERED
+        born = model.born
         result = execute(loop.time())
         await self._simulate_delay()
+        if model.born != born:
+            return PollFailure.DISCONNECTED
         if self._is_unreachable(model):
             await asyncio.sleep(seconds)
-            return None
+            return PollFailure.UNANSWERED
         loop.spend(self.node, CALL_SECONDS)
         return result
 
