Scheduler: jobs that the remaining workers cannot answer are refused at once

Jobs that miss their latest start are placed after all new arrivals, so in an overload most of them are never placed. Their wait is now estimated from the work ahead and the capacity that new arrivals leave, each tick (module backlog).

--- a/packages/core/cranberryshore/pool/scheduler.py
+++ b/packages/core/cranberryshore/pool/scheduler.py
@@ -9,6 +9,7 @@
 import attrs
 
 from cranberryshore.pool import adoption, refusing
+from cranberryshore.pool.backlog import Backlog
 from cranberryshore.pool.config import PoolConfig
 from cranberryshore.pool.crashes import CrashHistory
 from cranberryshore.pool.effects import (
@@ -31,7 +32,7 @@
 from cranberryshore.pool.job_summary import summarize_job
 from cranberryshore.pool.loss_tracking import LossTracker
 from cranberryshore.pool.placing import Placer
-from cranberryshore.pool.refusing import RESUMED_JOB_WAIT_SECONDS
+from cranberryshore.pool.refusing import RESUMED_JOB_WAIT_SECONDS, VERIFICATION_SECONDS
 from cranberryshore.pool.run_registry import RunRegistry
 from cranberryshore.pool.run_statistics import RunStatistics
 from cranberryshore.pool.start_rights import (
@@ -94,6 +95,7 @@
     acquiring_since: float = float("-inf")
     placer: Placer = attrs.field(init=False)
     losses: LossTracker = attrs.field(init=False)
+    backlog: Backlog = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
         self.placer = Placer(
@@ -105,6 +107,7 @@
             self.effects,
         )
         self.losses = LossTracker(self.crashes, self.placer.isolation, self.effects)
+        self.backlog = Backlog(self.workers, self.statistics, self.crashes)
 
     def take_effects(self) -> list[PoolEffect]:
         """Place waiting tasks if the state has changed, and pop the pending effects."""
@@ -159,6 +162,7 @@
             return
         if request.is_resumed:
             self._delay_until_verified(job, exposed_workers, now)
+        self.backlog.record_arrival(job, queue.service, now)
         self.placer.waiting.update(job, now)
         self.changed_at = now
 
@@ -446,6 +450,7 @@
             self.placer.place_jobs(self.config, now)
         for job in list(self.jobs.values()):
             self._check_deadline(job, now)
+        self._refuse_hopeless_jobs(now)
         self._request_polls(now)
         self.changed_at = now
 
@@ -476,6 +481,13 @@
             detail = "The job can no longer be answered in time."
             self._end_job(job, Outcome.REFUSED, detail, now, refusing.RETRY_AFTER_MS)
 
+    def _refuse_hopeless_jobs(self, now: float) -> None:
+        if now < self.acquiring_since + VERIFICATION_SECONDS:
+            return
+        detail = "The remaining workers cannot answer the job in time."
+        for job in self.backlog.find_hopeless_jobs(self.placer.waiting, self.config, now):
+            self._end_job(job, Outcome.REFUSED, detail, now, refusing.RETRY_AFTER_MS)
+
     def _service_workers(self, job: PoolJob) -> Iterable[HeldWorker]:
         queue = job.request.queue_in(self.config)
         if queue is None:
