--- a/packages/proof/cranberryshore_proof/pool_workers.py
+++ b/packages/proof/cranberryshore_proof/pool_workers.py
@@ -24,6 +24,9 @@
 LATE_DELAY_RANGE_SECONDS = (2.0, 12.0)
 MAX_LEASE_MS = 1000
 
+RESIZE_SECONDS = 4.5
+"""Time in which a scheduler must know of a smaller capacity: 3 s and one report of a worker."""
+
 CALL_SECONDS = 1.5e-4
 """Processor time of a caller to send a request, and to handle the response."""
 
@@ -45,6 +48,8 @@
     ----------
     born : int
         Start identifier, which changes with each restart.
+    former_rooms : list
+        Earlier capacities, with the times at which they were replaced.
     refuses : bool
         Whether new connections are refused, as after a crash or behind a partition with resets.
     is_replaced : bool
@@ -64,6 +69,7 @@
     on_start: Callable[["ModelWorker", RunKey], None]
     on_end: Callable[["ModelWorker", RunKey, EndKind], None] | None = None
     born: int = 1
+    former_rooms: list[tuple[float, int]] = attrs.field(factory=list)
     is_down: bool = False
     refuses: bool = False
     is_replaced: bool = False
@@ -80,6 +86,16 @@
         """Return the millicores allocated to runs."""
         return sum(run.demand for run in self.runs.values())
 
+    def resize(self, millicores: int, now: float) -> None:
+        """Change the capacity, which the next registration shows."""
+        self.former_rooms.append((now, self.millicores))
+        self.millicores = millicores
+
+    def allowed_millicores(self, now: float) -> int:
+        """Return how much may be in use when a run starts now."""
+        former = [room for at, room in self.former_rooms if now < at + RESIZE_SECONDS]
+        return max(self.millicores, *former, 0)
+
     def end_due_runs(self, now: float) -> None:
         """End the finished runs, and all runs if the lease has expired."""
         for key, run in sorted(self.runs.items(), key=lambda item: item[1].ends_at):
