Soak: tasks crash workers, which return, and rooms shrink and grow

A crashed worker refuses connections for 3 s and returns under its own name or another one; six in a hundred jobs have a task that does so. Checked from what workers see: starts after three crashes, tasks given up without two crashes, and starts beyond the capacity of 4.5 s ago.

--- a/packages/soak/cranberryshore_soak/callers.py
+++ b/packages/soak/cranberryshore_soak/callers.py
@@ -11,6 +11,7 @@
 from cranberryshore.pool import QueueSpec, StepSpec, WorkRequest
 from cranberryshore.work import Capacity
 from cranberryshore_platform.tests import platform_api
+from cranberryshore_proof.pool_crashes import CrashModel
 from cranberryshore_soak.history import History
 from cranberryshore_soak.processes import DaemonProcess
 from cranberryshored.loop_lag import LoopLag
@@ -30,6 +31,12 @@
 
 UNHEALTHY_THRESHOLD = 2
 EARLY_DISCONNECT_SHARE = 0.05
+
+DEADLY_SHARE = 0.06
+"""Share of the jobs with a task that crashes each worker that starts it."""
+
+DEADLY_BUDGET_SECONDS = 8.0
+"""Time limit of such a job, so that the task could be started many times."""
 OK_STATUS, REFUSED_STATUSES, UNKNOWN_OUTCOME_STATUSES = 200, {429, 503}, {502, 504}
 
 
@@ -104,6 +111,7 @@
     is_completed: bool = False
     disconnects_early: bool = False
     may_have_run: bool = False
+    budget_seconds: float = BUDGET_SECONDS
 
 
 @attrs.define(eq=False)
@@ -114,6 +122,8 @@
     ----------
     jobs : dict
         All jobs by id; model workers read demands and durations from it.
+    deadly_share : float
+        Share of the jobs with a task that crashes its workers.
     task_counts : tuple of int
         Numbers of tasks to choose from for a job.
     """
@@ -123,6 +133,8 @@
     history: History
     random: Random
     lag: LoopLag
+    crash_model: CrashModel
+    deadly_share: float = DEADLY_SHARE
     jobs: dict[str, SoakJob] = attrs.field(factory=dict)
     task_counts: tuple[int, ...] = (1, 2, 4, 8)
 
@@ -143,6 +155,9 @@
             time.monotonic(),
             disconnects_early=self.random.random() < EARLY_DISCONNECT_SHARE,
         )
+        if self.crash_model.random.random() < self.deadly_share:
+            self.crash_model.deadly_tasks.add(f"{job.id}.0.0.0")
+            job.budget_seconds, job.disconnects_early = DEADLY_BUDGET_SECONDS, False
         self.jobs[job.id] = job
         return job
 
@@ -162,7 +177,7 @@
         self, session: ClientSession, daemon: DaemonProcess, job: SoakJob
     ) -> DaemonProcess:
         """Submit a job until it is answered; return the instance for the next job."""
-        while (left := job.begun_at + BUDGET_SECONDS - time.monotonic()) > 0.05:
+        while (left := job.begun_at + job.budget_seconds - time.monotonic()) > 0.05:
             try:
                 async with asyncio.timeout(left / 4 if job.disconnects_early else None):
                     answer = await self._submit(session, daemon, job, left)
@@ -173,6 +188,8 @@
                 daemon = self.balancer.choose()
             elif answer.status not in UNKNOWN_OUTCOME_STATUSES:
                 job.status, job.is_completed = answer.status, answer.is_completed
+                if answer.crashing_task:
+                    self.crash_model.check_given_up(answer.crashing_task)
                 self._check_answer(job)
                 return daemon
             job.may_have_run = True
@@ -206,7 +223,7 @@
         slack = UNREAD_REQUEST_SECONDS + self.lag.max_seconds
         if waited <= slack or daemon.was_signalled(sent_at - 0.5, {SIGKILL}):
             return
-        if daemon.was_signalled(sent_at - BUDGET_SECONDS, {SIGSTOP}):
+        if daemon.was_signalled(sent_at - job.budget_seconds, {SIGSTOP}):
             return
         if daemon.paused_until > sent_at:
             return
--- a/packages/soak/cranberryshore_soak/cluster.py
+++ b/packages/soak/cranberryshore_soak/cluster.py
@@ -11,6 +11,7 @@
 from cranberryshore.pool import QueueSpec
 from cranberryshore_platform.tests import platform_api
 from cranberryshore_platform.tests.standin import StandIn, free_addresses
+from cranberryshore_proof.pool_crashes import CrashModel
 from cranberryshore_proof.pool_workers import ModelWorker
 from cranberryshore_soak.callers import Balancer, Callers
 from cranberryshore_soak.config_probe import ConfigProbe
@@ -60,6 +61,8 @@
     balancer: Balancer = attrs.field(init=False)
     callers: Callers = attrs.field(init=False)
     config_probe: ConfigProbe = attrs.field(init=False)
+    crash_model: CrashModel = attrs.field(init=False)
+    restorations: set[asyncio.Task] = attrs.field(factory=set)
     folder: tempfile.TemporaryDirectory = attrs.field(factory=tempfile.TemporaryDirectory)
     link_faults: LinkFaults = attrs.field(factory=LinkFaults)
     socket_owners: SocketOwners = attrs.field(factory=SocketOwners)
@@ -77,8 +80,15 @@
     def __attrs_post_init__(self) -> None:
         self.random = Random(self.plan.seed)
         self.balancer = Balancer(self.daemons, Random(self.plan.seed + 1))
+        self.crash_model = CrashModel(Random(self.plan.seed + 6), self, self.history.report)
+        self.history.crash_model = self.crash_model
         self.callers = Callers(
-            self.balancer, QUEUE, self.history, Random(self.plan.seed + 2), self.lag
+            self.balancer,
+            QUEUE,
+            self.history,
+            Random(self.plan.seed + 2),
+            self.lag,
+            self.crash_model,
         )
         self.config_probe = ConfigProbe(
             self.daemons, QUEUE.host, self.history, Random(self.plan.seed + 5)
@@ -193,6 +203,56 @@
         self.register(worker)
         return worker
 
+    def worker_crashed(self, worker: ModelWorker) -> None:
+        """See :class:`CrashHost`."""
+        self.history.record_event(f"  {worker.name} crashes under a task")
+        self.history.record_disturbance()
+        worker.is_down = True
+        self.proxies[worker.name].refuse()
+
+    def worker_returns(self, worker: ModelWorker, is_renamed: bool) -> None:
+        """See :class:`CrashHost`."""
+        task = asyncio.ensure_future(self._restore_worker(worker, is_renamed))
+        self.restorations.add(task)
+        task.add_done_callback(self.restorations.discard)
+
+    async def _restore_worker(self, model: ModelWorker, is_renamed: bool) -> None:
+        proxy, worker = self.proxies[model.name], self.workers.get(model.name)
+        if worker is None:
+            # The worker was to leave, and has left meanwhile.
+            return
+        self.history.record_disturbance()
+        if is_renamed:
+            self._rename(worker)
+        else:
+            model.is_down = False
+        await proxy.restore()
+
+    def _rename(self, worker: SoakWorker) -> None:
+        """Let a new worker process take the place of a crashed one under another name."""
+        former = worker.model
+        self.unregister(worker)
+        del self.workers[former.name]
+        worker.model = ModelWorker(
+            f"w{len(self.history.workers)}",
+            former.zone,
+            former.millicores,
+            former.run_seconds,
+            former.on_start,
+            former.on_end,
+        )
+        name = worker.proxy.name = worker.model.name
+        worker.http_server.model = worker.model
+        self.proxies[name] = self.proxies.pop(former.name)
+        self.workers[name] = worker
+        self.history.workers[name] = worker.model
+        self.register(worker)
+
+    def resize(self, worker: SoakWorker, millicores: int) -> None:
+        """Change the capacity of a worker, and register it."""
+        worker.model.resize(millicores, asyncio.get_running_loop().time())
+        self.register(worker, worker.model.name in self.history.draining)
+
     def register(self, worker: SoakWorker, is_draining: bool = False) -> None:
         """Write a worker's registration to the store."""
         value = platform_api.encode_worker(worker.model, worker.proxy.address, SERVICE, is_draining)
--- a/packages/soak/cranberryshore_soak/fault_injection.py
+++ b/packages/soak/cranberryshore_soak/fault_injection.py
@@ -33,6 +33,12 @@
 CONFIG_INTERVAL_SECONDS = (0.2, 3.0)
 """Range of the time between two changes of the configuration, besides those that are faults."""
 
+RESIZE_INTERVAL_SECONDS = (0.5, 2.5)
+"""Range of the time between two changes of the capacity of a worker."""
+
+FULL_ROOM = 4000
+"""Millicores of each worker without such a change."""
+
 AFFECTED_CALL_SHARE = 0.15
 MAX_REREGISTRATION_SECONDS = 2.0
 
@@ -54,7 +60,10 @@
 
     async def run(self, seconds: float) -> None:
         """Start faults for some time, then wait until all have ended."""
-        changes = asyncio.create_task(self._change_configs())
+        changes = [
+            asyncio.create_task(self._change_configs()),
+            asyncio.create_task(self._resize_workers()),
+        ]
         end = time.monotonic() + seconds
         faults_by_name = self.faults_by_name()
         while time.monotonic() < end:
@@ -64,7 +73,10 @@
             self.cluster.history.record_event(f"{name} for {length:.2f} s")
             self.tasks.add(asyncio.create_task(self._inject(faults_by_name[name], length)))
         await asyncio.gather(*self.tasks)
-        changes.cancel()
+        for task in changes:
+            task.cancel()
+        for worker in self.cluster.workers.values():
+            self.cluster.resize(worker, FULL_ROOM)
 
     @property
     def disturbances(self) -> Disturbances:
@@ -77,6 +89,15 @@
             await asyncio.sleep(random.uniform(*CONFIG_INTERVAL_SECONDS))
             self._change_config(random)
 
+    async def _resize_workers(self) -> None:
+        random = Random(self.cluster.plan.seed + 7)
+        while True:
+            await asyncio.sleep(random.uniform(*RESIZE_INTERVAL_SECONDS))
+            worker = self.cluster.workers[random.choice(sorted(self.cluster.workers))]
+            room = random.choice((0, 900, 2000, FULL_ROOM, FULL_ROOM))
+            self.cluster.history.record_event(f"  {worker.model.name} has {room} millicores")
+            self.cluster.resize(worker, room)
+
     def faults_by_name(self) -> dict[str, Fault]:
         """Return the methods that inject faults, by name of the fault."""
         return {
@@ -310,6 +331,7 @@
     async def _worker_crash(self, length: float) -> None:
         """Crash a worker, which later restarts under the same name."""
         worker = self._choose_worker()
+        self.cluster.crash_model.record_crash(worker.model, is_injected=True)
         worker.model.crash()
         worker.model.is_down = True
         await asyncio.sleep(length)
--- a/packages/soak/cranberryshore_soak/history.py
+++ b/packages/soak/cranberryshore_soak/history.py
@@ -7,6 +7,7 @@
 import attrs
 
 from cranberryshore.pool import EndKind, RunKey
+from cranberryshore_proof.pool_crashes import CrashModel
 from cranberryshore_proof.pool_workers import ModelWorker
 
 DRAIN_TIMEOUT_SECONDS = 3.0
@@ -57,6 +58,7 @@
     draining: dict[str, float] = attrs.field(factory=dict)
     begun_at: float = attrs.field(factory=time.monotonic)
     disturbed_at: float = 0.0
+    crash_model: CrashModel | None = None
     on_violation: Callable[[], None] | None = None
 
     def record_event(self, text: str) -> None:
@@ -77,7 +79,9 @@
         now = asyncio.get_running_loop().time()
         job = job_of(key[0])
         self.started.add(job)
-        if worker.used() > worker.millicores:
+        if self.crash_model is not None:
+            self.crash_model.task_started(worker, key)
+        if worker.used() > worker.allowed_millicores(now):
             self.report(f"{worker.name} exceeds its capacity: {sorted(worker.runs)}")
         if job in self.refused:
             self.report(f"{key[0]} starts on {worker.name} although its job was refused")
--- a/packages/soak/cranberryshore_soak/proxy.py
+++ b/packages/soak/cranberryshore_soak/proxy.py
@@ -108,6 +108,17 @@
         host, port = self.server.sockets[0].getsockname()
         self.address = f"{host}:{port}"
 
+    def refuse(self) -> None:
+        """Stop listening and reset all connections, as a process does that crashes."""
+        self.server.close()
+        for connection in list(self.connections):
+            connection.reset()
+
+    async def restore(self) -> None:
+        """Listen at the same address again."""
+        host, port = self.address.split(":")
+        self.server = await asyncio.start_server(self._serve, host, int(port), reuse_address=True)
+
     async def close(self) -> None:
         """Stop listening, heal all links and reset all connections."""
         self.server.close()
