--- a/packages/proof/cranberryshore_proof/tests/test_divided_pool.py
+++ b/packages/proof/cranberryshore_proof/tests/test_divided_pool.py
@@ -6,8 +6,9 @@
 
 import structlog
 
-from cranberryshore.pool import division, group
-from cranberryshore_proof.pool_deployment import PoolDeployment
+from cranberryshore.pool import Outcome, division, group
+from cranberryshore_proof.pool_crashes import MAX_CRASHES
+from cranberryshore_proof.pool_deployment import PoolDeployment, SimulatedJob
 from cranberryshore_proof.pool_play import PoolSimulation
 from cranberryshore_proof.virtual_loop import run_virtual
 
@@ -117,6 +118,33 @@
 
         self.play(restart, worker_count=3)
 
+    def test_crashes_are_forgotten_in_another_zone(self):
+        # The entry instance dies, and the caller submits the job again in another zone.
+        async def run() -> None:
+            deployment = PoolDeployment(7, ZONES, WORKER_COUNT, budget_ms=12_000)
+            await deployment.start()
+            job = SimulatedJob("00000000000000ff", deployment.now())
+            task = f"{job.id}.0.0.0"
+            deployment.demands[job.id], deployment.seconds[job.id] = 1000, 0.9
+            deployment.crash_model.deadly_tasks.add(task)
+            self.assertEqual((ZONES[0], schedulers(deployment)["a"]), ("a", "a"))
+            caller = asyncio.ensure_future(deployment.call(0, job, 2))
+            while task not in deployment.crash_model.crashed:
+                await asyncio.sleep(0.005)
+            await asyncio.sleep(0.05)
+            others = {daemon.settings.zone: daemon for daemon in deployment.daemons.values()}
+            self.assertTrue(all(item.crashes.is_suspect(task) for item in others.values()))
+            for number, zone in enumerate(ZONES):
+                if zone == "a":
+                    deployment.kill(number)
+            await caller
+            self.assertEqual(job.answers[-1], Outcome.FAILED)
+            # Nobody is left who would prove the crash of the first worker.
+            self.assertLessEqual(len(deployment.crash_model.crashed[task]), MAX_CRASHES)
+            self.assertEqual(deployment.faults, [])
+
+        run_virtual(run())
+
     def test_random_faults(self):
         for seed in (1, 2, 3):
             result = run_virtual(PoolSimulation(PoolDeployment(seed, ZONES, WORKER_COUNT)).run())
