Daemons: one value that no message can carry takes no instance down

A job with an estimate of 1e300 ms, or a time limit of thirty digits, was accepted. Its submission could not be encoded, and the error dropped the whole batch, with the heartbeats, again with each resend: the instance was lost to its scheduler for good. An error while a message was handled ended the receipt of all further ones, and one in a periodic task ended the task.

The transport drops just the message that cannot be encoded, and logs it; errors while a message is handled, or in one step of a periodic task, are logged and the process goes on.

--- a/packages/daemon/cranberryshored/peers/tests/test_transport.py
+++ b/packages/daemon/cranberryshored/peers/tests/test_transport.py
@@ -63,6 +63,39 @@
             await asyncio.sleep(0)
         self.assertEqual(len(self.inbox), 40)
 
+    async def test_message_that_cannot_be_encoded_takes_others_along(self):
+        # Heartbeats are sent in the same batches.
+        self.addAsyncCleanup(self.two.close)
+        self.addAsyncCleanup(self.one.close)
+        address = f"{HOST}:{self.ports[1]}"
+        self.one.send(address, "two", Leave())
+        self.one.send(address, "two", PeerCall(2**70, "x", "JobQuery", b""))
+        self.one.send(address, "two", Leave())
+        async with asyncio.timeout(5):
+            while len(self.inbox) < 2:
+                await asyncio.sleep(0.01)
+
+    async def test_message_that_cannot_be_handled_ends_the_receipt(self):
+        self.addAsyncCleanup(self.two.close)
+        self.addAsyncCleanup(self.one.close)
+        handled = []
+
+        def deliver(sender, message):
+            handled.append(message)
+            if len(handled) == 1:
+                raise KeyError(sender)
+
+        self.two.deliver = deliver
+        address = f"{HOST}:{self.ports[1]}"
+        self.one.send(address, "two", Leave())
+        self.one.send(address, "two", Leave())
+        async with asyncio.timeout(5):
+            while len(handled) < 2:
+                await asyncio.sleep(0.01)
+            self.one.send(address, "two", Leave())
+            while len(handled) < 3:
+                await asyncio.sleep(0.01)
+
     async def test_closes_while_messages_stream_in(self):
         # Regression: pynng's arecv lost a cancellation when a message arrived at the same moment,
         # so the receive loop continued and a leaving daemon never exited.
--- a/packages/daemon/cranberryshored/pool/entry_service.py
+++ b/packages/daemon/cranberryshored/pool/entry_service.py
@@ -11,7 +11,7 @@
 from cranberryshore.pool.refusing import RETRY_AFTER_MS
 from cranberryshored.metrics import Metrics
 from cranberryshored.pool.clock import now
-from cranberryshored.tasks import cancel_tasks, start_task
+from cranberryshored.tasks import cancel_tasks, failures_logged, start_task
 
 TICK_SECONDS = 0.05
 """Interval of the checks for jobs that no scheduler has accepted or answered."""
@@ -229,16 +229,21 @@
     async def _run(self) -> None:
         while True:
             await asyncio.sleep(TICK_SECONDS)
-            self.scheduler_changed()
+            with failures_logged(self.log, "submission"):
+                self.scheduler_changed()
             moment = now()
             for job in list(self.pending.values()):
-                if not job.sent_to and moment > job.expires_at():
-                    outcome = Outcome.GIVEN_UP if job.may_have_run else Outcome.REFUSED
-                    self._give_up(job, outcome, "No instance schedules the pool now.")
-                # A scheduler ends the job when its budget is used up; its message gets 0.2 s more.
-                elif moment > job.arrived_at + job.request.budget_ms / 1000 + 0.2:
-                    self.scheduler_client.cancel(job.request.id)
-                    self._give_up(job, Outcome.GIVEN_UP, "The scheduler has not answered.")
+                with failures_logged(self.log, "deadline", job=job.request.id):
+                    self._check_deadline(job, moment)
+
+    def _check_deadline(self, job: PendingJob, moment: float) -> None:
+        if not job.sent_to and moment > job.expires_at():
+            outcome = Outcome.GIVEN_UP if job.may_have_run else Outcome.REFUSED
+            self._give_up(job, outcome, "No instance schedules the pool now.")
+        # A scheduler ends the job when its budget is used up; its message gets 0.2 s more.
+        elif moment > job.arrived_at + job.request.budget_ms / 1000 + 0.2:
+            self.scheduler_client.cancel(job.request.id)
+            self._give_up(job, Outcome.GIVEN_UP, "The scheduler has not answered.")
 
     def _give_up(self, job: PendingJob, outcome: Outcome, detail: str) -> None:
         del self.pending[job.request.id]
--- a/packages/daemon/cranberryshored/pool/exchange.py
+++ b/packages/daemon/cranberryshored/pool/exchange.py
@@ -36,7 +36,7 @@
 from cranberryshored.pool.clock import now, unix_ms
 from cranberryshored.pool.documents import DocumentExchange
 from cranberryshored.pool.protocols import ExchangeListener, NumberedMessage
-from cranberryshored.tasks import cancel_tasks, start_task
+from cranberryshored.tasks import cancel_tasks, failures_logged, start_task
 from cranberryshored.transport import Transport
 
 BEAT_SECONDS = 0.15
@@ -446,7 +446,8 @@
                 self._handle_stall(moment)
             self.beat_at = moment
             self.rounds += 1
-            self._run_round(moment)
+            with failures_logged(self.log, "round"):
+                self._run_round(moment)
             self.metrics.live_peers.set(len(self.group.live(moment)))
             self.metrics.config_age.set(self.listener.config_confirmation().age(moment))
 
--- a/packages/daemon/cranberryshored/pool/scheduling.py
+++ b/packages/daemon/cranberryshored/pool/scheduling.py
@@ -29,7 +29,7 @@
 from cranberryshored.pool.clock import BaseTimeout, TokenSource, now
 from cranberryshored.pool.protocols import WorkerCalls
 from cranberryshored.pool.worker_channel import WorkerChannel
-from cranberryshored.tasks import cancel_tasks, start_task
+from cranberryshored.tasks import cancel_tasks, failures_logged, start_task
 
 STALL_SECONDS = 0.45
 """Time without a tick after which this process counts as stalled. Other instances take over after
@@ -313,7 +313,8 @@
             if now() - self.last_tick_at <= STALL_SECONDS:
                 self.last_tick_at = now()
             self.base_timeout.record_lag(max(now() - planned, 0.0))
-            self.scheduler.tick(now())
+            with failures_logged(self.log, "tick"):
+                self.scheduler.tick(now())
             self.metrics.queued_tasks.set(self.scheduler.waiting_tasks())
             self.metrics.open_workers.set(self.held_count())
             self.apply_effects_soon()
--- a/packages/daemon/cranberryshored/pool/tests/test_entry_service.py
+++ b/packages/daemon/cranberryshored/pool/tests/test_entry_service.py
@@ -138,3 +138,27 @@
         self.service.job_ended(JobEnded("", "j", Outcome.DROPPED), "first")
         self.service.job_ended(JobEnded("", "j", Outcome.REFUSED), "first")
         self.assertIs((await self.caller).outcome, Outcome.GIVEN_UP)
+
+
+class UnexpectedErrorTest(IsolatedAsyncioTestCase):
+    async def test_error_in_one_job_ends_the_checks_of_all(self):
+        structlog.configure(wrapper_class=structlog.make_filtering_bound_logger(logging.CRITICAL))
+        CLOCKS.steady, CLOCKS.unix = Clocks().steady, Clocks().unix
+        client = RecordingClient()
+        cancelled = []
+
+        def cancel(job):
+            cancelled.append(job)
+            if len(cancelled) == 1:
+                raise KeyError(job)
+
+        client.cancel = cancel
+        service = EntryService(client, Metrics(), make_logger("entry"))
+        await service.start()
+        self.addAsyncCleanup(service.close)
+        step = StepSpec(1, Capacity(1000, 10), 100)
+        requests = [WorkRequest(name, "q", "", (step,), 50) for name in ("one", "two")]
+        ends = await asyncio.wait_for(
+            asyncio.gather(*(service.submit(request, QUEUE) for request in requests)), 3
+        )
+        self.assertEqual([end.outcome for end in ends], [Outcome.GIVEN_UP] * 2)
--- a/packages/daemon/cranberryshored/tasks.py
+++ b/packages/daemon/cranberryshored/tasks.py
@@ -1,7 +1,8 @@
 """Starting background tasks with failure logging, and cancelling them."""
 
 import asyncio
-from collections.abc import Coroutine, Iterable
+from collections.abc import Coroutine, Iterable, Iterator
+from contextlib import contextmanager
 
 from structlog.typing import FilteringBoundLogger
 
@@ -35,6 +36,15 @@
     return task
 
 
+@contextmanager
+def failures_logged(log: FilteringBoundLogger, work: str, **context: object) -> Iterator[None]:
+    """Log an unexpected error of one step, so that it does not end the task that repeats it."""
+    try:
+        yield
+    except Exception as error:
+        log.error("Unexpected error; going on.", work=work, error=repr(error), **context)
+
+
 async def cancel_tasks(tasks: Iterable[asyncio.Task | None]) -> None:
     """Cancel tasks and wait until they have ended, ignoring their exceptions."""
     running = [task for task in tasks if task is not None]
--- a/packages/daemon/cranberryshored/transport.py
+++ b/packages/daemon/cranberryshored/transport.py
@@ -11,7 +11,7 @@
 from cranberryshore.messages import PeerMessage, decode_envelope, decode_message, encode_envelope
 from cranberryshore.timeline import EventRecorder
 from cranberryshored.metrics import Metrics
-from cranberryshored.tasks import cancel_tasks, start_task
+from cranberryshored.tasks import cancel_tasks, failures_logged, start_task
 
 SEND_BUFFER_MESSAGES = 256
 RECEIVE_BUFFER_MESSAGES = 1024
@@ -44,6 +44,10 @@
         ...
 
 
+ENCODING_ERRORS = (OverflowError, TypeError, ValueError)
+"""Errors of the codec for values that it has no representation for, such as large integers."""
+
+
 @attrs.define(eq=False)
 class PeerTransport:
     """Sends typed messages to peers and hands received ones to ``deliver``.
@@ -121,8 +125,22 @@
     def _flush(self) -> None:
         outbox, self.outbox = self.outbox, {}
         for (address, target), messages in outbox.items():
-            data = encode_envelope(self.own(), target, self.recorder.clock.latest, messages)
-            self._send_envelope(address, data)
+            data = self._encode(target, messages)
+            if data is not None:
+                self._send_envelope(address, data)
+
+    def _encode(self, target: str, messages: list[PeerMessage]) -> bytes | None:
+        """Encode messages for a peer, without those that cannot be encoded."""
+        stamp = self.recorder.clock.latest
+        try:
+            return encode_envelope(self.own(), target, stamp, messages)
+        except ENCODING_ERRORS as error:
+            if len(messages) == 1:
+                kind = type(messages[0]).__name__
+                self.log.error("Dropped a message to a peer.", kind=kind, error=repr(error))
+                return None
+        encodable = [item for item in messages if self._encode(target, [item]) is not None]
+        return encode_envelope(self.own(), target, stamp, encodable) if encodable else None
 
     def _send_envelope(self, address: str, data: bytes) -> None:
         push_socket = self.push_sockets.get(address)
@@ -184,4 +202,5 @@
             if message is None:
                 self.log.warning("Ignored a malformed message.", kind=part.kind)
             else:
-                self.deliver(envelope.sender, message)
+                with failures_logged(self.log, "deliver", kind=part.kind, sender=envelope.sender):
+                    self.deliver(envelope.sender, message)
