Scheduler: a queue that crashes workers is confined to half of them

With five crashing jobs a second, the first starts alone kept most workers of a service down, and all queues lost by it. A queue under whose tasks an eighth of the workers was lost in the last 3 s, one after another, is now started on half of the workers only; workers lost at the same time do not count.

--- a/packages/core/cranberryshore/pool/isolation.py
+++ b/packages/core/cranberryshore/pool/isolation.py
@@ -7,9 +7,11 @@
 """
 
 from collections.abc import Iterable
+from zlib import crc32
 
 import attrs
 
+from cranberryshore.pool.crashes import MIN_SIMULTANEOUS_WORKERS, SIMULTANEOUS_SECONDS
 from cranberryshore.pool.held_worker import HeldWorker, HoldState
 from cranberryshore.pool.run_registry import RunRegistry
 from cranberryshore.pool.run_statistics import RunStatistics
@@ -20,6 +22,13 @@
 RECOVERY_SECONDS = 3.0
 """Time in which a crashed worker is back."""
 
+CONFINING_SHARE = 8
+"""A queue is confined while one in so many workers of a service, at least two, are lost under its
+tasks."""
+
+MIN_DIVIDED_WORKERS = 8
+"""Number of workers of a service below which no queue is confined."""
+
 LONG_RUN_SECONDS = 0.5
 """Expected run time from which a run is too much to lose beside a suspect."""
 
@@ -32,16 +41,52 @@
     ----------
     losses : list
         Service and time of the loss of each worker that ran a suspect, for the last seconds.
+    queue_losses : list
+        Queue, its share in the loss of a worker, and time of the loss, for the last seconds.
+    recent : list
+        Time and worker of the latest losses, which may have a common cause.
     """
 
     registry: RunRegistry
     statistics: RunStatistics
     losses: list[tuple[str, float]] = attrs.field(factory=list)
+    queue_losses: list[tuple[str, float, float]] = attrs.field(factory=list)
+    recent: list[tuple[float, str]] = attrs.field(factory=list)
 
     def worker_lost(self, worker: HeldWorker, now: float) -> None:
         """Record that a worker was lost."""
         if worker.isolated_runs:
             self.losses.append((worker.service, now))
+            return
+        self.recent = [item for item in self.recent if now <= item[0] + SIMULTANEOUS_SECONDS]
+        self.recent.append((now, worker.name))
+        if len({name for _, name in self.recent}) >= MIN_SIMULTANEOUS_WORKERS:
+            # A rack or a zone was lost, which says nothing about the queues.
+            since = self.recent[0][0]
+            self.queue_losses = [item for item in self.queue_losses if item[2] < since]
+            return
+        queues = {
+            self.registry.tasks_by_run[key][0].request.queue
+            for key in worker.runs
+            if key in self.registry.tasks_by_run
+        }
+        self.queue_losses += [(queue, 1 / len(queues), now) for queue in queues]
+
+    def confined_workers(
+        self, queue: str, service: str, workers: Iterable[HeldWorker], now: float
+    ) -> frozenset[str] | None:
+        """Return the workers on which tasks of a queue may be started; ``None`` for all.
+
+        A queue that crashes workers keeps half of them, so that others can use the rest.
+        """
+        if not self.queue_losses:
+            return None
+        self.queue_losses = [item for item in self.queue_losses if now < item[2] + RECOVERY_SECONDS]
+        lost = sum(share for name, share, _ in self.queue_losses if name == queue)
+        names = [worker.name for worker in workers if worker.service == service]
+        if len(names) < MIN_DIVIDED_WORKERS or lost < max(2, len(names) / CONFINING_SHARE):
+            return None
+        return frozenset(name for name in names if crc32(name.encode()) % 2)
 
     def may_start(self, workers: Iterable[HeldWorker], service: str, now: float) -> bool:
         """Return whether another worker of a service may be exposed to a suspect."""
--- a/packages/core/cranberryshore/pool/placing.py
+++ b/packages/core/cranberryshore/pool/placing.py
@@ -142,15 +142,21 @@
         ``foreign`` are the tasks of which another scheduler has active runs.
         """
         usable = self.rights.usable_workers(job.entry)
+        confined = self.isolation.confined_workers(
+            job.request.queue, service, self.workers.values(), now
+        )
+        allowed = usable
+        if confined is not None:
+            allowed = confined if usable is None else usable & confined
         asked: set[str] = set()
         has_placed = False
         for task in job.startable_tasks():
             name = job.name_of(task)
             if name in foreign or self.registry.is_task_active(name):
                 continue
-            query = Query(job, task, service, usable, asked, now)
+            query = Query(job, task, service, allowed, asked, now)
             if self.crashes.is_suspect(name):
-                has_placed |= self._place_suspect(query)
+                has_placed |= self._place_suspect(attrs.evolve(query, usable=usable))
                 continue
             worker = self.index.select(query, is_ready=True)
             if worker is not None:
--- a/packages/core/cranberryshore/pool/tests/test_lost_workers.py
+++ b/packages/core/cranberryshore/pool/tests/test_lost_workers.py
@@ -6,7 +6,7 @@
 from cranberryshore.work import Capacity
 
 
-class LostWorkerTest(SchedulerTestCase):
+class LostWorkerTestCase(SchedulerTestCase):
     """Workers that stop to answer, with the runs on them."""
 
     def fail_polls(self, name: str) -> None:
@@ -27,17 +27,23 @@
         self.add_worker(name + "+")
         self.poll(name + "+")
 
-    def known(self, name: str):
-        """Poll the other workers, whose clocks must be known before a start."""
+    def poll_idle(self, name: str = "") -> None:
+        """Poll all workers but one, since their clocks must be known before a start."""
         for worker in sorted(self.scheduler.workers.values(), key=lambda item: item.name):
             if worker.state is HoldState.HELD and worker.name != name:
                 self.poll(worker.name, list(worker.runs))
+
+    def starts_after_polls(self, name: str) -> list:
+        """Poll the other workers and return the starts that follow."""
+        self.poll_idle(name)
         return self.starts()
 
+
+class LostWorkerTest(LostWorkerTestCase):
     def test_task_is_given_up_after_two_crashes(self):
         (first,) = self.submit()
         self.crash(first.worker)
-        (second,) = self.known(first.worker)
+        (second,) = self.starts_after_polls(first.worker)
         self.assertNotEqual(second.worker, first.worker)
         self.replace(first.worker)
         self.crash(second.worker)
@@ -60,7 +66,7 @@
             self.now += LEASE_EXPIRY_SECONDS + 0.01
             self.scheduler.tick(self.now)
             self.poll(worker.name)
-            self.known("")
+            self.starts_after_polls("")
         self.assertEqual(self.effects(JobEnded), [])
         self.assertFalse(self.scheduler.crashes.records())
 
@@ -87,7 +93,7 @@
     def test_nothing_is_started_beside_a_suspect(self):
         (start,) = self.submit()
         self.crash(start.worker)
-        (again,) = self.known(start.worker)
+        (again,) = self.starts_after_polls(start.worker)
         self.assertEqual(self.submit("k"), [])
         self.end(again, EndKind.DONE)
         self.assertEqual(len(self.starts()), 1)
@@ -99,9 +105,11 @@
         (start,) = self.submit("j")
         self.end(short, EndKind.DONE)
         self.crash(start.worker)
-        self.assertEqual(self.known(start.worker), [])
+        self.assertEqual(self.starts_after_polls(start.worker), [])
         self.end(long, EndKind.DONE)
-        self.assertEqual([run.worker for run in self.known(start.worker)], [long.worker])
+        self.assertEqual(
+            [run.worker for run in self.starts_after_polls(start.worker)], [long.worker]
+        )
 
     def test_workers_exposed_to_suspects_are_limited(self):
         for number in range(3, 9):
@@ -114,18 +122,18 @@
             self.now += 0.2
         self.now += LEASE_EXPIRY_SECONDS
         self.scheduler.tick(self.now)
-        (first,) = self.known("")
+        (first,) = self.starts_after_polls("")
         self.crash(first.worker)
-        self.assertEqual(self.known(""), [])
+        self.assertEqual(self.starts_after_polls(""), [])
         self.now += RECOVERY_SECONDS
-        self.assertEqual(len(self.known("")), 1)
+        self.assertEqual(len(self.starts_after_polls("")), 1)
 
     def test_run_on_a_worker_that_refuses_connections_waits_for_its_lease(self):
         # The worker may be alive behind a partition that resets connections.
         (start,) = self.submit()
         self.fail_polls(start.worker)
         self.scheduler.worker_refuses(start.worker, self.now)
-        self.assertEqual(self.known(start.worker), [])
+        self.assertEqual(self.starts_after_polls(start.worker), [])
 
     def test_worker_without_room_gets_nothing(self):
         worker = HeldWorker("w", "w", "z", "s", Capacity(2000, 1000), frozenset(), 1)
--- a/packages/proof/cranberryshore_proof/pool_mutate.py
+++ b/packages/proof/cranberryshore_proof/pool_mutate.py
@@ -46,6 +46,7 @@
 TEST_MODULES = (
     "cranberryshore.pool.tests.test_confirmation",
     "cranberryshore.pool.tests.test_crashes",
+    "cranberryshore.pool.tests.test_isolation",
     "cranberryshore.pool.tests.test_lost_workers",
     "cranberryshore.pool.tests.test_queue_versions",
     "cranberryshore.pool.tests.test_start_rights",
@@ -208,6 +209,9 @@
     PoolMutation("loss: tasks run beside suspects", HeldWorker, "is_available", _is_available),
     PoolMutation("loss: suspects run beside long work", Isolation, "is_suitable", _constant(True)),
     PoolMutation("loss: suspects run anywhere", Isolation, "may_start", _constant(True)),
+    PoolMutation(
+        "loss: a queue uses up all workers", Isolation, "confined_workers", _constant(None)
+    ),
     PoolMutation("loss: records are not sent", PeerExchange, "push_losses", _constant(None)),
     PoolMutation("loss: records are ignored", PoolDaemon, "handle_losses", _constant(None)),
 )
