Scheduler: a job that no worker has room for now may be tried again later

While all workers of a service had a smaller capacity, a job that fits them otherwise was refused without Retry-After, that is, for good. The largest capacity that a worker has had is kept, and decides whether coming back helps. test_job_is_refused_for_good_while_rooms_are_smaller failed before (0 instead of 1000 ms). Starts and stops under way count against a smaller room already, and nothing is started with a negative one: tests added, which held before.

--- a/packages/core/cranberryshore/pool/held_worker.py
+++ b/packages/core/cranberryshore/pool/held_worker.py
@@ -147,7 +147,9 @@
     Parameters
     ----------
     room : Capacity
-        Free capacity.
+        Free capacity; negative after the total has become smaller than what is in use.
+    largest : Capacity
+        Largest total that the worker has had, which it may have again.
     born : int
         Identifier of the current start of the worker process.
     last_seen : int
@@ -210,9 +212,10 @@
     polled_at: float = float("-inf")
     lost_at: float = float("-inf")
     room: Capacity = attrs.field(init=False)
+    largest: Capacity = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
-        self.room = self.total
+        self.room = self.largest = self.total
 
     def is_available(self) -> bool:
         """Return whether tasks may be placed on the worker."""
@@ -244,6 +247,7 @@
 
     def resize(self, total: Capacity) -> None:
         """Change the total capacity; active runs continue."""
+        self.largest = self.largest.largest(total)
         if total != self.total:
             self.room = self.room + total - self.total
             self.total = total
--- a/packages/core/cranberryshore/pool/refusing.py
+++ b/packages/core/cranberryshore/pool/refusing.py
@@ -9,6 +9,7 @@
 
 from cranberryshore.pool.held_worker import HeldWorker, HoldState
 from cranberryshore.pool.work import ANSWER_LATENCY_SECONDS, PoolJob
+from cranberryshore.work.capacity import Capacity
 
 RETRY_AFTER_MS = 1000
 """Retry delay for refused callers; load bursts last one to four seconds."""
@@ -54,3 +55,22 @@
     if now >= acquiring_since + VERIFICATION_SECONDS:
         return False
     return not members or any(worker.state is HoldState.ACQUIRING for worker in members)
+
+
+def fit_retry_ms(job: PoolJob, workers: Iterable[HeldWorker]) -> int | None:
+    """Return when a job may be tried again that no worker has room for, 0 for never.
+
+    ``None`` if its tasks fit, or if no worker of the service is known yet. A worker may have a
+    smaller capacity for a while.
+    """
+    demands = {step.demand for step in job.request.steps}
+    ever_too_large, is_any_known = demands, False
+    for worker in workers:
+        is_any_known = True
+        demands = {demand for demand in demands if not worker.total.holds(demand)}
+        if not demands:
+            return None
+        ever_too_large = {item for item in ever_too_large if not worker.largest.holds(item)}
+    if not is_any_known:
+        return None
+    return 0 if ever_too_large else RETRY_AFTER_MS
--- a/packages/core/cranberryshore/pool/scheduler.py
+++ b/packages/core/cranberryshore/pool/scheduler.py
@@ -151,8 +151,10 @@
             return
         job = PoolJob(request, entry, now - request.waited_ms / 1000, received_at=now)
         job.set_deadlines(queue, self.statistics.expected_seconds(job))
-        if not self._fits_any_worker(job):
-            self._refuse(request.id, entry, "No worker can hold a task of the job.", 0)
+        retry_after_ms = refusing.fit_retry_ms(job, self._service_workers(job))
+        if retry_after_ms is not None:
+            detail = "No worker can hold a task of the job."
+            self._refuse(request.id, entry, detail, retry_after_ms)
             return
         self.registry.restore_attempts(job)
         self.jobs[request.id] = job
@@ -202,17 +204,6 @@
             PollWorker(name) for name in self.verification.start_round(self.workers.values(), now)
         ]
 
-    def _fits_any_worker(self, job: PoolJob) -> bool:
-        demands = {step.demand for step in job.request.steps}
-        is_any_known = False
-        for worker in self._service_workers(job):
-            is_any_known = True
-            demands = {demand for demand in demands if not worker.total.holds(demand)}
-            if not demands:
-                return True
-        # The workers of the service may not be known yet.
-        return not is_any_known
-
     def cancel(self, job_id: str, entry: str, now: float) -> None:
         """Cancel a job whose caller has disconnected."""
         job = self.jobs.get(job_id)
--- a/packages/core/cranberryshore/pool/tests/test_lost_workers.py
+++ b/packages/core/cranberryshore/pool/tests/test_lost_workers.py
@@ -1,7 +1,16 @@
-from cranberryshore.pool import EndKind, HeldWorker, HoldState, JobEnded, Outcome, WorkerStatus
+from cranberryshore.pool import (
+    EndKind,
+    HeldWorker,
+    HoldState,
+    JobEnded,
+    Outcome,
+    StartRun,
+    WorkerStatus,
+)
 from cranberryshore.pool.held_worker import LEASE_EXPIRY_SECONDS
 from cranberryshore.pool.isolation import RECOVERY_SECONDS
 from cranberryshore.pool.job_failure import FailureCause
+from cranberryshore.pool.refusing import RETRY_AFTER_MS
 from cranberryshore.pool.tests.test_scheduler import SchedulerTestCase, request
 from cranberryshore.work import Capacity
 
@@ -135,6 +144,26 @@
         self.scheduler.worker_refuses(start.worker, self.now)
         self.assertEqual(self.starts_after_polls(start.worker), [])
 
+    def test_job_is_refused_for_good_while_rooms_are_smaller(self):
+        for name in ("w1", "w2"):
+            self.scheduler.relist(name, Capacity(500, 1000), frozenset(), is_draining=False)
+        self.scheduler.submit(request(), "e", self.now)
+        (end,) = self.effects(JobEnded)
+        self.assertEqual((end.outcome, end.retry_after_ms), (Outcome.REFUSED, RETRY_AFTER_MS))
+        self.scheduler.relist("w1", Capacity(2000, 1000), frozenset(), is_draining=False)
+        self.assertEqual(len(self.submit()), 1)
+
+    def test_room_that_shrinks_counts_starts_and_stops_under_way(self):
+        self.scheduler.submit(request(count=2), "e", self.now)
+        starts = self.effects(StartRun)
+        self.scheduler.cancel("j", "e", self.now)
+        for name in ("w1", "w2"):
+            self.scheduler.relist(name, Capacity(1000, 1000), frozenset(), is_draining=False)
+        worker = self.scheduler.workers[starts[0].worker]
+        self.assertEqual(worker.room.millicores, 1000 - sum(len(worker.runs) * [1000]))
+        others = [start.worker for start in self.submit("k", 4)]
+        self.assertNotIn(worker.name, others)
+
     def test_worker_without_room_gets_nothing(self):
         worker = HeldWorker("w", "w", "z", "s", Capacity(2000, 1000), frozenset(), 1)
         worker.add_run(("j.0.0.0", 1), Capacity(2000, 10), 0.0)
--- a/packages/core/cranberryshore/work/capacity.py
+++ b/packages/core/cranberryshore/work/capacity.py
@@ -73,6 +73,21 @@
             fits = min(fits, self.slots // demand.slots)
         return max(fits, 0)
 
+    def largest(self, other: "Capacity") -> "Capacity":
+        """Return the larger one of each component.
+
+        Examples
+        --------
+        >>> Capacity(1, 5).largest(Capacity(2, 4))
+        Capacity(millicores=2, memory_mb=5, accelerators=0, slots=0)
+        """
+        return Capacity(
+            max(self.millicores, other.millicores),
+            max(self.memory_mb, other.memory_mb),
+            max(self.accelerators, other.accelerators),
+            max(self.slots, other.slots),
+        )
+
     def clipped(self) -> "Capacity":
         """Return this amount with negative components set to zero."""
         return Capacity(
