--- a/packages/core/cranberryshore/pool/refusing.py
+++ b/packages/core/cranberryshore/pool/refusing.py
@@ -9,7 +9,6 @@
 
 from cranberryshore.pool.held_worker import HeldWorker, HoldState
 from cranberryshore.pool.work import ANSWER_LATENCY_SECONDS, PoolJob
-from cranberryshore.work.capacity import Capacity
 
 RETRY_AFTER_MS = 1000
 """Retry delay for refused callers; load bursts last one to four seconds."""
--- a/packages/core/cranberryshore/pool/scheduler.py
+++ b/packages/core/cranberryshore/pool/scheduler.py
@@ -12,6 +12,7 @@
 from cranberryshore.pool.backlog import Backlog
 from cranberryshore.pool.config import PoolConfig
 from cranberryshore.pool.crashes import CrashHistory
+from cranberryshore.pool.deadlines import DeadlinePolicy
 from cranberryshore.pool.effects import (
     JobEnded,
     PollWorker,
@@ -95,7 +96,7 @@
     acquiring_since: float = float("-inf")
     placer: Placer = attrs.field(init=False)
     losses: LossTracker = attrs.field(init=False)
-    backlog: Backlog = attrs.field(init=False)
+    deadlines: DeadlinePolicy = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
         self.placer = Placer(
@@ -107,7 +108,11 @@
             self.effects,
         )
         self.losses = LossTracker(self.crashes, self.placer.isolation, self.effects)
-        self.backlog = Backlog(self.workers, self.statistics, self.crashes)
+        self.deadlines = DeadlinePolicy(
+            self.workers,
+            self.statistics,
+            Backlog(self.workers, self.statistics, self.crashes),
+        )
 
     def take_effects(self) -> list[PoolEffect]:
         """Place waiting tasks if the state has changed, and pop the pending effects."""
@@ -151,7 +156,7 @@
             return
         job = PoolJob(request, entry, now - request.waited_ms / 1000, received_at=now)
         job.set_deadlines(queue, self.statistics.expected_seconds(job))
-        retry_after_ms = refusing.fit_retry_ms(job, self._service_workers(job))
+        retry_after_ms = refusing.fit_retry_ms(job, self.deadlines.workers_of(queue.service))
         if retry_after_ms is not None:
             detail = "No worker can hold a task of the job."
             self._refuse(request.id, entry, detail, retry_after_ms)
@@ -164,7 +169,7 @@
             return
         if request.is_resumed:
             self._delay_until_verified(job, exposed_workers, now)
-        self.backlog.record_arrival(job, queue.service, now)
+        self.deadlines.backlog.record_arrival(job, queue.service, now)
         self.placer.waiting.update(job, now)
         self.changed_at = now
 
@@ -339,23 +344,13 @@
 
     def _adopt_ends(self, job: PoolJob, workers: Iterable[HeldWorker], now: float) -> None:
         """Record the tasks of a job that have ended under another scheduler."""
-        for task, end in adoption.take_reported_ends(job, workers):
-            task.attempt = max(task.attempt, end.attempt)
-            if end.kind is EndKind.DONE and task.phase is TaskPhase.WAITING:
-                if not job.has_started:
-                    job.has_started, job.started_at = True, now
-                job.has_adopted_run = True
-                job.waiting_tasks -= 1
-                self._task_done(job, task, now)
+        for task in adoption.record_ends(job, workers, now):
+            self._task_done(job, task, now)
 
     def _adopt_run(self, worker: HeldWorker, key: RunKey, now: float) -> None:
         """Adopt a run that another scheduler has started, if its job was handed over."""
         job = self.jobs.get(adoption.job_id_of(key))
-        task = adoption.find_waiting_task(job, key) if job is not None else None
-        if task is not None and not self.registry.is_task_active(key[0]):
-            task.attempt = max(task.attempt, key[1])
-            self.registry.record_start(job, task, worker.name, key, now)
-            worker.adopt_run(key, job.step_of(task).demand, now)
+        if job is not None and adoption.adopt_run(job, worker, key, self.registry, now):
             if self.crashes.is_suspect(key[0]):
                 worker.isolated_runs.add(key)
             self.placer.worker_changed(worker)
@@ -439,9 +434,7 @@
         if self.changed_at is not None:
             # No job is refused while capacity for it is free.
             self.placer.place_jobs(self.config, now)
-        for job in list(self.jobs.values()):
-            self._check_deadline(job, now)
-        self._refuse_hopeless_jobs(now)
+        self._end_late_jobs(now)
         self._request_polls(now)
         self.changed_at = now
 
@@ -458,32 +451,17 @@
             ):
                 self._stop_run(worker.name, key, now)
 
-    def _check_deadline(self, job: PoolJob, now: float) -> None:
-        if job.has_started:
-            if now > job.deadline_at:
-                self._end_job(job, Outcome.GIVEN_UP, "The caller's time is over.", now)
-            return
-        earliest = refusing.earliest_start(job, now)
-        if not refusing.is_infeasible(job, self.statistics.expected_seconds(job), earliest):
-            return
-        is_useless = refusing.is_infeasible(job, 0.0, now)
-        members = self._service_workers(job)
-        if is_useless or not refusing.may_gain_worker(members, self.acquiring_since, now):
-            detail = "The job can no longer be answered in time."
-            self._end_job(job, Outcome.REFUSED, detail, now, refusing.RETRY_AFTER_MS)
-
-    def _refuse_hopeless_jobs(self, now: float) -> None:
-        if now < self.acquiring_since + VERIFICATION_SECONDS:
-            return
-        detail = "The remaining workers cannot answer the job in time."
-        for job in self.backlog.find_hopeless_jobs(self.placer.waiting, self.config, now):
-            self._end_job(job, Outcome.REFUSED, detail, now, refusing.RETRY_AFTER_MS)
-
-    def _service_workers(self, job: PoolJob) -> Iterable[HeldWorker]:
-        queue = job.request.queue_in(self.config)
-        if queue is None:
-            return ()
-        return (worker for worker in self.workers.values() if worker.service == queue.service)
+    def _end_late_jobs(self, now: float) -> None:
+        """End the jobs that cannot be answered any more."""
+        verdicts = self.deadlines.find_late_jobs(
+            self.jobs.values(), self.config, self.acquiring_since, now
+        )
+        if now >= self.acquiring_since + VERIFICATION_SECONDS:
+            ended = {verdict.job for verdict in verdicts}
+            waiting = [job for job in self.placer.waiting if job not in ended]
+            verdicts += self.deadlines.find_hopeless_jobs(waiting, self.config, now)
+        for verdict in verdicts:
+            self._end_job(verdict.job, verdict.outcome, verdict.detail, now, verdict.retry_after_ms)
 
     def _stop_run(self, name: str, key: RunKey, now: float) -> None:
         worker = self.workers.get(name)
