--- a/packages/core/cranberryshore/timeline/log_records.py
+++ b/packages/core/cranberryshore/timeline/log_records.py
@@ -21,6 +21,7 @@
     "group: Entry instance lost.",
     "group: Peer does not hear this instance.",
     "scheduler: Scheduling begins.",
+    "scheduler: Worker was lost with its runs.",
     "scheduler: Scheduling ends.",
     "daemon: Configuration in force.",
     "daemon: Draining.",
@@ -139,6 +140,10 @@
 
 def _find_failure_cause(records: list[LogRecord], own: list[LogRecord], arrived_at: float) -> str:
     """Blame the workers if each that had an unsuccessful run of the job is faulty, else the job."""
+    for record in own:
+        if record.fields.get("failure") == "workers_crashed":
+            task, lost = record.fields["task"], record.fields["lost_workers"]
+            return f"Cause: {lost} workers crashed while they ran task {task} of the job."
     lost = [record for record in own if record.message == "scheduler: Run did not end well."]
     workers = sorted({record.fields["worker"] for record in lost})
     faulty = [
--- a/packages/core/cranberryshore/timeline/tests/test_log_records.py
+++ b/packages/core/cranberryshore/timeline/tests/test_log_records.py
@@ -59,6 +59,21 @@
         cause = self.cause(*others, failed_run(9.5, "w1"), answered(10.0, "failed"))
         self.assertIn("w1 failed runs of other jobs too", cause)
 
+    def test_job_that_crashes_workers(self):
+        lost = {"worker": "w1", "crash": "proven", "runs": ["j.0.0.0/1"]}
+        failure = {"failure": "workers_crashed", "task": "j.0.0.0", "lost_workers": 2}
+        lines = (
+            line(9.2, SCHEDULER, "scheduler: Worker was lost with its runs.", **lost),
+            failed_run(9.4, "w1"),
+            line(9.9, SCHEDULER, "scheduler: Job ended.", job="j", outcome="failed", **failure),
+            answered(10.0, "failed"),
+        )
+        sentences = explain_job(parse_log_records(lines), "j")
+        self.assertEqual(
+            sentences[-1], "Cause: 2 workers crashed while they ran task j.0.0.0 of the job."
+        )
+        self.assertIn("Worker was lost with its runs. worker w1", sentences[0])
+
     def test_caller_disconnected(self):
         self.assertIn("left", self.cause(line(9.0, ENTRY, "entry: Caller left.", job="j")))
 
--- a/packages/daemon/cranberryshored/metrics.py
+++ b/packages/daemon/cranberryshored/metrics.py
@@ -80,6 +80,9 @@
     lost_workers: Counter = _counter(
         "cranberryshore_lost_workers", "Workers lost with runs on them.", "crash"
     )
+    failed_jobs: Counter = _counter(
+        "cranberryshore_failed_jobs", "Jobs of a pool that failed, by cause.", "cause"
+    )
     denied_requests: Counter = _counter(
         "cranberryshore_denied_requests", "Requests without a queue, by answer.", "answer"
     )
--- a/packages/daemon/cranberryshored/pool/scheduling.py
+++ b/packages/daemon/cranberryshored/pool/scheduling.py
@@ -243,6 +243,10 @@
 
     def _log_end(self, end: JobEnded) -> None:
         summary = attrs.asdict(end.summary) if end.summary is not None else {}
+        if end.failure is not None:
+            summary["failure"] = end.failure.cause.value
+            summary["task"], summary["lost_workers"] = end.failure.task, end.failure.lost_workers
+            self.metrics.failed_jobs.labels(end.failure.cause.value).inc()
         self.log.info(
             "Job ended.",
             job=end.job,
