Scheduler: a refused start marks its worker, records of losses stay bounded

A start that is refused was placed again, perhaps on the same worker, until two polls had failed. Instances that do not schedule kept all records of losses; they discard old ones with each message now. A new scheduler sends the records of the last 5 s again, not up to a thousand to each member.

--- a/packages/core/cranberryshore/pool/crashes.py
+++ b/packages/core/cranberryshore/pool/crashes.py
@@ -37,6 +37,9 @@
 RETENTION_SECONDS = 120.0
 """Time for which a loss is remembered. Callers submit a job again within seconds."""
 
+RESEND_SECONDS = 5.0
+"""Time for which a new scheduler sends a loss again: messages of the former one may be lost."""
+
 MAX_RECORDS = 1000
 MAX_CLEARED_TASKS = 1000
 
@@ -185,6 +188,15 @@
         """Return all records."""
         return tuple(entry.lost for found in self.entries.values() for entry in found.values())
 
+    def recent_records(self, now: float) -> tuple[LostRun, ...]:
+        """Return the records that other instances may lack, since a scheduler has just failed."""
+        return tuple(
+            entry.lost
+            for found in self.entries.values()
+            for entry in found.values()
+            if now <= entry.learned_at + RESEND_SECONDS
+        )
+
     def take_changes(self) -> tuple[LostRun, ...]:
         """Pop the records that other instances lack."""
         changes = tuple(self.changes)
@@ -232,6 +244,8 @@
                 del found[entry.lost.key]
                 if not found:
                     del self.entries[entry.lost.task]
+        states = ((lost.worker, lost.state) for lost in self.records())
+        self.unresolved = {name for name, state in states if state is LossState.SUSPECTED}
 
     def _losses(self, task: str) -> list[Entry]:
         found = self.entries.get(task)
--- a/packages/core/cranberryshore/pool/scheduler.py
+++ b/packages/core/cranberryshore/pool/scheduler.py
@@ -357,8 +357,12 @@
 
     def worker_refuses(self, name: str, now: float) -> None:
         """Record that no process listens at the address of a worker."""
-        if name in self.workers:
-            self.losses.worker_refuses(self.workers[name], now)
+        worker = self.workers.get(name)
+        if worker is not None:
+            worker.record_failure()
+            worker.mark_silent()
+            self.placer.worker_changed(worker)
+            self.losses.worker_refuses(worker, now)
             self._end_failed_jobs(now)
 
     def worker_replaced(self, name: str, now: float) -> None:
--- a/packages/core/cranberryshore/pool/tests/test_crashes.py
+++ b/packages/core/cranberryshore/pool/tests/test_crashes.py
@@ -3,6 +3,7 @@
 from cranberryshore.pool.crashes import (
     MAX_RECORDS,
     PROOF_SECONDS,
+    RESEND_SECONDS,
     RETENTION_SECONDS,
     SIMULTANEOUS_SECONDS,
     CrashHistory,
@@ -103,5 +104,13 @@
             self.lose("w1", f"t{number}", now=float(number) / 100)
         self.history.discard_outdated(11.0)
         self.assertEqual(len(self.history.records()), MAX_RECORDS)
-        self.history.discard_outdated(11.0 + RETENTION_SECONDS)
-        self.assertEqual(self.history.records(), ())
+        self.lose("w2", CULPRIT, state=SUSPECTED, now=11.0)
+        self.assertEqual(self.history.unresolved, {"w2"})
+        self.history.discard_outdated(11.1 + RETENTION_SECONDS)
+        self.assertEqual((self.history.records(), self.history.unresolved), ((), set()))
+
+    def test_new_scheduler_sends_recent_records_again(self):
+        self.lose("w1", SOUND, now=1.0)
+        self.lose("w2", CULPRIT, now=1.0 + RESEND_SECONDS)
+        (record,) = self.history.recent_records(1.1 + RESEND_SECONDS)
+        self.assertEqual(record.task, CULPRIT)
--- a/packages/daemon/cranberryshored/pool/app.py
+++ b/packages/daemon/cranberryshored/pool/app.py
@@ -263,6 +263,7 @@
     def handle_losses(self, lost_runs: tuple[LostRun, ...]) -> None:
         """See :class:`ExchangeListener`."""
         self.crashes.merge(lost_runs, now())
+        self.crashes.discard_outdated(now())
         if self.scheduling.claim is None:
             self.crashes.take_changes()
         self.scheduling.losses_changed()
@@ -316,7 +317,7 @@
         )
         self.exchange.follow()
         self.exchange.announce()
-        self.exchange.push_losses(self.crashes.records())
+        self.exchange.push_losses(self.crashes.recent_records(now()))
 
     def claim_ended(self, reason: str) -> None:
         """See :class:`ExchangeListener`."""
--- a/packages/daemon/cranberryshored/pool/tests/test_worker_channel.py
+++ b/packages/daemon/cranberryshored/pool/tests/test_worker_channel.py
@@ -89,3 +89,16 @@
         await asyncio.sleep(0.05)
         self.assertEqual(calls.polls, 2)
         await channel.close()
+
+    async def test_refused_start_is_sent_to_the_same_worker_again(self):
+        class RefusingCalls(DelayedCalls):
+            async def start_run(self, worker, start, seconds):
+                return StartReply.REFUSED
+
+        channel = self.open_channel(RefusingCalls())
+        worker = channel.worker
+        while worker.state is not HoldState.HELD:
+            await asyncio.sleep(0.01)
+        await channel._start_run(StartRun("w", ("j.0.0.0", 1), "", worker.token, 0))
+        self.assertIs(worker.state, HoldState.SILENT)
+        await channel.close()
--- a/packages/daemon/cranberryshored/pool/worker_channel.py
+++ b/packages/daemon/cranberryshored/pool/worker_channel.py
@@ -115,6 +115,7 @@
         if reply is StartReply.REFUSED:
             # The request was not delivered, since nothing listens there.
             self.scheduler.start_rejected(worker.name, order.key, False, now())
+            self.scheduler.worker_refuses(worker.name, now())
             self.poll_now()
         elif reply is StartReply.MALFORMED or reply in FAILED_CALLS:
             # A response that cannot be read does not prove that the run never begins.
