Daemons: records of lost runs outlast a restart of all instances

After all instances had died, a task that had crashed two workers was started again as if nothing had happened. The scheduler keeps a copy of the records in the store, under a lease, and reads those of earlier ones when it begins. test_crashes_are_forgotten_with_all_instances, with the substitute for the registry and with the model of the store; without saving, or without loading, two checks fail.

--- a/packages/daemon/cranberryshored/pool/app.py
+++ b/packages/daemon/cranberryshored/pool/app.py
@@ -33,6 +33,7 @@
 from cranberryshored.pool.clock import TokenSource, now, unix_ms
 from cranberryshored.pool.entry_service import EntryService
 from cranberryshored.pool.exchange import PeerExchange
+from cranberryshored.pool.loss_keeper import LossKeeper
 from cranberryshored.pool.protocols import NumberedMessage, Registry, WorkerCalls
 from cranberryshored.pool.roster_keeper import RosterKeeper
 from cranberryshored.pool.routing import RouteFailure, Router
@@ -84,6 +85,13 @@
         self.tokens = TokenSource(own.address)
         self.rosters = RosterKeeper(incarnation)
         self.crashes = CrashHistory()
+        self.loss_keeper = LossKeeper(
+            incarnation,
+            self.crashes,
+            self.registry,
+            self._losses_learned,
+            make_logger("store"),
+        )
         log = make_logger("group")
         self.exchange = PeerExchange(Group(own, now()), settings.seeds, self, self.metrics, log)
         self.exchange.transport = self.make_transport(own, self.exchange.deliver)
@@ -94,7 +102,7 @@
             self.rosters.history,
             self._job_ended,
             lambda: self.exchange.process_stalled(),
-            self.exchange.push_losses,
+            self._losses_recorded,
             self.crashes,
             make_logger("scheduler"),
             self.metrics,
@@ -160,6 +168,7 @@
     async def close(self) -> None:
         """Stop all parts."""
         await cancel_tasks([*self.tasks, self.workers_task])
+        await self.loss_keeper.close()
         await self.scheduling.close()
         await self.entry_service.close()
         await self.exchange.close()
@@ -264,6 +273,13 @@
         """See :class:`ExchangeListener`."""
         self.crashes.merge(lost_runs, now())
         self.crashes.discard_outdated(now())
+        self._losses_learned()
+
+    def _losses_recorded(self, lost_runs: tuple[LostRun, ...]) -> None:
+        self.exchange.push_losses(lost_runs)
+        self.loss_keeper.save_soon()
+
+    def _losses_learned(self) -> None:
         if self.scheduling.claim is None:
             self.crashes.take_changes()
         self.scheduling.losses_changed()
@@ -318,6 +334,7 @@
         self.exchange.follow()
         self.exchange.announce()
         self.exchange.push_losses(self.crashes.recent_records(now()))
+        self.loss_keeper.load_soon()
 
     def claim_ended(self, reason: str) -> None:
         """See :class:`ExchangeListener`."""
--- /dev/null
+++ b/packages/daemon/cranberryshored/pool/loss_keeper.py
@@ -0,0 +1,66 @@
+"""Copy of the records of lost runs in the store, for a restart of all instances."""
+
+import asyncio
+from collections.abc import Callable
+
+import attrs
+from structlog.typing import FilteringBoundLogger
+
+from cranberryshore.pool import CrashHistory
+from cranberryshored.pool.clock import now
+from cranberryshored.pool.protocols import Registry
+from cranberryshored.tasks import cancel_tasks, start_task
+
+SAVE_SECONDS = 0.5
+"""Interval of writes, in which further losses are batched."""
+
+
+@attrs.define(eq=False)
+class LossKeeper:
+    """Saves the records of a scheduler, and loads those of earlier ones when it begins.
+
+    Parameters
+    ----------
+    publisher : str
+        Incarnation of this instance.
+    on_loaded : callable
+        Called when records were loaded.
+    is_changed : bool
+        Whether there are records that have not been saved.
+    """
+
+    publisher: str
+    crashes: CrashHistory
+    registry: Registry
+    on_loaded: Callable[[], None]
+    log: FilteringBoundLogger
+    is_changed: bool = False
+    saving: asyncio.Task | None = None
+    loading: asyncio.Task | None = None
+
+    def save_soon(self) -> None:
+        """Save the records, with others that change meanwhile."""
+        self.is_changed = True
+        if self.saving is None or self.saving.done():
+            self.saving = start_task(self._save(), self.log)
+
+    def load_soon(self) -> None:
+        """Load the records of earlier schedulers, if the store responds."""
+        if self.loading is None or self.loading.done():
+            self.loading = start_task(self._load(), self.log)
+
+    async def close(self) -> None:
+        """Stop."""
+        await cancel_tasks([self.saving, self.loading])
+
+    async def _save(self) -> None:
+        while self.is_changed:
+            self.is_changed = False
+            await self.registry.save_losses(self.publisher, self.crashes.records())
+            await asyncio.sleep(SAVE_SECONDS)
+
+    async def _load(self) -> None:
+        lost_runs = await self.registry.load_losses()
+        if lost_runs:
+            self.crashes.merge(lost_runs, now())
+            self.on_loaded()
--- a/packages/daemon/cranberryshored/pool/registry.py
+++ b/packages/daemon/cranberryshored/pool/registry.py
@@ -11,7 +11,7 @@
 from structlog.typing import FilteringBoundLogger
 
 from cranberryshore.messages import decode_json, encode_json
-from cranberryshore.pool import MemberAddress, PoolConfig, WorkerRegistration
+from cranberryshore.pool import LostRun, MemberAddress, PoolConfig, WorkerRegistration
 from cranberryshored.platform.store import Store, StoreFailure
 from cranberryshored.pool.clock import now
 from cranberryshored.pool.protocols import ConfigHandler
@@ -47,6 +47,9 @@
 MEMBER_LEASE_SECONDS = 3
 """Lifetime of the registration of an instance that has died."""
 
+LOSSES_LEASE_SECONDS = 120
+"""Lifetime of the records of lost runs: callers submit a job again within seconds."""
+
 RENEWALS_PER_CHECK = 3
 """A registration can be deleted although its lease is renewed; with every third renewal, its key is
 read too."""
@@ -83,6 +86,7 @@
     members_prefix: str
     decode_config: Callable[[str], PoolConfig | None]
     decode_worker: Callable[[str, str], WorkerRegistration | None]
+    losses_prefix: str = "pool/losses/"
 
 
 @attrs.define(eq=False)
@@ -110,12 +114,13 @@
     lease_store: LeasingStore = attrs.field(init=False)
     members_store: LeasingStore = attrs.field(init=False)
     query_store: LeasingStore = attrs.field(init=False)
+    losses_store: LeasingStore = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
         self.status = StoreStatus(self.log)
         self.config_store, self.workers_store = self.open_store(), self.open_store()
         self.lease_store, self.members_store = self.open_store(), self.open_store()
-        self.query_store = self.open_store()
+        self.query_store, self.losses_store = self.open_store(), self.open_store()
 
     def _stores(self) -> tuple[LeasingStore, ...]:
         return (
@@ -124,6 +129,7 @@
             self.lease_store,
             self.members_store,
             self.query_store,
+            self.losses_store,
         )
 
     async def start(self) -> None:
@@ -255,6 +261,34 @@
         """See :class:`Registry`; the registration expires with its lease."""
         self.lease = ""
 
+    async def save_losses(self, publisher: str, lost_runs: tuple[LostRun, ...]) -> None:
+        """See :class:`Registry`; the records expire with their lease."""
+        key = self.layout.losses_prefix + publisher
+        written = await self._in_time(self.losses_store.grant_lease(LOSSES_LEASE_SECONDS))
+        if isinstance(written, Ok):
+            value = encode_json(lost_runs).decode()
+            written = await self._in_time(self.losses_store.put(key, value, None, written.ok_value))
+        if isinstance(written, Err):
+            self.status.failed(key, written.err_value)
+
+    async def load_losses(self) -> tuple[LostRun, ...]:
+        """See :class:`Registry`."""
+        listing = await self._in_time(self.losses_store.list(self.layout.losses_prefix))
+        if isinstance(listing, Err):
+            self.status.failed(self.layout.losses_prefix, listing.err_value)
+            return ()
+        lost_runs: list[LostRun] = []
+        for entry in listing.ok_value.entries:
+            try:
+                lost_runs += decode_json(entry.value.encode(), tuple[LostRun, ...])
+            except (msgspec.DecodeError, ValueError) as error:
+                self.log.warning(
+                    "Cannot decode records of lost runs; ignoring them.",
+                    key=entry.key,
+                    error=str(error),
+                )
+        return tuple(lost_runs)
+
     async def list_members(self) -> tuple[MemberAddress, ...] | None:
         """See :class:`Registry`."""
         listing = await self._in_time(self.members_store.list(self.layout.members_prefix))
--- a/packages/proof/cranberryshore_proof/pool_deployment.py
+++ b/packages/proof/cranberryshore_proof/pool_deployment.py
@@ -67,6 +67,8 @@
 
     Parameters
     ----------
+    losses : dict
+        Records of lost runs in the store, by the scheduler that has saved them.
     registered : dict
         Instances with the time of their latest renewal, by address.
     demands, seconds : dict
@@ -100,6 +102,7 @@
     workers: dict[str, ModelWorker] = attrs.field(factory=dict)
     daemons: dict[str, PoolDaemon] = attrs.field(factory=dict)
     transports: dict[str, FakePoolTransport] = attrs.field(factory=dict)
+    losses: dict = attrs.field(factory=dict)
     registered: dict = attrs.field(factory=dict)
     nodes_without_store: set[str] = attrs.field(factory=set)
     partitioned: set[str] = attrs.field(factory=set)
--- a/packages/proof/cranberryshore_proof/pool_mutate.py
+++ b/packages/proof/cranberryshore_proof/pool_mutate.py
@@ -40,6 +40,7 @@
 from cranberryshored.pool.clock import now
 from cranberryshored.pool.documents import DocumentExchange
 from cranberryshored.pool.exchange import PeerExchange
+from cranberryshored.pool.loss_keeper import LossKeeper
 from cranberryshored.pool.roster_keeper import RosterKeeper
 from cranberryshored.pool.store_follower import CallTimeout, StoreFollower
 
@@ -213,6 +214,8 @@
         "loss: a queue uses up all workers", Isolation, "confined_workers", _constant(None)
     ),
     PoolMutation("loss: records are not sent", PeerExchange, "push_losses", _constant(None)),
+    PoolMutation("loss: records are not saved", LossKeeper, "save_soon", _constant(None)),
+    PoolMutation("loss: records are not loaded", LossKeeper, "load_soon", _constant(None)),
     PoolMutation("loss: records are ignored", PoolDaemon, "handle_losses", _constant(None)),
 )
 
--- a/packages/proof/cranberryshore_proof/pool_registry.py
+++ b/packages/proof/cranberryshore_proof/pool_registry.py
@@ -6,7 +6,7 @@
 import attrs
 
 from cranberryshore.messages import decode_json
-from cranberryshore.pool import MemberAddress, PoolConfig, WorkerRegistration
+from cranberryshore.pool import LostRun, MemberAddress, PoolConfig, WorkerRegistration
 from cranberryshored.pool.registry import StoreLayout
 
 if TYPE_CHECKING:
@@ -73,6 +73,17 @@
     async def unregister(self) -> None:
         """Do nothing: the registration expires."""
 
+    async def save_losses(self, publisher: str, lost_runs: tuple[LostRun, ...]) -> None:
+        """See :class:`Registry`."""
+        if not self._is_store_unreachable():
+            self.deployment.losses[publisher] = lost_runs
+
+    async def load_losses(self) -> tuple[LostRun, ...]:
+        """See :class:`Registry`."""
+        if self._is_store_unreachable():
+            return ()
+        return tuple(lost for saved in self.deployment.losses.values() for lost in saved)
+
     async def list_members(self) -> tuple[MemberAddress, ...] | None:
         """See :class:`Registry`."""
         if self._is_store_unreachable():
--- a/packages/proof/cranberryshore_proof/tests/test_crashing_tasks.py
+++ b/packages/proof/cranberryshore_proof/tests/test_crashing_tasks.py
@@ -20,9 +20,11 @@
 class CrashingTaskTest(TestCase):
     """Incident BUDGET: a task that crashes its workers is given up after two of them."""
 
-    def simulate(self, scenario) -> PoolDeployment:
+    def simulate(self, scenario, is_store_simulated: bool = False) -> PoolDeployment:
         async def run() -> PoolDeployment:
-            deployment = PoolDeployment(7, budget_ms=CALLER_WAITS_MS)
+            deployment = PoolDeployment(
+                7, budget_ms=CALLER_WAITS_MS, is_store_simulated=is_store_simulated
+            )
             await deployment.start()
             await scenario(deployment)
             return deployment
@@ -100,6 +102,23 @@
 
         self.simulate(scenario)
 
+    def test_crashes_are_forgotten_with_all_instances(self):
+        for is_store_simulated in (False, True):
+            with self.subTest(is_store_simulated=is_store_simulated):
+
+                async def scenario(deployment: PoolDeployment) -> None:
+                    job, caller = self.submit(deployment, 0, 0.9, is_deadly=True)
+                    await self.crash_count_reaches(deployment, 2)
+                    await asyncio.sleep(0.5)
+                    for number in range(len(deployment.zones)):
+                        deployment.kill(number)
+                    for number in range(len(deployment.zones)):
+                        await deployment.start_instance(number)
+                    await caller
+                    self.assert_given_up(deployment, job)
+
+                self.simulate(scenario, is_store_simulated)
+
     def test_crashes_are_forgotten_while_the_scheduler_is_frozen(self):
         async def scenario(deployment: PoolDeployment) -> None:
             scheduler = deployment.scheduler_number()
