--- a/packages/proof/cranberryshore_proof/pool_deployment.py
+++ b/packages/proof/cranberryshore_proof/pool_deployment.py
@@ -24,6 +24,7 @@
 from cranberryshore_proof.config_checks import STORE, ConfigChecks, Disturbances
 from cranberryshore_proof.network import Network
 from cranberryshore_proof.pool_crashes import CrashModel
+from cranberryshore_proof.pool_jobs import SimulatedJob
 from cranberryshore_proof.pool_probe import HOST, QueueProbe
 from cranberryshore_proof.pool_registry import CONFIG_KEY, LAYOUT, WORKERS_PREFIX, FakeRegistry
 from cranberryshore_proof.pool_store import ModelStore, ModelStoreClient
@@ -48,16 +49,6 @@
 """Interval at which the workers' registrations in the model of the store are brought up to date."""
 
 
-@attrs.define
-class SimulatedJob:
-    """One job of a caller, with its answers."""
-
-    id: str
-    submitted_at: float
-    answers: list[Outcome] = attrs.field(factory=list)
-    ended_at: float | None = None
-
-
 @attrs.define(eq=False)
 class PoolDeployment:
     """All nodes of a simulated pool.
--- a/packages/proof/cranberryshore_proof/tests/test_divided_pool.py
+++ b/packages/proof/cranberryshore_proof/tests/test_divided_pool.py
@@ -8,7 +8,8 @@
 
 from cranberryshore.pool import Outcome, division, group
 from cranberryshore_proof.pool_crashes import MAX_CRASHES
-from cranberryshore_proof.pool_deployment import PoolDeployment, SimulatedJob
+from cranberryshore_proof.pool_deployment import PoolDeployment
+from cranberryshore_proof.pool_jobs import SimulatedJob
 from cranberryshore_proof.pool_play import PoolSimulation
 from cranberryshore_proof.virtual_loop import run_virtual
 
--- a/packages/proof/cranberryshore_proof/tests/test_pool_play.py
+++ b/packages/proof/cranberryshore_proof/tests/test_pool_play.py
@@ -6,7 +6,8 @@
 
 from cranberryshore.pool import Outcome
 from cranberryshore.pool.group import MEMBER_EXPIRY_SECONDS
-from cranberryshore_proof.pool_deployment import PoolDeployment, SimulatedJob
+from cranberryshore_proof.pool_deployment import PoolDeployment
+from cranberryshore_proof.pool_jobs import SimulatedJob
 from cranberryshore_proof.pool_play import simulate_pool
 from cranberryshore_proof.pool_workers import FakeWorkerCalls
 from cranberryshore_proof.virtual_loop import run_virtual
