Scheduler: less work for records of losses in each tick and placement

Old records are discarded once a second instead of with each tick of 25 ms, and workers are counted for a confined queue only after two losses. Documentation of the module completed.

--- a/packages/core/cranberryshore/pool/crashes.py
+++ b/packages/core/cranberryshore/pool/crashes.py
@@ -40,6 +40,9 @@
 RESEND_SECONDS = 5.0
 """Time for which a new scheduler sends a loss again: messages of the former one may be lost."""
 
+DISCARD_SECONDS = 1.0
+"""Interval at which old records are discarded."""
+
 MAX_RECORDS = 1000
 MAX_CLEARED_TASKS = 1000
 
@@ -119,6 +122,8 @@
         New and changed records that other instances lack.
     recent : list
         Latest losses that this instance has noticed: time, worker and entries.
+    discarded_at : float
+        Time at which old records were last discarded.
     """
 
     entries: dict[str, dict[LossKey, Entry]] = attrs.field(factory=dict)
@@ -126,6 +131,7 @@
     cleared: dict[str, None] = attrs.field(factory=dict)
     changes: list[LostRun] = attrs.field(factory=list)
     recent: list[tuple[float, str, list[Entry]]] = attrs.field(factory=list)
+    discarded_at: float = float("-inf")
 
     def record(
         self, worker: str, born: int, runs: Iterable[RunKey], state: LossState, now: float
@@ -234,8 +240,9 @@
 
     def discard_outdated(self, now: float) -> None:
         """Forget old losses, and the oldest ones if there are too many."""
-        if not self.entries:
+        if not self.entries or now < self.discarded_at + DISCARD_SECONDS:
             return
+        self.discarded_at = now
         entries = [entry for found in self.entries.values() for entry in found.values()]
         entries.sort(key=lambda entry: entry.learned_at, reverse=True)
         for number, entry in enumerate(entries):
--- a/packages/core/cranberryshore/pool/isolation.py
+++ b/packages/core/cranberryshore/pool/isolation.py
@@ -3,7 +3,9 @@
 When a kind of jobs crashes workers one after another, each start of a suspect may cost a worker for
 some seconds, and all runs beside it. Suspects are therefore started on workers with the fewest
 runs, none of them long, and nothing is started beside them. Only a part of the workers of a service
-is exposed to them at a time; the others keep serving sound jobs.
+is exposed to them at a time; the others keep serving sound jobs. First starts crash workers, too,
+and nobody knows beforehand which ones do, so a queue that has cost several workers in the last
+seconds is confined to half of them.
 """
 
 from collections.abc import Iterable
@@ -23,8 +25,10 @@
 """Time in which a crashed worker is back."""
 
 CONFINING_SHARE = 8
-"""A queue is confined while one in so many workers of a service, at least two, are lost under its
-tasks."""
+"""A queue is confined while one in so many workers of a service is lost under its tasks."""
+
+MIN_QUEUE_LOSSES = 2
+"""Number of lost workers below which no queue is confined."""
 
 MIN_DIVIDED_WORKERS = 8
 """Number of workers of a service below which no queue is confined."""
@@ -35,7 +39,7 @@
 
 @attrs.define(eq=False)
 class Isolation:
-    """Limits on the starts of suspects.
+    """Limits on the starts of suspects, and of queues that crash workers.
 
     Parameters
     ----------
@@ -83,8 +87,10 @@
             return None
         self.queue_losses = [item for item in self.queue_losses if now < item[2] + RECOVERY_SECONDS]
         lost = sum(share for name, share, _ in self.queue_losses if name == queue)
+        if lost < MIN_QUEUE_LOSSES:
+            return None
         names = [worker.name for worker in workers if worker.service == service]
-        if len(names) < MIN_DIVIDED_WORKERS or lost < max(2, len(names) / CONFINING_SHARE):
+        if len(names) < MIN_DIVIDED_WORKERS or lost < len(names) / CONFINING_SHARE:
             return None
         return frozenset(name for name in names if crc32(name.encode()) % 2)
 
