Daemons: a job that arrives at the end of the drain is refused, not cut off

From the end of the drain on, jobs are refused at once (503, Retry-After), as they have not run, with a log record. test_job_sent_at_the_end_of_the_drain_gets_no_answer timed out before.

--- a/packages/daemon/cranberryshored/pool/entry_service.py
+++ b/packages/daemon/cranberryshored/pool/entry_service.py
@@ -99,12 +99,19 @@
 
 @attrs.define(eq=False)
 class EntryService:
-    """Tracks the jobs of this instance's callers until they end, across changes of scheduler."""
+    """Tracks the jobs of this instance's callers until they end, across changes of scheduler.
+
+    Parameters
+    ----------
+    is_stopping : bool
+        Whether further jobs are refused, since nothing waits for their ends any more.
+    """
 
     scheduler_client: SchedulerClient
     metrics: Metrics
     log: FilteringBoundLogger
     pending: dict[str, PendingJob] = attrs.field(factory=dict)
+    is_stopping: bool = False
     task: asyncio.Task | None = None
 
     async def start(self) -> None:
@@ -117,6 +124,11 @@
 
     async def submit(self, request: WorkRequest, queue: QueueSpec) -> JobEnded:
         """Submit a job and return how it ended; if the caller disconnects, both are cancelled."""
+        if self.is_stopping:
+            detail = "This instance leaves."
+            self.log.info("Job refused.", job=request.id, queue=queue.name, reason=detail)
+            self.metrics.jobs.labels(Outcome.REFUSED.value).inc()
+            return JobEnded("", request.id, Outcome.REFUSED, detail, RETRY_AFTER_MS)
         older = self.pending.pop(request.id, None)
         if older is not None and not older.answer.done():
             older.answer.set_result(
@@ -220,7 +232,11 @@
         )
 
     def give_up_all(self, detail: str) -> None:
-        """Cancel all pending jobs because this instance stops; their tasks may have run."""
+        """Cancel all pending jobs because this instance stops; their tasks may have run.
+
+        Jobs that callers send from now on, over connections that are still open, are refused.
+        """
+        self.is_stopping = True
         for job in list(self.pending.values()):
             if job.sent_to:
                 self.scheduler_client.cancel(job.request.id)
