--- a/review/standins/cluster.py
+++ b/review/standins/cluster.py
@@ -3,6 +3,7 @@
 import asyncio
 import json
 import os
+import random
 import signal
 import socket
 import sys
@@ -14,6 +15,7 @@
 from aiohttp import ClientError, ClientSession, ClientTimeout
 
 from standins.minion import Minion, Run
+from standins.proxy import Proxy
 from standins.record import Record
 from standins.store import HOST, Store, encode_value
 
@@ -22,14 +24,21 @@
 SERVICE = "huvo11a"
 ZONES = ("rajkot-lots", "junagadh-lots", "dwarka-lots")
 READY_SECONDS = 30.0
+START_ATTEMPTS = 3
+LOWEST_PORT, HIGHEST_PORT = 12_000, 30_000
 
 
 def free_ports(count: int) -> list[int]:
-    """Return unused ports."""
-    sockets = [socket.create_server((HOST, 0)) for _ in range(count)]
-    ports = [item.getsockname()[1] for item in sockets]
-    for item in sockets:
-        item.close()
+    """Return unused ports below those that outgoing connections get."""
+    ports: list[int] = []
+    while len(ports) < count:
+        port = random.randrange(LOWEST_PORT, HIGHEST_PORT)
+        try:
+            socket.create_server((HOST, port)).close()
+        except OSError:
+            continue
+        if port not in ports:
+            ports.append(port)
     return ports
 
 
@@ -116,6 +125,8 @@
     runs: list[Run] = attrs.field(factory=list)
     on_run: list = attrs.field(factory=list)
     seconds_of: Callable[[str, str], float] = lambda _task, spec: json.loads(spec)["ms"] / 1000
+    has_proxies: bool = False
+    proxies: dict[str, Proxy] = attrs.field(factory=dict)
     session: ClientSession | None = None
     folder: tempfile.TemporaryDirectory = attrs.field(factory=tempfile.TemporaryDirectory)
 
@@ -137,6 +148,15 @@
             )
             self.minions.append(minion)
             await minion.start()
+        for _ in range(START_ATTEMPTS):
+            if await self._start_daemons():
+                self.record.add("script", "all daemons are ready")
+                return
+        raise RuntimeError("the daemons cannot listen")
+
+    async def _start_daemons(self) -> bool:
+        """Start the daemons; return whether none of their ports was taken meanwhile."""
+        self.daemons = []
         ports = iter(free_ports(4 * self.daemon_count))
         addresses = [[f"{HOST}:{next(ports)}" for _ in range(4)] for _ in range(self.daemon_count)]
         seeds = [address[2] for address in addresses][:3]
@@ -155,26 +175,37 @@
                 "processor_share": 0.537,
                 "processor_speed": 2,
             }
+            if self.has_proxies:
+                proxy = self.proxies[name] = Proxy(control)
+                await proxy.start()
+                settings["peer_advertise"] = proxy.address
+                settings["seeds"] = [item.address for item in self.proxies.values()][:3]
             path = Path(self.folder.name) / f"{name}.json"
             self.daemons.append(Daemon(name, settings, path))
         await asyncio.gather(*(daemon.start() for daemon in self.daemons))
-        await asyncio.gather(*(self.wait_ready(daemon) for daemon in self.daemons))
-        self.record.add("script", "all daemons are ready")
+        ready = await asyncio.gather(*(self.wait_ready(daemon) for daemon in self.daemons))
+        if not all(ready):
+            self.record.add("script", "a port was taken meanwhile; starting again")
+            for daemon in self.daemons:
+                await daemon.kill()
+        return all(ready)
 
     def _run_started(self, run: Run) -> None:
         self.runs.append(run)
         for call in self.on_run:
             call(run)
 
-    async def wait_ready(self, daemon: Daemon) -> None:
-        """Wait until a daemon reports that it is ready."""
+    async def wait_ready(self, daemon: Daemon) -> bool:
+        """Wait until a daemon reports that it is ready; return whether it does."""
         end = asyncio.get_running_loop().time() + READY_SECONDS
         while asyncio.get_running_loop().time() < end:
+            if daemon.process.returncode is not None:
+                return False
             try:
                 url = f"http://{daemon.settings['ready_listen']}/api/readyz"
                 async with self.session.get(url) as response:
                     if response.status == 200:
-                        return
+                        return True
             except ClientError:
                 pass
             await asyncio.sleep(0.1)
@@ -232,6 +263,8 @@
         """End all processes and servers."""
         for daemon in self.daemons:
             await daemon.kill()
+        for proxy in self.proxies.values():
+            await proxy.close()
         for minion in self.minions:
             await minion.close()
         await self.store.close()
--- a/review/standins/minion.py
+++ b/review/standins/minion.py
@@ -40,7 +40,7 @@
     run.
     ``cpu`` and ``labels`` are what the minion has now; the store shows what it said last. With
     ``is_cut``, calls get no answer and aren't carried out; a share ``late_share`` of them gets none
-    and is carried out seconds later.
+    and is carried out seconds later. ``clock_rate`` is the rate of its steady clock.
     """
 
     id: str
@@ -52,6 +52,7 @@
     on_start: Callable[[Run], None]
     cpu: int = 32_000
     labels: list[str] = attrs.field(factory=lambda: ["a", "r1-1"])
+    clock_rate: float = 1.0
     is_cut: bool = False
     is_down: bool = True
     late_share: float = 0.0
@@ -136,7 +137,7 @@
             await asyncio.sleep(HEARTBEAT_SECONDS)
 
     def _clock_ms(self) -> int:
-        return int((time.monotonic() - self.booted_at) * 1000)
+        return int((time.monotonic() - self.booted_at) * 1000 * self.clock_rate)
 
     async def _health(self, _request: web.Request) -> web.Response:
         return web.Response(headers={"X-Instance-Id": self.id})
@@ -178,7 +179,7 @@
         self.deadline_ms = end
         if self.lease_timer is not None:
             self.lease_timer.cancel()
-        seconds = max(end - self._clock_ms(), 0) / 1000
+        seconds = max(end - self._clock_ms(), 0) / 1000 / self.clock_rate
         self.lease_timer = asyncio.get_running_loop().call_later(seconds, self._lapse)
 
     def _lapse(self) -> None:
