--- a/review/4/case.py
+++ b/review/4/case.py
@@ -8,12 +8,12 @@
 
 DOWN_SECONDS = 2.0
 GAP_SECONDS = 0.4
-KIND_A_COUNT, CRASHED_COUNT = 4, 3
+KIND_A_COUNT, CRASHED_COUNT, ROUNDS = 8, 3, 2
 LABEL = "a"
 PREFIX = "/lohu930/"
 TASK_MS = 200
-SECONDS = 6.0
-PAUSE_SECONDS = 0.025
+SECONDS = 11.0
+PAUSE_SECONDS = 0.0125
 
 
 def job_body() -> dict:
@@ -60,17 +60,18 @@
 
 async def restart(cluster: Cluster, has_trouble: bool) -> None:
     """Let minions crash and return, and report at once that they are of another kind."""
-    await asyncio.sleep(2.0)
-    if not has_trouble:
-        return
-    crashed = cluster.minions[:CRASHED_COUNT]
-    for minion in crashed:
-        await minion.crash()
-    await asyncio.sleep(DOWN_SECONDS)
-    for minion in crashed:
-        minion.labels = ["b", "r1-0"]
-        await minion.start()
-        await asyncio.sleep(GAP_SECONDS)
+    for number in range(ROUNDS):
+        await asyncio.sleep(2.0)
+        if not has_trouble:
+            continue
+        crashed = cluster.minions[number * CRASHED_COUNT : (number + 1) * CRASHED_COUNT]
+        for minion in crashed:
+            await minion.crash()
+        await asyncio.sleep(DOWN_SECONDS)
+        for minion in crashed:
+            minion.labels = ["b", "r1-0"]
+            await minion.start()
+            await asyncio.sleep(GAP_SECONDS)
 
 
 if __name__ == "__main__":
