--- a/review/explore.py
+++ b/review/explore.py
@@ -290,7 +290,7 @@
 
 async def run(seed: int, seconds: float) -> None:
     """Play one seed."""
-    record = Record(Path(os.environ.get("RECORDS", "/tmp")) / f"explore-{seed}.txt")
+    record = Record(Path(os.environ.get("RECORDS", Path(__file__).parent)) / f"explore-{seed}.txt")
     explorer = Explorer(seed, record, seconds)
     try:
         await explorer.play()
