--- a/review/standins/cluster.py
+++ b/review/standins/cluster.py
@@ -276,14 +276,16 @@
 def main(script: object) -> None:
     """Run ``script(record, has_trouble)``, an async function that returns a list of violations.
 
-    Exits with 1 if there are any, with 0 if there are none, and with 2 if the script cannot run.
+    The argument ``calm`` leaves the disruption out. Exits with 1 if there are any, with 0 if there
+    are none, and with 2 if the script cannot run. A SIGTERM ends all processes, too.
     """
     folder = Path(sys.argv[0]).resolve().parent
     record = Record(folder / "record.txt")
-    has_trouble = os.environ.get("TROUBLE", "1") != "0"
+    has_trouble = sys.argv[1:] != ["calm"]
+    signal.signal(signal.SIGTERM, signal.default_int_handler)
     try:
         violations = asyncio.run(script(record, has_trouble))
-    except Exception as error:
+    except (Exception, KeyboardInterrupt) as error:
         record.add("script", f"cannot run: {error!r}")
         print(f"cannot run: {error!r}", file=sys.stderr)
         sys.exit(2)
