Losses: a task is given up only for workers that crashed while it provably ran

Cause: HeldWorker.runs_at_failure, what the scheduler believed at the first failed poll, was recorded as what ran when the process ended, however much later its end was noticed: runs that had lapsed, starts without an answer, foreign runs, runs being stopped. And a worker that had left without its notice being read counted as crashed.

Change: three things must be proven. The process has ended (421 or a later start, as before). The run was there: its start was confirmed or listed, it is not being stopped, and the lease that the worker has confirmed still held when connections were refused (HeldWorker.possible_runs; a lease end is now known from answered polls and starts). The worker had not left: a second after the loss it is still registered as not leaving by the same start, and the store has answered all the while (departures; no new call). Losses of workers that were lost together do not count unless the task was alone. A task under which four workers were lost waits even without proof, so its starts stay bounded. Records carry both proofs to the other instances and to the store; older records prove nothing. Logs tell runs from possible ones, and what the registrations tell of each lost worker. The types of status reports move to worker_status.

Two tests of test_lost_workers expected a crash where nothing told it from a departure: they read the registrations now.

--- a/packages/core/cranberryshore/pool/__init__.py
+++ b/packages/core/cranberryshore/pool/__init__.py
@@ -7,6 +7,7 @@
 from cranberryshore.pool.config import PoolConfig, QueueSpec, VersionedQueue
 from cranberryshore.pool.confirmation import ConfigConfirmation
 from cranberryshore.pool.crashes import CrashHistory, LossState, LostRun
+from cranberryshore.pool.departures import Departure
 from cranberryshore.pool.effects import (
     JobEnded,
     PollWorker,
@@ -15,31 +16,32 @@
     StartRun,
     StopRun,
     UnsuccessfulRun,
+    WorkerLossJudged,
     WorkerLost,
 )
 from cranberryshore.pool.group import Group
-from cranberryshore.pool.held_worker import (
-    EndKind,
-    HeldWorker,
-    HoldState,
-    ReportedEnd,
-    ReportedRun,
-    RunKey,
-    WorkerStatus,
-)
+from cranberryshore.pool.held_worker import HeldWorker, HoldState
 from cranberryshore.pool.job_failure import FailureCause, JobFailure
 from cranberryshore.pool.roster import RosterHistory
 from cranberryshore.pool.scheduler import Scheduler
 from cranberryshore.pool.start_rights import AcknowledgedRights, StartRights
 from cranberryshore.pool.stream import ReceiveStream, SendStream
 from cranberryshore.pool.work import Outcome, StepSpec, WorkRequest
-from cranberryshore.pool.worker_registration import WorkerRegistration
+from cranberryshore.pool.worker_registration import WorkerListing, WorkerRegistration
+from cranberryshore.pool.worker_status import (
+    EndKind,
+    ReportedEnd,
+    ReportedRun,
+    RunKey,
+    WorkerStatus,
+)
 
 __all__ = [
     "AcknowledgedRights",
     "Claim",
     "ConfigConfirmation",
     "CrashHistory",
+    "Departure",
     "EndKind",
     "FailureCause",
     "Group",
@@ -65,6 +67,8 @@
     "RosterHistory",
     "RunKey",
     "UnsuccessfulRun",
+    "WorkerListing",
+    "WorkerLossJudged",
     "WorkerLost",
     "Scheduler",
     "StartRights",
--- a/packages/core/cranberryshore/pool/adoption.py
+++ b/packages/core/cranberryshore/pool/adoption.py
@@ -2,9 +2,10 @@
 
 from collections.abc import Iterable
 
-from cranberryshore.pool.held_worker import EndKind, HeldWorker, ReportedEnd, RunKey
+from cranberryshore.pool.held_worker import HeldWorker
 from cranberryshore.pool.run_registry import RunRegistry
 from cranberryshore.pool.work import PoolJob, PoolTask, TaskPhase
+from cranberryshore.pool.worker_status import EndKind, ReportedEnd, RunKey
 
 
 def take_reported_ends(
--- a/packages/core/cranberryshore/pool/crashes.py
+++ b/packages/core/cranberryshore/pool/crashes.py
@@ -8,23 +8,31 @@
 A worker that refuses connections has crashed or is behind a partition that resets them, so a
 refusal makes the tasks on it *suspects*. They are started again, apart from each other. The loss is
 *proven* if another process answers at the address of the worker, or if the worker has a later
-start, and *refuted* if the same process answers again. A task is the culprit if two workers have
-provably crashed under it and nothing else was on one of them, apart from tasks that have ended well
-elsewhere.
+start, and *refuted* if the same process answers again, or if the worker has left.
+
+That a process has ended says neither what it ran by then nor why it ended. A loss counts as a crash
+under a task only if the task was provably running: its start was confirmed, no end of it is known,
+and its lease still held when connections were refused. The worker must have been registered as not
+leaving after that. A task is the culprit if two workers have provably crashed under it and nothing
+else was on one of them, apart from tasks that have ended well elsewhere.
 
 Every instance has a copy of the records, so that the next scheduler does not begin anew.
 """
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from enum import Enum
 
 import attrs
 
-from cranberryshore.pool.held_worker import RunKey
+from cranberryshore.pool.worker_status import RunKey
 
 MAX_LOST_WORKERS = 2
 """Number of workers that crash under a task before it is given up."""
 
+MAX_UNCLEAR_LOSSES = 4
+"""Number of lost workers from which a task waits even if their processes have ended, since some of
+them may have crashed under it."""
+
 PROOF_SECONDS = 5.0
 """Time for which a task with several losses waits for a proof. A worker is back after some 3 s. The
 time doubles with each further loss."""
@@ -70,7 +78,11 @@
     born : int
         Identifier of the start of the worker process.
     beside : tuple of str
-        Other tasks on the worker.
+        Other tasks that may have been on the worker.
+    was_running : bool
+        Whether the run was provably on the worker when connections were first refused.
+    was_registered : bool
+        Whether the worker was registered as not leaving after that.
     """
 
     task: str
@@ -79,6 +91,8 @@
     born: int
     beside: tuple[str, ...] = ()
     state: LossState = LossState.SUSPECTED
+    was_running: bool = False
+    was_registered: bool = False
 
     @property
     def key(self) -> LossKey:
@@ -88,6 +102,19 @@
         """
         return (self.worker, self.born, self.attempt)
 
+    def is_crash(self) -> bool:
+        """Return whether the worker has provably crashed while the task was running."""
+        return self.state is LossState.PROVEN and self.was_running and self.was_registered
+
+    def merge(self, other: "LostRun") -> "LostRun":
+        """Return the record with what another one of the same loss knows besides."""
+        return attrs.evolve(
+            self,
+            state=max(self.state, other.state, key=STATE_ORDER.index),
+            was_running=self.was_running or other.was_running,
+            was_registered=self.was_registered or other.was_registered,
+        )
+
 
 @attrs.define
 class Entry:
@@ -105,6 +132,10 @@
     learned_at: float
     has_common_cause: bool = False
 
+    def is_crash(self) -> bool:
+        """Return whether the loss counts against its task."""
+        return self.lost.is_crash() and not (self.has_common_cause and self.lost.beside)
+
 
 @attrs.define(eq=False)
 class CrashHistory:
@@ -134,14 +165,17 @@
     discarded_at: float = float("-inf")
 
     def record(
-        self, worker: str, born: int, runs: Iterable[RunKey], state: LossState, now: float
+        self, worker: str, born: int, runs: Mapping[RunKey, bool], state: LossState, now: float
     ) -> None:
-        """Record the runs that were on a worker when it was lost."""
-        tasks = dict(runs)
+        """Record the runs that may have been on a worker when it was lost.
+
+        The values of ``runs`` tell whether a run was provably there.
+        """
+        tasks = {task for task, _ in runs}
         entries = []
-        for task, attempt in tasks.items():
-            beside = tuple(sorted(tasks.keys() - {task}))
-            lost = LostRun(task, attempt, worker, born, beside, state)
+        for (task, attempt), was_running in runs.items():
+            beside = tuple(sorted(tasks - {task}))
+            lost = LostRun(task, attempt, worker, born, beside, state, was_running)
             self._merge(lost, now)
             entries.append(self.entries[task][lost.key])
         self.recent = [item for item in self.recent if now <= item[0] + SIMULTANEOUS_SECONDS]
@@ -161,12 +195,13 @@
         known = found.get(lost.key)
         if known is None:
             found[lost.key] = Entry(lost, now)
-        elif STATE_ORDER.index(lost.state) > STATE_ORDER.index(known.lost.state):
-            known.lost = attrs.evolve(known.lost, state=lost.state)
         else:
-            return
+            merged = known.lost.merge(lost)
+            if merged == known.lost:
+                return
+            known.lost = merged
         self.changes.append(found[lost.key].lost)
-        if lost.state is LossState.SUSPECTED:
+        if found[lost.key].lost.state is LossState.SUSPECTED:
             self.unresolved.add(lost.worker)
 
     def resolve(self, worker: str, born: int | None, now: float) -> None:
@@ -183,6 +218,18 @@
                 state = LossState.REFUTED if is_same else LossState.PROVEN
                 self._merge(attrs.evolve(lost, state=state), now)
 
+    def confirm_registered(self, worker: str, born: int, now: float) -> None:
+        """Record that a lost worker was still registered as not leaving, so it has not left."""
+        for lost in self.records():
+            if (lost.worker, lost.born) == (worker, born):
+                self._merge(attrs.evolve(lost, was_registered=True), now)
+
+    def dismiss(self, worker: str, born: int, now: float) -> None:
+        """Record that a lost worker has left, so that its loss is no crash."""
+        for lost in self.records():
+            if (lost.worker, lost.born) == (worker, born) and lost.state is LossState.SUSPECTED:
+                self._merge(attrs.evolve(lost, state=LossState.REFUTED), now)
+
     def clear(self, task: str) -> None:
         """Record that a task has ended well, so that it is to blame for no loss."""
         if self.entries.pop(task, None) is not None:
@@ -220,11 +267,12 @@
 
     def awaits_proof(self, task: str, now: float) -> bool:
         """Return whether a task must not be started before its losses are proven or refuted."""
-        excess = len(self._lost_workers(task)) - MAX_LOST_WORKERS
+        count = len(self._lost_workers(task))
+        excess = count - MAX_LOST_WORKERS
         open_since = [
             entry.learned_at
             for entry in self._losses(task)
-            if entry.lost.state is LossState.SUSPECTED
+            if entry.lost.state is LossState.SUSPECTED or count >= MAX_UNCLEAR_LOSSES
         ]
         return excess >= 0 and any(now < at + PROOF_SECONDS * 2**excess for at in open_since)
 
@@ -264,4 +312,4 @@
         return {(entry.lost.worker, entry.lost.born) for entry in self._losses(task)}
 
     def _proven(self, task: str) -> list[LostRun]:
-        return [entry.lost for entry in self._losses(task) if entry.lost.state is LossState.PROVEN]
+        return [entry.lost for entry in self._losses(task) if entry.is_crash()]
--- a/packages/core/cranberryshore/pool/effects.py
+++ b/packages/core/cranberryshore/pool/effects.py
@@ -3,10 +3,11 @@
 import attrs
 
 from cranberryshore.pool.crashes import LossState
-from cranberryshore.pool.held_worker import EndKind, RunKey
+from cranberryshore.pool.departures import Departure
 from cranberryshore.pool.job_failure import JobFailure
 from cranberryshore.pool.job_summary import JobSummary
 from cranberryshore.pool.work import Outcome
+from cranberryshore.pool.worker_status import EndKind, RunKey
 
 
 class PoolEffect:
@@ -68,13 +69,29 @@
 
     Parameters
     ----------
+    running : tuple of RunKey
+        Runs that were provably on it.
+    possible : tuple of RunKey
+        Runs that may have been on it.
     state : LossState
         Whether its process has provably ended.
+    silent_ms : int
+        Time since the latest poll that it has answered was sent, in milliseconds.
     """
 
     worker: str
-    runs: tuple[RunKey, ...]
+    running: tuple[RunKey, ...]
+    possible: tuple[RunKey, ...]
     state: LossState
+    silent_ms: int
+
+
+@attrs.frozen
+class WorkerLossJudged(PoolEffect):
+    """Log what the registrations tell of a lost worker."""
+
+    worker: str
+    departure: Departure
 
 
 @attrs.frozen
--- a/packages/core/cranberryshore/pool/held_worker.py
+++ b/packages/core/cranberryshore/pool/held_worker.py
@@ -9,11 +9,15 @@
 
 import attrs
 
+from cranberryshore.pool.worker_status import (
+    EndKind,
+    ReportedEnd,
+    ReportedRun,
+    RunKey,
+    WorkerStatus,
+)
 from cranberryshore.work.capacity import Capacity
 
-RunKey = tuple[str, int]
-"""Task name and attempt number."""
-
 LEASE_SECONDS = 1.0
 """Maximum lease; workers shorten longer ones."""
 
@@ -23,6 +27,10 @@
 Allows for 2 % clock error and 80 ms of delay.
 """
 
+LEASE_MARGIN_SECONDS = 0.2
+"""Time before the calculated end of a lease from which it may be over on the clock of the worker,
+whose reading may be late by a lag of the event loop."""
+
 MAX_CLOCK_DRIFT = 0.02
 """Share by which the steady clock of a worker may be slow."""
 
@@ -62,53 +70,6 @@
     STOPPING = "stopping"
 
 
-class EndKind(Enum):
-    """Reason for the end of a run.
-
-    A run has lapsed if its lease has expired, and has vanished if it was started but is missing
-    from a status report, for example after a restart of the worker.
-    """
-
-    DONE = "done"
-    FAILED = "failed"
-    STOPPED = "stopped"
-    LAPSED = "lapsed"
-    NEVER_BEGAN = "never_began"
-    VANISHED = "vanished"
-
-
-@attrs.frozen
-class ReportedRun:
-    """Active run in the status report of a worker."""
-
-    task: str
-    attempt: int
-    percent: float = 0.0
-
-
-@attrs.frozen
-class ReportedEnd:
-    """Finished run in the status report of a worker.
-
-    ``number`` increases by one with each finished run since the start of the worker.
-    """
-
-    number: int
-    task: str
-    attempt: int
-    kind: EndKind
-
-
-@attrs.frozen
-class WorkerStatus:
-    """Status report of a worker: start identifier, clock, active and finished runs."""
-
-    born: int
-    clock_ms: int
-    running: tuple[ReportedRun, ...]
-    ended: tuple[ReportedEnd, ...]
-
-
 @attrs.define
 class Run:
     """Run that occupies capacity on a worker.
@@ -119,6 +80,8 @@
         Time of the start request or of the adoption, in seconds.
     is_adopted : bool
         Whether another holder started the run.
+    lease_until : float
+        End of the lease that the start request carried, in seconds on the clock of this instance.
     """
 
     demand: Capacity
@@ -128,6 +91,7 @@
     is_adopted: bool = False
     start_confirmed_at: float = float("inf")
     stop_requested_at: float = float("-inf")
+    lease_until: float = float("-inf")
     percent: float = 0.0
 
 
@@ -160,11 +124,8 @@
         Send time of the last answered poll, in seconds.
     isolated_runs : set of RunKey
         Runs beside which nothing else is started, because they may crash the worker.
-    runs_at_failure : frozenset of RunKey or None
-        Runs, foreign ones included, when the first of the failed polls failed; ``None`` if the
-        worker has answered since.
     is_loss_recorded : bool
-        Whether they have been recorded as lost.
+        Whether the worker has been recorded as lost since its last answer.
     strangers : set of RunKey
         Foreign runs: active, but not started or adopted by this holder.
     foreign_ends : dict
@@ -181,6 +142,8 @@
     lease_extended_at : float
         Time of the last request, of this holder or an earlier one, that could extend the lease, in
         seconds.
+    lease_until : float
+        End of the longest lease that the worker has confirmed, in seconds.
     """
 
     name: str
@@ -200,7 +163,6 @@
     acknowledged_end: int = 0
     runs: dict[RunKey, Run] = attrs.field(factory=dict)
     isolated_runs: set[RunKey] = attrs.field(factory=set)
-    runs_at_failure: frozenset[RunKey] | None = None
     is_loss_recorded: bool = False
     strangers: set[RunKey] = attrs.field(factory=set)
     strangers_since: float = float("inf")
@@ -209,6 +171,7 @@
     clock_read_at: float = float("-inf")
     clock_requested_at: float = float("-inf")
     lease_extended_at: float = float("-inf")
+    lease_until: float = float("-inf")
     polled_at: float = float("-inf")
     lost_at: float = float("-inf")
     room: Capacity = attrs.field(init=False)
@@ -267,9 +230,17 @@
         drift_ms = MAX_CLOCK_DRIFT * max(now - self.clock_read_at, 0.0) * 1000
         return int(end * 1000 + self.clock_offset_ms - drift_ms)
 
-    def add_run(self, key: RunKey, demand: Capacity, now: float) -> None:
+    def lease_end_at(self, lease_end_ms: int) -> float:
+        """Return the time on the clock of this instance for a lease end on that of the worker."""
+        return (lease_end_ms - self.clock_offset_ms) / 1000
+
+    def add_run(
+        self, key: RunKey, demand: Capacity, now: float, lease_end_ms: int | None = None
+    ) -> None:
         """Add a run whose start is being requested."""
-        self.runs[key] = Run(demand, RunState.REQUESTED, self.token, now)
+        run = self.runs[key] = Run(demand, RunState.REQUESTED, self.token, now)
+        if lease_end_ms is not None:
+            run.lease_until = self.lease_end_at(lease_end_ms)
         self.room = self.room - demand
         self.lease_extended_at = now
 
@@ -279,6 +250,7 @@
         if run is None:
             return
         run.start_confirmed_at = min(run.start_confirmed_at, now)
+        self.lease_until = max(self.lease_until, run.lease_until)
         if run.state is RunState.REQUESTED:
             run.state = RunState.RUNNING
 
@@ -294,10 +266,20 @@
         """Switch to a higher token, which invalidates all requests in transit."""
         self.token = max(token, self.token + 1)
 
-    def record_failure(self) -> None:
-        """Record that a poll has failed."""
-        if self.runs_at_failure is None:
-            self.runs_at_failure = frozenset(self.runs) | self.strangers
+    def possible_runs(self, now: float) -> dict[RunKey, bool]:
+        """Return the runs that may be active now, and whether each one is, if the process lives.
+
+        A run that another holder started is active for certain only after a poll has extended its
+        lease; one that is being stopped may have ended already.
+        """
+        if now >= self.lease_extended_at + LEASE_EXPIRY_SECONDS:
+            return {}
+        is_held = now <= self.lease_until - LEASE_MARGIN_SECONDS
+        certain = {
+            key: is_held and run.state is RunState.RUNNING and run.start_confirmed_at <= now
+            for key, run in self.runs.items()
+        }
+        return dict.fromkeys(self.strangers, False) | certain
 
     def remove_ended_runs(self) -> list[RunEnd]:
         """Remove and return all runs of a process that has ended."""
@@ -320,18 +302,24 @@
         return [RunEnd(key, EndKind.LAPSED, self.remove_run(key)) for key in list(self.runs)]
 
     def record_status(
-        self, status: WorkerStatus, token: int, poll_sent_at: float, now: float
+        self,
+        status: WorkerStatus,
+        token: int,
+        poll_sent_at: float,
+        now: float,
+        lease_until: float = float("-inf"),
     ) -> list[RunEnd]:
         """Update the state from the response to a poll; return the ended runs of this holder.
 
-        ``token`` is the token that was sent with the poll.
+        ``token`` and ``lease_until`` are the token and the end of the lease that were sent with the
+        poll.
         """
         ends: list[RunEnd] = []
-        self.runs_at_failure = None
         if self.born != status.born:
             # The worker has restarted: earlier runs are missing from the report, but runs
             # started since then may be in it.
-            self.born, self.last_seen = status.born, 0
+            self.born, self.last_seen, self.lease_until = status.born, 0, float("-inf")
+        self.lease_until = max(self.lease_until, lease_until)
         self.clock_offset_ms, self.clock_read_at = status.clock_ms - now * 1000, now
         if self.state is HoldState.ACQUIRING:
             # The previous holder may have extended the lease until this worker was acquired.
--- a/packages/core/cranberryshore/pool/loss_tracking.py
+++ b/packages/core/cranberryshore/pool/loss_tracking.py
@@ -1,15 +1,18 @@
 """Records of the workers that a scheduler loses, from their failed polls and their return."""
 
-from collections.abc import Collection
+from collections.abc import Mapping
 
 import attrs
 
 from cranberryshore.pool.crashes import CrashHistory, LossState
-from cranberryshore.pool.effects import PoolEffect, WorkerLost
-from cranberryshore.pool.held_worker import HeldWorker, RunKey
+from cranberryshore.pool.departures import Departure, DepartureCheck
+from cranberryshore.pool.effects import PoolEffect, WorkerLossJudged, WorkerLost
+from cranberryshore.pool.held_worker import HeldWorker
 from cranberryshore.pool.isolation import Isolation
 from cranberryshore.pool.job_failure import FailureCause, JobFailure
 from cranberryshore.pool.work import PoolJob
+from cranberryshore.pool.worker_registration import WorkerListing
+from cranberryshore.pool.worker_status import RunKey
 
 
 @attrs.define(eq=False)
@@ -20,36 +23,59 @@
     ----------
     effects : list of PoolEffect
         Receives the log records.
+    departures : DepartureCheck
+        What the registrations tell of lost workers.
+    undecided : dict
+        Times at which workers were lost of which it is not known whether they have left, by name
+        and start.
     """
 
     crashes: CrashHistory
     isolation: Isolation
     effects: list[PoolEffect]
+    departures: DepartureCheck = attrs.field(factory=DepartureCheck)
+    undecided: dict[tuple[str, int], float] = attrs.field(factory=dict)
 
     def worker_refuses(self, worker: HeldWorker, now: float) -> None:
         """Record that no process listens at the address of a worker, which may have crashed."""
         if not worker.is_loss_recorded:
-            self._record(worker, worker.born, worker.runs_at_failure, LossState.SUSPECTED, now)
+            runs = worker.possible_runs(now)
+            self._record(worker, worker.born, runs, LossState.SUSPECTED, now)
 
     def worker_replaced(self, worker: HeldWorker, now: float) -> None:
         """Record that another process answers at the address of a worker, so it has ended."""
         if not worker.is_loss_recorded:
-            self._record(worker, worker.born, worker.runs_at_failure, LossState.PROVEN, now)
+            runs = worker.possible_runs(now)
+            self._record(worker, worker.born, runs, LossState.PROVEN, now)
         self.crashes.resolve(worker.name, None, now)
 
     def worker_answered(
-        self, worker: HeldWorker, before: int, lost_runs: Collection[RunKey], now: float
+        self, worker: HeldWorker, before: int, lost_runs: Mapping[RunKey, bool], now: float
     ) -> None:
         """Record that a worker has answered a poll.
 
-        ``before`` is its start before that, 0 if it was not known, and ``lost_runs`` are the runs
-        that were on it then.
+        ``before`` is its start before that, 0 if it was not known. ``lost_runs`` are the runs that
+        may have been on it until then and are missing now, and whether each one certainly was.
         """
-        if before not in (0, worker.born):
+        if before not in (0, worker.born) and not worker.is_loss_recorded:
             self._record(worker, before, lost_runs, LossState.PROVEN, now)
         worker.is_loss_recorded = False
         self.crashes.resolve(worker.name, worker.born, now)
 
+    def workers_listed(self, listing: WorkerListing, now: float) -> None:
+        """Record the registrations, which may tell whether lost workers have left."""
+        self.departures.record(listing)
+        for (name, born), lost_at in list(self.undecided.items()):
+            departure = self.departures.judge(name, born, lost_at)
+            if departure is Departure.UNDECIDED:
+                continue
+            del self.undecided[name, born]
+            self.effects.append(WorkerLossJudged(name, departure))
+            if departure is Departure.EXCLUDED:
+                self.crashes.confirm_registered(name, born, now)
+            elif departure is Departure.ANNOUNCED:
+                self.crashes.dismiss(name, born, now)
+
     def find_failure(self, job: PoolJob) -> JobFailure | None:
         """Return the failure of a job with a task that crashes its workers."""
         if not self.crashes.entries:
@@ -65,7 +91,7 @@
         self,
         worker: HeldWorker,
         born: int,
-        runs: Collection[RunKey] | None,
+        runs: Mapping[RunKey, bool],
         state: LossState,
         now: float,
     ) -> None:
@@ -73,6 +99,10 @@
         if worker.is_draining or not runs:
             return
         worker.is_loss_recorded = True
+        self.undecided[worker.name, born] = now
         self.isolation.worker_lost(worker, now)
-        self.effects.append(WorkerLost(worker.name, tuple(sorted(runs)), state))
+        running = tuple(sorted(key for key, is_certain in runs.items() if is_certain))
+        possible = tuple(sorted(runs.keys() - set(running)))
+        silent_ms = int((now - worker.polled_at) * 1000)
+        self.effects.append(WorkerLost(worker.name, running, possible, state, silent_ms))
         self.crashes.record(worker.name, born, runs, state, now)
--- a/packages/core/cranberryshore/pool/run_registry.py
+++ b/packages/core/cranberryshore/pool/run_registry.py
@@ -2,8 +2,8 @@
 
 import attrs
 
-from cranberryshore.pool.held_worker import RunKey
 from cranberryshore.pool.work import PoolJob, PoolTask, TaskPhase
+from cranberryshore.pool.worker_status import RunKey
 
 MAX_REMEMBERED_JOBS = 20_000
 """Maximum number of ended jobs whose attempts are kept: some minutes at 100 jobs per second."""
--- a/packages/core/cranberryshore/pool/scheduler.py
+++ b/packages/core/cranberryshore/pool/scheduler.py
@@ -21,14 +21,7 @@
     UnsuccessfulRun,
 )
 from cranberryshore.pool.foreign_runs import ForeignRuns
-from cranberryshore.pool.held_worker import (
-    EndKind,
-    HeldWorker,
-    RunEnd,
-    RunKey,
-    RunState,
-    WorkerStatus,
-)
+from cranberryshore.pool.held_worker import HeldWorker, RunEnd, RunState
 from cranberryshore.pool.job_failure import FailureCause, JobFailure
 from cranberryshore.pool.job_summary import summarize_job
 from cranberryshore.pool.loss_tracking import LossTracker
@@ -43,6 +36,8 @@
 )
 from cranberryshore.pool.verifying import Verification
 from cranberryshore.pool.work import Outcome, PoolJob, PoolTask, TaskPhase, WorkRequest
+from cranberryshore.pool.worker_registration import WorkerListing
+from cranberryshore.pool.worker_status import EndKind, RunKey, WorkerStatus
 from cranberryshore.work.capacity import Capacity
 
 STOP_RETRY_SECONDS = 0.15
@@ -233,6 +228,11 @@
         self._end_failed_jobs(now)
         self.changed_at = now
 
+    def workers_listed(self, listing: WorkerListing, now: float) -> None:
+        """Apply what the registrations tell of lost workers."""
+        self.losses.workers_listed(listing, now)
+        self._end_failed_jobs(now)
+
     def _end_failed_jobs(self, now: float) -> None:
         """End the jobs with a task that crashes its workers, if any of them is newly known."""
         if not self.crashes.changes:
@@ -302,16 +302,23 @@
         return worker.lease_end_ms(now, self.placer.lease_limit(worker))
 
     def record_status(
-        self, name: str, status: WorkerStatus, token: int, poll_sent_at: float, now: float
+        self,
+        name: str,
+        status: WorkerStatus,
+        token: int,
+        poll_sent_at: float,
+        now: float,
+        lease_until: float = float("-inf"),
     ) -> None:
-        """Process the status report of a worker."""
+        """Process the status report of a worker; see :meth:`HeldWorker.record_status`."""
         worker = self.workers.get(name)
         if worker is None:
             return
-        born, runs_at_failure = worker.born, worker.runs_at_failure
-        ends = worker.record_status(status, token, poll_sent_at, now)
-        vanished = {end.key for end in ends if end.kind is EndKind.VANISHED}
-        self.losses.worker_answered(worker, born, runs_at_failure or vanished, now)
+        born = worker.born
+        before = worker.possible_runs(now) if born != status.born else {}
+        ends = worker.record_status(status, token, poll_sent_at, now, lease_until)
+        lost_runs = {key: before[key] for key in before if key not in worker.runs}
+        self.losses.worker_answered(worker, born, lost_runs, now)
         self._end_failed_jobs(now)
         for end in ends:
             self._run_ended(worker, end, now)
@@ -359,10 +366,9 @@
         """Record that no process listens at the address of a worker."""
         worker = self.workers.get(name)
         if worker is not None:
-            worker.record_failure()
+            self.losses.worker_refuses(worker, now)
             worker.mark_silent()
             self.placer.worker_changed(worker)
-            self.losses.worker_refuses(worker, now)
             self._end_failed_jobs(now)
 
     def worker_replaced(self, name: str, now: float) -> None:
@@ -383,10 +389,7 @@
         since it carries the lease end as an absolute time.
         """
         worker = self.workers.get(name)
-        if worker is None:
-            return
-        worker.record_failure()
-        if failures >= FAILED_POLLS_UNTIL_SILENT:
+        if worker is not None and failures >= FAILED_POLLS_UNTIL_SILENT:
             worker.mark_silent()
             self.placer.worker_changed(worker)
 
--- a/packages/core/cranberryshore/pool/tests/test_crashes.py
+++ b/packages/core/cranberryshore/pool/tests/test_crashes.py
@@ -19,7 +19,9 @@
         self.history = CrashHistory()
 
     def lose(self, worker: str, *tasks: str, state=PROVEN, now=1.0, born=1, attempt=1) -> None:
-        self.history.record(worker, born, [(task, attempt) for task in tasks], state, now)
+        runs = {(task, attempt): True for task in tasks}
+        self.history.record(worker, born, runs, state, now)
+        self.history.confirm_registered(worker, born, now)
 
     def test_sole_task_on_a_crashed_worker_is_the_culprit(self):
         self.lose("w1", CULPRIT, SOUND)
--- a/packages/core/cranberryshore/pool/tests/test_lost_workers.py
+++ b/packages/core/cranberryshore/pool/tests/test_lost_workers.py
@@ -1,3 +1,5 @@
+import attrs
+
 from cranberryshore.pool import (
     EndKind,
     HeldWorker,
@@ -5,18 +7,35 @@
     JobEnded,
     Outcome,
     StartRun,
+    WorkerListing,
     WorkerStatus,
 )
+from cranberryshore.pool.departures import HIDDEN_CHANGE_SECONDS
 from cranberryshore.pool.held_worker import LEASE_EXPIRY_SECONDS
 from cranberryshore.pool.isolation import RECOVERY_SECONDS
 from cranberryshore.pool.job_failure import FailureCause
 from cranberryshore.pool.refusing import RETRY_AFTER_MS
-from cranberryshore.pool.tests.test_scheduler import SchedulerTestCase, request
+from cranberryshore.pool.tests.test_scheduler import SchedulerTestCase, registration, request
 from cranberryshore.work import Capacity
 
 
 class LostWorkerTestCase(SchedulerTestCase):
-    """Workers that stop to answer, with the runs on them."""
+    """Workers that stop to answer, with the runs on them, while the store answers."""
+
+    def setUp(self):
+        super().setUp()
+        self.list_workers(-1.0)
+        self.list_workers(0.0)
+
+    def list_workers(self, now: float | None = None, *missing: str, **changes) -> None:
+        """Read the registrations, in which some values of all workers differ."""
+        now = self.now if now is None else now
+        workers = tuple(
+            attrs.evolve(registration(worker.name), **({"born": worker.born} | changes))
+            for worker in self.scheduler.workers.values()
+        )
+        listing = WorkerListing(workers, frozenset(missing), now, now)
+        self.scheduler.workers_listed(listing, now)
 
     def fail_polls(self, name: str) -> None:
         for failures in (1, 2):
@@ -24,6 +43,12 @@
 
     def crash(self, name: str) -> None:
         """Let a worker refuse connections until its lease has expired."""
+        self.list_workers()
+        self.refuse(name)
+        self.list_workers()
+
+    def refuse(self, name: str) -> None:
+        """Let a worker refuse connections, while the store does not answer."""
         self.fail_polls(name)
         self.scheduler.worker_refuses(name, self.now)
         self.now += LEASE_EXPIRY_SECONDS + 0.01
@@ -84,6 +109,8 @@
         self.now += 0.01
         status = WorkerStatus(2, 0, (), ())
         self.scheduler.record_status(start.worker, status, 1, self.now, self.now)
+        self.list_workers(born=1)
+        self.list_workers(self.now + HIDDEN_CHANGE_SECONDS, born=1)
         self.assertEqual(self.scheduler.crashes.crashed_workers(start.key[0]), 1)
 
     def test_end_of_a_leaving_worker_is_no_crash(self):
--- a/packages/core/cranberryshore/pool/worker_registration.py
+++ b/packages/core/cranberryshore/pool/worker_registration.py
@@ -21,6 +21,8 @@
         Rack of the worker; empty if unknown.
     is_draining : bool
         Whether the worker is shutting down and accepts no new work.
+    born : int
+        Identifier of the start of the worker process that wrote the registration; 0 if unknown.
     """
 
     name: str
@@ -31,3 +33,37 @@
     labels: tuple[str, ...] = ()
     rack: str = ""
     is_draining: bool = False
+    born: int = 0
+
+    def is_of_start(self, born: int) -> bool:
+        """Return whether the registration may be of a given start of the worker process.
+
+        Examples
+        --------
+        >>> entry = WorkerRegistration("w", "w", "z", "s", Capacity(1000), born=2)
+        >>> entry.is_of_start(2), entry.is_of_start(1), entry.is_of_start(0)
+        (True, False, True)
+        """
+        return self.born == born or 0 in (self.born, born)
+
+
+@attrs.frozen
+class WorkerListing:
+    """Registrations as they were read from the platform's store.
+
+    Parameters
+    ----------
+    workers : tuple of WorkerRegistration
+        Registered workers, and those whose registration was missing for a short time only.
+    missing : frozenset of str
+        Names of the latter.
+    confirmed_at : float
+        Time at which the registrations were the newest ones, in seconds.
+    answered_at : float
+        Time at which the store answered.
+    """
+
+    workers: tuple[WorkerRegistration, ...]
+    missing: frozenset[str]
+    confirmed_at: float
+    answered_at: float
--- a/packages/core/cranberryshore/timeline/log_records.py
+++ b/packages/core/cranberryshore/timeline/log_records.py
@@ -27,7 +27,7 @@
     "daemon: Draining.",
     "store: Store does not answer.",
 )
-_HIDDEN_FIELDS = ("job", "queue", "entry", "runs", "config")
+_HIDDEN_FIELDS = ("job", "queue", "entry", "runs", "possible_runs", "config")
 
 
 @attrs.frozen
--- a/packages/daemon/cranberryshored/metrics.py
+++ b/packages/daemon/cranberryshored/metrics.py
@@ -80,6 +80,11 @@
     lost_workers: Counter = _counter(
         "cranberryshore_lost_workers", "Workers lost with runs on them.", "crash"
     )
+    judged_losses: Counter = _counter(
+        "cranberryshore_judged_losses",
+        "Lost workers by what the registrations tell of them.",
+        "departure",
+    )
     failed_jobs: Counter = _counter(
         "cranberryshore_failed_jobs", "Jobs of a pool that failed, by cause.", "cause"
     )
--- a/packages/daemon/cranberryshored/pool/app.py
+++ b/packages/daemon/cranberryshored/pool/app.py
@@ -24,6 +24,7 @@
     MemberAddress,
     PoolConfig,
     QueueSpec,
+    WorkerListing,
     WorkerRegistration,
     WorkRequest,
 )
@@ -403,20 +404,15 @@
             ),
         )
 
-    def _handle_workers(self, workers: tuple[WorkerRegistration, ...]) -> None:
-        if self.group.compare_workers(workers, self.is_first_roster):
+    def _handle_workers(self, listing: WorkerListing) -> None:
+        if self.group.compare_workers(listing.workers, self.is_first_roster):
             # Before the pool is divided, which the others must agree to.
             self.exchange.announce()
         self.is_first_roster = False
-        rosters = self.rosters
-        if workers != rosters.workers or not rosters.version:
-            known = {entry.name for entry in rosters.workers}
-            is_extended = not {entry.name for entry in workers} <= known
-            rosters.publish(rosters.version, workers)
-            if is_extended:
-                # New workers are used only for instances that know them.
-                self.exchange.push_roster()
-        self.scheduling.set_roster(workers)
+        if self.rosters.update(listing.workers):
+            # New workers are used only for instances that know them.
+            self.exchange.push_roster()
+        self.scheduling.workers_listed(listing)
 
     async def _list_members(self) -> None:
         while True:
--- a/packages/daemon/cranberryshored/pool/protocols.py
+++ b/packages/daemon/cranberryshored/pool/protocols.py
@@ -23,6 +23,7 @@
     PoolConfig,
     StartRun,
     StopRun,
+    WorkerListing,
     WorkerRegistration,
     WorkerStatus,
 )
@@ -136,10 +137,10 @@
 
     async def follow_workers(
         self,
-        on_workers: Callable[[tuple[WorkerRegistration, ...]], None],
+        on_workers: Callable[[WorkerListing], None],
         known: tuple[WorkerRegistration, ...],
     ) -> None:
-        """Report the registered workers whenever they change.
+        """Report the registered workers whenever they change, and each time they are confirmed.
 
         ``known`` are the workers that the caller holds, which may have lost their registration.
         """
--- a/packages/daemon/cranberryshored/pool/registry.py
+++ b/packages/daemon/cranberryshored/pool/registry.py
@@ -11,7 +11,13 @@
 from structlog.typing import FilteringBoundLogger
 
 from cranberryshore.messages import decode_json, encode_json
-from cranberryshore.pool import LostRun, MemberAddress, PoolConfig, WorkerRegistration
+from cranberryshore.pool import (
+    LostRun,
+    MemberAddress,
+    PoolConfig,
+    WorkerListing,
+    WorkerRegistration,
+)
 from cranberryshored.platform.store import Store, StoreFailure
 from cranberryshored.pool.clock import now
 from cranberryshored.pool.protocols import ConfigHandler
@@ -178,7 +184,7 @@
 
     async def follow_workers(
         self,
-        on_workers: Callable[[tuple[WorkerRegistration, ...]], None],
+        on_workers: Callable[[WorkerListing], None],
         known: tuple[WorkerRegistration, ...],
     ) -> None:
         """See :class:`Registry`.
@@ -189,7 +195,7 @@
         reported = {worker.name: worker for worker in known}
         missing: dict[str, float] = {}
 
-        def report(entries: dict[str, str], _confirmed_at: float) -> None:
+        def report(entries: dict[str, str], confirmed_at: float) -> None:
             fresh: dict[str, WorkerRegistration] = {}
             for key, text in entries.items():
                 name = key.removeprefix(self.layout.workers_prefix)
@@ -205,7 +211,8 @@
                     del missing[name]
                     reported.pop(name, None)
             reported.update(fresh)
-            on_workers(tuple(reported[name] for name in sorted(reported)))
+            workers = tuple(reported[name] for name in sorted(reported))
+            on_workers(WorkerListing(workers, frozenset(missing), confirmed_at, now()))
 
         await StoreFollower(
             self.workers_store,
--- a/packages/daemon/cranberryshored/pool/roster_keeper.py
+++ b/packages/daemon/cranberryshored/pool/roster_keeper.py
@@ -39,6 +39,14 @@
         """Adopt a roster under a new version that is higher than ``previous``."""
         self.adopt(next_version(self.publisher, unix_ms(), previous), workers)
 
+    def update(self, workers: tuple[WorkerRegistration, ...]) -> bool:
+        """Publish the workers that were read if they differ; return whether any of them is new."""
+        if workers == self.workers and self.version:
+            return False
+        known = {entry.name for entry in self.workers}
+        self.publish(self.version, workers)
+        return not {entry.name for entry in workers} <= known
+
     def adopt(self, version: int, workers: tuple[WorkerRegistration, ...]) -> None:
         """Replace the roster."""
         self.version, self.workers = version, workers
--- a/packages/daemon/cranberryshored/pool/scheduling.py
+++ b/packages/daemon/cranberryshored/pool/scheduling.py
@@ -10,6 +10,7 @@
     AcknowledgedRights,
     Claim,
     CrashHistory,
+    Departure,
     HeldWorker,
     HoldState,
     JobEnded,
@@ -20,6 +21,8 @@
     RosterHistory,
     Scheduler,
     UnsuccessfulRun,
+    WorkerListing,
+    WorkerLossJudged,
     WorkerLost,
     WorkerRegistration,
     WorkRequest,
@@ -39,6 +42,13 @@
 """Interval of the checks for passed deadlines: a sixth of the shortest target latency."""
 
 
+DEPARTURE_SENTENCES = {
+    Departure.EXCLUDED: "Lost worker is still registered; if its process has ended, it crashed.",
+    Departure.ANNOUNCED: "Lost worker had announced that it leaves; its loss counts for no task.",
+    Departure.UNKNOWN: "Store does not tell whether a lost worker has left; its loss is no crash.",
+}
+
+
 @attrs.define(eq=False)
 class SchedulingService:
     """Holds the workers and schedules the jobs of all entry instances that follow this instance.
@@ -138,6 +148,12 @@
             self._hold_worker(entry)
         self.apply_effects_soon()
 
+    def workers_listed(self, listing: WorkerListing) -> None:
+        """Place tasks on exactly the listed workers, and apply what tells of lost ones."""
+        if self.claim is not None:
+            self.set_roster(listing.workers)
+            self.scheduler.workers_listed(listing, now())
+
     def _is_claimed(self, entry: WorkerRegistration) -> bool:
         return self.claim.zone in ("", entry.zone)
 
@@ -205,6 +221,9 @@
             if isinstance(effect, WorkerLost):
                 self._log_lost_worker(effect)
                 continue
+            if isinstance(effect, WorkerLossJudged):
+                self._log_judged_loss(effect)
+                continue
             if isinstance(effect, ResumedJobReleased):
                 self.log.info("Resumed job may start.", **attrs.asdict(effect))
                 continue
@@ -238,9 +257,15 @@
             "Worker was lost with its runs.",
             worker=lost.worker,
             crash=lost.state.value,
-            runs=[f"{task}/{attempt}" for task, attempt in lost.runs],
+            silent_ms=lost.silent_ms,
+            runs=[f"{task}/{attempt}" for task, attempt in lost.running],
+            possible_runs=[f"{task}/{attempt}" for task, attempt in lost.possible],
         )
 
+    def _log_judged_loss(self, judged: WorkerLossJudged) -> None:
+        self.metrics.judged_losses.labels(judged.departure.value).inc()
+        self.log.info(DEPARTURE_SENTENCES[judged.departure], worker=judged.worker)
+
     def _log_end(self, end: JobEnded) -> None:
         summary = attrs.asdict(end.summary) if end.summary is not None else {}
         if end.failure is not None:
--- a/packages/daemon/cranberryshored/pool/worker_channel.py
+++ b/packages/daemon/cranberryshored/pool/worker_channel.py
@@ -173,8 +173,10 @@
         self.is_poll_requested = False
         request_sent_at, token, last_seen = now(), worker.token, worker.last_seen
         lease_end_ms = self.scheduler.lease_end_ms(worker, request_sent_at)
+        lease_until = float("-inf")
         if lease_end_ms is not None:
             worker.lease_extended_at = request_sent_at
+            lease_until = worker.lease_end_at(lease_end_ms)
         self.is_polling = True
         poll = PollRequest(token, last_seen, lease_end_ms, wait_ms)
         seconds = wait_ms / 1000 + self.timeout.seconds(self.failed_polls)
@@ -191,12 +193,13 @@
             worker.acknowledged_end = max(worker.acknowledged_end, last_seen)
             previous_state = worker.state
             self.scheduler.record_status(
-                worker.name, answer.ok_value, token, request_sent_at, now()
+                worker.name, answer.ok_value, token, request_sent_at, now(), lease_until
             )
             if previous_state is not worker.state:
                 self.log.info(
                     "Worker responds.",
                     worker=worker.name,
+                    born=worker.born,
                     token=token,
                     running=len(answer.ok_value.running),
                     strangers=len(worker.strangers),
--- a/packages/proof/cranberryshore_proof/pool_mutate.py
+++ b/packages/proof/cranberryshore_proof/pool_mutate.py
@@ -24,14 +24,20 @@
     HeldWorker,
     HoldState,
     LossState,
+    LostRun,
     PoolConfig,
     QueueSpec,
     RosterHistory,
     VersionedQueue,
+    WorkerRegistration,
     confirmation,
     crashes,
+    departures,
+    held_worker,
     scheduler,
 )
+from cranberryshore.pool.crashes import Entry
+from cranberryshore.pool.held_worker import Run
 from cranberryshore.pool.isolation import Isolation
 from cranberryshore.pool.loss_tracking import LossTracker
 from cranberryshore.pool.placing import Placer
@@ -47,12 +53,14 @@
 TEST_MODULES = (
     "cranberryshore.pool.tests.test_confirmation",
     "cranberryshore.pool.tests.test_crashes",
+    "cranberryshore.pool.tests.test_departures",
     "cranberryshore.pool.tests.test_isolation",
     "cranberryshore.pool.tests.test_lost_workers",
     "cranberryshore.pool.tests.test_queue_versions",
     "cranberryshore.pool.tests.test_start_rights",
     "cranberryshore.pool.tests.test_scheduler",
     "cranberryshore.pool.tests.test_takeover",
+    "cranberryshore.pool.tests.test_unproven_losses",
     "cranberryshore.pool.tests.test_worker_selection",
     "cranberryshored.pool.tests.test_exchange",
     "cranberryshored.pool.tests.test_roster_keeper",
@@ -115,14 +123,49 @@
 
 def _prove_refusal(self: LossTracker, worker: HeldWorker, now: float) -> None:
     if not worker.is_loss_recorded:
-        self._record(worker, worker.born, worker.runs_at_failure, LossState.PROVEN, now)
+        self._record(worker, worker.born, worker.possible_runs(now), LossState.PROVEN, now)
 
 
 def _record_leaving(
-    self: LossTracker, worker: HeldWorker, born: int, runs: set, state: LossState, now: float
+    self: LossTracker, worker: HeldWorker, born: int, runs: dict, state: LossState, now: float
 ) -> None:
     worker.is_loss_recorded = True
-    self.crashes.record(worker.name, born, runs or (), state, now)
+    self.crashes.record(worker.name, born, runs, state, now)
+
+
+def _possible_runs(self: HeldWorker, is_certain: Callable[[HeldWorker, Run], bool]) -> dict:
+    certain = {key: is_certain(self, run) for key, run in self.runs.items()}
+    return dict.fromkeys(self.strangers, False) | certain
+
+
+def _is_lease_held(worker: HeldWorker, now: float) -> bool:
+    return now <= worker.lease_until - held_worker.LEASE_MARGIN_SECONDS
+
+
+def _ignore_leases(self: HeldWorker, now: float) -> dict:
+    return _possible_runs(self, lambda _, run: run.start_confirmed_at <= now)
+
+
+def _ignore_confirmations(self: HeldWorker, now: float) -> dict:
+    return _possible_runs(self, lambda worker, _: _is_lease_held(worker, now))
+
+
+def _ignore_stops(self: HeldWorker, now: float) -> dict:
+    return _possible_runs(
+        self, lambda worker, run: _is_lease_held(worker, now) and run.start_confirmed_at <= now
+    )
+
+
+def _blame_strangers(self: HeldWorker, now: float) -> dict:
+    return _ignore_stops(self, now) | dict.fromkeys(self.strangers, True)
+
+
+def _count_without_registration(self: LostRun) -> bool:
+    return self.state is LossState.PROVEN and self.was_running
+
+
+def _count_common_cause(self: Entry) -> bool:
+    return self.lost.is_crash()
 
 
 def _is_available(self: HeldWorker) -> bool:
@@ -203,6 +246,23 @@
     PoolMutation("loss: one crash is enough", crashes, "MAX_LOST_WORKERS", 1),
     PoolMutation("loss: a refusal is a proof", LossTracker, "worker_refuses", _prove_refusal),
     PoolMutation("loss: a leaving worker has crashed", LossTracker, "_record", _record_leaving),
+    PoolMutation("loss: leases do not matter", HeldWorker, "possible_runs", _ignore_leases),
+    PoolMutation("loss: the end of a lease is exact", held_worker, "LEASE_MARGIN_SECONDS", 0.0),
+    PoolMutation(
+        "loss: starts count without an answer", HeldWorker, "possible_runs", _ignore_confirmations
+    ),
+    PoolMutation("loss: stopped runs count", HeldWorker, "possible_runs", _ignore_stops),
+    PoolMutation("loss: foreign runs count", HeldWorker, "possible_runs", _blame_strangers),
+    PoolMutation("loss: departures count", LostRun, "is_crash", _count_without_registration),
+    PoolMutation("loss: announcements are ignored", CrashHistory, "dismiss", _constant(None)),
+    PoolMutation("loss: a silent store hides nothing", departures, "MAX_ANSWER_GAP_SECONDS", 100.0),
+    PoolMutation("loss: registrations are never late", departures, "HIDDEN_CHANGE_SECONDS", 0.0),
+    PoolMutation("loss: notices are not awaited", departures, "NOTICE_SECONDS", 0.0),
+    PoolMutation(
+        "loss: any start's registration counts", WorkerRegistration, "is_of_start", _constant(True)
+    ),
+    PoolMutation("loss: unclear losses have no limit", crashes, "MAX_UNCLEAR_LOSSES", 1000),
+    PoolMutation("loss: a lost rack is to blame", Entry, "is_crash", _count_common_cause),
     PoolMutation("loss: a replaced worker is no proof", CrashHistory, "resolve", _constant(None)),
     PoolMutation("loss: proof is not awaited", CrashHistory, "awaits_proof", _constant(False)),
     PoolMutation("loss: a lost rack makes suspects", crashes, "MIN_SIMULTANEOUS_WORKERS", 1000),
--- a/packages/proof/cranberryshore_proof/pool_registry.py
+++ b/packages/proof/cranberryshore_proof/pool_registry.py
@@ -6,7 +6,13 @@
 import attrs
 
 from cranberryshore.messages import decode_json
-from cranberryshore.pool import LostRun, MemberAddress, PoolConfig, WorkerRegistration
+from cranberryshore.pool import (
+    LostRun,
+    MemberAddress,
+    PoolConfig,
+    WorkerListing,
+    WorkerRegistration,
+)
 from cranberryshored.pool.registry import StoreLayout
 
 if TYPE_CHECKING:
@@ -59,7 +65,8 @@
         """See :class:`Registry`."""
         while True:
             if not self._is_store_unreachable():
-                on_workers(self.deployment.roster())
+                now = self.deployment.now()
+                on_workers(WorkerListing(self.deployment.roster(), frozenset(), now, now))
             await asyncio.sleep(0.5)
 
     async def keep_registered(self, member: MemberAddress) -> None:
