Scheduler: a worker that returns for another service is held anew

A registration was applied to a held worker if only its address was the same. The service, zone and rack of the former boot stayed in use for good: a worker that had come back under its id and address for another service kept getting tasks of queues that its service does not serve (ROUTE). A change of the address beside active runs left the worker in use as well.

A held worker whose service, zone, rack or address differs from its registration is replaced when it has no runs, and gets nothing new before.

Before, test_worker_that_returns_for_another_service_gets_tasks_of_its_former_one, test_worker_that_returns_in_another_rack_keeps_the_former_one and test_worker_of_another_service_is_not_used_beside_runs_of_the_former_one failed.

--- a/packages/daemon/cranberryshored/pool/scheduling.py
+++ b/packages/daemon/cranberryshored/pool/scheduling.py
@@ -259,7 +259,7 @@
 
     def _hold_worker(self, entry: WorkerRegistration) -> None:
         worker = self.scheduler.workers.get(entry.name)
-        if worker is not None and worker.address == entry.address and self._keeps_hold(worker):
+        if worker is not None and _is_place_of(worker, entry) and self._keeps_hold(worker):
             if entry.is_draining and not worker.is_draining:
                 self.log.info("Worker is leaving.", worker=entry.name)
             labels = frozenset(entry.labels)
@@ -267,6 +267,7 @@
             return
         if worker is not None and worker.runs:
             # These runs must have ended, or their lease expired, before the worker is replaced.
+            self.scheduler.unlist(entry.name, now())
             return
         worker = HeldWorker(
             entry.name,
@@ -324,3 +325,9 @@
             self.apply_effects_soon()
             for name in sorted(self.channels.keys() - self.scheduler.workers.keys()):
                 self._close(self.channels.pop(name))
+
+
+def _is_place_of(worker: HeldWorker, entry: WorkerRegistration) -> bool:
+    """Return whether a registration is for the place and the service of a held worker."""
+    held = (worker.address, worker.service, worker.zone, worker.rack)
+    return held == (entry.address, entry.service, entry.zone, entry.rack)
--- a/packages/daemon/cranberryshored/pool/tests/test_scheduling.py
+++ b/packages/daemon/cranberryshored/pool/tests/test_scheduling.py
@@ -2,6 +2,7 @@
 import logging
 from unittest import IsolatedAsyncioTestCase
 
+import attrs
 import structlog
 from result import Ok
 
@@ -115,3 +116,22 @@
         self.assertEqual(self.stall_count, 1)
         self.assertIsNone(self.service.claim)
         self.assertEqual(self.calls.starts, [])
+
+    async def test_worker_that_returns_for_another_service_gets_tasks_of_its_former_one(self):
+        await self.wait_until_held()
+        self.service.set_roster((attrs.evolve(WORKER, service="t"),))
+        await self.submit()
+        await asyncio.sleep(0.05)
+        self.assertEqual(self.calls.starts, [])
+
+    async def test_worker_that_returns_in_another_rack_keeps_the_former_one(self):
+        await self.wait_until_held()
+        self.service.set_roster((attrs.evolve(WORKER, rack="r1-1"),))
+        self.assertEqual(self.service.scheduler.workers["w"].rack, "r1-1")
+
+    async def test_worker_of_another_service_is_not_used_beside_runs_of_the_former_one(self):
+        await self.wait_until_held()
+        await self.submit()
+        await self.service.channels["w"].request_tasks.copy().pop()
+        self.service.set_roster((attrs.evolve(WORKER, service="t"),))
+        self.assertFalse(self.service.scheduler.workers["w"].is_available())
