Tests that fail: knowledge of a former boot of a worker is used for another

What a worker said, or what was learned of it, belongs to one start of its process and to one moment of it.

- An answer without `born` counts as another boot, and proves a crash.
- A run that a later boot itself lists as active is recorded as proven lost.
- Isolation and measured speeds outlive the boot that they were measured on.
- The highest acknowledged end of the former boot keeps the ends of an idle new one from being acknowledged (rule Acks).
- An ended run in an older answer that arrives later comes back as the run of another scheduler, and blocks the worker.

--- /dev/null
+++ b/packages/core/cranberryshore/pool/tests/test_former_boots.py
@@ -0,0 +1,82 @@
+from unittest import TestCase
+
+from cranberryshore.pool import (
+    EndKind,
+    HeldWorker,
+    ReportedEnd,
+    ReportedRun,
+    StartRun,
+    WorkerStatus,
+)
+from cranberryshore.pool.tests.test_lost_workers import LostWorkerTestCase
+from cranberryshore.work import Capacity
+
+
+class RestartTestCase(LostWorkerTestCase):
+    """Workers that answer as another start of their process."""
+
+    def answer(self, name: str, born: int, *running, ended=(), sent_at=None) -> None:
+        self.now += 0.01
+        sent_at = self.now if sent_at is None else sent_at
+        listed = tuple(ReportedRun(*key) for key in running)
+        status = WorkerStatus(born, 0, listed, tuple(ended))
+        token = self.scheduler.workers[name].token
+        self.scheduler.record_status(name, status, token, sent_at, self.now)
+
+    def crashed_workers(self, start: StartRun) -> int:
+        return self.scheduler.crashes.crashed_workers(start.key[0])
+
+
+class FormerBootTest(RestartTestCase):
+    """What is known of a start of a worker process, after another start of it."""
+
+    def test_late_answer_of_a_former_boot_is_a_crash_of_the_present_one(self):
+        sent_at = self.now
+        self.answer("w1", 2)
+        self.answer("w2", 2)
+        (start,) = self.submit()
+        self.answer(start.worker, 2, start.key)
+        self.fail_polls(start.worker)
+        self.answer(start.worker, 1, sent_at=sent_at)
+        self.assertEqual(self.crashed_workers(start), 0)
+
+    def test_answer_without_a_boot_is_a_crash(self):
+        (start,) = self.submit()
+        self.fail_polls(start.worker)
+        self.answer(start.worker, 0, start.key)
+        self.assertEqual(self.crashed_workers(start), 0)
+
+    def test_run_that_a_later_boot_reports_was_lost_with_the_former_one(self):
+        # The worker has restarted before the start, which the scheduler learns only now.
+        (start,) = self.submit()
+        self.fail_polls(start.worker)
+        self.answer(start.worker, 2, start.key)
+        self.assertIn(start.key, self.scheduler.workers[start.worker].runs)
+        self.assertEqual(self.crashed_workers(start), 0)
+
+    def test_worker_stays_isolated_for_what_its_former_boot_did(self):
+        health = self.scheduler.statistics.health
+        health.isolate("w1", 60.0, self.now)
+        self.answer("w1", 2)
+        self.assertGreater(health.allowance("w1", self.now), 0)
+        self.assertEqual(health.placement_rank("w1"), 0)
+
+    def test_ends_of_a_restarted_worker_are_not_acknowledged_when_it_is_idle(self):
+        worker = self.scheduler.workers["w1"]
+        worker.last_seen = worker.acknowledged_end = 7
+        self.answer("w1", 2, ended=[ReportedEnd(1, "x.0.0.0", 1, EndKind.DONE)])
+        self.assertGreater(worker.last_seen, worker.acknowledged_end)
+
+
+class LateAnswerTest(TestCase):
+    def test_ended_run_in_a_late_answer_is_a_run_of_another_scheduler(self):
+        worker = HeldWorker("w", "w", "z", "s", Capacity(4000, 1000), frozenset(), 10)
+        worker.record_status(WorkerStatus(1, 0, (), ()), 10, 0.0, 0.1)
+        key = ("j.0.0.0", 1)
+        worker.add_run(key, Capacity(1000, 64), 0.2)
+        worker.confirm_start(key, 0.21)
+        end = ReportedEnd(1, *key, EndKind.FAILED)
+        worker.record_status(WorkerStatus(1, 450, (), (end,)), 10, 0.4, 0.5)
+        worker.record_status(WorkerStatus(1, 350, (ReportedRun(*key),), ()), 10, 0.3, 0.6)
+        self.assertFalse(worker.strangers)
+        self.assertTrue(worker.is_available())
