Tests that fail: records of lost runs outlive what they tell

They come back with the records that peers send to a newly discovered member, or from the store. Besides, records carry neither the time of the loss nor whether it had a common cause: each receiver dates them to their arrival, so instances that exchange them keep them without end, and the tasks of a lost rack are suspects after a change of the scheduler, or if its workers return one after another.

--- /dev/null
+++ b/packages/core/cranberryshore/pool/tests/test_records_of_losses.py
@@ -0,0 +1,73 @@
+from cranberryshore.pool import EndKind, JobEnded, LostRun, PollWorker
+from cranberryshore.pool.crashes import RETENTION_SECONDS, CrashHistory, LossState
+from cranberryshore.pool.held_worker import LEASE_EXPIRY_SECONDS
+from cranberryshore.pool.tests.test_former_boots import RestartTestCase
+
+TASK = "j.0.0.0"
+SUSPECTED, PROVEN = LossState.SUSPECTED, LossState.PROVEN
+
+
+class RecordsOfLossesTest(RestartTestCase):
+    """Records of lost runs that come from other instances or from the store."""
+
+    def merge(self, *lost: LostRun) -> None:
+        self.scheduler.crashes.merge(lost, self.now)
+        self.scheduler.losses_changed(self.now)
+
+    def test_job_fails_for_a_task_that_has_ended_well(self):
+        starts = self.submit(count=2)
+        (first,) = [start for start in starts if start.key[0] == TASK]
+        self.end(first, EndKind.DONE)
+        self.merge(LostRun(TASK, 1, "w8", 1, (), PROVEN), LostRun(TASK, 2, "w9", 1, (), PROVEN))
+        self.assertEqual(self.effects(JobEnded), [])
+
+    def test_job_fails_for_a_task_that_has_ended_well_under_another_scheduler(self):
+        self.add_worker("w9")
+        self.poll("w1", ended=[((TASK, 3), EndKind.DONE)])
+        self.submit(count=2, is_resumed=True)
+        self.merge(LostRun(TASK, 1, "w8", 1, (), PROVEN), LostRun(TASK, 2, "w9", 1))
+        self.assertEqual(self.effects(JobEnded), [])
+        self.answer("w9", 2)
+        self.assertEqual(self.effects(JobEnded), [])
+
+    def test_idle_worker_is_not_asked_about_a_loss_that_another_instance_reports(self):
+        self.merge(LostRun(TASK, 1, "w1", 1), LostRun(TASK, 2, "w2", 1))
+        self.scheduler.tick(self.now)
+        polled = {effect.worker for effect in self.effects(PollWorker)}
+        self.assertEqual(polled, {"w1", "w2"})
+
+    def test_records_that_instances_exchange_are_never_forgotten(self):
+        one, other = CrashHistory(), CrashHistory()
+        one.record("w1", 1, [(TASK, 1)], PROVEN, 0.0)
+        for number in range(1, 4):
+            now = number * 0.9 * RETENTION_SECONDS
+            one.discard_outdated(now)
+            other.discard_outdated(now)
+            # A peer that is discovered gets all records of a scheduler.
+            other.merge(one.records(), now)
+            one, other = other, one
+        self.assertEqual(one.records(), ())
+
+    def test_tasks_of_a_lost_rack_are_suspects_at_another_instance(self):
+        history, other = CrashHistory(), CrashHistory()
+        for number in range(3):
+            history.record(f"w{number}", 1, [(f"t{number}", 1)], SUSPECTED, 1.0)
+        other.merge(history.take_changes(), 1.1)
+        self.assertFalse(history.is_suspect("t0"))
+        self.assertFalse(other.is_suspect("t0"))
+
+    def test_workers_of_a_lost_rack_that_return_in_turn_are_no_suspects(self):
+        for number in range(3, 6):
+            self.add_worker(f"w{number}")
+            self.poll(f"w{number}")
+        starts = self.submit(count=3, millicores=2000)
+        for start in starts:
+            self.fail_polls(start.worker)
+        self.now += LEASE_EXPIRY_SECONDS + 0.01
+        self.scheduler.tick(self.now)
+        for start in starts:
+            self.now += 0.3
+            self.answer(start.worker, 2)
+        crashes = self.scheduler.crashes
+        suspects = [start.key for start in starts if crashes.is_suspect(start.key[0])]
+        self.assertEqual(suspects, [])
