Test that fails: a start that is rejected for want of room is repeated without end

A worker that checks its capacity, and whose capacity is smaller than the last registration that was read, rejects a start (409 room). The same holds for 429 and 503 of a worker that is unhealthy (read). Each costs a start rejected for want of room, and processor time of the scheduler.

Its bound, 10 starts in 0.3 s, stands for any pause between them.

--- a/packages/daemon/cranberryshored/pool/tests/test_worker_channel.py
+++ b/packages/daemon/cranberryshored/pool/tests/test_worker_channel.py
@@ -6,12 +6,16 @@
 from result import Err, Ok
 
 from cranberryshore.pool import (
+    AcknowledgedRights,
     HeldWorker,
     HoldState,
     PoolConfig,
+    QueueSpec,
     Scheduler,
     StartRun,
+    StepSpec,
     WorkerStatus,
+    WorkRequest,
 )
 from cranberryshore.work import Capacity
 from cranberryshored.log import make_logger
@@ -102,3 +106,33 @@
         await channel._start_run(StartRun("w", ("j.0.0.0", 1), "", worker.token, 0))
         self.assertIs(worker.state, HoldState.SILENT)
         await channel.close()
+
+    async def test_start_without_room_is_repeated_without_end(self):
+        class FullCalls(DelayedCalls):
+            starts = 0
+
+            async def start_run(self, worker, start, seconds):
+                self.starts += 1
+                await asyncio.sleep(0.002)
+                return StartReply.NO_ROOM
+
+        calls = FullCalls()
+        channel = self.open_channel(calls)
+        scheduler = channel.scheduler
+        queue = QueueSpec("q", "h", "/q/", "s", slack_factor=2.0, aim_ms=5000)
+        scheduler.config, scheduler.rights = PoolConfig(1, (queue,)), AcknowledgedRights("e")
+
+        def apply_effects():
+            for effect in scheduler.take_effects():
+                if isinstance(effect, StartRun):
+                    channel.send_order(effect)
+
+        channel.on_change = apply_effects
+        while channel.worker.state is not HoldState.HELD:
+            await asyncio.sleep(0.01)
+        step = StepSpec(1, Capacity(1000, 10), 100)
+        scheduler.submit(WorkRequest("j", "q", "", (step,), 5000), "e", CLOCKS.steady())
+        apply_effects()
+        await asyncio.sleep(0.3)
+        self.assertLessEqual(calls.starts, 10)
+        await channel.close()
