Test that fails: messages to a displaced member are dropped

A beat of an earlier incarnation that arrives late displaces the present one as a member, until its next beat. What is sent to it meanwhile is dropped without a log line, and the next round forgets its streams with all unacknowledged messages. The entry instance believes that the scheduler has the job and waits until the caller's time is over; the scheduler believes that the caller has its answer.

The order of events was not seen with processes: the beat has to outlast the process that sent it.

--- a/packages/daemon/cranberryshored/pool/tests/test_exchange.py
+++ b/packages/daemon/cranberryshored/pool/tests/test_exchange.py
@@ -4,7 +4,7 @@
 import attrs
 import structlog
 
-from cranberryshore.messages import Beat, ConfigNews, ConfigRequest, RosterNews
+from cranberryshore.messages import Beat, CancelWork, ConfigNews, ConfigRequest, RosterNews
 from cranberryshore.pool import (
     Claim,
     ConfigConfirmation,
@@ -14,6 +14,7 @@
     WorkerRegistration,
 )
 from cranberryshore.pool.group import PEER_TIMEOUT_SECONDS
+from cranberryshore.pool.stream import RESEND_TIMEOUT_SECONDS
 from cranberryshore.pool.transfers import MAX_ENTRIES_UNDER_WAY, TRANSFER_TIMEOUT_SECONDS
 from cranberryshore.work import Capacity
 from cranberryshored.log import make_logger
@@ -264,6 +265,18 @@
         self.now += PEER_TIMEOUT_SECONDS
         self.assertTrue(exchange.has_released(SCHEDULER.incarnation))
 
+    def test_message_to_a_scheduler_displaced_by_a_delayed_beat_is_lost(self):
+        exchange = self.open_exchange(FOLLOWER)
+        self.hear(exchange, SCHEDULER, claim=Claim(1))
+        self.hear(exchange, attrs.evolve(SCHEDULER, incarnation="s.0"), sent_at=1.0)
+        self.assertEqual(exchange.follows, SCHEDULER.incarnation)
+        exchange.send(SCHEDULER.incarnation, lambda place, echo: CancelWork(place, "j"))
+        self.now += BEAT_SECONDS
+        self.hear(exchange, SCHEDULER, claim=Claim(1))
+        self.now += RESEND_TIMEOUT_SECONDS
+        exchange._run_round(self.now)
+        self.assertIn("j", [getattr(item, "job", "") for item in exchange.transport.sent])
+
     def test_new_claim_of_the_same_scheduler_begins_an_epoch(self):
         # The scheduler ended its claim and claimed again unheard; it no longer has the jobs.
         exchange = self.open_exchange(FOLLOWER)
