Group: members found after the list of registered instances was read count

An instance that follows a scheduler does not read the list of registered instances. When it was cut off later with a few others, members that it had met since its last reading did not count as possibly alive: two of five claimed the workers of all zones as a majority and took them from the scheduler of the others. A minority is to claim only its own zone. Workers obey one token, so no task ran twice for it.

Now a member is left out of the count only if it was known and absent when the list was read, and is silent. test_minority_by_a_list_that_is_older_than_the_others_claims_all_zones failed before.

--- a/packages/core/cranberryshore/pool/group.py
+++ b/packages/core/cranberryshore/pool/group.py
@@ -61,6 +61,8 @@
     ----------
     listed : frozenset of str or None
         Addresses registered with the platform; ``None`` if unknown.
+    unregistered : frozenset of str
+        Members that were known and not registered when these addresses were read.
     is_large, is_uneven : bool
         Whether the pool is large enough to be divided, and whether some zone has too few workers.
     """
@@ -73,6 +75,7 @@
     leaderless_since: float | None = None
     fenced_until: float = float("-inf")
     listed: frozenset[str] | None = None
+    unregistered: frozenset[str] = frozenset()
     is_large: bool = False
     is_uneven: bool = False
 
@@ -99,6 +102,9 @@
     def list_members(self, listed: tuple[MemberAddress, ...]) -> None:
         """Set the addresses of the instances that are registered with the platform."""
         self.listed = frozenset(item.address for item in listed)
+        self.unregistered = frozenset(
+            name for name, member in self.members.items() if member.at.address not in self.listed
+        )
         zones = {item.zone for item in listed}
         self.is_large = division.is_large(len(self.listed), len(zones), self.is_large)
 
@@ -324,9 +330,8 @@
         known = {
             member.at.address: member.at.zone
             for member in self.members.values()
-            if self.listed is None
-            or member.at.address in self.listed
-            or member.at.incarnation in live
+            # Followers read no list, so members may have been registered since the last one.
+            if member.at.incarnation not in self.unregistered or member.at.incarnation in live
         }
         known[self.own.address] = self.own.zone
         return known
--- a/packages/core/cranberryshore/pool/tests/test_group.py
+++ b/packages/core/cranberryshore/pool/tests/test_group.py
@@ -95,6 +95,16 @@
         self.group.list_members((address(1),))
         self.assertEqual(self.claim_after_delay(), Claim(0))
 
+    def test_minority_by_a_list_that_is_older_than_the_others_claims_all_zones(self):
+        # A follower does not read the list of registered instances.
+        self.group.list_members((address(1), address(2)))
+        self.record_contact(2)
+        for number in (5, 6, 7):
+            self.record_contact(number, zone="b")
+        self.now += PEER_TIMEOUT_SECONDS
+        self.record_contact(2)
+        self.assertEqual(self.claim_after_delay(), Claim(0, "a"))
+
     def test_own_address_is_not_a_peer(self):
         # During a zone partition, a stale registration of the own address appeared as a peer with
         # a stronger claim, and the scheduler yielded to itself.
