Tests that fail: what a departure and a restart say of runs

- A worker that drains has lived on since a loss of it was suspected.
When another process answers at its address after it has left, the suspicion counts as proven.
`LossTracker._record` looks at `is_draining`, `CrashHistory.resolve` does not.
- A loss that a later `born` proves is recorded when the runs of the worker have been removed.
`Isolation` then finds no queue and no suspect there: neither the confinement of a queue nor the limit of exposed workers counts such losses.

--- a/packages/core/cranberryshore/pool/tests/test_records_of_losses.py
+++ b/packages/core/cranberryshore/pool/tests/test_records_of_losses.py
@@ -71,3 +71,24 @@
         crashes = self.scheduler.crashes
         suspects = [start.key for start in starts if crashes.is_suspect(start.key[0])]
         self.assertEqual(suspects, [])
+
+    def test_departure_of_a_worker_proves_a_loss_that_was_suspected_before(self):
+        # Its process has lived on: it has written that it is draining.
+        self.merge(LostRun(TASK, 1, "w1", 1))
+        total = self.scheduler.workers["w1"].total
+        self.scheduler.relist("w1", total, frozenset(), is_draining=True)
+        self.scheduler.worker_replaced("w1", self.now)
+        self.assertEqual(self.scheduler.crashes.crashed_workers(TASK), 0)
+
+    def test_loss_that_a_restart_proves_confines_no_queue(self):
+        (start,) = self.submit()
+        self.answer(start.worker, 2)
+        self.assertEqual(self.crashed_workers(start), 1)
+        self.assertEqual([item[0] for item in self.scheduler.placer.isolation.queue_losses], ["q"])
+
+    def test_suspect_lost_by_a_restart_leaves_its_place_to_another_one(self):
+        (start,) = self.submit()
+        self.crash(start.worker)
+        (again,) = self.starts_after_polls(start.worker)
+        self.answer(again.worker, 2)
+        self.assertFalse(self.scheduler.placer.isolation.may_start([], "s", self.now))
