Worker channel: a start whose lease has ended is not sent after a pause

A start is decided and sent in different turns of the event loop. A process that stood still between them sent the start afterwards, with a lease that had ended, and before it noticed the pause.

Now the channel compares the end of the lease with the clock of the worker before it sends, and reports the start as not begun, which is certain.

The order of events was not seen with processes.

--- a/packages/daemon/cranberryshored/pool/worker_channel.py
+++ b/packages/daemon/cranberryshored/pool/worker_channel.py
@@ -98,6 +98,11 @@
     async def _start_run(self, order: StartRun) -> None:
         worker = self.worker
         request_sent_at = now()
+        if self._has_lapsed(order):
+            self.log.info("Start was not sent; its lease has ended.", worker=worker.name)
+            self.scheduler.start_rejected(worker.name, order.key, False, request_sent_at)
+            self.on_change()
+            return
         reply = await self.calls.start_run(worker, order, self.timeout.seconds(self.failed_polls))
         if reply not in FAILED_CALLS:
             self.timeout.answered(now() - request_sent_at)
@@ -127,6 +132,11 @@
             self.scheduler.start_rejected(worker.name, order.key, is_low, now())
         self.on_change()
 
+    def _has_lapsed(self, order: StartRun) -> bool:
+        """Return whether the lease of a start has ended while this process stood still."""
+        offset_ms = self.worker.clock_offset_ms
+        return offset_ms is not None and now() * 1000 + offset_ms >= order.lease_end_ms
+
     async def _stop_run(self, order: StopRun) -> None:
         await self.calls.stop_run(self.worker, order, self.timeout.seconds(self.failed_polls))
 
