--- a/packages/daemon/cranberryshored/pool/tests/test_worker_channel.py
+++ b/packages/daemon/cranberryshored/pool/tests/test_worker_channel.py
@@ -6,12 +6,16 @@
 from result import Err, Ok
 
 from cranberryshore.pool import (
+    AcknowledgedRights,
     HeldWorker,
     HoldState,
     PoolConfig,
+    QueueSpec,
     Scheduler,
     StartRun,
+    StepSpec,
     WorkerStatus,
+    WorkRequest,
 )
 from cranberryshore.work import Capacity
 from cranberryshored.log import make_logger
@@ -72,7 +76,7 @@
             await asyncio.sleep(0.02)
             if worker.state is HoldState.HELD:
                 break
-        channel.send_order(StartRun("w", ("j.0.0.0", 1), "", worker.token, 0))
+        channel.send_order(StartRun("w", ("j.0.0.0", 1), "", worker.token, 10_000))
         await asyncio.sleep(0.4)
         self.assertEqual(channel.calls.replies, [StartReply.STARTED])
         await channel.close()
@@ -99,6 +103,48 @@
         worker = channel.worker
         while worker.state is not HoldState.HELD:
             await asyncio.sleep(0.01)
-        await channel._start_run(StartRun("w", ("j.0.0.0", 1), "", worker.token, 0))
+        await channel._start_run(StartRun("w", ("j.0.0.0", 1), "", worker.token, 10_000))
         self.assertIs(worker.state, HoldState.SILENT)
         await channel.close()
+
+    async def test_start_without_room_is_repeated_without_end(self):
+        class FullCalls(DelayedCalls):
+            starts = 0
+
+            async def start_run(self, worker, start, seconds):
+                self.starts += 1
+                await asyncio.sleep(0.002)
+                return StartReply.NO_ROOM
+
+        calls = FullCalls()
+        channel = self.open_channel(calls)
+        scheduler = channel.scheduler
+        queue = QueueSpec("q", "h", "/q/", "s", slack_factor=2.0, aim_ms=5000)
+        scheduler.config, scheduler.rights = PoolConfig(1, (queue,)), AcknowledgedRights("e")
+
+        def apply_effects():
+            for effect in scheduler.take_effects():
+                if isinstance(effect, StartRun):
+                    channel.send_order(effect)
+
+        channel.on_change = apply_effects
+        while channel.worker.state is not HoldState.HELD:
+            await asyncio.sleep(0.01)
+        step = StepSpec(1, Capacity(1000, 10), 100)
+        scheduler.submit(WorkRequest("j", "q", "", (step,), 5000), "e", CLOCKS.steady())
+        apply_effects()
+        await asyncio.sleep(0.3)
+        self.assertLessEqual(calls.starts, 10)
+        await channel.close()
+
+    async def test_start_whose_lease_has_ended_is_sent_after_a_pause(self):
+        channel = self.open_channel(DelayedCalls())
+        worker, real = channel.worker, CLOCKS.steady
+        while worker.state is not HoldState.HELD:
+            await asyncio.sleep(0.01)
+        lease_end_ms = worker.lease_end_ms(CLOCKS.steady())
+        channel.send_order(StartRun("w", ("j.0.0.0", 1), "", worker.token, lease_end_ms))
+        CLOCKS.steady = lambda: real() + 3.0
+        await asyncio.sleep(0.05)
+        self.assertEqual(channel.calls.replies, [])
+        await channel.close()
