Losses and boots: what was known of a former start, or of a task that has ended, is not used any more

- A job was failed for a task that had ended well, when records of its losses came back from a peer or the store.
Ended tasks are not looked at, and records of cleared tasks are not taken (2 tests).
- A late answer of a former start, an answer without a start, and runs that the later start itself lists counted as crashes.
Answers to polls sent before the present start was first seen are ignored, and so are older answers of the same start that arrive late, by the clock of the worker (4 tests).
- Records were dated to their arrival, so that instances that exchange them never forgot any; whether several workers were lost together was not sent.
Records carry their age and the common cause (2 tests).
- A suspicion of another instance was not asked about: its workers are polled (1 test).
A worker that is registered as leaving after its loss has lived on, so the loss is refuted (1 test).
- Losses that a restart proves found no runs, so they confined no queue and freed no place (2 tests).
- Isolation and measured speed, and the acknowledged end, outlived the worker's start (2 tests).

--- a/packages/core/cranberryshore/placement/health.py
+++ b/packages/core/cranberryshore/placement/health.py
@@ -56,6 +56,10 @@
             record = self.workers[name] = WorkerHealth()
         return record
 
+    def forget(self, name: str) -> None:
+        """Forget what a worker has done, since another process has its place."""
+        self.workers.pop(name, None)
+
     def on_success(self, name: str, run_ms: float, expected_ms: float) -> None:
         """Record a successful task and the ratio of its run time to the expected one."""
         record = self.record_for(name)
--- a/packages/core/cranberryshore/pool/crashes.py
+++ b/packages/core/cranberryshore/pool/crashes.py
@@ -24,6 +24,7 @@
 
 import attrs
 
+from cranberryshore.pool.worker_registration import WorkerRegistration
 from cranberryshore.pool.worker_status import RunKey
 
 MAX_LOST_WORKERS = 2
@@ -83,6 +84,10 @@
         Whether the run was provably on the worker when connections were first refused.
     was_registered : bool
         Whether the worker was registered as not leaving after that.
+    has_common_cause : bool
+        Whether several workers were lost at the same time.
+    age_seconds : float
+        Time since the loss when the record was sent to another instance or to the store.
     """
 
     task: str
@@ -93,6 +98,8 @@
     state: LossState = LossState.SUSPECTED
     was_running: bool = False
     was_registered: bool = False
+    has_common_cause: bool = False
+    age_seconds: float = 0.0
 
     @property
     def key(self) -> LossKey:
@@ -103,7 +110,12 @@
         return (self.worker, self.born, self.attempt)
 
     def is_crash(self) -> bool:
-        """Return whether the worker has provably crashed while the task was running."""
+        """Return whether the worker has provably crashed while the task was running.
+
+        Of several workers that were lost together, none counts unless the task was alone on it.
+        """
+        if self.has_common_cause and self.beside:
+            return False
         return self.state is LossState.PROVEN and self.was_running and self.was_registered
 
     def merge(self, other: "LostRun") -> "LostRun":
@@ -113,28 +125,16 @@
             state=max(self.state, other.state, key=STATE_ORDER.index),
             was_running=self.was_running or other.was_running,
             was_registered=self.was_registered or other.was_registered,
+            has_common_cause=self.has_common_cause or other.has_common_cause,
         )
 
 
 @attrs.define
 class Entry:
-    """Record of a loss at this instance.
-
-    Parameters
-    ----------
-    learned_at : float
-        Time at which this instance has learned of it, in seconds.
-    has_common_cause : bool
-        Whether several workers were lost at the same time.
-    """
+    """Record of a loss at this instance, with the time of the loss in seconds."""
 
     lost: LostRun
-    learned_at: float
-    has_common_cause: bool = False
-
-    def is_crash(self) -> bool:
-        """Return whether the loss counts against its task."""
-        return self.lost.is_crash() and not (self.has_common_cause and self.lost.beside)
+    lost_at: float
 
 
 @attrs.define(eq=False)
@@ -149,7 +149,7 @@
         Workers with losses that are neither proven nor refuted.
     cleared : dict
         Suspects that have ended well.
-    changes : list of LostRun
+    changes : list of Entry
         New and changed records that other instances lack.
     recent : list
         Latest losses that this instance has noticed: time, worker and entries.
@@ -160,7 +160,7 @@
     entries: dict[str, dict[LossKey, Entry]] = attrs.field(factory=dict)
     unresolved: set[str] = attrs.field(factory=set)
     cleared: dict[str, None] = attrs.field(factory=dict)
-    changes: list[LostRun] = attrs.field(factory=list)
+    changes: list[Entry] = attrs.field(factory=list)
     recent: list[tuple[float, str, list[Entry]]] = attrs.field(factory=list)
     discarded_at: float = float("-inf")
 
@@ -177,31 +177,33 @@
             beside = tuple(sorted(tasks - {task}))
             lost = LostRun(task, attempt, worker, born, beside, state, was_running)
             self._merge(lost, now)
-            entries.append(self.entries[task][lost.key])
+            if task in self.entries:
+                entries.append(self.entries[task][lost.key])
         self.recent = [item for item in self.recent if now <= item[0] + SIMULTANEOUS_SECONDS]
         self.recent.append((now, worker, entries))
         if len({name for _, name, _ in self.recent}) >= MIN_SIMULTANEOUS_WORKERS:
-            for _, _, simultaneous in self.recent:
-                for entry in simultaneous:
-                    entry.has_common_cause = True
+            for entry in [entry for _, _, lost in self.recent for entry in lost]:
+                self._merge(attrs.evolve(entry.lost, has_common_cause=True), now)
 
     def merge(self, records: Iterable[LostRun], now: float) -> None:
         """Add the records of another instance."""
         for lost in records:
-            self._merge(lost, now)
+            self._merge(attrs.evolve(lost, age_seconds=0.0), now - lost.age_seconds)
 
-    def _merge(self, lost: LostRun, now: float) -> None:
+    def _merge(self, lost: LostRun, lost_at: float) -> None:
+        if lost.task in self.cleared:
+            return
         found = self.entries.setdefault(lost.task, {})
         known = found.get(lost.key)
         if known is None:
-            found[lost.key] = Entry(lost, now)
+            known = found[lost.key] = Entry(lost, lost_at)
         else:
             merged = known.lost.merge(lost)
             if merged == known.lost:
                 return
             known.lost = merged
-        self.changes.append(found[lost.key].lost)
-        if found[lost.key].lost.state is LossState.SUSPECTED:
+        self.changes.append(known)
+        if known.lost.state is LossState.SUSPECTED:
             self.unresolved.add(lost.worker)
 
     def resolve(self, worker: str, born: int | None, now: float) -> None:
@@ -212,23 +214,28 @@
         if worker not in self.unresolved:
             return
         self.unresolved.discard(worker)
-        for lost in self.records():
-            if lost.worker == worker and lost.state is LossState.SUSPECTED:
-                is_same = born == lost.born
-                state = LossState.REFUTED if is_same else LossState.PROVEN
-                self._merge(attrs.evolve(lost, state=state), now)
+        for entry in self._suspected(worker):
+            state = LossState.REFUTED if born == entry.lost.born else LossState.PROVEN
+            self._merge(attrs.evolve(entry.lost, state=state), now)
 
     def confirm_registered(self, worker: str, born: int, now: float) -> None:
         """Record that a lost worker was still registered as not leaving, so it has not left."""
-        for lost in self.records():
-            if (lost.worker, lost.born) == (worker, born):
-                self._merge(attrs.evolve(lost, was_registered=True), now)
-
-    def dismiss(self, worker: str, born: int, now: float) -> None:
-        """Record that a lost worker has left, so that its loss is no crash."""
-        for lost in self.records():
-            if (lost.worker, lost.born) == (worker, born) and lost.state is LossState.SUSPECTED:
-                self._merge(attrs.evolve(lost, state=LossState.REFUTED), now)
+        for entry in self._entries():
+            if (entry.lost.worker, entry.lost.born) == (worker, born):
+                self._merge(attrs.evolve(entry.lost, was_registered=True), now)
+
+    def dismiss(self, registration: WorkerRegistration, now: float) -> None:
+        """Record that a worker has left that is registered as leaving, so it has not crashed."""
+        for entry in self._suspected(registration.name):
+            if registration.is_of_start(entry.lost.born):
+                self._merge(attrs.evolve(entry.lost, state=LossState.REFUTED), now)
+
+    def _suspected(self, worker: str) -> list[Entry]:
+        return [
+            entry
+            for entry in self._entries()
+            if entry.lost.worker == worker and entry.lost.state is LossState.SUSPECTED
+        ]
 
     def clear(self, task: str) -> None:
         """Record that a task has ended well, so that it is to blame for no loss."""
@@ -237,29 +244,31 @@
             while len(self.cleared) > MAX_CLEARED_TASKS:
                 del self.cleared[next(iter(self.cleared))]
 
-    def records(self) -> tuple[LostRun, ...]:
-        """Return all records."""
-        return tuple(entry.lost for found in self.entries.values() for entry in found.values())
+    def records(self, now: float) -> tuple[LostRun, ...]:
+        """Return all records with their ages."""
+        return tuple(_with_age(entry, now) for entry in self._entries())
 
     def recent_records(self, now: float) -> tuple[LostRun, ...]:
         """Return the records that other instances may lack, since a scheduler has just failed."""
         return tuple(
-            entry.lost
-            for found in self.entries.values()
-            for entry in found.values()
-            if now <= entry.learned_at + RESEND_SECONDS
+            _with_age(entry, now)
+            for entry in self._entries()
+            if now <= entry.lost_at + RESEND_SECONDS
         )
 
-    def take_changes(self) -> tuple[LostRun, ...]:
+    def take_changes(self, now: float) -> tuple[LostRun, ...]:
         """Pop the records that other instances lack."""
-        changes = tuple(self.changes)
+        changes = tuple(_with_age(entry, now) for entry in self.changes)
         self.changes.clear()
         return changes
 
+    def _entries(self) -> list[Entry]:
+        return [entry for found in self.entries.values() for entry in found.values()]
+
     def is_suspect(self, task: str) -> bool:
         """Return whether a worker was lost under a task, perhaps because of it."""
         losses = self._losses(task)
-        return len(losses) > 1 or any(not entry.has_common_cause for entry in losses)
+        return len(losses) > 1 or any(not entry.lost.has_common_cause for entry in losses)
 
     def must_run_alone(self, task: str) -> bool:
         """Return whether a task must not be started beside others."""
@@ -270,7 +279,7 @@
         count = len(self._lost_workers(task))
         excess = count - MAX_LOST_WORKERS
         open_since = [
-            entry.learned_at
+            entry.lost_at
             for entry in self._losses(task)
             if entry.lost.state is LossState.SUSPECTED or count >= MAX_UNCLEAR_LOSSES
         ]
@@ -291,16 +300,16 @@
         if not self.entries or now < self.discarded_at + DISCARD_SECONDS:
             return
         self.discarded_at = now
-        entries = [entry for found in self.entries.values() for entry in found.values()]
-        entries.sort(key=lambda entry: entry.learned_at, reverse=True)
+        entries = self._entries()
+        entries.sort(key=lambda entry: entry.lost_at, reverse=True)
         for number, entry in enumerate(entries):
-            if number >= MAX_RECORDS or now > entry.learned_at + RETENTION_SECONDS:
+            if number >= MAX_RECORDS or now > entry.lost_at + RETENTION_SECONDS:
                 found = self.entries[entry.lost.task]
                 del found[entry.lost.key]
                 if not found:
                     del self.entries[entry.lost.task]
-        states = ((lost.worker, lost.state) for lost in self.records())
-        self.unresolved = {name for name, state in states if state is LossState.SUSPECTED}
+        records = (entry.lost for entry in self._entries())
+        self.unresolved = {lost.worker for lost in records if lost.state is LossState.SUSPECTED}
 
     def _losses(self, task: str) -> list[Entry]:
         found = self.entries.get(task)
@@ -312,4 +321,8 @@
         return {(entry.lost.worker, entry.lost.born) for entry in self._losses(task)}
 
     def _proven(self, task: str) -> list[LostRun]:
-        return [entry.lost for entry in self._losses(task) if entry.is_crash()]
+        return [entry.lost for entry in self._losses(task) if entry.lost.is_crash()]
+
+
+def _with_age(entry: Entry, now: float) -> LostRun:
+    return attrs.evolve(entry.lost, age_seconds=max(now - entry.lost_at, 0.0))
--- a/packages/core/cranberryshore/pool/held_worker.py
+++ b/packages/core/cranberryshore/pool/held_worker.py
@@ -9,6 +9,7 @@
 
 import attrs
 
+from cranberryshore.pool.run import Run, RunEnd, RunState
 from cranberryshore.pool.worker_status import (
     EndKind,
     ReportedEnd,
@@ -62,46 +63,21 @@
     LOST = "lost"
 
 
-class RunState(Enum):
-    """State of one run on a worker."""
-
-    REQUESTED = "asked"
-    RUNNING = "running"
-    STOPPING = "stopping"
-
-
-@attrs.define
-class Run:
-    """Run that occupies capacity on a worker.
+@attrs.frozen
+class BootState:
+    """What is known of the present start of a worker process before something else is learned.
 
     Parameters
     ----------
-    started_at : float
-        Time of the start request or of the adoption, in seconds.
-    is_adopted : bool
-        Whether another holder started the run.
-    lease_until : float
-        End of the lease that the start request carried, in seconds on the clock of this instance.
+    runs : dict
+        Runs that may be active, and whether each one certainly is.
+    is_exposed : bool
+        Whether one of them may crash the worker.
     """
 
-    demand: Capacity
-    state: RunState
-    token: int
-    started_at: float
-    is_adopted: bool = False
-    start_confirmed_at: float = float("inf")
-    stop_requested_at: float = float("-inf")
-    lease_until: float = float("-inf")
-    percent: float = 0.0
-
-
-@attrs.frozen
-class RunEnd:
-    """End of a run of this holder."""
-
-    key: RunKey
-    kind: EndKind
-    run: Run
+    born: int
+    runs: dict[RunKey, bool]
+    is_exposed: bool
 
 
 @attrs.define(eq=False)
@@ -144,6 +120,10 @@
         seconds.
     lease_until : float
         End of the longest lease that the worker has confirmed, in seconds.
+    born_polled_at : float
+        Send time of the poll whose answer has first shown the present start, in seconds.
+    reported_ms : int
+        Time of the latest status report, on the clock of the worker.
     """
 
     name: str
@@ -172,6 +152,8 @@
     clock_requested_at: float = float("-inf")
     lease_extended_at: float = float("-inf")
     lease_until: float = float("-inf")
+    born_polled_at: float = float("-inf")
+    reported_ms: int = 0
     polled_at: float = float("-inf")
     lost_at: float = float("-inf")
     room: Capacity = attrs.field(init=False)
@@ -281,6 +263,16 @@
         }
         return dict.fromkeys(self.strangers, False) | certain
 
+    def boot_state(self, now: float) -> BootState:
+        """Return what is known of the present start of the worker process."""
+        return BootState(self.born, self.possible_runs(now), bool(self.isolated_runs))
+
+    def is_outdated(self, status: WorkerStatus, poll_sent_at: float) -> bool:
+        """Return whether a report was made before the latest one, which has overtaken it."""
+        if status.born in (0, self.born):
+            return status.clock_ms < self.reported_ms
+        return self.born != 0 and poll_sent_at < self.born_polled_at
+
     def remove_ended_runs(self) -> list[RunEnd]:
         """Remove and return all runs of a process that has ended."""
         return [RunEnd(key, EndKind.VANISHED, self.remove_run(key)) for key in list(self.runs)]
@@ -315,10 +307,15 @@
         poll.
         """
         ends: list[RunEnd] = []
-        if self.born != status.born:
+        if self.is_outdated(status, poll_sent_at):
+            return ends
+        if status.born not in (0, self.born):
             # The worker has restarted: earlier runs are missing from the report, but runs
             # started since then may be in it.
-            self.born, self.last_seen, self.lease_until = status.born, 0, float("-inf")
+            self.born, self.born_polled_at = status.born, poll_sent_at
+            self.lease_until = float("-inf")
+            self.last_seen = self.acknowledged_end = 0
+        self.reported_ms = status.clock_ms
         self.lease_until = max(self.lease_until, lease_until)
         self.clock_offset_ms, self.clock_read_at = status.clock_ms - now * 1000, now
         if self.state is HoldState.ACQUIRING:
--- a/packages/core/cranberryshore/pool/isolation.py
+++ b/packages/core/cranberryshore/pool/isolation.py
@@ -14,7 +14,7 @@
 import attrs
 
 from cranberryshore.pool.crashes import MIN_SIMULTANEOUS_WORKERS, SIMULTANEOUS_SECONDS
-from cranberryshore.pool.held_worker import HeldWorker, HoldState
+from cranberryshore.pool.held_worker import BootState, HeldWorker, HoldState
 from cranberryshore.pool.run_registry import RunRegistry
 from cranberryshore.pool.run_statistics import RunStatistics
 
@@ -57,9 +57,9 @@
     queue_losses: list[tuple[str, float, float]] = attrs.field(factory=list)
     recent: list[tuple[float, str]] = attrs.field(factory=list)
 
-    def worker_lost(self, worker: HeldWorker, now: float) -> None:
+    def worker_lost(self, worker: HeldWorker, boot: BootState, now: float) -> None:
         """Record that a worker was lost."""
-        if worker.isolated_runs:
+        if boot.is_exposed:
             self.losses.append((worker.service, now))
             return
         self.recent = [item for item in self.recent if now <= item[0] + SIMULTANEOUS_SECONDS]
@@ -71,7 +71,7 @@
             return
         queues = {
             self.registry.tasks_by_run[key][0].request.queue
-            for key in worker.runs
+            for key in boot.runs
             if key in self.registry.tasks_by_run
         }
         self.queue_losses += [(queue, 1 / len(queues), now) for queue in queues]
--- a/packages/core/cranberryshore/pool/loss_tracking.py
+++ b/packages/core/cranberryshore/pool/loss_tracking.py
@@ -1,18 +1,15 @@
 """Records of the workers that a scheduler loses, from their failed polls and their return."""
 
-from collections.abc import Mapping
-
 import attrs
 
 from cranberryshore.pool.crashes import CrashHistory, LossState
 from cranberryshore.pool.departures import Departure, DepartureCheck
 from cranberryshore.pool.effects import PoolEffect, WorkerLossJudged, WorkerLost
-from cranberryshore.pool.held_worker import HeldWorker
+from cranberryshore.pool.held_worker import BootState, HeldWorker
 from cranberryshore.pool.isolation import Isolation
 from cranberryshore.pool.job_failure import FailureCause, JobFailure
-from cranberryshore.pool.work import PoolJob
+from cranberryshore.pool.work import PoolJob, TaskPhase
 from cranberryshore.pool.worker_registration import WorkerListing
-from cranberryshore.pool.worker_status import RunKey
 
 
 @attrs.define(eq=False)
@@ -39,26 +36,22 @@
     def worker_refuses(self, worker: HeldWorker, now: float) -> None:
         """Record that no process listens at the address of a worker, which may have crashed."""
         if not worker.is_loss_recorded:
-            runs = worker.possible_runs(now)
-            self._record(worker, worker.born, runs, LossState.SUSPECTED, now)
+            self._record(worker, worker.boot_state(now), LossState.SUSPECTED, now)
 
     def worker_replaced(self, worker: HeldWorker, now: float) -> None:
         """Record that another process answers at the address of a worker, so it has ended."""
         if not worker.is_loss_recorded:
-            runs = worker.possible_runs(now)
-            self._record(worker, worker.born, runs, LossState.PROVEN, now)
+            self._record(worker, worker.boot_state(now), LossState.PROVEN, now)
         self.crashes.resolve(worker.name, None, now)
 
-    def worker_answered(
-        self, worker: HeldWorker, before: int, lost_runs: Mapping[RunKey, bool], now: float
-    ) -> None:
-        """Record that a worker has answered a poll.
+    def worker_restarted(self, worker: HeldWorker, former: BootState, now: float) -> None:
+        """Record that a worker has a later start; its present runs were not lost."""
+        if former.born and not worker.is_loss_recorded:
+            runs = {key: former.runs[key] for key in former.runs if key not in worker.runs}
+            self._record(worker, attrs.evolve(former, runs=runs), LossState.PROVEN, now)
 
-        ``before`` is its start before that, 0 if it was not known. ``lost_runs`` are the runs that
-        may have been on it until then and are missing now, and whether each one certainly was.
-        """
-        if before not in (0, worker.born) and not worker.is_loss_recorded:
-            self._record(worker, before, lost_runs, LossState.PROVEN, now)
+    def worker_answered(self, worker: HeldWorker, now: float) -> None:
+        """Record that a worker has answered a poll."""
         worker.is_loss_recorded = False
         self.crashes.resolve(worker.name, worker.born, now)
 
@@ -73,8 +66,10 @@
             self.effects.append(WorkerLossJudged(name, departure))
             if departure is Departure.EXCLUDED:
                 self.crashes.confirm_registered(name, born, now)
-            elif departure is Departure.ANNOUNCED:
-                self.crashes.dismiss(name, born, now)
+        if self.crashes.unresolved:
+            for entry in listing.workers:
+                if entry.is_draining and entry.name in self.crashes.unresolved:
+                    self.crashes.dismiss(entry, now)
 
     def find_failure(self, job: PoolJob) -> JobFailure | None:
         """Return the failure of a job with a task that crashes its workers."""
@@ -82,27 +77,20 @@
             return None
         for task in job.tasks:
             name = job.name_of(task)
-            if self.crashes.is_culprit(name):
+            if task.phase is not TaskPhase.DONE and self.crashes.is_culprit(name):
                 crashed = self.crashes.crashed_workers(name)
                 return JobFailure(FailureCause.WORKERS_CRASHED, name, task.attempt, crashed)
         return None
 
-    def _record(
-        self,
-        worker: HeldWorker,
-        born: int,
-        runs: Mapping[RunKey, bool],
-        state: LossState,
-        now: float,
-    ) -> None:
+    def _record(self, worker: HeldWorker, boot: BootState, state: LossState, now: float) -> None:
         # A worker that leaves ends its runs, too.
-        if worker.is_draining or not runs:
+        if worker.is_draining or not boot.runs:
             return
         worker.is_loss_recorded = True
-        self.undecided[worker.name, born] = now
-        self.isolation.worker_lost(worker, now)
-        running = tuple(sorted(key for key, is_certain in runs.items() if is_certain))
-        possible = tuple(sorted(runs.keys() - set(running)))
+        self.undecided[worker.name, boot.born] = now
+        self.isolation.worker_lost(worker, boot, now)
+        running = tuple(sorted(key for key, is_certain in boot.runs.items() if is_certain))
+        possible = tuple(sorted(boot.runs.keys() - set(running)))
         silent_ms = int((now - worker.polled_at) * 1000)
         self.effects.append(WorkerLost(worker.name, running, possible, state, silent_ms))
-        self.crashes.record(worker.name, born, runs, state, now)
+        self.crashes.record(worker.name, boot.born, boot.runs, state, now)
--- /dev/null
+++ b/packages/core/cranberryshore/pool/run.py
@@ -0,0 +1,50 @@
+"""Runs of tasks on a held worker."""
+
+from enum import Enum
+
+import attrs
+
+from cranberryshore.pool.worker_status import EndKind, RunKey
+from cranberryshore.work.capacity import Capacity
+
+
+class RunState(Enum):
+    """State of one run on a worker."""
+
+    REQUESTED = "asked"
+    RUNNING = "running"
+    STOPPING = "stopping"
+
+
+@attrs.define
+class Run:
+    """Run that occupies capacity on a worker.
+
+    Parameters
+    ----------
+    started_at : float
+        Time of the start request or of the adoption, in seconds.
+    is_adopted : bool
+        Whether another holder started the run.
+    lease_until : float
+        End of the lease that the start request carried, in seconds on the clock of this instance.
+    """
+
+    demand: Capacity
+    state: RunState
+    token: int
+    started_at: float
+    is_adopted: bool = False
+    start_confirmed_at: float = float("inf")
+    stop_requested_at: float = float("-inf")
+    lease_until: float = float("-inf")
+    percent: float = 0.0
+
+
+@attrs.frozen
+class RunEnd:
+    """End of a run of this holder."""
+
+    key: RunKey
+    kind: EndKind
+    run: Run
--- a/packages/core/cranberryshore/pool/run_statistics.py
+++ b/packages/core/cranberryshore/pool/run_statistics.py
@@ -3,8 +3,8 @@
 import attrs
 
 from cranberryshore.placement.health import INITIAL_ISOLATION_SECONDS, PoolHealth
-from cranberryshore.pool.held_worker import Run, RunEnd
 from cranberryshore.pool.learning import RunTimeModel
+from cranberryshore.pool.run import Run, RunEnd
 from cranberryshore.pool.straggling import is_straggler
 from cranberryshore.pool.work import PoolJob, PoolTask
 from cranberryshore.pool.worker_status import EndKind
--- a/packages/core/cranberryshore/pool/scheduler.py
+++ b/packages/core/cranberryshore/pool/scheduler.py
@@ -21,12 +21,13 @@
     UnsuccessfulRun,
 )
 from cranberryshore.pool.foreign_runs import ForeignRuns
-from cranberryshore.pool.held_worker import HeldWorker, RunEnd, RunState
+from cranberryshore.pool.held_worker import HeldWorker
 from cranberryshore.pool.job_failure import FailureCause, JobFailure
 from cranberryshore.pool.job_summary import summarize_job
 from cranberryshore.pool.loss_tracking import LossTracker
 from cranberryshore.pool.placing import Placer
 from cranberryshore.pool.refusing import RESUMED_JOB_WAIT_SECONDS, VERIFICATION_SECONDS
+from cranberryshore.pool.run import RunEnd, RunState
 from cranberryshore.pool.run_registry import RunRegistry
 from cranberryshore.pool.run_statistics import RunStatistics
 from cranberryshore.pool.start_rights import (
@@ -226,6 +227,8 @@
     def losses_changed(self, now: float) -> None:
         """Apply the records of lost runs of another instance."""
         self._end_failed_jobs(now)
+        for name in sorted(self.crashes.unresolved & self.workers.keys()):
+            self.effects.append(PollWorker(name))
         self.changed_at = now
 
     def workers_listed(self, listing: WorkerListing, now: float) -> None:
@@ -312,13 +315,14 @@
     ) -> None:
         """Process the status report of a worker; see :meth:`HeldWorker.record_status`."""
         worker = self.workers.get(name)
-        if worker is None:
+        if worker is None or worker.is_outdated(status, poll_sent_at):
             return
-        born = worker.born
-        before = worker.possible_runs(now) if born != status.born else {}
+        former = worker.boot_state(now) if status.born not in (0, worker.born) else None
         ends = worker.record_status(status, token, poll_sent_at, now, lease_until)
-        lost_runs = {key: before[key] for key in before if key not in worker.runs}
-        self.losses.worker_answered(worker, born, lost_runs, now)
+        if former is not None:
+            self.statistics.health.forget(name)
+            self.losses.worker_restarted(worker, former, now)
+        self.losses.worker_answered(worker, now)
         self._end_failed_jobs(now)
         for end in ends:
             self._run_ended(worker, end, now)
--- a/packages/core/cranberryshore/pool/tests/test_crashes.py
+++ b/packages/core/cranberryshore/pool/tests/test_crashes.py
@@ -86,30 +86,30 @@
     def test_another_instance_has_the_same_records(self):
         self.lose("w1", CULPRIT, SOUND, state=SUSPECTED)
         other = CrashHistory()
-        other.merge(self.history.take_changes(), 50.0)
+        other.merge(self.history.take_changes(50.0), 50.0)
         self.lose("w2", CULPRIT, attempt=2)
         self.history.resolve("w1", 2, 2.0)
-        other.merge(self.history.take_changes(), 51.0)
+        other.merge(self.history.take_changes(51.0), 51.0)
         self.assertTrue(other.is_culprit(CULPRIT))
-        self.assertEqual(set(other.records()), set(self.history.records()))
-        self.assertEqual(self.history.take_changes(), ())
+        self.assertEqual(set(other.records(51.0)), set(self.history.records(51.0)))
+        self.assertEqual(self.history.take_changes(51.0), ())
 
     def test_older_record_does_not_replace_a_proof(self):
         self.lose("w1", CULPRIT, state=SUSPECTED)
-        older = self.history.take_changes()
+        older = self.history.take_changes(1.0)
         self.history.resolve("w1", None, 2.0)
         self.history.merge(older, 3.0)
         self.assertEqual(self.history.crashed_workers(CULPRIT), 1)
 
     def test_records_are_bounded(self):
         for number in range(MAX_RECORDS + 5):
-            self.lose("w1", f"t{number}", now=float(number) / 100)
+            self.history.record("w1", 1, {(f"t{number}", 1): True}, PROVEN, number / 100)
         self.history.discard_outdated(11.0)
-        self.assertEqual(len(self.history.records()), MAX_RECORDS)
+        self.assertEqual(len(self.history.records(11.0)), MAX_RECORDS)
         self.lose("w2", CULPRIT, state=SUSPECTED, now=11.0)
         self.assertEqual(self.history.unresolved, {"w2"})
         self.history.discard_outdated(11.1 + RETENTION_SECONDS)
-        self.assertEqual((self.history.records(), self.history.unresolved), ((), set()))
+        self.assertEqual((self.history.records(200.0), self.history.unresolved), ((), set()))
 
     def test_new_scheduler_sends_recent_records_again(self):
         self.lose("w1", SOUND, now=1.0)
--- a/packages/core/cranberryshore/pool/tests/test_lost_workers.py
+++ b/packages/core/cranberryshore/pool/tests/test_lost_workers.py
@@ -102,7 +102,7 @@
             self.poll(worker.name)
             self.starts_after_polls("")
         self.assertEqual(self.effects(JobEnded), [])
-        self.assertFalse(self.scheduler.crashes.records())
+        self.assertFalse(self.scheduler.crashes.records(self.now))
 
     def test_restart_under_the_same_name_is_a_crash(self):
         (start,) = self.submit()
@@ -119,7 +119,7 @@
         self.scheduler.relist(start.worker, worker.total, worker.labels, is_draining=True)
         self.crash(start.worker)
         self.scheduler.worker_replaced(start.worker, self.now)
-        self.assertFalse(self.scheduler.crashes.records())
+        self.assertFalse(self.scheduler.crashes.records(self.now))
 
     def test_run_of_another_scheduler_is_recorded_with_its_worker(self):
         self.poll("w1", [("x.0.0.0", 1)])
--- a/packages/core/cranberryshore/pool/tests/test_records_of_losses.py
+++ b/packages/core/cranberryshore/pool/tests/test_records_of_losses.py
@@ -1,5 +1,6 @@
 from cranberryshore.pool import EndKind, JobEnded, LostRun, PollWorker
 from cranberryshore.pool.crashes import RETENTION_SECONDS, CrashHistory, LossState
+from cranberryshore.pool.departures import HIDDEN_CHANGE_SECONDS
 from cranberryshore.pool.held_worker import LEASE_EXPIRY_SECONDS
 from cranberryshore.pool.tests.test_former_boots import RestartTestCase
 
@@ -38,21 +39,21 @@
 
     def test_records_that_instances_exchange_are_never_forgotten(self):
         one, other = CrashHistory(), CrashHistory()
-        one.record("w1", 1, [(TASK, 1)], PROVEN, 0.0)
+        one.record("w1", 1, {(TASK, 1): True}, PROVEN, 0.0)
         for number in range(1, 4):
             now = number * 0.9 * RETENTION_SECONDS
             one.discard_outdated(now)
             other.discard_outdated(now)
             # A peer that is discovered gets all records of a scheduler.
-            other.merge(one.records(), now)
+            other.merge(one.records(now), now)
             one, other = other, one
-        self.assertEqual(one.records(), ())
+        self.assertEqual(one.records(now), ())
 
     def test_tasks_of_a_lost_rack_are_suspects_at_another_instance(self):
         history, other = CrashHistory(), CrashHistory()
         for number in range(3):
-            history.record(f"w{number}", 1, [(f"t{number}", 1)], SUSPECTED, 1.0)
-        other.merge(history.take_changes(), 1.1)
+            history.record(f"w{number}", 1, {(f"t{number}", 1): True}, SUSPECTED, 1.0)
+        other.merge(history.take_changes(1.0), 1.1)
         self.assertFalse(history.is_suspect("t0"))
         self.assertFalse(other.is_suspect("t0"))
 
@@ -83,6 +84,8 @@
     def test_loss_that_a_restart_proves_confines_no_queue(self):
         (start,) = self.submit()
         self.answer(start.worker, 2)
+        self.list_workers(born=1)
+        self.list_workers(self.now + HIDDEN_CHANGE_SECONDS, born=1)
         self.assertEqual(self.crashed_workers(start), 1)
         self.assertEqual([item[0] for item in self.scheduler.placer.isolation.queue_losses], ["q"])
 
--- a/packages/core/cranberryshore/pool/tests/test_unproven_losses.py
+++ b/packages/core/cranberryshore/pool/tests/test_unproven_losses.py
@@ -181,6 +181,6 @@
                 runs = {("j.0.0.0" if name == "w1" else name, 1): True, (f"k{name}", 1): True}
                 history.record(name, int(moment), runs, LossState.PROVEN, moment)
                 history.confirm_registered(name, int(moment), moment)
-        for task in [lost.task for lost in history.records() if lost.task != "j.0.0.0"]:
+        for task in [lost.task for lost in history.records(0.0) if lost.task != "j.0.0.0"]:
             history.clear(task)
         self.assertFalse(history.is_culprit("j.0.0.0"))
--- a/packages/daemon/cranberryshored/pool/app.py
+++ b/packages/daemon/cranberryshored/pool/app.py
@@ -282,12 +282,12 @@
 
     def _losses_learned(self) -> None:
         if self.scheduling.claim is None:
-            self.crashes.take_changes()
+            self.crashes.take_changes(now())
         self.scheduling.losses_changed()
 
     def lost_runs(self) -> tuple[LostRun, ...]:
         """See :class:`ExchangeListener`."""
-        return self.crashes.records()
+        return self.crashes.records(now())
 
     def roster_news(self, base: int) -> RosterNews | RosterChanges:
         """See :class:`ExchangeListener`."""
--- a/packages/daemon/cranberryshored/pool/loss_keeper.py
+++ b/packages/daemon/cranberryshored/pool/loss_keeper.py
@@ -56,7 +56,7 @@
     async def _save(self) -> None:
         while self.is_changed:
             self.is_changed = False
-            await self.registry.save_losses(self.publisher, self.crashes.records())
+            await self.registry.save_losses(self.publisher, self.crashes.records(now()))
             await asyncio.sleep(SAVE_SECONDS)
 
     async def _load(self) -> None:
--- a/packages/daemon/cranberryshored/pool/scheduling.py
+++ b/packages/daemon/cranberryshored/pool/scheduling.py
@@ -211,7 +211,7 @@
             self.on_stall()
             return
         effects = self.scheduler.take_effects()
-        changes = self.crashes.take_changes()
+        changes = self.crashes.take_changes(now())
         if changes:
             self.on_losses(changes)
         for effect in effects:
--- a/packages/daemon/cranberryshored/pool/tests/test_loss_keeper.py
+++ b/packages/daemon/cranberryshored/pool/tests/test_loss_keeper.py
@@ -36,7 +36,7 @@
         store, log = RecoveringStore(), make_logger("store")
         layout = StoreLayout("c", "w/", "m/", lambda text: None, lambda name, text: None)
         crashes = CrashHistory()
-        crashes.record("w1", 1, [("j.0.0.0", 1)], LossState.PROVEN, 0.0)
+        crashes.record("w1", 1, {("j.0.0.0", 1): True}, LossState.PROVEN, 0.0)
         keeper = LossKeeper("e", crashes, StoreRegistry(lambda: store, layout, log), print, log)
         keeper.save_soon()
         await asyncio.sleep(2.5 * SAVE_SECONDS)
--- a/packages/proof/cranberryshore_proof/pool_mutate.py
+++ b/packages/proof/cranberryshore_proof/pool_mutate.py
@@ -36,11 +36,11 @@
     held_worker,
     scheduler,
 )
-from cranberryshore.pool.crashes import Entry
-from cranberryshore.pool.held_worker import Run
+from cranberryshore.pool.held_worker import BootState
 from cranberryshore.pool.isolation import Isolation
 from cranberryshore.pool.loss_tracking import LossTracker
 from cranberryshore.pool.placing import Placer
+from cranberryshore.pool.run import Run
 from cranberryshore.pool.verifying import ResumedJobs
 from cranberryshored.pool import PoolDaemon, registry, store_follower, submissions
 from cranberryshored.pool.clock import now
@@ -123,14 +123,14 @@
 
 def _prove_refusal(self: LossTracker, worker: HeldWorker, now: float) -> None:
     if not worker.is_loss_recorded:
-        self._record(worker, worker.born, worker.possible_runs(now), LossState.PROVEN, now)
+        self._record(worker, worker.boot_state(now), LossState.PROVEN, now)
 
 
 def _record_leaving(
-    self: LossTracker, worker: HeldWorker, born: int, runs: dict, state: LossState, now: float
+    self: LossTracker, worker: HeldWorker, boot: BootState, state: LossState, now: float
 ) -> None:
     worker.is_loss_recorded = True
-    self.crashes.record(worker.name, born, runs, state, now)
+    self.crashes.record(worker.name, boot.born, boot.runs, state, now)
 
 
 def _possible_runs(self: HeldWorker, is_certain: Callable[[HeldWorker, Run], bool]) -> dict:
@@ -164,8 +164,8 @@
     return self.state is LossState.PROVEN and self.was_running
 
 
-def _count_common_cause(self: Entry) -> bool:
-    return self.lost.is_crash()
+def _count_common_cause(self: LostRun) -> bool:
+    return self.state is LossState.PROVEN and self.was_running and self.was_registered
 
 
 def _is_available(self: HeldWorker) -> bool:
@@ -262,7 +262,7 @@
         "loss: any start's registration counts", WorkerRegistration, "is_of_start", _constant(True)
     ),
     PoolMutation("loss: unclear losses have no limit", crashes, "MAX_UNCLEAR_LOSSES", 1000),
-    PoolMutation("loss: a lost rack is to blame", Entry, "is_crash", _count_common_cause),
+    PoolMutation("loss: a lost rack is to blame", LostRun, "is_crash", _count_common_cause),
     PoolMutation("loss: a replaced worker is no proof", CrashHistory, "resolve", _constant(None)),
     PoolMutation("loss: proof is not awaited", CrashHistory, "awaits_proof", _constant(False)),
     PoolMutation("loss: a lost rack makes suspects", crashes, "MIN_SIMULTANEOUS_WORKERS", 1000),
