Workers: a task is started only by the registration of the worker's present start

A worker that had crashed returned under its id as another kind; the scheduler used it as soon as a poll was answered, with the labels and the capacity of its former start, until the watch brought the new entry. Cause: a registration was not tied to the start that wrote it. Change: registrations carry `born`; nothing is placed on a worker while the starts of its registration and of its latest answer differ, and an idle worker is polled when its registration shows another start.

--- a/packages/core/cranberryshore/pool/held_worker.py
+++ b/packages/core/cranberryshore/pool/held_worker.py
@@ -91,7 +91,10 @@
     largest : Capacity
         Largest total that the worker has had, which it may have again.
     born : int
-        Identifier of the current start of the worker process.
+        Identifier of the current start of the worker process; 0 before its first answer.
+    registered_born : int
+        Identifier of the start that wrote the registration from which service, labels and capacity
+        come; 0 if unknown.
     last_seen : int
         Number of the last processed end since that start.
     acknowledged_end : int
@@ -135,6 +138,7 @@
     token: int
     rack: str = ""
     is_draining: bool = False
+    registered_born: int = 0
     is_listed: bool = True
     unlisted_at: float = float("inf")
     state: HoldState = HoldState.ACQUIRING
@@ -170,8 +174,13 @@
             and not self.strangers
             and not self.is_draining
             and not self.isolated_runs
+            and self.is_registration_current()
         )
 
+    def is_registration_current(self) -> bool:
+        """Return whether the present start of the worker may have written its registration."""
+        return self.registered_born == self.born or 0 in (self.registered_born, self.born)
+
     def is_clock_known(self, now: float) -> bool:
         """Return whether the clock was read recently enough to set the end of a new lease."""
         return now <= self.clock_read_at + MAX_CLOCK_AGE_SECONDS
--- a/packages/core/cranberryshore/pool/tests/test_former_boots.py
+++ b/packages/core/cranberryshore/pool/tests/test_former_boots.py
@@ -3,9 +3,11 @@
 from cranberryshore.pool import (
     EndKind,
     HeldWorker,
+    PollWorker,
     ReportedEnd,
     ReportedRun,
     StartRun,
+    StepSpec,
     WorkerStatus,
 )
 from cranberryshore.pool.tests.test_lost_workers import LostWorkerTestCase
@@ -68,6 +70,33 @@
         self.assertGreater(worker.last_seen, worker.acknowledged_end)
 
 
+class RegistrationOfFormerBootTest(RestartTestCase):
+    """Registrations and answers of different starts of a worker process."""
+
+    def register(self, *labels: str, born: int) -> None:
+        total = self.scheduler.workers["w1"].total
+        self.scheduler.relist("w1", total, frozenset(labels), False, born)
+
+    def submit_labelled(self) -> list[str]:
+        step = StepSpec(1, Capacity(1000, 10), 100, label="a")
+        return [start.worker for start in self.submit(steps=(step,))]
+
+    def test_task_is_started_by_the_labels_of_a_former_boot(self):
+        self.register("a", born=1)
+        self.answer("w1", 2)
+        self.assertEqual(self.submit_labelled(), [])
+        self.register("a", born=2)
+        self.scheduler.tick(self.now)
+        self.assertEqual([start.worker for start in self.starts()], ["w1"])
+
+    def test_task_is_started_by_the_labels_of_a_boot_that_has_not_answered(self):
+        self.register("a", born=2)
+        self.assertIn("w1", [effect.worker for effect in self.effects(PollWorker)])
+        self.assertEqual(self.submit_labelled(), [])
+        self.answer("w1", 2)
+        self.assertEqual([start.worker for start in self.starts()], ["w1"])
+
+
 class LateAnswerTest(TestCase):
     def test_ended_run_in_a_late_answer_is_a_run_of_another_scheduler(self):
         worker = HeldWorker("w", "w", "z", "s", Capacity(4000, 1000), frozenset(), 10)
--- a/packages/daemon/cranberryshored/pool/scheduling.py
+++ b/packages/daemon/cranberryshored/pool/scheduling.py
@@ -288,7 +288,7 @@
             if entry.is_draining and not worker.is_draining:
                 self.log.info("Worker is leaving.", worker=entry.name)
             labels = frozenset(entry.labels)
-            self.scheduler.relist(entry.name, entry.capacity, labels, entry.is_draining)
+            self.scheduler.relist(entry.name, entry.capacity, labels, entry.is_draining, entry.born)
             return
         if worker is not None and worker.runs:
             # These runs must have ended, or their lease expired, before the worker is replaced.
@@ -304,6 +304,7 @@
             self.tokens.next(),
             entry.rack,
             entry.is_draining,
+            entry.born,
         )
         self.scheduler.add_worker(worker, now())
         self._open_channel(worker)
--- a/packages/proof/cranberryshore_proof/pool_mutate.py
+++ b/packages/proof/cranberryshore_proof/pool_mutate.py
@@ -54,9 +54,11 @@
     "cranberryshore.pool.tests.test_confirmation",
     "cranberryshore.pool.tests.test_crashes",
     "cranberryshore.pool.tests.test_departures",
+    "cranberryshore.pool.tests.test_former_boots",
     "cranberryshore.pool.tests.test_isolation",
     "cranberryshore.pool.tests.test_lost_workers",
     "cranberryshore.pool.tests.test_queue_versions",
+    "cranberryshore.pool.tests.test_records_of_losses",
     "cranberryshore.pool.tests.test_start_rights",
     "cranberryshore.pool.tests.test_scheduler",
     "cranberryshore.pool.tests.test_takeover",
@@ -261,6 +263,12 @@
     PoolMutation(
         "loss: any start's registration counts", WorkerRegistration, "is_of_start", _constant(True)
     ),
+    PoolMutation(
+        "labels of a former start are used",
+        HeldWorker,
+        "is_registration_current",
+        _constant(True),
+    ),
     PoolMutation("loss: unclear losses have no limit", crashes, "MAX_UNCLEAR_LOSSES", 1000),
     PoolMutation("loss: a lost rack is to blame", LostRun, "is_crash", _count_common_cause),
     PoolMutation("loss: a replaced worker is no proof", CrashHistory, "resolve", _constant(None)),
