Peer messages: deep nesting no longer ends the receipt

Callers saw: an envelope with 100,000 nested arrays in a field that the codec skips ended the task that receives messages of all peers, so the instance heard nobody any more.

Cause: msgspec raises RecursionError for it, which is neither DecodeError nor ValueError, so decode_envelope, decode_message and decode_json let it pass. Besides, the hybrid time of an envelope could be the largest number that messages carry; the next own time was then beyond it, and no envelope could be encoded any more.

Change: cranberryshore.bounds names the errors of the codec for malformed data and the bounds of foreign values; the codec uses them. decode_json turns the error into DecodeError, which all its users handle. The parts of a hybrid time are at most 2**53.

--- a/packages/core/cranberryshore/messages/codec.py
+++ b/packages/core/cranberryshore/messages/codec.py
@@ -6,6 +6,7 @@
 import attrs
 import msgspec
 
+from cranberryshore.bounds import DECODING_ERRORS
 from cranberryshore.errors import Refusal
 from cranberryshore.messages import peer, pool
 from cranberryshore.timeline.clock import HybridTimestamp
@@ -129,7 +130,7 @@
         return None
     try:
         return _decoder(type_).decode(body)
-    except (msgspec.DecodeError, ValueError):
+    except DECODING_ERRORS:
         return None
 
 
@@ -150,7 +151,7 @@
     """Decode an envelope; return ``None`` if it is malformed."""
     try:
         return _decoder(Envelope).decode(data)
-    except (msgspec.DecodeError, ValueError):
+    except DECODING_ERRORS:
         return None
 
 
@@ -160,5 +161,11 @@
 
 
 def decode_json(data: bytes, type_: type[T]) -> T:
-    """Decode JSON; raise ``msgspec.DecodeError`` with the path of the invalid value."""
-    return _json_decoder(type_).decode(data)
+    """Decode JSON; raise ``msgspec.DecodeError`` with the path of the invalid value.
+
+    No other error is raised, also if the data is nested too deeply.
+    """
+    try:
+        return _json_decoder(type_).decode(data)
+    except RecursionError as error:
+        raise msgspec.DecodeError(str(error)) from error
--- a/packages/core/cranberryshore/timeline/clock.py
+++ b/packages/core/cranberryshore/timeline/clock.py
@@ -2,6 +2,8 @@
 
 import attrs
 
+from cranberryshore.bounds import Count
+
 MILLISECONDS_PER_SECOND = 1000
 
 
@@ -17,8 +19,8 @@
         Logical counter that orders events with the same ``wall_ms``.
     """
 
-    wall_ms: int
-    count: int
+    wall_ms: Count
+    count: Count
 
 
 @attrs.define
--- a/packages/daemon/cranberryshored/peers/tests/test_transport.py
+++ b/packages/daemon/cranberryshored/peers/tests/test_transport.py
@@ -96,6 +96,16 @@
             while len(handled) < 3:
                 await asyncio.sleep(0.01)
 
+    async def test_deeply_nested_envelope_ends_the_receipt(self):
+        self.addAsyncCleanup(self.two.close)
+        self.addAsyncCleanup(self.one.close)
+        address = f"{HOST}:{self.ports[1]}"
+        self.one._send_envelope(address, b"\x81\xa1x" + b"\x91" * 100_000 + b"\x90")
+        self.one.send(address, "two", Leave())
+        async with asyncio.timeout(5):
+            while not self.inbox:
+                await asyncio.sleep(0.01)
+
     async def test_closes_while_messages_stream_in(self):
         # Regression: pynng's arecv lost a cancellation when a message arrived at the same moment,
         # so the receive loop continued and a leaving daemon never exited.
