Foreign entries: bounds are checked where text becomes a type

Deep nesting in a field that is not read, or a value that is not in base64, ended the task that follows the workers, the configuration or the members. Ports that don't exist and negative capacities named workers. A worker's answer with deep nesting ended the task that polls it, and with a born beyond 64 bits the records of lost runs could not be sent. A deeply nested job was answered with 500.

Cause: each decoder listed the errors that it expected and took integers of any size.

Change: cranberryshore.bounds has the bounds as types of fields (amounts, counts, revisions, texts), addresses and identifiers, and decode_bounded, which returns a Rejection for whatever the codec raises. The bodies of the platform use these types. EntryReader decodes each text once, leaves out what is rejected, also if a decoder raises another error or the value can't be encoded for peers, and logs key and reason until the reason changes. Members and records of lost runs are read in the same way; of the latter each record by itself. A configuration and an answer of a worker are rejected as a whole: a queue that is left out would be denied, and a run that is left out counts as ended.

decode_worker and decode_config return a Result now; the tests that expected None expect Err, and the rows of a worker's answer are tested from JSON, since that is what is decoded.

--- a/packages/core/cranberryshore/messages/__init__.py
+++ b/packages/core/cranberryshore/messages/__init__.py
@@ -8,6 +8,7 @@
     decode_message,
     encode_envelope,
     encode_json,
+    encoding_error,
 )
 from cranberryshore.messages.peer import (
     CancelCall,
@@ -114,4 +115,5 @@
     "encode_envelope",
     "encode_frames",
     "encode_json",
+    "encoding_error",
 ]
--- a/packages/core/cranberryshore/messages/codec.py
+++ b/packages/core/cranberryshore/messages/codec.py
@@ -74,6 +74,9 @@
     )
 }
 
+ENCODING_ERRORS = (OverflowError, TypeError, ValueError, RecursionError)
+"""Errors of the codec for values that it has no representation for, such as large integers."""
+
 
 @attrs.frozen
 class EncodedMessage:
@@ -123,6 +126,21 @@
     return EncodedMessage(type(message).__name__, _encoder.encode(message))
 
 
+def encoding_error(value: Any) -> str:
+    """Return why a value cannot be sent in a message; empty if it can.
+
+    Examples
+    --------
+    >>> encoding_error(2**63), encoding_error(2**64)
+    ('', "can't serialize ints < -2**63 or > 2**64 - 1")
+    """
+    try:
+        _encoder.encode(value)
+    except ENCODING_ERRORS as error:
+        return str(error)
+    return ""
+
+
 def decode_message(kind: str, body: bytes) -> Any | None:
     """Decode one message; return ``None`` if its kind is unknown or its body is malformed."""
     type_ = _MESSAGE_TYPES.get(kind)
--- a/packages/core/cranberryshore/pool/claims.py
+++ b/packages/core/cranberryshore/pool/claims.py
@@ -2,6 +2,8 @@
 
 import attrs
 
+from cranberryshore.bounds import Amount, Name, Text
+
 
 @attrs.frozen
 class MemberAddress:
@@ -17,10 +19,10 @@
         CPU capacity, in thousandths of a core.
     """
 
-    incarnation: str
-    address: str
-    zone: str
-    millicores: int = 1000
+    incarnation: Name
+    address: Text
+    zone: Text
+    millicores: Amount = 1000
 
     def rank(self) -> tuple[int, str]:
         """Return the sort key for claims: most CPU first, since it limits the throughput.
--- a/packages/daemon/cranberryshored/pool/registry.py
+++ b/packages/daemon/cranberryshored/pool/registry.py
@@ -6,15 +6,17 @@
 from typing import Protocol, TypeVar
 
 import attrs
-import msgspec
 from result import Err, Ok, Result
 from structlog.typing import FilteringBoundLogger
 
-from cranberryshore.messages import decode_json, encode_json
+from cranberryshore.bounds import Rejection
+from cranberryshore.messages import encode_json
 from cranberryshore.pool import LostRun, MemberAddress, PoolConfig, WorkerRegistration
 from cranberryshored.platform.store import Store, StoreFailure
 from cranberryshored.pool.clock import now
 from cranberryshored.pool.protocols import ConfigHandler
+from cranberryshored.pool.records import decode_lost_run, decode_member, split_losses
+from cranberryshored.pool.rejections import EntryReader, RejectionLog, decode_entry
 from cranberryshored.pool.store_follower import (
     RETRY_SECONDS,
     StoreFollower,
@@ -77,15 +79,15 @@
     Parameters
     ----------
     decode_config, decode_worker : callable
-        Return ``None`` for values that cannot be used. ``decode_worker`` takes the worker's name,
+        Return why a value cannot be used, if it cannot. ``decode_worker`` takes the worker's name,
         which is the key without the prefix, and the value.
     """
 
     config_key: str
     workers_prefix: str
     members_prefix: str
-    decode_config: Callable[[str], PoolConfig | None]
-    decode_worker: Callable[[str, str], WorkerRegistration | None]
+    decode_config: Callable[[str], Result[PoolConfig, Rejection]]
+    decode_worker: Callable[[str, str], Result[WorkerRegistration, Rejection]]
     losses_prefix: str = "pool/losses/"
 
 
@@ -98,17 +100,22 @@
     open_store : callable
         Returns a new client of the store. Each use has a client of its own, so that none takes a
         connection that a call of another use has left silent.
-    config_text, config : str, PoolConfig or None
+    config_text, config : str or None, PoolConfig or None
         Latest value of the configuration that was read, and its decoded form.
+    rejections : RejectionLog
+        Rejected values of all prefixes.
     """
 
     open_store: Callable[[], LeasingStore]
     layout: StoreLayout
     log: FilteringBoundLogger
     lease: str = ""
-    config_text: str = ""
+    config_text: str | None = None
     config: PoolConfig | None = None
     status: StoreStatus = attrs.field(init=False)
+    rejections: RejectionLog = attrs.field(init=False)
+    workers_reader: EntryReader[WorkerRegistration] = attrs.field(init=False)
+    members_reader: EntryReader[MemberAddress] = attrs.field(init=False)
     config_store: LeasingStore = attrs.field(init=False)
     workers_store: LeasingStore = attrs.field(init=False)
     lease_store: LeasingStore = attrs.field(init=False)
@@ -118,6 +125,13 @@
 
     def __attrs_post_init__(self) -> None:
         self.status = StoreStatus(self.log)
+        self.rejections = RejectionLog("Rejected an entry; using the others.", self.log)
+        self.workers_reader = EntryReader(
+            self.layout.workers_prefix, self.layout.decode_worker, self.rejections
+        )
+        self.members_reader = EntryReader(
+            self.layout.members_prefix, decode_member, self.rejections
+        )
         self.config_store, self.workers_store = self.open_store(), self.open_store()
         self.lease_store, self.members_store = self.open_store(), self.open_store()
         self.query_store, self.losses_store = self.open_store(), self.open_store()
@@ -168,10 +182,14 @@
         if text is None:
             return
         if text != self.config_text:
-            self.config_text, self.config = text, self.layout.decode_config(text)
-            if self.config is None:
+            decoded = decode_entry(self.layout.decode_config, text)
+            self.config_text, self.config = text, decoded.ok()
+            if isinstance(decoded, Err):
                 self.log.warning(
-                    "Cannot decode the configuration; keeping the one in force.", size=len(text)
+                    "Cannot decode the configuration; keeping the one in force.",
+                    key=self.layout.config_key,
+                    size=len(text),
+                    reason=decoded.err_value.reason,
                 )
         if self.config is not None:
             on_config(self.config, confirmed_at)
@@ -190,12 +208,7 @@
         missing: dict[str, float] = {}
 
         def report(entries: dict[str, str], _confirmed_at: float) -> None:
-            fresh: dict[str, WorkerRegistration] = {}
-            for key, text in entries.items():
-                name = key.removeprefix(self.layout.workers_prefix)
-                worker = self.layout.decode_worker(name, text)
-                if worker is not None:
-                    fresh[name] = worker
+            fresh = self.workers_reader.read(entries)
             for name in reported.keys() - fresh.keys():
                 missing.setdefault(name, now())
             for name in list(missing):
@@ -279,27 +292,28 @@
             return ()
         lost_runs: list[LostRun] = []
         for entry in listing.ok_value.entries:
-            try:
-                lost_runs += decode_json(entry.value.encode(), tuple[LostRun, ...])
-            except (msgspec.DecodeError, ValueError) as error:
-                self.log.warning(
-                    "Cannot decode records of lost runs; ignoring them.",
-                    key=entry.key,
-                    error=str(error),
-                )
+            lost_runs += self._decode_losses(entry.key, entry.value)
         return tuple(lost_runs)
 
+    def _decode_losses(self, key: str, text: str) -> list[LostRun]:
+        """Return the records of an entry, without those that cannot be used."""
+        items = decode_entry(split_losses, text)
+        if isinstance(items, Err):
+            self.rejections.rejected(key, items.err_value)
+            return []
+        usable = []
+        for number, item in enumerate(items.ok_value):
+            decoded = decode_entry(decode_lost_run, item)
+            if isinstance(decoded, Err):
+                self.rejections.rejected(f"{key}[{number}]", decoded.err_value)
+            else:
+                usable.append(decoded.ok_value)
+        return usable
+
     async def list_members(self) -> tuple[MemberAddress, ...] | None:
         """See :class:`Registry`."""
         listing = await self._in_time(self.members_store.list(self.layout.members_prefix))
         if isinstance(listing, Err):
             return None
-        members = []
-        for entry in listing.ok_value.entries:
-            try:
-                members.append(decode_json(entry.value.encode(), MemberAddress))
-            except (msgspec.DecodeError, ValueError) as error:
-                self.log.warning(
-                    "Cannot decode a member entry; ignoring it.", key=entry.key, error=str(error)
-                )
-        return tuple(members)
+        entries = {entry.key: entry.value for entry in listing.ok_value.entries}
+        return tuple(self.members_reader.read(entries).values())
--- a/packages/proof/cranberryshore_proof/pool_registry.py
+++ b/packages/proof/cranberryshore_proof/pool_registry.py
@@ -4,7 +4,9 @@
 from typing import TYPE_CHECKING
 
 import attrs
+from result import Ok, Result
 
+from cranberryshore.bounds import Rejection
 from cranberryshore.messages import decode_json
 from cranberryshore.pool import LostRun, MemberAddress, PoolConfig, WorkerRegistration
 from cranberryshored.pool.registry import StoreLayout
@@ -15,12 +17,12 @@
 CONFIG_KEY, WORKERS_PREFIX, MEMBERS_PREFIX = "config", "workers/", "members/"
 
 
-def _decode_config(text: str) -> PoolConfig:
-    return decode_json(text.encode(), PoolConfig)
+def _decode_config(text: str) -> Result[PoolConfig, Rejection]:
+    return Ok(decode_json(text.encode(), PoolConfig))
 
 
-def _decode_worker(_name: str, text: str) -> WorkerRegistration:
-    return decode_json(text.encode(), WorkerRegistration)
+def _decode_worker(_name: str, text: str) -> Result[WorkerRegistration, Rejection]:
+    return Ok(decode_json(text.encode(), WorkerRegistration))
 
 
 LAYOUT = StoreLayout(CONFIG_KEY, WORKERS_PREFIX, MEMBERS_PREFIX, _decode_config, _decode_worker)
--- a/packages/proof/cranberryshore_proof/tests/test_store_follower.py
+++ b/packages/proof/cranberryshore_proof/tests/test_store_follower.py
@@ -5,7 +5,9 @@
 
 import attrs
 import structlog
+from result import Err
 
+from cranberryshore.bounds import Rejection
 from cranberryshore.messages import encode_json
 from cranberryshore.pool import PoolConfig
 from cranberryshore_proof.config_checks import CONTACT_SECONDS
@@ -153,7 +155,7 @@
         async def run() -> list[tuple[int, float]]:
             CLOCKS.steady = asyncio.get_running_loop().time
             reports = []
-            layout = attrs.evolve(LAYOUT, decode_config=lambda text: None)
+            layout = attrs.evolve(LAYOUT, decode_config=lambda text: Err(Rejection("")))
             registry = StoreRegistry(self.open_store, layout, make_logger("store"))
             self.publish(1)
             task = asyncio.ensure_future(
