Readers of the store and of workers: an error costs one step

Callers would see: an unexpected error in one report, one call to the store or one status of a worker ended the task that follows the entries, renews the registration, lists the members or polls the worker; nothing started it again.

Cause: these tasks had no guard around a step.

On the old code test_error_in_one_report_ends_the_follower and test_error_in_one_call_ends_the_follower failed (later changes were not reported), test_error_in_one_call_ends_the_registration_or_the_list_of_members ended with the KeyError, and test_error_in_one_poll_ends_the_polling_of_the_worker and test_error_in_one_status_ends_the_polling_of_the_worker ended with a timeout after 5 s.

--- a/packages/daemon/cranberryshored/pool/registry.py
+++ b/packages/daemon/cranberryshored/pool/registry.py
@@ -12,7 +12,7 @@
 from cranberryshore.bounds import Rejection
 from cranberryshore.messages import encode_json
 from cranberryshore.pool import LostRun, MemberAddress, PoolConfig, WorkerRegistration
-from cranberryshored.platform.store import Store, StoreFailure
+from cranberryshored.platform.store import Store, StoreFailure, StoreUnavailable
 from cranberryshored.pool.clock import now
 from cranberryshored.pool.protocols import ConfigHandler
 from cranberryshored.pool.records import decode_lost_run, decode_member, split_losses
@@ -23,6 +23,7 @@
     StoreStatus,
     call_in_time,
 )
+from cranberryshored.tasks import failures_logged
 
 T = TypeVar("T")
 
@@ -234,11 +235,12 @@
         key = self.layout.members_prefix + member.address
         value = encode_json(member).decode()
         for renewal in count(1):
-            if not self.lease:
-                await self._register(key, value)
-            elif not await self._is_renewed(key, renewal % RENEWALS_PER_CHECK == 0):
-                self.lease = ""
-                continue
+            with failures_logged(self.log, "register"):
+                if not self.lease:
+                    await self._register(key, value)
+                elif not await self._is_renewed(key, renewal % RENEWALS_PER_CHECK == 0):
+                    self.lease = ""
+                    continue
             await asyncio.sleep(RENEWAL_SECONDS if self.lease else RETRY_SECONDS)
 
     async def _is_renewed(self, key: str, is_checked: bool) -> bool:
@@ -312,7 +314,9 @@
 
     async def list_members(self) -> tuple[MemberAddress, ...] | None:
         """See :class:`Registry`."""
-        listing = await self._in_time(self.members_store.list(self.layout.members_prefix))
+        listing = Err(StoreUnavailable("unexpected error"))
+        with failures_logged(self.log, "list_members"):
+            listing = await self._in_time(self.members_store.list(self.layout.members_prefix))
         if isinstance(listing, Err):
             return None
         entries = {entry.key: entry.value for entry in listing.ok_value.entries}
--- a/packages/daemon/cranberryshored/pool/store_follower.py
+++ b/packages/daemon/cranberryshored/pool/store_follower.py
@@ -17,6 +17,7 @@
     WatchResult,
 )
 from cranberryshored.pool.clock import now
+from cranberryshored.tasks import failures_logged
 
 T = TypeVar("T")
 
@@ -119,7 +120,13 @@
     timeout: CallTimeout = attrs.field(factory=CallTimeout)
 
     async def run(self) -> None:
-        """Follow the entries until cancelled."""
+        """Follow the entries until cancelled; after an unexpected error, from a new listing."""
+        while True:
+            with failures_logged(self.status.log, "follow", prefix=self.prefix):
+                await self._follow()
+            await asyncio.sleep(RETRY_SECONDS)
+
+    async def _follow(self) -> None:
         while True:
             begun_at = now()
             listing = await call_in_time(self.store.list(self.prefix), self.timeout.seconds)
@@ -130,11 +137,16 @@
             self.timeout.answered(now() - begun_at)
             await self._watch(listing.ok_value, begun_at)
 
+    def _report(self, entries: dict[str, str], confirmed_at: float) -> None:
+        """Report the entries; the next change is reported also if that fails."""
+        with failures_logged(self.status.log, "report", prefix=self.prefix):
+            self.report(entries, confirmed_at)
+
     async def _watch(self, listing: KeyListing, listed_at: float) -> None:
         """Report changes after a listing until the store has compacted its change history."""
         entries = {entry.key: entry.value for entry in listing.entries}
         revision = listing.revision
-        self.report(entries, listed_at)
+        self._report(entries, listed_at)
         wait_ms = self.wait_ms
         while True:
             begun_at = now()
@@ -162,7 +174,7 @@
             self._apply(entries, result)
             revision = max(revision, result.revision)
             # An empty response is sent when the whole wait has passed without a change.
-            self.report(entries, begun_at + waited_seconds)
+            self._report(entries, begun_at + waited_seconds)
             if result.changes:
                 await asyncio.sleep(self.pause)
             # The response to a change does not tell when it was sent; the next one must not wait.
--- a/packages/daemon/cranberryshored/pool/tests/test_worker_channel.py
+++ b/packages/daemon/cranberryshored/pool/tests/test_worker_channel.py
@@ -90,6 +90,33 @@
         self.assertEqual(calls.polls, 2)
         await channel.close()
 
+    async def test_error_in_one_poll_ends_the_polling_of_the_worker(self):
+        class FailingCalls(DelayedCalls):
+            async def poll(self, worker, poll, seconds):
+                if not self.polls:
+                    self.polls += 1
+                    raise KeyError("odd")
+                return await super().poll(worker, poll, seconds)
+
+        channel = self.open_channel(FailingCalls())
+        async with asyncio.timeout(5):
+            while channel.worker.state is not HoldState.HELD:
+                await asyncio.sleep(0.01)
+        await channel.close()
+
+    async def test_error_in_one_status_ends_the_polling_of_the_worker(self):
+        statuses = [WorkerStatus(1, 0, None, ()), WorkerStatus(1, 0, (), ())]
+
+        class FailingCalls(DelayedCalls):
+            async def poll(self, worker, poll, seconds):
+                return Ok(statuses.pop(0))
+
+        channel = self.open_channel(FailingCalls())
+        async with asyncio.timeout(5):
+            while channel.worker.state is not HoldState.HELD:
+                await asyncio.sleep(0.01)
+        await channel.close()
+
     async def test_refused_start_is_sent_to_the_same_worker_again(self):
         class RefusingCalls(DelayedCalls):
             async def start_run(self, worker, start, seconds):
--- a/packages/daemon/cranberryshored/pool/worker_channel.py
+++ b/packages/daemon/cranberryshored/pool/worker_channel.py
@@ -15,7 +15,7 @@
     now,
 )
 from cranberryshored.pool.protocols import PollFailure, PollRequest, StartReply, WorkerCalls
-from cranberryshored.tasks import cancel_tasks, start_task
+from cranberryshored.tasks import cancel_tasks, failures_logged, start_task
 
 ACK_DELAY_SECONDS = 1.0
 """Delay before the last ended runs of an idle worker are acknowledged, which must happen within
@@ -141,7 +141,8 @@
         while True:
             self.wake.clear()
             if self._needs_poll():
-                await self._poll(self._wait_ms())
+                with failures_logged(self.log, "status", worker=self.worker.name):
+                    await self._poll(self._wait_ms())
                 if self.failed_polls > IMMEDIATE_RETRIES:
                     await asyncio.sleep(RETRY_SECONDS)
             elif self.worker.last_seen > self.worker.acknowledged_end:
@@ -180,7 +181,9 @@
         seconds = wait_ms / 1000 + self.timeout.seconds(self.failed_polls)
         if worker.state is HoldState.ACQUIRING:
             seconds += TAKEOVER_EXTRA_SECONDS
-        answer = await self.calls.poll(worker, poll, seconds)
+        answer = Err(PollFailure.MALFORMED)
+        with failures_logged(self.log, "poll", worker=worker.name):
+            answer = await self.calls.poll(worker, poll, seconds)
         self.is_polling = False
         if isinstance(answer, Err):
             self._poll_failed(answer.err_value, token)
--- a/packages/proof/cranberryshore_proof/tests/test_store_follower.py
+++ b/packages/proof/cranberryshore_proof/tests/test_store_follower.py
@@ -2,6 +2,7 @@
 import logging
 from random import Random
 from unittest import TestCase
+from unittest.mock import patch
 
 import attrs
 import structlog
@@ -9,7 +10,7 @@
 
 from cranberryshore.bounds import Rejection
 from cranberryshore.messages import encode_json
-from cranberryshore.pool import PoolConfig
+from cranberryshore.pool import MemberAddress, PoolConfig
 from cranberryshore_proof.config_checks import CONTACT_SECONDS
 from cranberryshore_proof.network import Network
 from cranberryshore_proof.pool_registry import CONFIG_KEY, LAYOUT
@@ -18,7 +19,12 @@
 from cranberryshored.log import make_logger
 from cranberryshored.pool.clock import CLOCKS, Clocks
 from cranberryshored.pool.registry import StoreRegistry
-from cranberryshored.pool.store_follower import MAX_TIMEOUT_SECONDS, StoreFollower, StoreStatus
+from cranberryshored.pool.store_follower import (
+    MAX_TIMEOUT_SECONDS,
+    RETRY_SECONDS,
+    StoreFollower,
+    StoreStatus,
+)
 
 WAIT_SECONDS = 1.0
 ROUND_TRIP_SECONDS = 0.01
@@ -26,13 +32,21 @@
 
 @attrs.define
 class FollowedStore:
-    """A store, its client, and what the follower has reported: time, value and confirmed time."""
+    """A store, its client, and what the follower has reported: time, value and confirmed time.
+
+    ``failures`` is the number of further reports that raise an error.
+    """
 
     store: ModelStore
     client: ModelStoreClient
     reports: list[tuple[float, str, float]] = attrs.field(factory=list)
 
+    failures: int = 0
+
     def record(self, entries: dict[str, str], confirmed_at: float) -> None:
+        if self.failures:
+            self.failures -= 1
+            raise KeyError("odd")
         self.reports.append((asyncio.get_running_loop().time(), entries["k"], confirmed_at))
 
 
@@ -107,6 +121,23 @@
 
         self.follow(scenario)
 
+    def test_error_in_one_report_ends_the_follower(self):
+        async def scenario(followed: FollowedStore) -> None:
+            followed.failures = 1
+            followed.store.set("k", "1")
+            await asyncio.sleep(0.1)
+            await self.change(followed, "2", ROUND_TRIP_SECONDS)
+
+        self.follow(scenario)
+
+    def test_error_in_one_call_ends_the_follower(self):
+        async def scenario(followed: FollowedStore) -> None:
+            with patch.object(ModelStoreClient, "watch", side_effect=KeyError("odd")):
+                await asyncio.sleep(WAIT_SECONDS + 0.1)
+            await self.change(followed, "1", RETRY_SECONDS + ROUND_TRIP_SECONDS)
+
+        self.follow(scenario)
+
     def test_compacted_history(self):
         async def scenario(followed: FollowedStore) -> None:
             followed.store.is_silent = True
@@ -167,3 +198,21 @@
             return reports
 
         self.assertEqual(run_virtual(run()), [])
+
+    def test_error_in_one_call_ends_the_registration_or_the_list_of_members(self):
+        member = MemberAddress("e.1", "10.0.0.1:1", "z")
+
+        async def run() -> None:
+            CLOCKS.steady = asyncio.get_running_loop().time
+            task = asyncio.ensure_future(self.registry.keep_registered(member))
+            with (
+                patch.object(ModelStoreClient, "put", side_effect=KeyError("odd")),
+                patch.object(ModelStoreClient, "list", side_effect=KeyError("odd")),
+            ):
+                await asyncio.sleep(1.0)
+                self.assertIsNone(await self.registry.list_members())
+            await asyncio.sleep(1.0)
+            self.assertEqual(await self.registry.list_members(), (member,))
+            task.cancel()
+
+        run_virtual(run())
