Peer messages: one item that can't be encoded costs only itself

Callers would see: a heartbeat with the list of members, or the records of lost runs, was dropped whole for one item with a number beyond 64 bits. An unexpected error in sending to one peer dropped what was queued for the others.

Cause: the transport dropped the message that failed, and sent to all peers in one step.

Change: items that hold independently of each other (members of a heartbeat, lost runs) are left out and logged by name, and the rest is sent; an error in sending to one peer is logged.

On the old code test_one_member_that_cannot_be_encoded_costs_the_heartbeat, test_one_lost_run_that_cannot_be_encoded_costs_the_others and test_one_peer_to_which_nothing_can_be_sent_costs_the_messages_to_others ended with timeouts of 5 s.

--- a/packages/core/cranberryshore/messages/codec.py
+++ b/packages/core/cranberryshore/messages/codec.py
@@ -1,5 +1,6 @@
 """Message encoding: MessagePack between daemons, JSON for HTTP APIs and stored data."""
 
+from collections.abc import Callable
 from functools import cache
 from typing import Any, TypeVar
 
@@ -74,6 +75,12 @@
     )
 }
 
+_INDEPENDENT_ITEMS: dict[type, tuple[str, Callable[[Any], str]]] = {
+    pool.Beat: ("members", lambda member: member.incarnation),
+    pool.LossNews: ("lost_runs", lambda lost: f"{lost.task} on {lost.worker}"),
+}
+"""Field with independent items, and the name of an item, by type of message."""
+
 ENCODING_ERRORS = (OverflowError, TypeError, ValueError, RecursionError)
 """Errors of the codec for values that it has no representation for, such as large integers."""
 
@@ -141,6 +148,29 @@
     return ""
 
 
+def without_unencodable(message: Any) -> tuple[Any, tuple[str, ...]]:
+    """Return a message without the items that cannot be sent, and the names of these items.
+
+    Only messages whose items hold independently of each other are reduced. The others, such as
+    lists of workers, have versions: a list must be the same on all instances that have a version.
+
+    Examples
+    --------
+    >>> from cranberryshore.pool import LostRun
+    >>> lost = LostRun("j.0.0.0", 1, "w", 2**70)
+    >>> without_unencodable(pool.LossNews((lost,)))
+    (LossNews(lost_runs=()), ('j.0.0.0 on w',))
+    """
+    independent = _INDEPENDENT_ITEMS.get(type(message))
+    if independent is None:
+        return message, ()
+    field, name_of = independent
+    items = getattr(message, field)
+    left_out = tuple(item for item in items if encoding_error(item))
+    kept = tuple(item for item in items if not encoding_error(item))
+    return attrs.evolve(message, **{field: kept}), tuple(name_of(item) for item in left_out)
+
+
 def decode_message(kind: str, body: bytes) -> Any | None:
     """Decode one message; return ``None`` if its kind is unknown or its body is malformed."""
     type_ = _MESSAGE_TYPES.get(kind)
--- a/packages/daemon/cranberryshored/peers/tests/test_transport.py
+++ b/packages/daemon/cranberryshored/peers/tests/test_transport.py
@@ -2,7 +2,11 @@
 import time
 from unittest import IsolatedAsyncioTestCase
 
-from cranberryshore.messages import Leave, PeerCall
+import attrs
+from structlog.testing import capture_logs
+
+from cranberryshore.messages import Beat, Leave, LossNews, PeerCall
+from cranberryshore.pool import LostRun, MemberAddress
 from cranberryshore.timeline import EventRecorder
 from cranberryshore_standins.ports import HOST, free_ports
 from cranberryshored.log import make_logger
@@ -75,6 +79,37 @@
             while len(self.inbox) < 2:
                 await asyncio.sleep(0.01)
 
+    async def receive(self, message) -> object:
+        """Send one message to the other instance and return what arrives."""
+        self.addAsyncCleanup(self.two.close)
+        self.addAsyncCleanup(self.one.close)
+        self.one.send(f"{HOST}:{self.ports[1]}", "two", message)
+        async with asyncio.timeout(5):
+            while not self.inbox:
+                await asyncio.sleep(0.01)
+        return self.inbox[0][1]
+
+    async def test_one_member_that_cannot_be_encoded_costs_the_heartbeat(self):
+        own, odd = MemberAddress("a.1", "h:1", "z"), MemberAddress("b.1", "h:2", "z", 2**70)
+        beat = Beat(own, 1, 2, 3, 4, 5.0, members=(own, odd))
+        with capture_logs() as records:
+            received = await self.receive(beat)
+        self.assertEqual(received, attrs.evolve(beat, members=(own,)))
+        self.assertEqual([record["items"] for record in records if "items" in record], [("b.1",)])
+
+    async def test_one_lost_run_that_cannot_be_encoded_costs_the_others(self):
+        good, odd = LostRun("j.0.0.0", 1, "w", 5), LostRun("j.0.0.1", 1, "w", 2**70)
+        with capture_logs() as records:
+            received = await self.receive(LossNews((odd, good)))
+        self.assertEqual(received, LossNews((good,)))
+        names = [record["items"] for record in records if "items" in record]
+        self.assertEqual(names, [("j.0.0.1 on w",)])
+
+    async def test_one_peer_to_which_nothing_can_be_sent_costs_the_messages_to_others(self):
+        self.one.send("\ud800:1", "x", Leave())
+        with capture_logs():
+            await self.receive(Leave())
+
     async def test_message_that_cannot_be_handled_ends_the_receipt(self):
         self.addAsyncCleanup(self.two.close)
         self.addAsyncCleanup(self.one.close)
--- a/packages/daemon/cranberryshored/transport.py
+++ b/packages/daemon/cranberryshored/transport.py
@@ -8,7 +8,14 @@
 from pynng import Canceled, Closed, NNGException, Pull0, Push0, TryAgain
 from structlog.typing import FilteringBoundLogger
 
-from cranberryshore.messages import PeerMessage, decode_envelope, decode_message, encode_envelope
+from cranberryshore.messages import (
+    PeerMessage,
+    decode_envelope,
+    decode_message,
+    encode_envelope,
+    encoding_error,
+)
+from cranberryshore.messages.codec import ENCODING_ERRORS, without_unencodable
 from cranberryshore.timeline import EventRecorder
 from cranberryshored.metrics import Metrics
 from cranberryshored.tasks import cancel_tasks, failures_logged, start_task
@@ -44,10 +51,6 @@
         ...
 
 
-ENCODING_ERRORS = (OverflowError, TypeError, ValueError)
-"""Errors of the codec for values that it has no representation for, such as large integers."""
-
-
 @attrs.define(eq=False)
 class PeerTransport:
     """Sends typed messages to peers and hands received ones to ``deliver``.
@@ -125,23 +128,32 @@
     def _flush(self) -> None:
         outbox, self.outbox = self.outbox, {}
         for (address, target), messages in outbox.items():
-            data = self._encode(target, messages)
-            if data is not None:
-                self._send_envelope(address, data)
+            with failures_logged(self.log, "send", address=address):
+                data = self._encode(target, messages)
+                if data is not None:
+                    self._send_envelope(address, data)
 
     def _encode(self, target: str, messages: list[PeerMessage]) -> bytes | None:
-        """Encode messages for a peer, without those that cannot be encoded."""
+        """Encode messages for a peer, without what cannot be encoded."""
         stamp = self.recorder.clock.latest
         try:
             return encode_envelope(self.own(), target, stamp, messages)
-        except ENCODING_ERRORS as error:
-            if len(messages) == 1:
-                kind = type(messages[0]).__name__
-                self.log.error("Dropped a message to a peer.", kind=kind, error=repr(error))
-                return None
-        encodable = [item for item in messages if self._encode(target, [item]) is not None]
+        except ENCODING_ERRORS:
+            encodable = [item for message in messages for item in self._encodable(message)]
         return encode_envelope(self.own(), target, stamp, encodable) if encodable else None
 
+    def _encodable(self, message: PeerMessage) -> list[PeerMessage]:
+        """Return the part of a message that can be encoded, if there is one."""
+        kind = type(message).__name__
+        reduced, names = without_unencodable(message)
+        error = encoding_error(reduced)
+        if error:
+            self.log.error("Dropped a message to a peer.", kind=kind, error=error)
+            return []
+        if names:
+            self.log.error("Left items out of a message to a peer.", kind=kind, items=names)
+        return [reduced]
+
     def _send_envelope(self, address: str, data: bytes) -> None:
         push_socket = self.push_sockets.get(address)
         try:
