Log: a record with a surrogate no longer raises an error

Cause: aiohttp keeps such bytes as surrogates, the record "No queue for a request." names the host, and neither the JSON nor the console output can write it, so the log call raised UnicodeEncodeError.

Change: such a record is written in ASCII with escapes.

On the old code test_record_with_a_surrogate_raises_an_error_in_the_request_that_is_logged failed: the process ended with UnicodeEncodeError.

--- a/packages/daemon/cranberryshored/log.py
+++ b/packages/daemon/cranberryshored/log.py
@@ -5,6 +5,8 @@
 are limited to a number per second; the next one written carries the number of omitted records.
 """
 
+import io
+import json
 import logging
 import os
 import sys
@@ -97,7 +99,11 @@
 
 
 def _encode(value: Any, **_: Any) -> bytes:
-    return msgspec.json.encode(value, enc_hook=str) + b"\n"
+    try:
+        return msgspec.json.encode(value, enc_hook=str) + b"\n"
+    except UnicodeError:
+        # Texts of requests can hold surrogates, which have no form in UTF-8.
+        return json.dumps(value, default=str).encode() + b"\n"
 
 
 @attrs.frozen
@@ -135,6 +141,8 @@
         factory = _json_output()
     else:
         processors.append(structlog.dev.ConsoleRenderer(colors=False))
+        if isinstance(sys.stdout, io.TextIOWrapper):
+            sys.stdout.reconfigure(errors="backslashreplace")
     level = logging.getLevelNamesMapping()[settings.level.upper()]
     structlog.configure(
         processors=processors,
--- a/packages/daemon/cranberryshored/tests/test_log.py
+++ b/packages/daemon/cranberryshored/tests/test_log.py
@@ -1,5 +1,7 @@
 import json
 import os
+import subprocess
+import sys
 from unittest import TestCase
 
 from structlog import DropEvent
@@ -61,3 +63,23 @@
         self.assertEqual(limiter(None, "info", {"event": "b"}), {"event": "b"})
         now = 11.0
         self.assertEqual(limiter(None, "info", {"event": "a"})["left_out"], 5)
+
+
+SCRIPT = """
+from cranberryshore.settings import LogSettings
+from cranberryshored.log import configure_log, make_logger
+configure_log(LogSettings(is_json={is_json}), "i")
+make_logger("x").info("First.", path="/\\udcff")
+make_logger("x").info("Second.")
+"""
+
+
+class SurrogateTest(TestCase):
+    def test_record_with_a_surrogate_raises_an_error_in_the_request_that_is_logged(self):
+        for is_json in (True, False):
+            command = [sys.executable, "-c", SCRIPT.format(is_json=is_json)]
+            result = subprocess.run(command, capture_output=True)
+            self.assertEqual(result.returncode, 0, result.stderr[-300:])
+            first, second = result.stdout.splitlines()
+            self.assertIn(b"udcff", first)
+            self.assertIn(b"Second.", second)
