Frames, evidence and logs: deep nesting is malformed data

Callers saw: a deeply nested frame of a worker, batch of evidence or log line raised RecursionError; a log line with a timestamp that is no text raised TypeError. The session's task, the report and `cranberryshore explain` ended with it.

With each of the three files as before, test_deep_nesting_in_an_unknown_field_raises_an_undeclared_error ended with RecursionError. That the session's task ends was read from the code, not played.

--- a/packages/core/cranberryshore/evidence/batch.py
+++ b/packages/core/cranberryshore/evidence/batch.py
@@ -10,6 +10,8 @@
 import attrs
 import msgspec
 
+from cranberryshore.bounds import DECODING_ERRORS
+
 BUCKET_BOUNDS_SECONDS = (0.02, 0.05, 0.1, 0.2, 0.5, 1.0, 2.0, 5.0, 10.0, 30.0, 60.0)
 
 
@@ -140,5 +142,5 @@
         if sha256(stored.body.encode()).hexdigest() != stored.digest:
             return None
         return msgspec.json.decode(stored.body, type=Batch)
-    except (msgspec.DecodeError, ValueError):
+    except DECODING_ERRORS:
         return None
--- a/packages/core/cranberryshore/messages/tests/test_codec.py
+++ b/packages/core/cranberryshore/messages/tests/test_codec.py
@@ -1,17 +1,22 @@
+from hashlib import sha256
 from unittest import TestCase
 
 from hypothesis import given, settings
 from hypothesis import strategies as st
 from msgspec import DecodeError
 
+from cranberryshore.evidence.batch import StoredBatch, decode_batch
 from cranberryshore.messages import (
     decode_envelope,
+    decode_frames,
     decode_json,
     decode_message,
     encode_envelope,
+    encode_json,
 )
 from cranberryshore.messages.codec import encode_message
 from cranberryshore.messages.peer import Heartbeat, KnownPeer
+from cranberryshore.timeline import parse_log_records
 from cranberryshore.timeline.clock import HybridTimestamp
 
 NESTING = 100_000
@@ -44,3 +49,11 @@
             self.assertIsNone(decode_message(kind, part))
         with self.assertRaises(DecodeError):
             decode_json(b'{"x": ' + DEEP_JSON + b"}", KnownPeer)
+        text = DEEP_JSON.decode()
+        for frames in (text, f'[["Ack", {{"x": {text}}}]]', '[["Nothing", {}]]'):
+            with self.assertRaises(DecodeError):
+                decode_frames(frames)
+        digest = sha256(text.encode()).hexdigest()
+        self.assertIsNone(decode_batch(encode_json(StoredBatch(digest, text)).decode()))
+        self.assertIsNone(decode_batch(f'{{"x": {text}}}'))
+        self.assertEqual(parse_log_records([f'{{"x": {text}}}', '{"timestamp": 5}']), [])
--- a/packages/core/cranberryshore/messages/worker.py
+++ b/packages/core/cranberryshore/messages/worker.py
@@ -168,4 +168,8 @@
 
 def decode_frames(text: str) -> list[Any]:
     """Decode a WebSocket message; raise ``msgspec.DecodeError`` if a frame is malformed."""
-    return [_FRAME_DECODERS[kind].decode(body) for kind, body in _frame_list_decoder.decode(text)]
+    try:
+        frames = _frame_list_decoder.decode(text)
+        return [_FRAME_DECODERS[kind].decode(body) for kind, body in frames]
+    except (RecursionError, KeyError) as error:
+        raise msgspec.DecodeError(f"{type(error).__name__}: {error}") from error
--- a/packages/core/cranberryshore/timeline/log_records.py
+++ b/packages/core/cranberryshore/timeline/log_records.py
@@ -8,6 +8,8 @@
 import attrs
 import msgspec
 
+from cranberryshore.bounds import DECODING_ERRORS
+
 LOOKBACK_SECONDS = 2.0
 """State changes at most this long before a job's arrival may have caused its outcome."""
 
@@ -61,7 +63,7 @@
             fields = msgspec.json.decode(match[0])
             at = datetime.fromisoformat(fields.pop("timestamp")).timestamp()
             record = LogRecord(at, fields.pop("instance"), fields.pop("event"), fields)
-        except (msgspec.DecodeError, KeyError, ValueError):
+        except (*DECODING_ERRORS, KeyError, TypeError):
             continue
         fields.pop("level", None)
         records.append(record)
--- a/packages/daemon/cranberryshored/platform/worker_link.py
+++ b/packages/daemon/cranberryshored/platform/worker_link.py
@@ -181,7 +181,7 @@
         """Handle the frames of a message; return whether the session stays open."""
         try:
             frames = decode_frames(text)
-        except (msgspec.DecodeError, KeyError) as error:
+        except msgspec.DecodeError as error:
             self.log.warning(
                 "Malformed frame from the worker; closing the session.",
                 worker=self.worker.name,
