Mutations for foreign values, and the tests that catch them

test_entry_that_cannot_be_sent_to_peers_becomes_a_worker and test_entry_whose_decoder_raises_an_error_costs_the_others play what a decoder lets pass.

On with the old interface of the decoders, the first failed because the entry was a worker, the second because the follower had ended before its first report.

--- a/packages/proof/cranberryshore_proof/pool_mutate.py
+++ b/packages/proof/cranberryshore_proof/pool_mutate.py
@@ -15,8 +15,10 @@
 
 import attrs
 import structlog
+from result import Result
 
-from cranberryshore.messages import Beat
+from cranberryshore.bounds import Rejection
+from cranberryshore.messages import Beat, codec
 from cranberryshore.pool import (
     AcknowledgedRights,
     ConfigConfirmation,
@@ -36,15 +38,17 @@
 from cranberryshore.pool.loss_tracking import LossTracker
 from cranberryshore.pool.placing import Placer
 from cranberryshore.pool.verifying import ResumedJobs
-from cranberryshored.pool import PoolDaemon, registry, store_follower, submissions
+from cranberryshored.pool import PoolDaemon, registry, rejections, store_follower, submissions
 from cranberryshored.pool.clock import now
 from cranberryshored.pool.documents import DocumentExchange
 from cranberryshored.pool.exchange import PeerExchange
 from cranberryshored.pool.loss_keeper import LossKeeper
+from cranberryshored.pool.rejections import EntryReader, RejectionLog
 from cranberryshored.pool.roster_keeper import RosterKeeper
 from cranberryshored.pool.store_follower import CallTimeout, StoreFollower
 
 TEST_MODULES = (
+    "cranberryshore.messages.tests.test_odd_values",
     "cranberryshore.pool.tests.test_confirmation",
     "cranberryshore.pool.tests.test_crashes",
     "cranberryshore.pool.tests.test_isolation",
@@ -130,6 +134,27 @@
     return is_held and not self.strangers and not self.is_draining
 
 
+def _decode_unchecked(decode: Callable, *arguments: str) -> Result:
+    return decode(*arguments)
+
+
+def _report_unguarded(self: StoreFollower, entries: dict[str, str], confirmed_at: float) -> None:
+    self.report(entries, confirmed_at)
+
+
+def _log_again(self: RejectionLog, key: str, rejection: Rejection) -> None:
+    self.log.warning(self.sentence, key=key, reason=rejection.reason)
+
+
+_read_entries = EntryReader.read
+
+
+def _decode_again(self: EntryReader, entries: dict[str, str]) -> dict:
+    self.known.clear()
+    self.rejections.reasons.clear()
+    return _read_entries(self, entries)
+
+
 def _constant(value: object) -> Callable:
     return lambda *arguments: value
 
@@ -217,6 +242,14 @@
     PoolMutation("loss: records are not saved", LossKeeper, "save_soon", _constant(None)),
     PoolMutation("loss: records are not loaded", LossKeeper, "load_soon", _constant(None)),
     PoolMutation("loss: records are ignored", PoolDaemon, "handle_losses", _constant(None)),
+    PoolMutation("foreign: entries are not checked", rejections, "decode_entry", _decode_unchecked),
+    PoolMutation(
+        "foreign: an error ends the follower", StoreFollower, "_report", _report_unguarded
+    ),
+    PoolMutation("foreign: rejections are logged again", RejectionLog, "rejected", _log_again),
+    PoolMutation("foreign: an entry is decoded again", EntryReader, "read", _decode_again),
+    PoolMutation("foreign: one item costs a message", codec, "_INDEPENDENT_ITEMS", {}),
+    PoolMutation("foreign: deep nesting is raised", codec, "DECODING_ERRORS", (ValueError,)),
 )
 
 
--- a/packages/proof/cranberryshore_proof/tests/test_store_follower.py
+++ b/packages/proof/cranberryshore_proof/tests/test_store_follower.py
@@ -6,19 +6,21 @@
 
 import attrs
 import structlog
-from result import Err
+from result import Err, Result
+from structlog.testing import capture_logs
 
 from cranberryshore.bounds import Rejection
 from cranberryshore.messages import encode_json
-from cranberryshore.pool import MemberAddress, PoolConfig
+from cranberryshore.pool import MemberAddress, PoolConfig, WorkerRegistration
+from cranberryshore.work import Capacity
 from cranberryshore_proof.config_checks import CONTACT_SECONDS
 from cranberryshore_proof.network import Network
-from cranberryshore_proof.pool_registry import CONFIG_KEY, LAYOUT
+from cranberryshore_proof.pool_registry import CONFIG_KEY, LAYOUT, WORKERS_PREFIX
 from cranberryshore_proof.pool_store import ModelStore, ModelStoreClient
 from cranberryshore_proof.virtual_loop import run_virtual
 from cranberryshored.log import make_logger
 from cranberryshored.pool.clock import CLOCKS, Clocks
-from cranberryshored.pool.registry import StoreRegistry
+from cranberryshored.pool.registry import StoreLayout, StoreRegistry
 from cranberryshored.pool.store_follower import (
     MAX_TIMEOUT_SECONDS,
     RETRY_SECONDS,
@@ -199,6 +201,51 @@
 
         self.assertEqual(run_virtual(run()), [])
 
+    def follow_workers(self, odd: WorkerRegistration, layout: StoreLayout = LAYOUT) -> list[dict]:
+        """Follow an odd worker, which changes, among good ones; return the records about it."""
+        worker = WorkerRegistration("a", "10.0.0.1:1", "z", "s", Capacity(1000))
+        workers = (worker, odd, attrs.evolve(worker, name="z"))
+
+        async def run() -> None:
+            CLOCKS.steady = asyncio.get_running_loop().time
+            names = []
+            registry = StoreRegistry(self.open_store, layout, make_logger("store"))
+            for item in workers[:2]:
+                self.store.set(WORKERS_PREFIX + item.name, encode_json(item).decode())
+            task = asyncio.ensure_future(
+                registry.follow_workers(
+                    lambda found: names.append([item.name for item in found]), ()
+                )
+            )
+            await asyncio.sleep(2.5)
+            changed = attrs.evolve(odd, service="t")
+            self.store.set(WORKERS_PREFIX + odd.name, encode_json(changed).decode())
+            await asyncio.sleep(1.0)
+            self.store.set(WORKERS_PREFIX + "z", encode_json(workers[2]).decode())
+            await asyncio.sleep(1.0)
+            task.cancel()
+            self.assertEqual((names[0], names[-1]), (["a"], ["a", "z"]))
+
+        structlog.configure(wrapper_class=structlog.make_filtering_bound_logger(logging.WARNING))
+        with capture_logs() as records:
+            run_virtual(run())
+        return [record for record in records if record.get("key") == WORKERS_PREFIX + odd.name]
+
+    def test_entry_that_cannot_be_sent_to_peers_becomes_a_worker(self):
+        odd = WorkerRegistration("b", "10.0.0.1:1", "z", "s", Capacity(2**70))
+        self.assertEqual(len(self.follow_workers(odd)), 1)
+
+    def test_entry_whose_decoder_raises_an_error_costs_the_others(self):
+        odd = WorkerRegistration("b", "10.0.0.1:1", "z", "s", Capacity(1000))
+
+        def decode(name: str, text: str) -> Result[WorkerRegistration, Rejection]:
+            if name == odd.name:
+                raise KeyError(name)
+            return LAYOUT.decode_worker(name, text)
+
+        layout = attrs.evolve(LAYOUT, decode_worker=decode)
+        self.assertEqual(len(self.follow_workers(odd, layout)), 1)
+
     def test_error_in_one_call_ends_the_registration_or_the_list_of_members(self):
         member = MemberAddress("e.1", "10.0.0.1:1", "z")
 
