--- a/packages/core/cranberryshore/messages/codec.py
+++ b/packages/core/cranberryshore/messages/codec.py
@@ -1,11 +1,13 @@
 """Message encoding: MessagePack between daemons, JSON for HTTP APIs and stored data."""
 
+from collections.abc import Callable
 from functools import cache
 from typing import Any, TypeVar
 
 import attrs
 import msgspec
 
+from cranberryshore.bounds import DECODING_ERRORS
 from cranberryshore.errors import Refusal
 from cranberryshore.messages import peer, pool
 from cranberryshore.timeline.clock import HybridTimestamp
@@ -73,6 +75,15 @@
     )
 }
 
+_INDEPENDENT_ITEMS: dict[type, tuple[str, Callable[[Any], str]]] = {
+    pool.Beat: ("members", lambda member: member.incarnation),
+    pool.LossNews: ("lost_runs", lambda lost: f"{lost.task} on {lost.worker}"),
+}
+"""Field with independent items, and the name of an item, by type of message."""
+
+ENCODING_ERRORS = (OverflowError, TypeError, ValueError, RecursionError)
+"""Errors of the codec for values that it has no representation for, such as large integers."""
+
 
 @attrs.frozen
 class EncodedMessage:
@@ -122,6 +133,44 @@
     return EncodedMessage(type(message).__name__, _encoder.encode(message))
 
 
+def encoding_error(value: Any) -> str:
+    """Return why a value cannot be sent in a message; empty if it can.
+
+    Examples
+    --------
+    >>> encoding_error(2**63), encoding_error(2**64)
+    ('', "can't serialize ints < -2**63 or > 2**64 - 1")
+    """
+    try:
+        _encoder.encode(value)
+    except ENCODING_ERRORS as error:
+        return str(error)
+    return ""
+
+
+def without_unencodable(message: Any) -> tuple[Any, tuple[str, ...]]:
+    """Return a message without the items that cannot be sent, and the names of these items.
+
+    Only messages whose items hold independently of each other are reduced. The others, such as
+    lists of workers, have versions: a list must be the same on all instances that have a version.
+
+    Examples
+    --------
+    >>> from cranberryshore.pool import LostRun
+    >>> lost = LostRun("j.0.0.0", 1, "w", 2**70)
+    >>> without_unencodable(pool.LossNews((lost,)))
+    (LossNews(lost_runs=()), ('j.0.0.0 on w',))
+    """
+    independent = _INDEPENDENT_ITEMS.get(type(message))
+    if independent is None:
+        return message, ()
+    field, name_of = independent
+    items = getattr(message, field)
+    left_out = tuple(item for item in items if encoding_error(item))
+    kept = tuple(item for item in items if not encoding_error(item))
+    return attrs.evolve(message, **{field: kept}), tuple(name_of(item) for item in left_out)
+
+
 def decode_message(kind: str, body: bytes) -> Any | None:
     """Decode one message; return ``None`` if its kind is unknown or its body is malformed."""
     type_ = _MESSAGE_TYPES.get(kind)
@@ -129,7 +178,7 @@
         return None
     try:
         return _decoder(type_).decode(body)
-    except (msgspec.DecodeError, ValueError):
+    except DECODING_ERRORS:
         return None
 
 
@@ -150,7 +199,7 @@
     """Decode an envelope; return ``None`` if it is malformed."""
     try:
         return _decoder(Envelope).decode(data)
-    except (msgspec.DecodeError, ValueError):
+    except DECODING_ERRORS:
         return None
 
 
@@ -160,5 +209,11 @@
 
 
 def decode_json(data: bytes, type_: type[T]) -> T:
-    """Decode JSON; raise ``msgspec.DecodeError`` with the path of the invalid value."""
-    return _json_decoder(type_).decode(data)
+    """Decode JSON; raise ``msgspec.DecodeError`` with the path of the invalid value.
+
+    No other error is raised, also if the data is nested too deeply.
+    """
+    try:
+        return _json_decoder(type_).decode(data)
+    except RecursionError as error:
+        raise msgspec.DecodeError(str(error)) from error
--- a/packages/proof/cranberryshore_proof/tests/test_store_follower.py
+++ b/packages/proof/cranberryshore_proof/tests/test_store_follower.py
@@ -2,21 +2,31 @@
 import logging
 from random import Random
 from unittest import TestCase
+from unittest.mock import patch
 
 import attrs
 import structlog
+from result import Err, Result
+from structlog.testing import capture_logs
 
+from cranberryshore.bounds import Rejection
 from cranberryshore.messages import encode_json
-from cranberryshore.pool import PoolConfig
+from cranberryshore.pool import MemberAddress, PoolConfig, WorkerRegistration
+from cranberryshore.work import Capacity
 from cranberryshore_proof.config_checks import CONTACT_SECONDS
 from cranberryshore_proof.network import Network
-from cranberryshore_proof.pool_registry import CONFIG_KEY, LAYOUT
+from cranberryshore_proof.pool_registry import CONFIG_KEY, LAYOUT, WORKERS_PREFIX
 from cranberryshore_proof.pool_store import ModelStore, ModelStoreClient
 from cranberryshore_proof.virtual_loop import run_virtual
 from cranberryshored.log import make_logger
 from cranberryshored.pool.clock import CLOCKS, Clocks
-from cranberryshored.pool.registry import StoreRegistry
-from cranberryshored.pool.store_follower import MAX_TIMEOUT_SECONDS, StoreFollower, StoreStatus
+from cranberryshored.pool.registry import StoreLayout, StoreRegistry
+from cranberryshored.pool.store_follower import (
+    MAX_TIMEOUT_SECONDS,
+    RETRY_SECONDS,
+    StoreFollower,
+    StoreStatus,
+)
 
 WAIT_SECONDS = 1.0
 ROUND_TRIP_SECONDS = 0.01
@@ -24,13 +34,21 @@
 
 @attrs.define
 class FollowedStore:
-    """A store, its client, and what the follower has reported: time, value and confirmed time."""
+    """A store, its client, and what the follower has reported: time, value and confirmed time.
+
+    ``failures`` is the number of further reports that raise an error.
+    """
 
     store: ModelStore
     client: ModelStoreClient
     reports: list[tuple[float, str, float]] = attrs.field(factory=list)
 
+    failures: int = 0
+
     def record(self, entries: dict[str, str], confirmed_at: float) -> None:
+        if self.failures:
+            self.failures -= 1
+            raise KeyError("odd")
         self.reports.append((asyncio.get_running_loop().time(), entries["k"], confirmed_at))
 
 
@@ -105,6 +123,23 @@
 
         self.follow(scenario)
 
+    def test_error_in_one_report_ends_the_follower(self):
+        async def scenario(followed: FollowedStore) -> None:
+            followed.failures = 1
+            followed.store.set("k", "1")
+            await asyncio.sleep(0.1)
+            await self.change(followed, "2", ROUND_TRIP_SECONDS)
+
+        self.follow(scenario)
+
+    def test_error_in_one_call_ends_the_follower(self):
+        async def scenario(followed: FollowedStore) -> None:
+            with patch.object(ModelStoreClient, "watch", side_effect=KeyError("odd")):
+                await asyncio.sleep(WAIT_SECONDS + 0.1)
+            await self.change(followed, "1", RETRY_SECONDS + ROUND_TRIP_SECONDS)
+
+        self.follow(scenario)
+
     def test_compacted_history(self):
         async def scenario(followed: FollowedStore) -> None:
             followed.store.is_silent = True
@@ -153,7 +188,7 @@
         async def run() -> list[tuple[int, float]]:
             CLOCKS.steady = asyncio.get_running_loop().time
             reports = []
-            layout = attrs.evolve(LAYOUT, decode_config=lambda text: None)
+            layout = attrs.evolve(LAYOUT, decode_config=lambda text: Err(Rejection("")))
             registry = StoreRegistry(self.open_store, layout, make_logger("store"))
             self.publish(1)
             task = asyncio.ensure_future(
@@ -165,3 +200,66 @@
             return reports
 
         self.assertEqual(run_virtual(run()), [])
+
+    def follow_workers(self, odd: WorkerRegistration, layout: StoreLayout = LAYOUT) -> list[dict]:
+        """Follow an odd worker, which changes, among good ones; return the records about it."""
+        worker = WorkerRegistration("a", "10.0.0.1:1", "z", "s", Capacity(1000))
+        workers = (worker, odd, attrs.evolve(worker, name="z"))
+
+        async def run() -> None:
+            CLOCKS.steady = asyncio.get_running_loop().time
+            names = []
+            registry = StoreRegistry(self.open_store, layout, make_logger("store"))
+            for item in workers[:2]:
+                self.store.set(WORKERS_PREFIX + item.name, encode_json(item).decode())
+            task = asyncio.ensure_future(
+                registry.follow_workers(
+                    lambda found: names.append([item.name for item in found.workers]), ()
+                )
+            )
+            await asyncio.sleep(2.5)
+            changed = attrs.evolve(odd, service="t")
+            self.store.set(WORKERS_PREFIX + odd.name, encode_json(changed).decode())
+            await asyncio.sleep(1.0)
+            self.store.set(WORKERS_PREFIX + "z", encode_json(workers[2]).decode())
+            await asyncio.sleep(1.0)
+            task.cancel()
+            self.assertEqual((names[0], names[-1]), (["a"], ["a", "z"]))
+
+        structlog.configure(wrapper_class=structlog.make_filtering_bound_logger(logging.WARNING))
+        with capture_logs() as records:
+            run_virtual(run())
+        return [record for record in records if record.get("key") == WORKERS_PREFIX + odd.name]
+
+    def test_entry_that_cannot_be_sent_to_peers_becomes_a_worker(self):
+        odd = WorkerRegistration("b", "10.0.0.1:1", "z", "s", Capacity(2**70))
+        self.assertEqual(len(self.follow_workers(odd)), 1)
+
+    def test_entry_whose_decoder_raises_an_error_costs_the_others(self):
+        odd = WorkerRegistration("b", "10.0.0.1:1", "z", "s", Capacity(1000))
+
+        def decode(name: str, text: str) -> Result[WorkerRegistration, Rejection]:
+            if name == odd.name:
+                raise KeyError(name)
+            return LAYOUT.decode_worker(name, text)
+
+        layout = attrs.evolve(LAYOUT, decode_worker=decode)
+        self.assertEqual(len(self.follow_workers(odd, layout)), 1)
+
+    def test_error_in_one_call_ends_the_registration_or_the_list_of_members(self):
+        member = MemberAddress("e.1", "10.0.0.1:1", "z")
+
+        async def run() -> None:
+            CLOCKS.steady = asyncio.get_running_loop().time
+            task = asyncio.ensure_future(self.registry.keep_registered(member))
+            with (
+                patch.object(ModelStoreClient, "put", side_effect=KeyError("odd")),
+                patch.object(ModelStoreClient, "list", side_effect=KeyError("odd")),
+            ):
+                await asyncio.sleep(1.0)
+                self.assertIsNone(await self.registry.list_members())
+            await asyncio.sleep(1.0)
+            self.assertEqual(await self.registry.list_members(), (member,))
+            task.cancel()
+
+        run_virtual(run())
