--- a/packages/proof/cranberryshore_proof/pool_registry.py
+++ b/packages/proof/cranberryshore_proof/pool_registry.py
@@ -1,7 +1,7 @@
 """Access of simulated instances to the pool's data: layout of the model store, and a substitute."""
 
 import asyncio
-from typing import TYPE_CHECKING
+from typing import Protocol
 
 import attrs
 
@@ -9,9 +9,6 @@
 from cranberryshore.pool import LostRun, MemberAddress, PoolConfig, WorkerRegistration
 from cranberryshored.pool.registry import StoreLayout
 
-if TYPE_CHECKING:
-    from cranberryshore_proof.pool_deployment import PoolDeployment
-
 CONFIG_KEY, WORKERS_PREFIX, MEMBERS_PREFIX = "config", "workers/", "members/"
 
 
@@ -26,11 +23,39 @@
 LAYOUT = StoreLayout(CONFIG_KEY, WORKERS_PREFIX, MEMBERS_PREFIX, _decode_config, _decode_worker)
 
 
+class PoolData(Protocol):
+    """The pool's data, as simulated instances find them in the store.
+
+    Parameters
+    ----------
+    losses : dict
+        Records of lost runs, by the scheduler that has saved them.
+    registered : dict
+        Instances with the time of their latest renewal, by address.
+    """
+
+    config: PoolConfig
+    losses: dict
+    registered: dict
+
+    def now(self) -> float:
+        """Return the virtual time in seconds."""
+        ...
+
+    def roster(self) -> tuple[WorkerRegistration, ...]:
+        """Return the registrations of the workers."""
+        ...
+
+    def is_store_unreachable(self, address: str) -> bool:
+        """Return whether the store is out of reach of an instance, or rejects it."""
+        ...
+
+
 @attrs.define(eq=False)
 class FakeRegistry:
     """Replaces one instance's access to the pool's data in the store."""
 
-    deployment: "PoolDeployment"
+    data: PoolData
     node: str
     member: MemberAddress | None = None
 
@@ -41,25 +66,25 @@
         """Do nothing."""
 
     def _is_store_unreachable(self) -> bool:
-        return self.deployment.is_store_unreachable(self.node)
+        return self.data.is_store_unreachable(self.node)
 
     async def follow_config(self, on_config) -> None:
         """See :class:`Registry`."""
         while True:
             if not self._is_store_unreachable():
-                on_config(self.deployment.config, self.deployment.now())
+                on_config(self.data.config, self.data.now())
             await asyncio.sleep(0.05)
 
     async def read_config(self, on_config) -> None:
         """See :class:`Registry`."""
         if not self._is_store_unreachable():
-            on_config(self.deployment.config, self.deployment.now())
+            on_config(self.data.config, self.data.now())
 
     async def follow_workers(self, on_workers, known) -> None:
         """See :class:`Registry`."""
         while True:
             if not self._is_store_unreachable():
-                on_workers(self.deployment.roster())
+                on_workers(self.data.roster())
             await asyncio.sleep(0.5)
 
     async def keep_registered(self, member: MemberAddress) -> None:
@@ -67,7 +92,7 @@
         self.member = member
         while True:
             if not self._is_store_unreachable():
-                self.deployment.registered[member.address] = (member, self.deployment.now())
+                self.data.registered[member.address] = (member, self.data.now())
             await asyncio.sleep(1.0)
 
     async def unregister(self) -> None:
@@ -76,18 +101,18 @@
     async def save_losses(self, publisher: str, lost_runs: tuple[LostRun, ...]) -> None:
         """See :class:`Registry`."""
         if not self._is_store_unreachable():
-            self.deployment.losses[publisher] = lost_runs
+            self.data.losses[publisher] = lost_runs
 
     async def load_losses(self) -> tuple[LostRun, ...]:
         """See :class:`Registry`."""
         if self._is_store_unreachable():
             return ()
-        return tuple(lost for saved in self.deployment.losses.values() for lost in saved)
+        return tuple(lost for saved in self.data.losses.values() for lost in saved)
 
     async def list_members(self) -> tuple[MemberAddress, ...] | None:
         """See :class:`Registry`."""
         if self._is_store_unreachable():
             return None
         # A registration expires 3 s after its latest renewal.
-        limit = self.deployment.now() - 3.0
-        return tuple(item for item, at in self.deployment.registered.values() if at >= limit)
+        limit = self.data.now() - 3.0
+        return tuple(item for item, at in self.data.registered.values() if at >= limit)
