Crash model: a crash counts by what its worker had when it ended

No job that was shown as failed for another cause was checked at all.

- A crash counts for a task only if a run of it was still on the worker after the due ends of runs.
Workers that leave don't crash.
- Each answer FAILED is checked: for failed runs, as many runs of the task must have ended as failed on workers as the queue allows; a failure has a cause.
- The check of starts after three crashes is unchanged.

Registrations are modelled in pool_registrations: that of a crashed worker stays for 4.5 s unless the next process overwrites it, it shows the start of its process, and a worker can be cut off from the store. Simulations without crashes show no starts, so that their random decisions stay as they were. A worker that takes an address shares the links of the former one.

--- a/packages/core/cranberryshore/pool/worker_registration.py
+++ b/packages/core/cranberryshore/pool/worker_registration.py
@@ -21,6 +21,8 @@
         Rack of the worker; empty if unknown.
     is_draining : bool
         Whether the worker is shutting down and accepts no new work.
+    born : int
+        Identifier of the start of the worker process that wrote the registration; 0 if unknown.
     """
 
     name: str
@@ -31,3 +33,4 @@
     labels: tuple[str, ...] = ()
     rack: str = ""
     is_draining: bool = False
+    born: int = 0
--- a/packages/proof/cranberryshore_proof/network.py
+++ b/packages/proof/cranberryshore_proof/network.py
@@ -21,14 +21,16 @@
     Messages over a cut link or to a frozen node wait until it is healed or unfrozen, as in the
     buffers of a TCP connection; further ones are dropped while ``MAX_BLOCKED_MESSAGES`` wait from
     one node to another. Each restart of a node begins a new run; messages from and to a killed
-    run are dropped. The keys of ``waiting``, of ``in_transit`` and of
-    ``last_arrival_at``, which keeps messages in order, are source and target.
+    run are dropped. Connections to the addresses in ``resetting`` are refused. The keys of
+    ``waiting``, of ``in_transit`` and of ``last_arrival_at``, which keeps messages in order, are
+    source and target.
     """
 
     random: Random
     delay_range_seconds: tuple[float, float] = DEFAULT_DELAY_RANGE_SECONDS
     cuts: set[frozenset[str]] = attrs.field(factory=set)
     frozen: set[str] = attrs.field(factory=set)
+    resetting: set[str] = attrs.field(factory=set)
     runs: dict[str, int] = attrs.field(factory=dict)
     dead: set[str] = attrs.field(factory=set)
     waiting: dict[tuple[str, str], list[Callable[[], None]]] = attrs.field(factory=dict)
--- a/packages/proof/cranberryshore_proof/pool_deployment.py
+++ b/packages/proof/cranberryshore_proof/pool_deployment.py
@@ -9,7 +9,6 @@
 
 from cranberryshore.messages import encode_json
 from cranberryshore.pool import (
-    FailureCause,
     MemberAddress,
     Outcome,
     PoolConfig,
@@ -26,10 +25,11 @@
 from cranberryshore_proof.pool_crashes import CrashModel
 from cranberryshore_proof.pool_jobs import SimulatedJob
 from cranberryshore_proof.pool_probe import HOST, QueueProbe
-from cranberryshore_proof.pool_registry import CONFIG_KEY, LAYOUT, WORKERS_PREFIX, FakeRegistry
+from cranberryshore_proof.pool_registrations import ModelRegistrations
+from cranberryshore_proof.pool_registry import CONFIG_KEY, LAYOUT, FakeRegistry
 from cranberryshore_proof.pool_store import ModelStore, ModelStoreClient
 from cranberryshore_proof.pool_transport import FakePoolTransport, Host
-from cranberryshore_proof.pool_workers import FakeWorkerCalls, ModelWorker
+from cranberryshore_proof.pool_workers import RENAMED_SUFFIX, FakeWorkerCalls, ModelWorker
 from cranberryshore_proof.virtual_loop import Processor
 from cranberryshored.log import make_logger
 from cranberryshored.metrics import Metrics
@@ -40,14 +40,8 @@
 
 RETRY_DELAY_SECONDS = 1.3
 BUDGET_MS = 3000
-REGISTRATION_DELAY_SECONDS = 1.0
-"""Time after a fault in which workers register again."""
-
 UNIX_START_SECONDS = 1_700_000_000.0
 
-REGISTRATION_INTERVAL_SECONDS = 0.1
-"""Interval at which the workers' registrations in the model of the store are brought up to date."""
-
 
 @attrs.define(eq=False)
 class PoolDeployment:
@@ -68,8 +62,6 @@
         Violations found.
     partitioned : set of str
         Instances in a partitioned zone, which cannot reach the store.
-    expired_registrations : set of str
-        Workers whose registration has expired although they are up.
     late_share : float
         See :class:`FakeWorkerCalls`.
     budget_ms : int
@@ -97,7 +89,6 @@
     registered: dict = attrs.field(factory=dict)
     nodes_without_store: set[str] = attrs.field(factory=set)
     partitioned: set[str] = attrs.field(factory=set)
-    expired_registrations: set[str] = attrs.field(factory=set)
     demands: dict[str, int] = attrs.field(factory=dict)
     seconds: dict[str, float] = attrs.field(factory=dict)
     jobs: list[SimulatedJob] = attrs.field(factory=list)
@@ -116,12 +107,13 @@
     disturbances: Disturbances = attrs.field(factory=Disturbances)
     background: list[asyncio.Task] = attrs.field(factory=list)
     config: PoolConfig = PoolConfig(1, (QueueSpec("q", HOST, "/q/", "s", 0, 4, 3.0, 500),))
-
+    registrations: ModelRegistrations = attrs.field(init=False)
     crash_model: CrashModel = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
         self.random = Random(self.seed)
         self.network = Network(self.random)
+        self.registrations = ModelRegistrations(self.workers, self.store)
         self.crash_model = CrashModel(Random(self.seed + 1), self, self.faults.append)
 
     def now(self) -> float:
@@ -129,14 +121,8 @@
         return asyncio.get_running_loop().time()
 
     def roster(self) -> tuple[WorkerRegistration, ...]:
-        """Return the registrations of the workers that are up."""
-        return tuple(
-            WorkerRegistration(
-                worker.name, worker.name, worker.zone, "s", Capacity(worker.millicores)
-            )
-            for worker in self.workers.values()
-            if not worker.is_down and worker.name not in self.expired_registrations
-        )
+        """Return the registrations of the workers."""
+        return self.registrations.roster()
 
     def address(self, number: int) -> str:
         """Return the address of an instance."""
@@ -162,26 +148,39 @@
         await asyncio.sleep(3.0)
 
     def _add_worker(self, name: str, zone: str) -> ModelWorker:
-        worker = ModelWorker(name, zone, 4000, self._run_seconds, self._check_start)
+        model = self.crash_model
+        worker = ModelWorker(
+            name, zone, 4000, self._run_seconds, self._check_start, model.run_ended
+        )
         self.workers[name] = worker
         return worker
 
     def worker_crashed(self, worker: ModelWorker) -> None:
         """See :class:`CrashHost`."""
         worker.is_down = worker.refuses = True
+        self.registrations.keep(worker)
+
+    def worker_leaves(self, worker: ModelWorker) -> None:
+        """End a worker with all its runs, which is not a crash."""
+        worker.crash()
+        worker.is_down = worker.refuses = True
 
     def worker_returns(self, worker: ModelWorker, is_renamed: bool) -> None:
         """See :class:`CrashHost`."""
         if is_renamed:
             worker.is_replaced = True
-            self._add_worker(f"{worker.name}+", worker.zone)
+            self._add_worker(worker.name + RENAMED_SUFFIX, worker.zone).born = worker.born
         else:
-            worker.is_down = worker.refuses = False
+            worker.is_down = worker.refuses = worker.is_draining = False
+            self.registrations.renew(worker)
 
     def _start_store(self) -> None:
         self.change_config(self.config)
         numbers = range(len(self.zones))
-        tasks = (self._register_workers(), *(QueueProbe(self, number).run() for number in numbers))
+        tasks = (
+            self.registrations.keep_stored(),
+            *(QueueProbe(self, number).run() for number in numbers),
+        )
         self.background = [asyncio.ensure_future(task) for task in tasks]
 
     def change_config(self, config: PoolConfig) -> None:
@@ -191,19 +190,6 @@
         prefixes = frozenset(queue.prefix for queue in config.queues)
         self.checks.publish(config.version, self.now(), prefixes)
 
-    async def _register_workers(self) -> None:
-        """Keep the registrations in the store as those of :meth:`roster`."""
-        while True:
-            listed = {item.name: encode_json(item).decode() for item in self.roster()}
-            present = {
-                entry.key.removeprefix(WORKERS_PREFIX): entry.value
-                for entry in self.store.list(WORKERS_PREFIX).entries
-            }
-            for name in sorted(listed.keys() | present.keys()):
-                if listed.get(name) != present.get(name):
-                    self.store.set(WORKERS_PREFIX + name, listed.get(name))
-            await asyncio.sleep(REGISTRATION_INTERVAL_SECONDS)
-
     def silence_connections(self) -> None:
         """Let all open connections to the store fall silent; new ones work."""
         for clients in self.store_clients.values():
@@ -302,7 +288,7 @@
         for worker in self.workers.values():
             for number in range(len(self.zones)):
                 if (number in cut_numbers) != (worker.zone in zones):
-                    self.network.cut(self.address(number), worker.name)
+                    self.network.cut(self.address(number), worker.address)
 
     def heal(self) -> None:
         """Restore all links; the workers register again some time later."""
@@ -317,12 +303,11 @@
 
     def expire_registrations(self, names: Iterable[str]) -> None:
         """Let the registrations of workers expire that are up but cannot renew them."""
-        self.expired_registrations |= set(names)
+        self.registrations.expire(names)
 
     def restore_registrations(self) -> None:
         """Register all workers again after a delay."""
-        loop = asyncio.get_running_loop()
-        loop.call_later(REGISTRATION_DELAY_SECONDS, self.expired_registrations.clear)
+        self.registrations.restore()
 
     def _check_start(self, worker: ModelWorker, key: RunKey) -> None:
         now = self.now()
@@ -366,10 +351,10 @@
             return None
         if task.cancelled() or task.exception() is not None:
             return None
-        failure = task.result().failure
-        if failure is not None and failure.cause is FailureCause.WORKERS_CRASHED:
-            self.crash_model.check_given_up(failure.task)
-        return task.result().outcome
+        end = task.result()
+        if end.outcome is Outcome.FAILED:
+            self.crash_model.check_failure(end.failure, queue.max_attempts)
+        return end.outcome
 
     async def load(self, seconds: float, per_second: float) -> list[asyncio.Task]:
         """Submit random jobs and return the tasks of their callers."""
--- a/packages/proof/cranberryshore_proof/pool_play.py
+++ b/packages/proof/cranberryshore_proof/pool_play.py
@@ -222,6 +222,7 @@
     async def run(self) -> PoolResult:
         """Submit jobs under faults, then without."""
         deployment = self.deployment
+        deployment.registrations.shows_born = self.has_crashes
         await deployment.start()
         load = asyncio.ensure_future(deployment.load(LOAD_SECONDS, 8.0))
         kinds = (
--- a/packages/proof/cranberryshore_proof/pool_workers.py
+++ b/packages/proof/cranberryshore_proof/pool_workers.py
@@ -24,6 +24,9 @@
 LATE_DELAY_RANGE_SECONDS = (2.0, 12.0)
 MAX_LEASE_MS = 1000
 
+RENAMED_SUFFIX = "+"
+"""Added to the name of a worker by the one that takes its address."""
+
 RESIZE_SECONDS = 4.5
 """Time in which a scheduler must know of a smaller capacity: 3 s and one report of a worker."""
 
@@ -54,6 +57,14 @@
         Whether new connections are refused, as after a crash or behind a partition with resets.
     is_replaced : bool
         Whether another worker has its address.
+    is_draining : bool
+        Whether the next registration shows that the worker is leaving.
+    loses_starts : bool
+        Whether starts are not answered, and are carried out late or not at all.
+    loses_start_replies : bool
+        Whether the answers to starts are lost.
+    lost_starts : int
+        Number of starts that were lost in either way.
     fails_all : bool
         Whether the runs that start now will fail.
     token : int
@@ -73,6 +84,10 @@
     is_down: bool = False
     refuses: bool = False
     is_replaced: bool = False
+    is_draining: bool = False
+    loses_starts: bool = False
+    loses_start_replies: bool = False
+    lost_starts: int = 0
     fails_all: bool = False
     token: int = 0
     lease_end: float = 0.0
@@ -82,6 +97,11 @@
     highest_attempts: dict[str, int] = attrs.field(factory=dict)
     changed: asyncio.Event = attrs.field(factory=asyncio.Event)
 
+    @property
+    def address(self) -> str:
+        """Return the address, which a worker shares with those that it has replaced."""
+        return self.name.rstrip(RENAMED_SUFFIX)
+
     def used(self) -> int:
         """Return the millicores allocated to runs."""
         return sum(run.demand for run in self.runs.values())
@@ -210,9 +230,21 @@
         """See :class:`WorkerCalls`."""
         model = self.workers[worker.name]
         demand = self.demands[start.key[0].partition(".")[0]]
+        if model.loses_starts or model.loses_start_replies:
+            await self._lose_start(model, lambda now: model.start(start, demand, now), seconds)
+            return StartReply.UNANSWERED
         reply = await self._call_worker(model, lambda now: model.start(start, demand, now), seconds)
         return StartReply(reply.value) if isinstance(reply, PollFailure) else reply
 
+    async def _lose_start(self, model: ModelWorker, execute, seconds: float) -> None:
+        model.lost_starts += 1
+        if model.loses_starts:
+            self._execute_late(model, execute)
+        elif not self._is_unreachable(model) and not self._is_refused(model):
+            await self._simulate_delay()
+            execute(asyncio.get_running_loop().time())
+        await asyncio.sleep(seconds)
+
     async def stop_run(self, worker: HeldWorker, stop: StopRun, seconds: float) -> bool:
         """See :class:`WorkerCalls`."""
         model = self.workers[worker.name]
@@ -237,17 +269,21 @@
             waiter = asyncio.ensure_future(changed.wait())
             await asyncio.wait([waiter], timeout=poll.wait_ms / 1000)
             waiter.cancel()
-        if model.born != born:
+        is_blocked = self.network.is_blocked(self.node, model.address)
+        if model.address in self.network.resetting or model.born != born and not is_blocked:
             return Err(PollFailure.DISCONNECTED)
         answer = model.answer(loop.time())
         await self._simulate_delay()
-        if self._is_unreachable(model):
+        if self._is_unreachable(model) or model.born != born:
             await asyncio.sleep(max(deadline - loop.time(), 0))
             return Err(PollFailure.UNANSWERED)
         return Ok(answer)
 
     def _is_unreachable(self, model: ModelWorker) -> bool:
-        return model.is_down or self.network.is_blocked(self.node, model.name)
+        return model.is_down or self.network.is_blocked(self.node, model.address)
+
+    def _is_refused(self, model: ModelWorker) -> bool:
+        return model.refuses or model.address in self.network.resetting
 
     async def _simulate_delay(self) -> None:
         await asyncio.sleep(self.random.uniform(0.0003, 0.002))
@@ -264,10 +300,10 @@
             self._execute_late(model, execute)
             await asyncio.sleep(seconds)
             return PollFailure.UNANSWERED
-        if not self.network.is_blocked(self.node, model.name):
-            if model.is_replaced:
+        if not self.network.is_blocked(self.node, model.address):
+            if model.is_replaced and model.address not in self.network.resetting:
                 return PollFailure.WORKER_RESTARTED
-            if model.refuses:
+            if self._is_refused(model):
                 return PollFailure.REFUSED
         if self._is_unreachable(model):
             if not model.is_down and self.random.random() < 0.5:
@@ -277,9 +313,9 @@
         born = model.born
         result = execute(loop.time())
         await self._simulate_delay()
-        if model.born != born:
+        if model.born != born and not self.network.is_blocked(self.node, model.address):
             return PollFailure.DISCONNECTED
-        if self._is_unreachable(model):
+        if self._is_unreachable(model) or model.born != born:
             await asyncio.sleep(seconds)
             return PollFailure.UNANSWERED
         loop.spend(self.node, CALL_SECONDS)
--- a/packages/proof/cranberryshore_proof/tests/test_large_pool.py
+++ b/packages/proof/cranberryshore_proof/tests/test_large_pool.py
@@ -58,9 +58,9 @@
 async def release_workers(deployment: PoolDeployment) -> None:
     """Replace the registrations of the workers, one after the other."""
     for name in sorted(deployment.workers):
-        deployment.expired_registrations.add(name)
+        deployment.registrations.expired.add(name)
         await asyncio.sleep(RELEASE_INTERVAL_SECONDS)
-        deployment.expired_registrations.discard(name)
+        deployment.registrations.expired.discard(name)
 
 
 async def change_config(deployment: PoolDeployment) -> None:
