--- a/packages/core/cranberryshore/pool/departures.py
+++ b/packages/core/cranberryshore/pool/departures.py
@@ -11,6 +11,7 @@
 
 import attrs
 
+from cranberryshore.pool.crashes import Entry
 from cranberryshore.pool.worker_registration import WorkerListing
 
 MAX_ANSWER_GAP_SECONDS = 1.3
@@ -39,12 +40,15 @@
 
     Parameters
     ----------
+    observed_since : float
+        First answer of the store, in seconds.
     answering_since, answered_at : float
-        First and latest answer of the store without a gap in between, in seconds.
+        First and latest answer without a gap in between.
     listing : WorkerListing or None
         Latest answer.
     """
 
+    observed_since: float = float("inf")
     answering_since: float = float("inf")
     answered_at: float = float("-inf")
     listing: WorkerListing | None = None
@@ -53,19 +57,32 @@
         """Record an answer of the store."""
         if listing.answered_at > self.answered_at + MAX_ANSWER_GAP_SECONDS:
             self.answering_since = listing.answered_at
+        self.observed_since = min(self.observed_since, listing.answered_at)
         self.answered_at, self.listing = listing.answered_at, listing
 
-    def judge(self, worker: str, born: int, lost_at: float) -> Departure:
-        """Return what the latest answer tells of a worker that was lost at a time."""
+    def is_answering(self, now: float) -> bool:
+        """Return whether an announcement that a worker has made by now would be read."""
+        is_recent = now <= self.answered_at + MAX_ANSWER_GAP_SECONDS
+        return is_recent and self.answering_since <= now - NOTICE_SECONDS
+
+    def judge(self, loss: Entry) -> Departure:
+        """Return what the latest answer tells of the worker of a loss."""
         if self.listing is None:
             return Departure.UNDECIDED
-        found = [entry for entry in self.listing.workers if entry.name == worker]
-        if not found or worker in self.listing.missing or not found[0].is_of_start(born):
+        name, born = loss.lost.worker, loss.lost.born
+        found = [entry for entry in self.listing.workers if entry.name == name]
+        if not found or name in self.listing.missing or not found[0].is_of_start(born):
             return Departure.UNKNOWN
         if found[0].is_draining:
             return Departure.ANNOUNCED
-        if self.answering_since > lost_at - NOTICE_SECONDS:
+        if not self._would_have_read_announcement(loss):
             return Departure.UNKNOWN
-        if self.listing.confirmed_at < lost_at + HIDDEN_CHANGE_SECONDS:
+        if self.listing.confirmed_at < loss.lost_at + HIDDEN_CHANGE_SECONDS:
             return Departure.UNDECIDED
         return Departure.EXCLUDED
+
+    def _would_have_read_announcement(self, loss: Entry) -> bool:
+        if self.observed_since > loss.lost_at - NOTICE_SECONDS:
+            # An earlier scheduler has noticed the loss.
+            return loss.lost.was_store_answering
+        return self.answering_since <= loss.lost_at - NOTICE_SECONDS
--- a/packages/core/cranberryshore/pool/held_worker.py
+++ b/packages/core/cranberryshore/pool/held_worker.py
@@ -9,7 +9,7 @@
 
 import attrs
 
-from cranberryshore.pool.run import Run, RunEnd, RunState
+from cranberryshore.pool.run import BootState, Run, RunEnd, RunState
 from cranberryshore.pool.worker_status import (
     EndKind,
     ReportedEnd,
@@ -63,23 +63,6 @@
     LOST = "lost"
 
 
-@attrs.frozen
-class BootState:
-    """What is known of the present start of a worker process before something else is learned.
-
-    Parameters
-    ----------
-    runs : dict
-        Runs that may be active, and whether each one certainly is.
-    is_exposed : bool
-        Whether one of them may crash the worker.
-    """
-
-    born: int
-    runs: dict[RunKey, bool]
-    is_exposed: bool
-
-
 @attrs.define(eq=False)
 class HeldWorker:
     """State of a worker that this instance holds.
@@ -103,6 +86,9 @@
         Send time of the last answered poll, in seconds.
     isolated_runs : set of RunKey
         Runs beside which nothing else is started, because they may crash the worker.
+    closed_boot : BootState or None
+        What was known of the worker when its host has closed a connection before the reply, as when
+        the process ends; ``None`` if the worker has answered since.
     is_loss_recorded : bool
         Whether the worker has been recorded as lost since its last answer.
     strangers : set of RunKey
@@ -147,6 +133,7 @@
     acknowledged_end: int = 0
     runs: dict[RunKey, Run] = attrs.field(factory=dict)
     isolated_runs: set[RunKey] = attrs.field(factory=set)
+    closed_boot: BootState | None = None
     is_loss_recorded: bool = False
     strangers: set[RunKey] = attrs.field(factory=set)
     strangers_since: float = float("inf")
@@ -276,6 +263,22 @@
         """Return what is known of the present start of the worker process."""
         return BootState(self.born, self.possible_runs(now), bool(self.isolated_runs))
 
+    def record_closing(self, now: float) -> None:
+        """Record that the host of the worker has closed a connection before the reply."""
+        if self.closed_boot is None:
+            self.closed_boot = self.boot_state(now)
+
+    def refused_boot(self, now: float) -> BootState:
+        """Return what is known of the worker when connections are refused.
+
+        Only a connection that was closed tells when the process has ended: a partition may reset
+        connections and refuse new ones long before.
+        """
+        if self.closed_boot is not None:
+            return self.closed_boot
+        boot = self.boot_state(now)
+        return attrs.evolve(boot, runs=dict.fromkeys(boot.runs, False))
+
     def is_outdated(self, status: WorkerStatus, poll_sent_at: float) -> bool:
         """Return whether a report was made before the latest one, which has overtaken it."""
         if status.born in (0, self.born):
@@ -324,7 +327,7 @@
             self.born, self.born_polled_at = status.born, poll_sent_at
             self.lease_until = float("-inf")
             self.last_seen = self.acknowledged_end = 0
-        self.reported_ms = status.clock_ms
+        self.reported_ms, self.closed_boot = status.clock_ms, None
         self.lease_until = max(self.lease_until, lease_until)
         self.clock_offset_ms, self.clock_read_at = status.clock_ms - now * 1000, now
         if self.state is HoldState.ACQUIRING:
--- a/packages/core/cranberryshore/pool/scheduler.py
+++ b/packages/core/cranberryshore/pool/scheduler.py
@@ -376,6 +376,12 @@
                 worker.isolated_runs.add(key)
             self.placer.worker_changed(worker)
 
+    def worker_closed(self, name: str, now: float) -> None:
+        """Record that the host of a worker has closed a connection before the reply."""
+        worker = self.workers.get(name)
+        if worker is not None:
+            worker.record_closing(now)
+
     def worker_refuses(self, name: str, now: float) -> None:
         """Record that no process listens at the address of a worker."""
         worker = self.workers.get(name)
--- a/packages/core/cranberryshore/pool/tests/test_departures.py
+++ b/packages/core/cranberryshore/pool/tests/test_departures.py
@@ -2,7 +2,8 @@
 
 import attrs
 
-from cranberryshore.pool import Departure, WorkerListing, WorkerRegistration
+from cranberryshore.pool import Departure, LostRun, WorkerListing, WorkerRegistration
+from cranberryshore.pool.crashes import Entry
 from cranberryshore.pool.departures import (
     HIDDEN_CHANGE_SECONDS,
     MAX_ANSWER_GAP_SECONDS,
@@ -13,6 +14,7 @@
 
 WORKER = WorkerRegistration("w", "w:1", "z", "s", Capacity(1000), born=7)
 LOST_AT = 10.0
+LOST = LostRun("j.0.0.0", 1, "w", 7)
 
 
 class DepartureCheckTest(TestCase):
@@ -27,8 +29,8 @@
             confirmed = at if confirmed_at is None else confirmed_at
             self.check.record(WorkerListing((entry,), frozenset(missing), confirmed, at))
 
-    def judge(self) -> Departure:
-        return self.check.judge("w", 7, LOST_AT)
+    def judge(self, **changes) -> Departure:
+        return self.check.judge(Entry(attrs.evolve(LOST, **changes), LOST_AT))
 
     def test_worker_that_is_registered_all_the_while_has_not_left(self):
         self.read(9.0, 10.0, 10.9)
@@ -60,5 +62,20 @@
         self.read(9.0, 10.0, 11.1, born=8)
         self.assertIs(self.judge(), Departure.UNKNOWN)
 
+    def test_loss_that_an_earlier_scheduler_has_noticed_is_judged_by_its_store(self):
+        self.read(LOST_AT + 0.2, LOST_AT + HIDDEN_CHANGE_SECONDS)
+        self.assertIs(self.judge(), Departure.UNKNOWN)
+        self.assertIs(self.judge(was_store_answering=True), Departure.EXCLUDED)
+
+    def test_store_that_has_answered_the_earlier_scheduler_only_hides_an_announcement(self):
+        self.read(8.0, 8.0 + MAX_ANSWER_GAP_SECONDS + 0.5, 10.5, 11.5)
+        self.assertIs(self.judge(was_store_answering=True), Departure.UNKNOWN)
+
+    def test_store_answers_when_a_worker_is_lost(self):
+        self.assertFalse(self.check.is_answering(LOST_AT))
+        self.read(9.0, 9.8)
+        self.assertTrue(self.check.is_answering(LOST_AT))
+        self.assertFalse(self.check.is_answering(9.8 + MAX_ANSWER_GAP_SECONDS + 0.1))
+
     def test_nothing_is_known_before_the_first_answer(self):
         self.assertIs(self.judge(), Departure.UNDECIDED)
--- a/packages/daemon/cranberryshored/pool/protocols.py
+++ b/packages/daemon/cranberryshored/pool/protocols.py
@@ -33,8 +33,9 @@
     """A worker's reply to a start request.
 
     ``ATTEMPT_LOW`` means that the attempt number is not higher than an earlier one of the task.
-    The last three are failures of the call: no process listens at the worker's address, so the
-    request was not delivered; the connection ended before the reply; no reply arrived in time.
+    The last four are failures of the call: no process listens at the worker's address, so the
+    request was not delivered; the connection was closed before the reply, as when the process ends;
+    it was reset, as by a partition; no reply arrived in time.
     """
 
     STARTED = "started"
@@ -46,17 +47,19 @@
     WORKER_RESTARTED = "other_life"
     MALFORMED = "malformed"
     REFUSED = "refused"
+    CLOSED = "closed"
     DISCONNECTED = "disconnected"
     UNANSWERED = "unanswered"
 
 
 class PollFailure(Enum):
-    """Why a poll of a worker failed; the last three are as in :class:`StartReply`."""
+    """Why a poll of a worker failed; the last four are as in :class:`StartReply`."""
 
     FENCED = "fenced"
     WORKER_RESTARTED = "other_life"
     MALFORMED = "malformed"
     REFUSED = "refused"
+    CLOSED = "closed"
     DISCONNECTED = "disconnected"
     UNANSWERED = "unanswered"
 
--- a/packages/daemon/cranberryshored/pool/worker_channel.py
+++ b/packages/daemon/cranberryshored/pool/worker_channel.py
@@ -31,7 +31,12 @@
 RETRY_SECONDS = 0.15
 """Delay between polls of a worker after repeated failures."""
 
-FAILED_CALLS = (StartReply.REFUSED, StartReply.DISCONNECTED, StartReply.UNANSWERED)
+FAILED_CALLS = (
+    StartReply.REFUSED,
+    StartReply.CLOSED,
+    StartReply.DISCONNECTED,
+    StartReply.UNANSWERED,
+)
 
 
 @attrs.define(eq=False)
@@ -117,6 +122,8 @@
             token=order.token,
             reply=reply.value,
         )
+        if reply is StartReply.CLOSED:
+            self.scheduler.worker_closed(worker.name, now())
         if reply is StartReply.REFUSED:
             # The request was not delivered, since nothing listens there.
             self.scheduler.start_rejected(worker.name, order.key, False, now())
@@ -238,6 +245,8 @@
             if token == worker.token:
                 self._fenced()
             return
+        if failure is PollFailure.CLOSED:
+            self.scheduler.worker_closed(worker.name, now())
         self.scheduler.record_poll_failure(worker.name, self.failed_polls, now())
         if failure is PollFailure.REFUSED:
             self.scheduler.worker_refuses(worker.name, now())
