--- a/packages/proof/cranberryshore_proof/pool_mutate.py
+++ b/packages/proof/cranberryshore_proof/pool_mutate.py
@@ -19,6 +19,7 @@
 
 from cranberryshore.bounds import Rejection
 from cranberryshore.messages import Beat, codec
+from cranberryshore.placement.health import PoolHealth
 from cranberryshore.pool import (
     AcknowledgedRights,
     ConfigConfirmation,
@@ -38,6 +39,7 @@
     held_worker,
     scheduler,
 )
+from cranberryshore.pool.departures import DepartureCheck
 from cranberryshore.pool.isolation import Isolation
 from cranberryshore.pool.loss_tracking import LossTracker
 from cranberryshore.pool.placing import Placer
@@ -166,6 +168,10 @@
     return _ignore_stops(self, now) | dict.fromkeys(self.strangers, True)
 
 
+def _trust_reset(self: HeldWorker, now: float) -> BootState:
+    return self.closed_boot or self.boot_state(now)
+
+
 def _count_without_registration(self: LostRun) -> bool:
     return self.state is LossState.PROVEN and self.was_running
 
@@ -295,6 +301,17 @@
         _constant(True),
     ),
     PoolMutation("loss: unclear losses have no limit", crashes, "MAX_UNCLEAR_LOSSES", 1000),
+    PoolMutation(
+        "loss: a reset tells when a process ends", HeldWorker, "refused_boot", _trust_reset
+    ),
+    PoolMutation(
+        "loss: other schedulers' stores have answered",
+        DepartureCheck,
+        "_would_have_read_announcement",
+        _constant(True),
+    ),
+    PoolMutation("boots: late answers count", HeldWorker, "is_outdated", _constant(False)),
+    PoolMutation("boots: health outlives a start", PoolHealth, "forget", _constant(None)),
     PoolMutation("loss: a lost rack is to blame", LostRun, "is_crash", _count_common_cause),
     PoolMutation("loss: a replaced worker is no proof", CrashHistory, "resolve", _constant(None)),
     PoolMutation("loss: proof is not awaited", CrashHistory, "awaits_proof", _constant(False)),
