--- a/packages/proof/cranberryshore_proof/pool_play.py
+++ b/packages/proof/cranberryshore_proof/pool_play.py
@@ -194,6 +194,9 @@
 
     async def _resize(self, seconds: float) -> None:
         worker = self.random.choice(list(self.deployment.workers.values()))
+        if worker.name in self.deployment.registrations.stale:
+            # Nobody could learn of it in time.
+            return
         room = self.random.choice((0, 900, 2000, 2900))
         self._record_event(f"{worker.name} has {room} millicores for {2 * seconds:.2f} s")
         worker.resize(room, self.deployment.now())
