--- a/packages/proof/cranberryshore_proof/tests/test_unseen_crashes.py
+++ b/packages/proof/cranberryshore_proof/tests/test_unseen_crashes.py
@@ -35,8 +35,9 @@
             deployment.jobs.append(job)
             entry = (deployment.scheduler_number() + 1) % len(deployment.zones)
             caller = asyncio.ensure_future(deployment.call(entry, job, 1))
-            await scenario(deployment)
-            await caller
+            async with asyncio.timeout(2 * CALLER_WAITS_MS / 1000):
+                await scenario(deployment)
+                await caller
             return deployment, job
 
         deployment, job = run_virtual(run())
