Soak: faults of workers in a module of their own

The faults and their names are the same; the cut of links moves to the cluster, which other faults use.

--- a/packages/soak/cranberryshore_soak/cluster.py
+++ b/packages/soak/cranberryshore_soak/cluster.py
@@ -11,6 +11,7 @@
 from cranberryshore.pool import QueueSpec
 from cranberryshore_platform.tests import platform_api
 from cranberryshore_platform.tests.standin import StandIn, free_addresses
+from cranberryshore_proof.config_checks import STORE
 from cranberryshore_proof.pool_crashes import CrashModel
 from cranberryshore_proof.pool_workers import ModelWorker
 from cranberryshore_soak.callers import Balancer, Callers
@@ -262,6 +263,17 @@
         """Remove a worker's registration from the store."""
         self.store.remove(platform_api.WORKERS_PREFIX + worker.model.name)
 
+    async def cut(
+        self, pairs: list[tuple[str, str]], seconds: float, is_one_way: bool = False
+    ) -> None:
+        """Block the links between pairs of endpoints for some time, without a sign to either."""
+        cut = [direction for pair in pairs for direction in self.link_faults.cut(*pair, is_one_way)]
+        without_store = sorted({name for pair in pairs if STORE in pair for name in pair} - {STORE})
+        self.config_probe.disturbances.begin(*without_store)
+        await asyncio.sleep(seconds)
+        self.link_faults.heal(cut)
+        self.config_probe.disturbances.end(time.monotonic(), *without_store)
+
     def change_config(self, queues: tuple[QueueSpec, ...]) -> None:
         """Publish a new configuration with the given queues."""
         self.queues = queues
--- a/packages/soak/cranberryshore_soak/fault_injection.py
+++ b/packages/soak/cranberryshore_soak/fault_injection.py
@@ -2,7 +2,7 @@
 
 import asyncio
 import time
-from collections.abc import Callable, Coroutine
+from collections.abc import Coroutine
 from random import Random
 from signal import SIGHUP, SIGUSR1
 
@@ -11,10 +11,9 @@
 from cranberryshore.pool import QueueSpec
 from cranberryshore_platform.tests.standin import StoreFaults
 from cranberryshore_proof.config_checks import STORE, Disturbances
-from cranberryshore_soak.cluster import QUEUE, SERVICE, ZONES, SoakCluster, SoakWorker
+from cranberryshore_soak.cluster import QUEUE, SERVICE, ZONES, SoakCluster
 from cranberryshore_soak.processes import DaemonProcess
-
-Fault = Callable[[float], Coroutine]
+from cranberryshore_soak.worker_faults import Fault, WorkerFaults
 
 FAULT_INTERVAL_SECONDS = (0.2, 1.8)
 """Range of the time between two faults; as a fault lasts up to 4 s, two or three overlap."""
@@ -24,9 +23,6 @@
 """SIGUSR1 is sent only to processes older than this. Before :mod:`cranberryshore_soak.launch` has
 installed its handler, the signal would end the process."""
 
-MIN_WORKERS = 4
-"""Number of workers that are left in service, on which the recovery phase relies."""
-
 DISTRIBUTION_SECONDS = 0.1
 """Time in which instances usually read a new configuration and begin their next watch."""
 
@@ -39,7 +35,6 @@
 FULL_ROOM = 4000
 """Millicores of each worker without such a change."""
 
-AFFECTED_CALL_SHARE = 0.15
 MAX_REREGISTRATION_SECONDS = 2.0
 
 
@@ -57,6 +52,10 @@
     random: Random
     tasks: set[asyncio.Task] = attrs.field(factory=set)
     busy: set[str] = attrs.field(factory=set)
+    worker_faults: WorkerFaults = attrs.field(init=False)
+
+    def __attrs_post_init__(self) -> None:
+        self.worker_faults = WorkerFaults(self.cluster, self.random)
 
     async def run(self, seconds: float) -> None:
         """Start faults for some time, then wait until all have ended."""
@@ -121,12 +120,8 @@
             "store_lost": self._store_lost,
             "store_compact": self._store_compact,
             "store_revoke": self._store_revoke,
-            "worker_crash": self._worker_crash,
-            "worker_leave": self._worker_leave,
-            "worker_add": self._worker_add,
-            "worker_fails": self._worker_fails,
-            "orders_late": self._orders_late,
             "config": self._config,
+            **self.worker_faults.faults_by_name(),
         }
 
     async def _inject(self, fault: Fault, length: float) -> None:
@@ -212,23 +207,11 @@
 
     # Connections
 
-    async def _cut(self, pairs: list[tuple[str, str]], length: float, is_one_way: bool) -> None:
-        cut = [
-            direction
-            for pair in pairs
-            for direction in self.cluster.link_faults.cut(*pair, is_one_way)
-        ]
-        without_store = sorted({name for pair in pairs if STORE in pair for name in pair} - {STORE})
-        self.disturbances.begin(*without_store)
-        await asyncio.sleep(length)
-        self.cluster.link_faults.heal(cut)
-        self.disturbances.end(time.monotonic(), *without_store)
-
     async def _cut_peers(self, length: float) -> None:
         one = self.random.choice(sorted(self.cluster.daemons))
         self.cluster.history.record_event(f"  cuts {one} from its peers")
         others = [name for name in self.cluster.daemons if name != one]
-        await self._cut([(one, other) for other in others], length, False)
+        await self.cluster.cut([(one, other) for other in others], length)
 
     async def _cut_one_way(self, length: float) -> None:
         one = self.random.choice(sorted(self.cluster.daemons))
@@ -238,7 +221,7 @@
             f"  cuts {one} in one direction: {'sending' if is_sending else 'receiving'}"
         )
         pairs = [(one, other) if is_sending else (other, one) for other in others]
-        await self._cut(pairs, length, True)
+        await self.cluster.cut(pairs, length, is_one_way=True)
 
     async def _cut_zone(self, length: float) -> None:
         zone = self.random.choice(ZONES)
@@ -249,12 +232,12 @@
         ]
         inside = [endpoint.name for endpoint in endpoints if endpoint.zone == zone]
         outside = [endpoint.name for endpoint in endpoints if endpoint.zone != zone]
-        await self._cut([(a, b) for a in inside for b in [*outside, "store"]], length, False)
+        await self.cluster.cut([(a, b) for a in inside for b in [*outside, "store"]], length)
 
     async def _cut_store(self, length: float) -> None:
         names = [name for name in sorted(self.cluster.daemons) if self.random.random() < 0.6]
         self.cluster.history.record_event(f"  cuts the store from {names}")
-        await self._cut([(name, "store") for name in names], length, False)
+        await self.cluster.cut([(name, "store") for name in names], length)
 
     async def _reset(self, length: float) -> None:
         for proxy in self.cluster.proxies.values():
@@ -323,54 +306,6 @@
                 is_draining = worker.model.name in self.cluster.history.draining
                 self.cluster.register(worker, is_draining)
 
-    # Workers
-
-    def _choose_worker(self) -> SoakWorker:
-        return self.cluster.workers[self.random.choice(sorted(self.cluster.workers))]
-
-    async def _worker_crash(self, length: float) -> None:
-        """Crash a worker, which later restarts under the same name."""
-        worker = self._choose_worker()
-        self.cluster.crash_model.record_crash(worker.model, is_injected=True)
-        worker.model.crash()
-        worker.model.is_down = True
-        await asyncio.sleep(length)
-        worker.model.is_down = False
-
-    async def _worker_leave(self, length: float) -> None:
-        """Drain a worker and then remove it for good, unless too few would remain."""
-        active_workers = [n for n in self.cluster.workers if n not in self.cluster.history.draining]
-        if len(active_workers) <= MIN_WORKERS:
-            return
-        worker = self.cluster.workers[self.random.choice(sorted(active_workers))]
-        self.cluster.register(worker, is_draining=True)
-        self.cluster.history.draining[worker.model.name] = time.monotonic()
-        await asyncio.sleep(length + 3.0)
-        worker.model.crash()
-        worker.model.is_down = True
-        del self.cluster.workers[worker.model.name]
-        self.cluster.unregister(worker)
-
-    async def _worker_add(self, length: float) -> None:
-        await self.cluster.add_worker()
-
-    async def _worker_fails(self, length: float) -> None:
-        worker = self._choose_worker()
-        worker.model.fails_all = True
-        await asyncio.sleep(length)
-        worker.model.fails_all = False
-
-    async def _orders_late(self, length: float) -> None:
-        """Let up to three workers execute some calls late, or lose the responses to some."""
-        chosen = [self._choose_worker() for _ in range(3)]
-        is_late = self.random.random() < 0.5
-        for worker in chosen:
-            worker.http_server.late_share = AFFECTED_CALL_SHARE if is_late else 0.0
-            worker.http_server.lost_share = 0.0 if is_late else AFFECTED_CALL_SHARE
-        await asyncio.sleep(length)
-        for worker in chosen:
-            worker.http_server.late_share = worker.http_server.lost_share = 0.0
-
     # Configuration
 
     async def _config(self, length: float) -> None:
