Soak: a job shown as failed is checked against what its workers saw

A job that was answered as failed because workers had crashed was checked; one that was answered as failed for another reason, or for none, was not. Now each must name a task of its own: one that workers have ended as failed max_attempts times, or one under which two processes have crashed. 15 in 100 jobs have tasks of 1.4 s and 8 s of time, so that a task may lose several workers before its caller gives up.

--- a/packages/soak/cranberryshore_soak/callers.py
+++ b/packages/soak/cranberryshore_soak/callers.py
@@ -12,7 +12,7 @@
 from cranberryshore.work import Capacity
 from cranberryshore_platform.tests import platform_api
 from cranberryshore_proof.pool_crashes import CrashModel
-from cranberryshore_soak.history import History
+from cranberryshore_soak.history import History, job_of
 from cranberryshore_soak.processes import DaemonProcess
 from cranberryshored.loop_lag import LoopLag
 from cranberryshored.platform.session import single_try_session
@@ -35,8 +35,12 @@
 DEADLY_SHARE = 0.06
 """Share of the jobs with a task that crashes each worker that starts it."""
 
-DEADLY_BUDGET_SECONDS = 8.0
-"""Time limit of such a job, so that the task could be started many times."""
+PATIENT_SHARE, PATIENT_TASK_SECONDS = 0.15, 1.4
+"""Share of the jobs with sound tasks that are long enough to lose several workers."""
+
+LONG_BUDGET_SECONDS = 8.0
+"""Time limit of both, so that a task could be started many times."""
+
 OK_STATUS, REFUSED_STATUSES, UNKNOWN_OUTCOME_STATUSES = 200, {429, 503}, {502, 504}
 
 
@@ -122,8 +126,8 @@
     ----------
     jobs : dict
         All jobs by id; model workers read demands and durations from it.
-    deadly_share : float
-        Share of the jobs with a task that crashes its workers.
+    deadly_share, patient_share : float
+        Shares of the jobs with a task that crashes its workers, and with long tasks.
     task_counts : tuple of int
         Numbers of tasks to choose from for a job.
     """
@@ -135,6 +139,7 @@
     lag: LoopLag
     crash_model: CrashModel
     deadly_share: float = DEADLY_SHARE
+    patient_share: float = PATIENT_SHARE
     jobs: dict[str, SoakJob] = attrs.field(factory=dict)
     task_counts: tuple[int, ...] = (1, 2, 4, 8)
 
@@ -155,9 +160,13 @@
             time.monotonic(),
             disconnects_early=self.random.random() < EARLY_DISCONNECT_SHARE,
         )
-        if self.crash_model.random.random() < self.deadly_share:
+        drawn = self.crash_model.random.random()
+        if drawn < self.deadly_share:
             self.crash_model.deadly_tasks.add(f"{job.id}.0.0.0")
-            job.budget_seconds, job.disconnects_early = DEADLY_BUDGET_SECONDS, False
+        elif drawn < self.deadly_share + self.patient_share:
+            job.seconds = PATIENT_TASK_SECONDS
+        if drawn < self.deadly_share + self.patient_share:
+            job.budget_seconds, job.disconnects_early = LONG_BUDGET_SECONDS, False
         self.jobs[job.id] = job
         return job
 
@@ -188,8 +197,8 @@
                 daemon = self.balancer.choose()
             elif answer.status not in UNKNOWN_OUTCOME_STATUSES:
                 job.status, job.is_completed = answer.status, answer.is_completed
-                if answer.crashing_task:
-                    self.crash_model.check_given_up(answer.crashing_task)
+                if answer.is_failed:
+                    self._check_failure(job, answer)
                 self._check_answer(job)
                 return daemon
             job.may_have_run = True
@@ -232,6 +241,17 @@
             f"{daemon.name} did not answer {job.id} in {waited:.2f} s{left}: {error!r}"
         )
 
+    def _check_failure(self, job: SoakJob, answer: platform_api.CallerResponse) -> None:
+        """Check that the workers have seen what a job is said to have failed for."""
+        task = answer.crashing_task or answer.failing_task
+        self.history.record_event(f"job {job.id} is answered as failed because of {task}")
+        if job_of(task) != job.id:
+            self.history.report(f"job {job.id} failed because of {task or 'no task'}")
+        elif answer.crashing_task:
+            self.crash_model.check_given_up(task)
+        else:
+            self.history.task_given_up(task, self.queue.max_attempts)
+
     def _check_answer(self, job: SoakJob) -> None:
         if job.status in REFUSED_STATUSES:
             if not job.may_have_run:
--- a/packages/soak/cranberryshore_soak/history.py
+++ b/packages/soak/cranberryshore_soak/history.py
@@ -41,6 +41,8 @@
         Violated guarantees, and all events including these.
     started, done : set of str
         Jobs of which a task has started, and tasks that have succeeded.
+    failures : dict
+        Number of runs of each task that a worker has ended as failed.
     refused : set of str
         Jobs whose caller was told that they have not run.
     draining : dict
@@ -54,6 +56,7 @@
     events: list[str] = attrs.field(factory=list)
     started: set[str] = attrs.field(factory=set)
     done: set[str] = attrs.field(factory=set)
+    failures: dict[str, int] = attrs.field(factory=dict)
     refused: set[str] = attrs.field(factory=set)
     draining: dict[str, float] = attrs.field(factory=dict)
     begun_at: float = attrs.field(factory=time.monotonic)
@@ -103,6 +106,14 @@
         """Record the end of a run."""
         if kind is EndKind.DONE:
             self.done.add(key[0])
+        elif kind is EndKind.FAILED:
+            self.failures[key[0]] = self.failures.get(key[0], 0) + 1
+
+    def task_given_up(self, task: str, max_attempts: int) -> None:
+        """Check that a task that is said to have failed too often has done so on workers."""
+        failures = self.failures.get(task, 0)
+        if failures < max_attempts:
+            self.report(f"{task} given up after {failures} of {max_attempts} failures")
 
     def job_refused(self, job: str) -> None:
         """Check that no task has started of a job whose caller was told that it has not run."""
--- a/packages/soak/cranberryshore_soak/runner.py
+++ b/packages/soak/cranberryshore_soak/runner.py
@@ -145,7 +145,9 @@
 
 async def _run_recovery(cluster: SoakCluster) -> list[SoakJob]:
     """Submit jobs after the faults and check that they complete; return them."""
-    cluster.callers.task_counts, cluster.callers.deadly_share = RECOVERY_TASK_COUNTS, 0.0
+    callers = cluster.callers
+    callers.task_counts, callers.deadly_share = RECOVERY_TASK_COUNTS, 0.0
+    callers.patient_share = 0.0
     jobs = await cluster.run_callers(
         cluster.plan.recovery_seconds, RECOVERY_CALLER_COUNT, RECOVERY_MEAN_PAUSE_SECONDS
     )
