Soak: workers crash behind a cut, leave unseen, and end while starts are unanswered

No worker of the soak ended out of sight of the instances.

A connection ends at the worker's side with its process, which the other side learns only when the cut is healed. The starts of workers (`born`) are Unix milliseconds, as on the platform, so a call carried out late finds no other worker that has the same start. `--faults` chooses among the faults.

--- a/packages/soak/cranberryshore_soak/__main__.py
+++ b/packages/soak/cranberryshore_soak/__main__.py
@@ -7,6 +7,8 @@
 from pathlib import Path
 from secrets import randbelow
 
+import attrs
+
 from cranberryshore_soak.cluster import SoakPlan
 from cranberryshore_soak.regressions import REGRESSIONS
 from cranberryshore_soak.runner import SoakResult, run_soak
@@ -29,10 +31,15 @@
 def plans_from_options(options: Namespace) -> list[SoakPlan]:
     """Return one plan for each of ``rounds`` consecutive seeds."""
     first = randbelow(RANDOM_SEED_LIMIT) if options.seed is None else options.seed
-    return [
-        SoakPlan(seed, options.instances, options.workers, options.callers, options.seconds)
-        for seed in range(first, first + options.rounds)
-    ]
+    plan = SoakPlan(
+        first,
+        options.instances,
+        options.workers,
+        options.callers,
+        options.seconds,
+        fault_names=tuple(options.faults),
+    )
+    return [attrs.evolve(plan, seed=seed) for seed in range(first, first + options.rounds)]
 
 
 def main() -> int:
@@ -44,6 +51,7 @@
     parser.add_argument("--workers", type=int, default=6)
     parser.add_argument("--callers", type=int, default=10)
     parser.add_argument("--seconds", type=float, default=8.0, help="duration of the fault phase")
+    parser.add_argument("--faults", nargs="+", default=[], help="names of the faults to inject")
     parser.add_argument("--keep", type=Path, default=Path(tempfile.gettempdir()) / "soak")
     parser.add_argument("--regressions", action="store_true", help="run plans that once failed")
     options = parser.parse_args()
--- a/packages/soak/cranberryshore_soak/cluster.py
+++ b/packages/soak/cranberryshore_soak/cluster.py
@@ -10,7 +10,7 @@
 
 from cranberryshore.pool import QueueSpec
 from cranberryshore_platform.tests import platform_api
-from cranberryshore_platform.tests.standin import StandIn, free_addresses
+from cranberryshore_platform.tests.standin import StandIn, StoreFaults, free_addresses
 from cranberryshore_proof.config_checks import STORE
 from cranberryshore_proof.pool_crashes import CrashModel
 from cranberryshore_proof.pool_workers import ModelWorker
@@ -34,7 +34,15 @@
 
 @attrs.frozen
 class SoakPlan:
-    """Seed and size of a soak; ``recovery_seconds`` is the time of load after the faults."""
+    """Seed and size of a soak.
+
+    Parameters
+    ----------
+    recovery_seconds : float
+        Time of load after the faults.
+    fault_names : tuple of str
+        Faults to choose from; all if it is empty.
+    """
 
     seed: int
     instance_count: int = 6
@@ -42,15 +50,25 @@
     caller_count: int = 24
     fault_seconds: float = 14.0
     recovery_seconds: float = 4.0
+    fault_names: tuple[str, ...] = ()
 
 
 @attrs.define(eq=False)
 class SoakWorker:
-    """One model worker with its HTTP server and the proxy in front of it."""
+    """One model worker with its HTTP server and the proxy in front of it.
+
+    ``is_busy`` is whether a fault that ends its process is under way.
+    """
 
     model: ModelWorker
     http_server: platform_api.WorkerEndpoint
     proxy: FaultProxy
+    is_busy: bool = False
+
+
+def unix_ms() -> int:
+    """Return the time as workers give that of their start."""
+    return int(time.time() * 1000)
 
 
 @attrs.define(eq=False)
@@ -193,6 +211,7 @@
             self.callers.task_seconds,
             self.history.run_started,
             self.history.run_ended,
+            unix_ms(),
         )
         http_server = platform_api.WorkerEndpoint(
             model, self.callers.task_demand, Random(self.plan.seed + number)
@@ -209,16 +228,35 @@
         self.history.record_event(f"  {worker.name} crashes under a task")
         self.history.record_disturbance()
         worker.is_down = True
-        self.proxies[worker.name].refuse()
+        proxy = self.proxies[worker.name]
+        if worker.name in self.link_faults.isolated:
+            proxy.end_target()
+        else:
+            proxy.refuse()
 
     def worker_returns(self, worker: ModelWorker, is_renamed: bool) -> None:
         """See :class:`CrashHost`."""
-        task = asyncio.ensure_future(self._restore_worker(worker, is_renamed))
+        task = asyncio.ensure_future(self.start_process(worker, is_renamed))
         self.restorations.add(task)
         task.add_done_callback(self.restorations.discard)
 
-    async def _restore_worker(self, model: ModelWorker, is_renamed: bool) -> None:
-        proxy, worker = self.proxies[model.name], self.workers.get(model.name)
+    def end_process(self, worker: SoakWorker, is_crash: bool) -> None:
+        """End the process of a worker, which crashes or leaves, unless it has ended already."""
+        model = worker.model
+        if model.is_down:
+            return
+        model.end_due_runs(asyncio.get_running_loop().time())
+        how = "crashes" if is_crash else "leaves"
+        self.history.record_event(f"  {model.name} {how} with {sorted(model.runs)}")
+        if is_crash:
+            self.crash_model.record_crash(model, is_injected=True)
+        model.crash()
+        model.is_down = True
+        worker.proxy.end_target()
+
+    async def start_process(self, model: ModelWorker, is_renamed: bool) -> None:
+        """Start the process of a worker again, or another worker at its address."""
+        proxy, worker = self.proxies.get(model.name), self.workers.get(model.name)
         if worker is None:
             # The worker was to leave, and has left meanwhile.
             return
@@ -226,7 +264,9 @@
         if is_renamed:
             self._rename(worker)
         else:
+            model.born = max(model.born, unix_ms())
             model.is_down = False
+        self.history.record_event(f"  {model.name} is back as {worker.model.name}")
         await proxy.restore()
 
     def _rename(self, worker: SoakWorker) -> None:
@@ -241,6 +281,7 @@
             former.run_seconds,
             former.on_start,
             former.on_end,
+            unix_ms(),
         )
         name = worker.proxy.name = worker.model.name
         worker.http_server.model = worker.model
@@ -274,6 +315,15 @@
         self.link_faults.heal(cut)
         self.config_probe.disturbances.end(time.monotonic(), *without_store)
 
+    async def impair_store(self, store_faults: StoreFaults, seconds: float) -> None:
+        """Let the store have some faults for some time, unless others follow."""
+        self.store.store_faults = store_faults
+        self.config_probe.disturbances.begin(STORE)
+        await asyncio.sleep(seconds)
+        self.config_probe.disturbances.end(time.monotonic(), STORE)
+        if self.store.store_faults is store_faults:
+            self.store.store_faults = StoreFaults()
+
     def change_config(self, queues: tuple[QueueSpec, ...]) -> None:
         """Publish a new configuration with the given queues."""
         self.queues = queues
--- a/packages/soak/cranberryshore_soak/fault_injection.py
+++ b/packages/soak/cranberryshore_soak/fault_injection.py
@@ -67,7 +67,7 @@
         faults_by_name = self.faults_by_name()
         while time.monotonic() < end:
             await asyncio.sleep(self.random.uniform(*FAULT_INTERVAL_SECONDS))
-            name = self.random.choice(sorted(faults_by_name))
+            name = self.random.choice(self.cluster.plan.fault_names or sorted(faults_by_name))
             length = self.random.uniform(*FAULT_LENGTH_SECONDS)
             self.cluster.history.record_event(f"{name} for {length:.2f} s")
             self.tasks.add(asyncio.create_task(self._inject(faults_by_name[name], length)))
@@ -271,24 +271,15 @@
 
     # The store
 
-    async def _apply_store_faults(self, length: float, store_faults: StoreFaults) -> None:
-        self.cluster.store.store_faults = store_faults
-        self.disturbances.begin(STORE)
-        await asyncio.sleep(length)
-        self.disturbances.end(time.monotonic(), STORE)
-        if self.cluster.store.store_faults is store_faults:
-            self.cluster.store.store_faults = StoreFaults()
-
     async def _store_busy(self, length: float) -> None:
-        await self._apply_store_faults(length, StoreFaults(is_busy=True))
+        await self.cluster.impair_store(StoreFaults(is_busy=True), length)
 
     async def _store_slow(self, length: float) -> None:
-        await self._apply_store_faults(
-            length, StoreFaults(slow_seconds=self.random.uniform(0.1, 0.8))
-        )
+        slow_seconds = self.random.uniform(0.1, 0.8)
+        await self.cluster.impair_store(StoreFaults(slow_seconds=slow_seconds), length)
 
     async def _store_lost(self, length: float) -> None:
-        await self._apply_store_faults(length, StoreFaults(lost_share=0.4, late_share=0.4))
+        await self.cluster.impair_store(StoreFaults(lost_share=0.4, late_share=0.4), length)
 
     async def _store_compact(self, length: float) -> None:
         self.cluster.store.compact()
--- a/packages/soak/cranberryshore_soak/proxy.py
+++ b/packages/soak/cranberryshore_soak/proxy.py
@@ -27,10 +27,13 @@
         Blocked directions; bytes are held back until the direction is healed.
     delays : dict
         Delay of each chunk in seconds, by direction.
+    isolated : set of str
+        Endpoints all of whose directions are blocked.
     """
 
     cuts: set[Direction] = attrs.field(factory=set)
     delays: dict[Direction, float] = attrs.field(factory=dict)
+    isolated: set[str] = attrs.field(factory=set)
 
     def cut(self, one: str, other: str, is_one_way: bool = False) -> list[Direction]:
         """Block ``one`` to ``other``, or both directions; return those not blocked already."""
@@ -48,7 +51,7 @@
         delay = self.delays.get(direction, 0.0)
         if delay:
             await asyncio.sleep(delay)
-        while direction in self.cuts:
+        while direction in self.cuts or not self.isolated.isdisjoint(direction):
             await asyncio.sleep(POLL_INTERVAL_SECONDS)
 
 
@@ -71,9 +74,17 @@
     writers: tuple[asyncio.StreamWriter, ...]
     is_silent: bool = False
 
+    def end_target(self) -> None:
+        """End the connection as the target does whose process ends, also behind a blocked link."""
+        self._reset(self.writers[1:])
+
     def reset(self) -> None:
         """Send a TCP reset to both ends."""
-        for writer in self.writers:
+        self._reset(self.writers)
+
+    @staticmethod
+    def _reset(writers: tuple[asyncio.StreamWriter, ...]) -> None:
+        for writer in writers:
             raw = writer.get_extra_info("socket")
             if raw is not None and raw.fileno() >= 0:
                 # With a linger time of zero, closing the socket sends a reset.
@@ -114,8 +125,15 @@
         for connection in list(self.connections):
             connection.reset()
 
+    def end_target(self) -> None:
+        """End all connections as an endpoint does whose process ends; continue to listen."""
+        for connection in list(self.connections):
+            connection.end_target()
+
     async def restore(self) -> None:
-        """Listen at the same address again."""
+        """Listen at the same address again, if that was stopped."""
+        if self.server.is_serving():
+            return
         host, port = self.address.split(":")
         self.server = await asyncio.start_server(self._serve, host, int(port), reuse_address=True)
 
@@ -124,6 +142,7 @@
         self.server.close()
         self.link_faults.cuts.clear()
         self.link_faults.delays.clear()
+        self.link_faults.isolated.clear()
         while self.connections:
             for connection in list(self.connections):
                 connection.reset()
