Soak: entries of another writer among the workers' registrations

Such entries have ports out of range or none, amounts below 0 or over 64 bits, 100,000 nested arrays, fields of other types, or aren't JSON.

--- a/packages/soak/cranberryshore_soak/cluster.py
+++ b/packages/soak/cranberryshore_soak/cluster.py
@@ -300,6 +300,12 @@
         value = platform_api.encode_worker(worker.model, worker.proxy.address, SERVICE, is_draining)
         self.store.set(platform_api.WORKERS_PREFIX + worker.model.name, value)
 
+    def add_foreign_entries(self) -> None:
+        """Let another writer leave values among the registrations that name no workers."""
+        values = platform_api.encode_foreign_entries(SERVICE, ZONES[0])
+        for number, value in enumerate(values):
+            self.store.set(f"{platform_api.WORKERS_PREFIX}x{number}", value)
+
     def unregister(self, worker: SoakWorker) -> None:
         """Remove a worker's registration from the store."""
         self.store.remove(platform_api.WORKERS_PREFIX + worker.model.name)
--- a/packages/soak/cranberryshore_soak/worker_faults.py
+++ b/packages/soak/cranberryshore_soak/worker_faults.py
@@ -55,6 +55,7 @@
             "worker_add": self._worker_add,
             "worker_fails": self._worker_fails,
             "orders_late": self._orders_late,
+            "foreign_entries": self._foreign_entries,
         }
 
     def _choose_worker(self) -> SoakWorker:
@@ -207,6 +208,10 @@
         del self.cluster.workers[worker.model.name]
         self.cluster.unregister(worker)
 
+    async def _foreign_entries(self, length: float) -> None:
+        """Let another writer leave entries among the registrations, for good."""
+        self.cluster.add_foreign_entries()
+
     async def _worker_add(self, length: float) -> None:
         await self.cluster.add_worker()
 
