Soak: workers return from a crash as another kind, with less room

A quarter of the jobs need a worker with a label. Their registrations carry the start of the process that wrote them, as on the platform, and a worker that is down writes none. What a start may use is what the present process has.

--- a/packages/soak/cranberryshore_soak/callers.py
+++ b/packages/soak/cranberryshore_soak/callers.py
@@ -41,6 +41,12 @@
 LONG_BUDGET_SECONDS = 8.0
 """Time limit of both, so that a task could be started many times."""
 
+COMMON_LABEL, OTHER_LABEL = "a", "b"
+"""Label of the workers' usual kind, and of the one that some are of after a restart."""
+
+LABELLED_ENDINGS = "048c"
+"""Last digits of the ids of the jobs that need workers of the usual kind."""
+
 OK_STATUS, REFUSED_STATUSES, UNKNOWN_OUTCOME_STATUSES = 200, {429, 503}, {502, 504}
 
 
@@ -117,6 +123,11 @@
     may_have_run: bool = False
     budget_seconds: float = BUDGET_SECONDS
 
+    @property
+    def label(self) -> str:
+        """Return the label that its workers must have, if there is one."""
+        return COMMON_LABEL if self.id[-1] in LABELLED_ENDINGS else ""
+
 
 @attrs.define(eq=False)
 class Callers:
@@ -151,6 +162,10 @@
         """Return the run time of a task in seconds."""
         return self.jobs[task.partition(".")[0]].seconds
 
+    def task_label(self, task: str) -> str:
+        """Return the label that a task requires."""
+        return self.jobs[job_of(task)].label
+
     def _draw_job(self) -> SoakJob:
         job = SoakJob(
             f"{self.random.getrandbits(64):016x}",
@@ -209,7 +224,8 @@
         self, session: ClientSession, daemon: DaemonProcess, job: SoakJob, left: float
     ) -> platform_api.CallerResponse | None:
         """Submit a job once, with ``left`` seconds of its budget; return ``None`` if unanswered."""
-        step = StepSpec(job.count, Capacity(job.millicores, 64), int(job.seconds * 1000))
+        demand, estimate_ms = Capacity(job.millicores, 64), int(job.seconds * 1000)
+        step = StepSpec(job.count, demand, estimate_ms, label=job.label)
         work = WorkRequest(job.id, self.queue.name, "", (step,), int(left * 1000))
         sent_at = time.monotonic()
         try:
--- a/packages/soak/cranberryshore_soak/cluster.py
+++ b/packages/soak/cranberryshore_soak/cluster.py
@@ -14,7 +14,7 @@
 from cranberryshore_proof.config_checks import STORE
 from cranberryshore_proof.pool_crashes import CrashModel
 from cranberryshore_proof.pool_workers import ModelWorker
-from cranberryshore_soak.callers import Balancer, Callers
+from cranberryshore_soak.callers import COMMON_LABEL, Balancer, Callers
 from cranberryshore_soak.config_probe import ConfigProbe
 from cranberryshore_soak.history import History
 from cranberryshore_soak.processes import DaemonProcess
@@ -57,13 +57,19 @@
 class SoakWorker:
     """One model worker with its HTTP server and the proxy in front of it.
 
-    ``is_busy`` is whether a fault that ends its process is under way.
+    Parameters
+    ----------
+    is_busy : bool
+        Whether a fault that ends its process is under way.
+    label : str
+        Kind of the worker, which a restart may change.
     """
 
     model: ModelWorker
     http_server: platform_api.WorkerEndpoint
     proxy: FaultProxy
     is_busy: bool = False
+    label: str = COMMON_LABEL
 
 
 def unix_ms() -> int:
@@ -109,6 +115,7 @@
             self.lag,
             self.crash_model,
         )
+        self.history.label_of = self.callers.task_label
         self.config_probe = ConfigProbe(
             self.daemons, QUEUE.host, self.history, Random(self.plan.seed + 5)
         )
@@ -220,6 +227,7 @@
         proxy = await self._add_proxy(model.name, http_server.address)
         worker = self.workers[model.name] = SoakWorker(model, http_server, proxy)
         self.history.workers[model.name] = model
+        self.history.labels[model.name] = worker.label
         self.register(worker)
         return worker
 
@@ -266,6 +274,8 @@
         else:
             model.born = max(model.born, unix_ms())
             model.is_down = False
+            self.history.labels[model.name] = worker.label
+            self.register(worker, model.name in self.history.draining)
         self.history.record_event(f"  {model.name} is back as {worker.model.name}")
         await proxy.restore()
 
@@ -288,16 +298,20 @@
         self.proxies[name] = self.proxies.pop(former.name)
         self.workers[name] = worker
         self.history.workers[name] = worker.model
+        self.history.labels[name] = worker.label
         self.register(worker)
 
     def resize(self, worker: SoakWorker, millicores: int) -> None:
-        """Change the capacity of a worker, and register it."""
+        """Change the capacity of a worker, which registers it unless it is down."""
         worker.model.resize(millicores, asyncio.get_running_loop().time())
-        self.register(worker, worker.model.name in self.history.draining)
+        if not worker.model.is_down:
+            self.register(worker, worker.model.name in self.history.draining)
 
     def register(self, worker: SoakWorker, is_draining: bool = False) -> None:
         """Write a worker's registration to the store."""
-        value = platform_api.encode_worker(worker.model, worker.proxy.address, SERVICE, is_draining)
+        value = platform_api.encode_worker(
+            worker.model, worker.proxy.address, SERVICE, is_draining, worker.label
+        )
         self.store.set(platform_api.WORKERS_PREFIX + worker.model.name, value)
 
     def add_foreign_entries(self) -> None:
--- a/packages/soak/cranberryshore_soak/fault_injection.py
+++ b/packages/soak/cranberryshore_soak/fault_injection.py
@@ -13,7 +13,7 @@
 from cranberryshore_proof.config_checks import STORE, Disturbances
 from cranberryshore_soak.cluster import QUEUE, SERVICE, ZONES, SoakCluster
 from cranberryshore_soak.processes import DaemonProcess
-from cranberryshore_soak.worker_faults import Fault, WorkerFaults
+from cranberryshore_soak.worker_faults import FULL_ROOM, Fault, WorkerFaults
 
 FAULT_INTERVAL_SECONDS = (0.2, 1.8)
 """Range of the time between two faults; as a fault lasts up to 4 s, two or three overlap."""
@@ -32,9 +32,6 @@
 RESIZE_INTERVAL_SECONDS = (0.5, 2.5)
 """Range of the time between two changes of the capacity of a worker."""
 
-FULL_ROOM = 4000
-"""Millicores of each worker without such a change."""
-
 MAX_REREGISTRATION_SECONDS = 2.0
 
 
@@ -293,7 +290,7 @@
             self.cluster.unregister(worker)
         await asyncio.sleep(self.random.uniform(0.1, MAX_REREGISTRATION_SECONDS))
         for worker in lapsed:
-            if worker.model.name in self.cluster.workers:
+            if worker.model.name in self.cluster.workers and not worker.model.is_down:
                 is_draining = worker.model.name in self.cluster.history.draining
                 self.cluster.register(worker, is_draining)
 
--- a/packages/soak/cranberryshore_soak/history.py
+++ b/packages/soak/cranberryshore_soak/history.py
@@ -45,6 +45,10 @@
         Number of runs of each task that a worker has ended as failed.
     refused : set of str
         Jobs whose caller was told that they have not run.
+    labels : dict
+        Label of the present process of each worker, by name.
+    label_of : callable
+        Returns the label that a task requires, or "".
     draining : dict
         Times at which workers began to drain, by name.
     disturbed_at : float
@@ -58,6 +62,8 @@
     done: set[str] = attrs.field(factory=set)
     failures: dict[str, int] = attrs.field(factory=dict)
     refused: set[str] = attrs.field(factory=set)
+    labels: dict[str, str] = attrs.field(factory=dict)
+    label_of: Callable[[str], str] = attrs.field(default=lambda task: "")
     draining: dict[str, float] = attrs.field(factory=dict)
     begun_at: float = attrs.field(factory=time.monotonic)
     disturbed_at: float = 0.0
@@ -86,6 +92,9 @@
             self.crash_model.task_started(worker, key)
         if worker.used() > worker.allowed_millicores(now):
             self.report(f"{worker.name} exceeds its capacity: {sorted(worker.runs)}")
+        label, required = self.labels.get(worker.name, ""), self.label_of(key[0])
+        if required not in ("", label):
+            self.report(f"{key[0]} starts on {worker.name} of kind {label}, not {required}")
         if job in self.refused:
             self.report(f"{key[0]} starts on {worker.name} although its job was refused")
         for other in self.workers.values():
--- a/packages/soak/cranberryshore_soak/worker_faults.py
+++ b/packages/soak/cranberryshore_soak/worker_faults.py
@@ -11,6 +11,7 @@
 from cranberryshore_platform.tests.platform_api import StartFault
 from cranberryshore_platform.tests.standin import StoreFaults
 from cranberryshore_proof.config_checks import STORE
+from cranberryshore_soak.callers import COMMON_LABEL, OTHER_LABEL
 from cranberryshore_soak.cluster import SoakCluster, SoakWorker
 
 Fault = Callable[[float], Coroutine]
@@ -31,6 +32,12 @@
 NOTICE_SECONDS = 0.5
 """Time from the notice of a worker to its end, if no instance reads the notice."""
 
+NOTICED_SECONDS = 2.0
+"""Time after a crash in which the scheduler notices it before the worker returns."""
+
+SMALL_ROOM, FULL_ROOM = 2000, 4000
+"""Millicores of a worker of another kind, and of each worker without a change."""
+
 START_FAULT_SECONDS = (0.1, 0.6)
 """Range of the time for which starts are not answered before the process of the worker ends."""
 
@@ -51,6 +58,7 @@
             "workers_crash_in_series": self._workers_crash_in_series,
             "workers_leave_unseen": self._workers_leave_unseen,
             "workers_end_at_starts": self._workers_end_at_starts,
+            "workers_return_as_others": self._workers_return_as_others,
             "worker_leave": self._worker_leave,
             "worker_add": self._worker_add,
             "worker_fails": self._worker_fails,
@@ -193,6 +201,24 @@
         worker.http_server.start_fault = None
         await self._restart(worker, self.random.uniform(*DOWN_SECONDS))
 
+    async def _workers_return_as_others(self, length: float) -> None:
+        """Let workers crash and return under their names with less room, as another kind."""
+        with self._reserve() as chosen:
+            await self._return_as(chosen, OTHER_LABEL, SMALL_ROOM)
+            await asyncio.sleep(length)
+            await self._return_as(chosen, COMMON_LABEL, FULL_ROOM)
+
+    async def _return_as(self, chosen: list[SoakWorker], label: str, millicores: int) -> None:
+        for worker in chosen:
+            self.cluster.end_process(worker, is_crash=True)
+            worker.proxy.refuse()
+        await asyncio.sleep(NOTICED_SECONDS)
+        for worker in chosen:
+            worker.label, worker.model.millicores = label, millicores
+            # What is allowed after a change of capacity holds for one process only.
+            worker.model.former_rooms.clear()
+            await self.cluster.start_process(worker.model, is_renamed=False)
+
     async def _worker_leave(self, length: float) -> None:
         """Drain a worker and then remove it for good, unless too few would remain."""
         active_workers = [n for n in self.cluster.workers if n not in self.cluster.history.draining]
