Soak: the store rejects some instances while the workers' rooms shrink

For 8 s, the store answers half of the instances with 503 and serves the others; 1.5 s later half of the workers register half of their room. The proxy of the store tells it which instance a connection comes from. The history allowed the former room for 4.5 s already.

test_changed_workers plays it under load, once with two of three instances rejected and once with the third. On the code of the scheduler starts tasks beyond the room.

--- a/packages/soak/cranberryshore_soak/cluster.py
+++ b/packages/soak/cranberryshore_soak/cluster.py
@@ -123,7 +123,8 @@
     async def start(self) -> None:
         """Start all components and wait until all daemons are ready."""
         await self.store.start()
-        await self._add_proxy("store", self.store.address)
+        proxy = await self._add_proxy("store", self.store.address)
+        self.store.caller_of = proxy.source_of
         self.change_config(self.queues)
         for _ in range(self.plan.worker_count):
             await self.add_worker()
--- a/packages/soak/cranberryshore_soak/fault_injection.py
+++ b/packages/soak/cranberryshore_soak/fault_injection.py
@@ -13,7 +13,7 @@
 from cranberryshore_proof.config_checks import STORE, Disturbances
 from cranberryshore_soak.cluster import QUEUE, SERVICE, ZONES, SoakCluster
 from cranberryshore_soak.processes import DaemonProcess
-from cranberryshore_soak.worker_faults import FULL_ROOM, Fault, WorkerFaults
+from cranberryshore_soak.worker_faults import FULL_ROOM, SMALL_ROOM, Fault, WorkerFaults
 
 FAULT_INTERVAL_SECONDS = (0.2, 1.8)
 """Range of the time between two faults; as a fault lasts up to 4 s, two or three overlap."""
@@ -32,6 +32,9 @@
 RESIZE_INTERVAL_SECONDS = (0.5, 2.5)
 """Range of the time between two changes of the capacity of a worker."""
 
+REJECTION_SECONDS, SHRINKING_DELAY_SECONDS = 8.0, 1.5
+"""A smaller room counts 4.5 s later; calls that wait when the rejection begins are answered."""
+
 MAX_REREGISTRATION_SECONDS = 2.0
 
 
@@ -115,6 +118,7 @@
             "store_busy": self._store_busy,
             "store_slow": self._store_slow,
             "store_lost": self._store_lost,
+            "store_rejects": self._store_rejects,
             "store_compact": self._store_compact,
             "store_revoke": self._store_revoke,
             "config": self._config,
@@ -278,6 +282,18 @@
     async def _store_lost(self, length: float) -> None:
         await self.cluster.impair_store(StoreFaults(lost_share=0.4, late_share=0.4), length)
 
+    async def _store_rejects(self, length: float) -> None:
+        """Let the store reject half of the instances while the workers' rooms shrink."""
+        names = sorted(self.cluster.daemons)
+        rejected = frozenset(self.random.sample(names, (len(names) + 1) // 2))
+        self.cluster.history.record_event(f"  the store rejects {sorted(rejected)}")
+        store_faults = StoreFaults(rejected=rejected)
+        outage = asyncio.create_task(self.cluster.impair_store(store_faults, REJECTION_SECONDS))
+        await asyncio.sleep(SHRINKING_DELAY_SECONDS)
+        for worker in list(self.cluster.workers.values())[::2]:
+            self.cluster.resize(worker, SMALL_ROOM)
+        await outage
+
     async def _store_compact(self, length: float) -> None:
         self.cluster.store.compact()
         self.disturbances.strike(time.monotonic(), STORE)
--- a/packages/soak/cranberryshore_soak/proxy.py
+++ b/packages/soak/cranberryshore_soak/proxy.py
@@ -119,6 +119,13 @@
         host, port = self.server.sockets[0].getsockname()
         self.address = f"{host}:{port}"
 
+    def source_of(self, address: tuple[str, int]) -> str:
+        """Return the name of the endpoint that the target sees at an address, or ""."""
+        for connection in self.connections:
+            if connection.writers[-1].get_extra_info("sockname") == address:
+                return connection.source
+        return ""
+
     def refuse(self) -> None:
         """Stop listening and reset all connections, as a process does that crashes."""
         self.server.close()
--- a/packages/soak/cranberryshore_soak/tests/test_changed_workers.py
+++ b/packages/soak/cranberryshore_soak/tests/test_changed_workers.py
@@ -2,11 +2,13 @@
 from random import Random
 from unittest import IsolatedAsyncioTestCase
 
+from cranberryshore_platform.tests.standin import StoreFaults
 from cranberryshore_soak.cluster import SoakCluster, SoakPlan
+from cranberryshore_soak.fault_injection import REJECTION_SECONDS, SHRINKING_DELAY_SECONDS
 from cranberryshore_soak.tests.test_soak import prepare_loop
-from cranberryshore_soak.worker_faults import WorkerFaults
+from cranberryshore_soak.worker_faults import FULL_ROOM, SMALL_ROOM, WorkerFaults
 
-LOAD_SECONDS, CALLER_COUNT, MEAN_PAUSE_SECONDS = 11.0, 12, 0.02
+CALLER_COUNT, MEAN_PAUSE_SECONDS, OTHERS_SECONDS = 12, 0.02, 6.0
 TASK_COUNTS = (1, 2)
 
 
@@ -19,18 +21,34 @@
         callers = self.cluster.callers
         callers.task_counts, callers.deadly_share, callers.patient_share = TASK_COUNTS, 0.0, 0.0
         await self.cluster.start()
-        self.load = asyncio.create_task(
-            self.cluster.run_callers(LOAD_SECONDS, CALLER_COUNT, MEAN_PAUSE_SECONDS)
-        )
         self.faults = WorkerFaults(self.cluster, Random(1)).faults_by_name()
 
     async def asyncTearDown(self):  # noqa: N802
-        await self.load
         await self.cluster.close()
         self.assertEqual(self.cluster.history.faults, [])
 
+    def start_load(self, seconds: float) -> asyncio.Task:
+        callers = self.cluster.run_callers(seconds, CALLER_COUNT, MEAN_PAUSE_SECONDS)
+        return asyncio.create_task(callers)
+
     async def test_task_starts_by_the_labels_of_a_former_process(self):
         # Regression (issue 35): labels and capacity were those of the registration before.
+        load = self.start_load(2 * OTHERS_SECONDS)
         for _ in range(2):
             await asyncio.sleep(1.0)
             await self.faults["workers_return_as_others"](1.0)
+        await load
+
+    async def test_task_starts_beyond_a_shrunk_room_while_the_store_rejects_instances(self):
+        # Regression (issue 35): a scheduler that the store rejects kept the former room.
+        load = self.start_load(2 * REJECTION_SECONDS)
+        for rejected in (("e0", "e1"), ("e2",)):
+            faults = StoreFaults(rejected=frozenset(rejected))
+            outage = asyncio.create_task(self.cluster.impair_store(faults, REJECTION_SECONDS))
+            await asyncio.sleep(SHRINKING_DELAY_SECONDS)
+            for worker in self.cluster.workers.values():
+                self.cluster.resize(worker, SMALL_ROOM)
+            await outage
+            for worker in self.cluster.workers.values():
+                self.cluster.resize(worker, FULL_ROOM)
+        await load
