--- a/packages/soak/cranberryshore_soak/regressions.py
+++ b/packages/soak/cranberryshore_soak/regressions.py
@@ -2,12 +2,24 @@
 
 from cranberryshore_soak.cluster import SoakPlan
 
+WORKER_LOSS_FAULTS = (
+    "workers_crash_in_series",
+    "workers_crash_cut_off",
+    "workers_leave_unseen",
+    "workers_end_at_starts",
+)
+
 
 def _small_plan(seed: int) -> SoakPlan:
     """Return a plan of the size that the command line uses by default."""
     return SoakPlan(seed, 4, 6, 10, 8.0)
 
 
+def _worker_loss_plan(seed: int) -> SoakPlan:
+    """Return a small plan of workers that end out of sight of the instances."""
+    return SoakPlan(seed, 4, 6, 10, 8.0, fault_names=WORKER_LOSS_FAULTS)
+
+
 REGRESSIONS: dict[str, SoakPlan] = {
     "SIGHUP during imports; requests sent late in a graceful shutdown": SoakPlan(1),
     "responses of all workers slow for seconds": SoakPlan(2),
@@ -16,5 +28,8 @@
     "silent connection from a scheduler to a peer whose messages arrive": _small_plan(1015),
     "silent connection from a scheduler to a peer whose messages arrive, again": _small_plan(1017),
     "port taken by an outgoing connection; instance received nothing (open)": _small_plan(1031),
+    "job failed for a worker that left and one that crashed": _worker_loss_plan(721),
+    "job failed for a worker on which its run had lapsed before": _worker_loss_plan(722),
+    "job failed for a worker that its starts had not reached": _worker_loss_plan(723),
 }
 """Plans by the cause of the failure; ``(open)`` marks an unresolved failure."""
