Soak: tests of its check of failed jobs

The check counts what workers saw: four ends as failed, or two processes that crashed with a run of the task; one whose run had lapsed does not count. A worker process that starts anew holds no lease; the model kept that of the process before. A task that does crash its workers is still answered as failed, and the check agrees.

--- a/packages/soak/cranberryshore_soak/callers.py
+++ b/packages/soak/cranberryshore_soak/callers.py
@@ -213,7 +213,7 @@
             elif answer.status not in UNKNOWN_OUTCOME_STATUSES:
                 job.status, job.is_completed = answer.status, answer.is_completed
                 if answer.is_failed:
-                    self._check_failure(job, answer)
+                    self.check_failure(job, answer)
                 self._check_answer(job)
                 return daemon
             job.may_have_run = True
@@ -257,7 +257,7 @@
             f"{daemon.name} did not answer {job.id} in {waited:.2f} s{left}: {error!r}"
         )
 
-    def _check_failure(self, job: SoakJob, answer: platform_api.CallerResponse) -> None:
+    def check_failure(self, job: SoakJob, answer: platform_api.CallerResponse) -> None:
         """Check that the workers have seen what a job is said to have failed for."""
         task = answer.crashing_task or answer.failing_task
         self.history.record_event(f"job {job.id} is answered as failed because of {task}")
--- a/packages/soak/cranberryshore_soak/cluster.py
+++ b/packages/soak/cranberryshore_soak/cluster.py
@@ -260,7 +260,7 @@
         if is_crash:
             self.crash_model.record_crash(model, is_injected=True)
         model.crash()
-        model.is_down = True
+        model.lease_end, model.is_down = 0.0, True
         worker.proxy.end_target()
 
     async def start_process(self, model: ModelWorker, is_renamed: bool) -> None:
--- a/packages/soak/cranberryshore_soak/tests/test_worker_losses.py
+++ b/packages/soak/cranberryshore_soak/tests/test_worker_losses.py
@@ -126,3 +126,10 @@
         for worker in workers:
             worker.http_server.start_fault = None
         await self.check_answer(answer)
+
+    async def test_job_with_a_task_that_crashes_its_workers_fails(self):
+        self.cluster.crash_model.deadly_tasks.add(TASK)
+        response = await self.submit()
+        self.assertEqual(response.crashing_task, TASK)
+        self.cluster.crash_model.check_given_up(TASK)
+        self.assertEqual(self.cluster.history.faults, [])
