--- a/packages/soak/cranberryshore_soak/cluster.py
+++ b/packages/soak/cranberryshore_soak/cluster.py
@@ -303,7 +303,12 @@
         self.register(worker)
 
     def resize(self, worker: SoakWorker, millicores: int) -> None:
-        """Change the capacity of a worker, which registers it unless it is down."""
+        """Change the capacity of a worker, and register it.
+
+        A worker that is down registers when it is back, and doesn't shrink before.
+        """
+        if worker.model.is_down and millicores < worker.model.millicores:
+            return
         worker.model.resize(millicores, asyncio.get_running_loop().time())
         if not worker.model.is_down:
             self.register(worker, worker.model.name in self.history.draining)
--- a/packages/soak/cranberryshore_soak/worker_faults.py
+++ b/packages/soak/cranberryshore_soak/worker_faults.py
@@ -20,6 +20,8 @@
 """Number of workers that are left in service, on which the recovery phase relies."""
 
 AFFECTED_CALL_SHARE = 0.15
+OUTAGE_DELAY_SECONDS = 0.15
+"""Time from the beginning of an outage of the store to the first notice."""
 
 CRASH_DELAY_SECONDS = (0.2, 3.0)
 """Range of the time from a cut to a crash behind it. Leases of 1 s may expire before."""
@@ -29,8 +31,9 @@
 SERIES_CUT_SECONDS, SERIES_PAUSE_SECONDS = 1.4, 0.4
 """Length of a cut and of the pause after it: a task lapses behind it, and is started elsewhere."""
 
-NOTICE_SECONDS = 0.5
-"""Time from the notice of a worker to its end, if no instance reads the notice."""
+NOTICE_SECONDS, SUCCESSION_SECONDS = 0.5, (0.05, 0.6)
+"""Time from the notice of a worker to its end, if no instance reads the notice, and range of the
+time to its successor. Three departures take less time than a smaller room may stay unknown."""
 
 NOTICED_SECONDS = 2.0
 """Time after a crash in which the scheduler notices it before the worker returns."""
@@ -163,7 +166,7 @@
     async def _workers_leave_unseen(self, length: float) -> None:
         """Let workers leave while no instance can read their notice in the store."""
         outage = asyncio.create_task(self._store_outage())
-        await asyncio.sleep(AFFECTED_CALL_SHARE)
+        await asyncio.sleep(OUTAGE_DELAY_SECONDS)
         for _ in range(SERIES_COUNT):
             with self._reserve() as chosen:
                 await asyncio.gather(*(self._leave_on_notice(worker) for worker in chosen))
@@ -171,7 +174,7 @@
 
     async def _store_outage(self) -> None:
         """Cut the store off from all instances or let it reject all calls, for the departures."""
-        seconds = SERIES_COUNT * (NOTICE_SECONDS + DOWN_SECONDS[1])
+        seconds = SERIES_COUNT * (NOTICE_SECONDS + SUCCESSION_SECONDS[1])
         if self.random.random() < 0.5:
             await self.cluster.cut([(name, STORE) for name in self.cluster.daemons], seconds)
         else:
@@ -185,7 +188,7 @@
         await asyncio.sleep(NOTICE_SECONDS)
         self.cluster.end_process(worker, is_crash=False)
         worker.proxy.refuse()
-        await asyncio.sleep(self.random.uniform(*DOWN_SECONDS))
+        await asyncio.sleep(self.random.uniform(*SUCCESSION_SECONDS))
         await self.cluster.start_process(model, is_renamed=True)
 
     async def _workers_end_at_starts(self, length: float) -> None:
