--- a/packages/soak/cranberryshore_soak/tests/test_proxy.py
+++ b/packages/soak/cranberryshore_soak/tests/test_proxy.py
@@ -129,3 +129,21 @@
         connection.is_silent = True
         with self.assertRaises(TimeoutError):
             await self.ask(0.1)
+
+    async def test_end_of_an_isolated_endpoint_is_seen_when_it_is_healed(self):
+        await self.ask()
+        self.link_faults.isolated.add("server")
+        self.proxy.end_target()
+        with self.assertRaises(TimeoutError):
+            await self.ask(0.1)
+        self.link_faults.isolated.discard("server")
+        with suppress(ConnectionResetError):
+            # What was sent meanwhile does not reach the next process.
+            self.assertEqual(await self.ask(), b"")
+
+    async def test_name_of_the_endpoint_behind_an_address(self):
+        await self.ask()
+        (connection,) = self.proxy.connections
+        seen_from = connection.writers[-1].get_extra_info("sockname")
+        self.assertEqual(self.proxy.source_of(seen_from), "client")
+        self.assertEqual(self.proxy.source_of(("127.0.0.1", 1)), "")
