--- a/packages/soak/cranberryshore_soak/regressions.py
+++ b/packages/soak/cranberryshore_soak/regressions.py
@@ -28,8 +28,9 @@
     "silent connection from a scheduler to a peer whose messages arrive": _small_plan(1015),
     "silent connection from a scheduler to a peer whose messages arrive, again": _small_plan(1017),
     "port taken by an outgoing connection; instance received nothing (open)": _small_plan(1031),
-    "job failed for a worker that left and one that crashed": _worker_loss_plan(721),
-    "job failed for a worker on which its run had lapsed before": _worker_loss_plan(722),
-    "job failed for a worker that its starts had not reached": _worker_loss_plan(723),
+    "job failed for workers that had left unseen, or had no run of it": _worker_loss_plan(723),
+    "job failed for workers on which its runs had lapsed": _worker_loss_plan(725),
+    "job failed for two workers that had left unseen": _worker_loss_plan(726),
+    "job failed for a worker that a start had not reached": _worker_loss_plan(730),
 }
 """Plans by the cause of the failure; ``(open)`` marks an unresolved failure."""
