--- a/packages/soak/cranberryshore_soak/regressions.py
+++ b/packages/soak/cranberryshore_soak/regressions.py
@@ -32,5 +32,6 @@
     "job failed for workers on which its runs had lapsed": _worker_loss_plan(725),
     "job failed for two workers that had left unseen": _worker_loss_plan(726),
     "job failed for a worker that a start had not reached": _worker_loss_plan(730),
+    "an entry nested too deeply ended the scheduler's watch of the workers": _small_plan(744),
 }
 """Plans by the cause of the failure; ``(open)`` marks an unresolved failure."""
