--- a/packages/soak/cranberryshore_soak/regressions.py
+++ b/packages/soak/cranberryshore_soak/regressions.py
@@ -20,6 +20,11 @@
     return SoakPlan(seed, 4, 6, 10, 8.0, fault_names=WORKER_LOSS_FAULTS)
 
 
+def _foreign_entry_plan(seed: int) -> SoakPlan:
+    """Return a small plan in which all workers are replaced beside foreign entries."""
+    return SoakPlan(seed, 4, 6, 10, 8.0, fault_names=("foreign_entries", "workers_leave_unseen"))
+
+
 REGRESSIONS: dict[str, SoakPlan] = {
     "SIGHUP during imports; requests sent late in a graceful shutdown": SoakPlan(1),
     "responses of all workers slow for seconds": SoakPlan(2),
@@ -32,6 +37,6 @@
     "job failed for workers on which its runs had lapsed": _worker_loss_plan(725),
     "job failed for two workers that had left unseen": _worker_loss_plan(726),
     "job failed for a worker that a start had not reached": _worker_loss_plan(730),
-    "an entry nested too deeply ended the scheduler's watch of the workers": _small_plan(744),
+    "a nested entry ended the scheduler's watch of the workers": _foreign_entry_plan(744),
 }
 """Plans by the cause of the failure; ``(open)`` marks an unresolved failure."""
