--- a/packages/soak/cranberryshore_soak/callers.py
+++ b/packages/soak/cranberryshore_soak/callers.py
@@ -12,7 +12,7 @@
 from cranberryshore.work import Capacity
 from cranberryshore_platform.tests import platform_api
 from cranberryshore_proof.pool_crashes import CrashModel
-from cranberryshore_soak.history import History
+from cranberryshore_soak.history import History, job_of
 from cranberryshore_soak.processes import DaemonProcess
 from cranberryshored.loop_lag import LoopLag
 from cranberryshored.platform.session import single_try_session
@@ -35,8 +35,18 @@
 DEADLY_SHARE = 0.06
 """Share of the jobs with a task that crashes each worker that starts it."""
 
-DEADLY_BUDGET_SECONDS = 8.0
-"""Time limit of such a job, so that the task could be started many times."""
+PATIENT_SHARE, PATIENT_TASK_SECONDS = 0.15, 1.4
+"""Share of the jobs with sound tasks that are long enough to lose several workers."""
+
+LONG_BUDGET_SECONDS = 8.0
+"""Time limit of both, so that a task could be started many times."""
+
+COMMON_LABEL, OTHER_LABEL = "a", "b"
+"""Label of the workers' usual kind, and of the one that some are of after a restart."""
+
+LABELLED_ENDINGS = "048c"
+"""Last digits of the ids of the jobs that need workers of the usual kind."""
+
 OK_STATUS, REFUSED_STATUSES, UNKNOWN_OUTCOME_STATUSES = 200, {429, 503}, {502, 504}
 
 
@@ -113,6 +123,11 @@
     may_have_run: bool = False
     budget_seconds: float = BUDGET_SECONDS
 
+    @property
+    def label(self) -> str:
+        """Return the label that its workers must have, if there is one."""
+        return COMMON_LABEL if self.id[-1] in LABELLED_ENDINGS else ""
+
 
 @attrs.define(eq=False)
 class Callers:
@@ -122,8 +137,8 @@
     ----------
     jobs : dict
         All jobs by id; model workers read demands and durations from it.
-    deadly_share : float
-        Share of the jobs with a task that crashes its workers.
+    deadly_share, patient_share : float
+        Shares of the jobs with a task that crashes its workers, and with long tasks.
     task_counts : tuple of int
         Numbers of tasks to choose from for a job.
     """
@@ -135,6 +150,7 @@
     lag: LoopLag
     crash_model: CrashModel
     deadly_share: float = DEADLY_SHARE
+    patient_share: float = PATIENT_SHARE
     jobs: dict[str, SoakJob] = attrs.field(factory=dict)
     task_counts: tuple[int, ...] = (1, 2, 4, 8)
 
@@ -146,6 +162,10 @@
         """Return the run time of a task in seconds."""
         return self.jobs[task.partition(".")[0]].seconds
 
+    def task_label(self, task: str) -> str:
+        """Return the label that a task requires."""
+        return self.jobs[job_of(task)].label
+
     def _draw_job(self) -> SoakJob:
         job = SoakJob(
             f"{self.random.getrandbits(64):016x}",
@@ -155,9 +175,13 @@
             time.monotonic(),
             disconnects_early=self.random.random() < EARLY_DISCONNECT_SHARE,
         )
-        if self.crash_model.random.random() < self.deadly_share:
+        drawn = self.crash_model.random.random()
+        if drawn < self.deadly_share:
             self.crash_model.deadly_tasks.add(f"{job.id}.0.0.0")
-            job.budget_seconds, job.disconnects_early = DEADLY_BUDGET_SECONDS, False
+        elif drawn < self.deadly_share + self.patient_share:
+            job.seconds = PATIENT_TASK_SECONDS
+        if drawn < self.deadly_share + self.patient_share:
+            job.budget_seconds, job.disconnects_early = LONG_BUDGET_SECONDS, False
         self.jobs[job.id] = job
         return job
 
@@ -188,8 +212,8 @@
                 daemon = self.balancer.choose()
             elif answer.status not in UNKNOWN_OUTCOME_STATUSES:
                 job.status, job.is_completed = answer.status, answer.is_completed
-                if answer.crashing_task:
-                    self.crash_model.check_given_up(answer.crashing_task)
+                if answer.is_failed:
+                    self.check_failure(job, answer)
                 self._check_answer(job)
                 return daemon
             job.may_have_run = True
@@ -200,7 +224,8 @@
         self, session: ClientSession, daemon: DaemonProcess, job: SoakJob, left: float
     ) -> platform_api.CallerResponse | None:
         """Submit a job once, with ``left`` seconds of its budget; return ``None`` if unanswered."""
-        step = StepSpec(job.count, Capacity(job.millicores, 64), int(job.seconds * 1000))
+        demand, estimate_ms = Capacity(job.millicores, 64), int(job.seconds * 1000)
+        step = StepSpec(job.count, demand, estimate_ms, label=job.label)
         work = WorkRequest(job.id, self.queue.name, "", (step,), int(left * 1000))
         sent_at = time.monotonic()
         try:
@@ -232,6 +257,17 @@
             f"{daemon.name} did not answer {job.id} in {waited:.2f} s{left}: {error!r}"
         )
 
+    def check_failure(self, job: SoakJob, answer: platform_api.CallerResponse) -> None:
+        """Check that the workers have seen what a job is said to have failed for."""
+        task = answer.crashing_task or answer.failing_task
+        self.history.record_event(f"job {job.id} is answered as failed because of {task}")
+        if job_of(task) != job.id:
+            self.history.report(f"job {job.id} failed because of {task or 'no task'}")
+        elif answer.crashing_task:
+            self.crash_model.check_given_up(task)
+        else:
+            self.history.task_given_up(task, self.queue.max_attempts)
+
     def _check_answer(self, job: SoakJob) -> None:
         if job.status in REFUSED_STATUSES:
             if not job.may_have_run:
--- a/packages/soak/cranberryshore_soak/cluster.py
+++ b/packages/soak/cranberryshore_soak/cluster.py
@@ -10,10 +10,11 @@
 
 from cranberryshore.pool import QueueSpec
 from cranberryshore_platform.tests import platform_api
-from cranberryshore_platform.tests.standin import StandIn, free_addresses
+from cranberryshore_platform.tests.standin import StandIn, StoreFaults, free_addresses
+from cranberryshore_proof.config_checks import STORE
 from cranberryshore_proof.pool_crashes import CrashModel
 from cranberryshore_proof.pool_workers import ModelWorker
-from cranberryshore_soak.callers import Balancer, Callers
+from cranberryshore_soak.callers import COMMON_LABEL, Balancer, Callers
 from cranberryshore_soak.config_probe import ConfigProbe
 from cranberryshore_soak.history import History
 from cranberryshore_soak.processes import DaemonProcess
@@ -33,7 +34,15 @@
 
 @attrs.frozen
 class SoakPlan:
-    """Seed and size of a soak; ``recovery_seconds`` is the time of load after the faults."""
+    """Seed and size of a soak.
+
+    Parameters
+    ----------
+    recovery_seconds : float
+        Time of load after the faults.
+    fault_names : tuple of str
+        Faults to choose from; all if it is empty.
+    """
 
     seed: int
     instance_count: int = 6
@@ -41,15 +50,31 @@
     caller_count: int = 24
     fault_seconds: float = 14.0
     recovery_seconds: float = 4.0
+    fault_names: tuple[str, ...] = ()
 
 
 @attrs.define(eq=False)
 class SoakWorker:
-    """One model worker with its HTTP server and the proxy in front of it."""
+    """One model worker with its HTTP server and the proxy in front of it.
+
+    Parameters
+    ----------
+    is_busy : bool
+        Whether a fault that ends its process is under way.
+    label : str
+        Kind of the worker, which a restart may change.
+    """
 
     model: ModelWorker
     http_server: platform_api.WorkerEndpoint
     proxy: FaultProxy
+    is_busy: bool = False
+    label: str = COMMON_LABEL
+
+
+def unix_ms() -> int:
+    """Return the time as workers give that of their start."""
+    return int(time.time() * 1000)
 
 
 @attrs.define(eq=False)
@@ -90,6 +115,7 @@
             self.lag,
             self.crash_model,
         )
+        self.history.label_of = self.callers.task_label
         self.config_probe = ConfigProbe(
             self.daemons, QUEUE.host, self.history, Random(self.plan.seed + 5)
         )
@@ -97,7 +123,8 @@
     async def start(self) -> None:
         """Start all components and wait until all daemons are ready."""
         await self.store.start()
-        await self._add_proxy("store", self.store.address)
+        proxy = await self._add_proxy("store", self.store.address)
+        self.store.caller_of = proxy.source_of
         self.change_config(self.queues)
         for _ in range(self.plan.worker_count):
             await self.add_worker()
@@ -192,6 +219,7 @@
             self.callers.task_seconds,
             self.history.run_started,
             self.history.run_ended,
+            unix_ms(),
         )
         http_server = platform_api.WorkerEndpoint(
             model, self.callers.task_demand, Random(self.plan.seed + number)
@@ -200,6 +228,7 @@
         proxy = await self._add_proxy(model.name, http_server.address)
         worker = self.workers[model.name] = SoakWorker(model, http_server, proxy)
         self.history.workers[model.name] = model
+        self.history.labels[model.name] = worker.label
         self.register(worker)
         return worker
 
@@ -208,16 +237,35 @@
         self.history.record_event(f"  {worker.name} crashes under a task")
         self.history.record_disturbance()
         worker.is_down = True
-        self.proxies[worker.name].refuse()
+        proxy = self.proxies[worker.name]
+        if worker.name in self.link_faults.isolated:
+            proxy.end_target()
+        else:
+            proxy.refuse()
 
     def worker_returns(self, worker: ModelWorker, is_renamed: bool) -> None:
         """See :class:`CrashHost`."""
-        task = asyncio.ensure_future(self._restore_worker(worker, is_renamed))
+        task = asyncio.ensure_future(self.start_process(worker, is_renamed))
         self.restorations.add(task)
         task.add_done_callback(self.restorations.discard)
 
-    async def _restore_worker(self, model: ModelWorker, is_renamed: bool) -> None:
-        proxy, worker = self.proxies[model.name], self.workers.get(model.name)
+    def end_process(self, worker: SoakWorker, is_crash: bool) -> None:
+        """End the process of a worker, which crashes or leaves, unless it has ended already."""
+        model = worker.model
+        if model.is_down:
+            return
+        model.end_due_runs(asyncio.get_running_loop().time())
+        how = "crashes" if is_crash else "leaves"
+        self.history.record_event(f"  {model.name} {how} with {sorted(model.runs)}")
+        if is_crash:
+            self.crash_model.record_crash(model, is_injected=True)
+        model.crash()
+        model.lease_end, model.is_down = 0.0, True
+        worker.proxy.end_target()
+
+    async def start_process(self, model: ModelWorker, is_renamed: bool) -> None:
+        """Start the process of a worker again, or another worker at its address."""
+        proxy, worker = self.proxies.get(model.name), self.workers.get(model.name)
         if worker is None:
             # The worker was to leave, and has left meanwhile.
             return
@@ -225,7 +273,11 @@
         if is_renamed:
             self._rename(worker)
         else:
+            model.born = max(model.born, unix_ms())
             model.is_down = False
+            self.history.labels[model.name] = worker.label
+            self.register(worker, model.name in self.history.draining)
+        self.history.record_event(f"  {model.name} is back as {worker.model.name}")
         await proxy.restore()
 
     def _rename(self, worker: SoakWorker) -> None:
@@ -240,28 +292,64 @@
             former.run_seconds,
             former.on_start,
             former.on_end,
+            unix_ms(),
         )
         name = worker.proxy.name = worker.model.name
         worker.http_server.model = worker.model
         self.proxies[name] = self.proxies.pop(former.name)
         self.workers[name] = worker
         self.history.workers[name] = worker.model
+        self.history.labels[name] = worker.label
         self.register(worker)
 
     def resize(self, worker: SoakWorker, millicores: int) -> None:
-        """Change the capacity of a worker, and register it."""
+        """Change the capacity of a worker, and register it.
+
+        A worker that is down registers when it is back, and doesn't shrink before.
+        """
+        if worker.model.is_down and millicores < worker.model.millicores:
+            return
         worker.model.resize(millicores, asyncio.get_running_loop().time())
-        self.register(worker, worker.model.name in self.history.draining)
+        if not worker.model.is_down:
+            self.register(worker, worker.model.name in self.history.draining)
 
     def register(self, worker: SoakWorker, is_draining: bool = False) -> None:
         """Write a worker's registration to the store."""
-        value = platform_api.encode_worker(worker.model, worker.proxy.address, SERVICE, is_draining)
+        value = platform_api.encode_worker(
+            worker.model, worker.proxy.address, SERVICE, is_draining, worker.label
+        )
         self.store.set(platform_api.WORKERS_PREFIX + worker.model.name, value)
 
+    def add_foreign_entries(self) -> None:
+        """Let another writer leave values among the registrations that name no workers."""
+        values = platform_api.encode_foreign_entries(SERVICE, ZONES[0])
+        for number, value in enumerate(values):
+            self.store.set(f"{platform_api.WORKERS_PREFIX}x{number}", value)
+
     def unregister(self, worker: SoakWorker) -> None:
         """Remove a worker's registration from the store."""
         self.store.remove(platform_api.WORKERS_PREFIX + worker.model.name)
 
+    async def cut(
+        self, pairs: list[tuple[str, str]], seconds: float, is_one_way: bool = False
+    ) -> None:
+        """Block the links between pairs of endpoints for some time, without a sign to either."""
+        cut = [direction for pair in pairs for direction in self.link_faults.cut(*pair, is_one_way)]
+        without_store = sorted({name for pair in pairs if STORE in pair for name in pair} - {STORE})
+        self.config_probe.disturbances.begin(*without_store)
+        await asyncio.sleep(seconds)
+        self.link_faults.heal(cut)
+        self.config_probe.disturbances.end(time.monotonic(), *without_store)
+
+    async def impair_store(self, store_faults: StoreFaults, seconds: float) -> None:
+        """Let the store have some faults for some time, unless others follow."""
+        self.store.store_faults = store_faults
+        self.config_probe.disturbances.begin(STORE)
+        await asyncio.sleep(seconds)
+        self.config_probe.disturbances.end(time.monotonic(), STORE)
+        if self.store.store_faults is store_faults:
+            self.store.store_faults = StoreFaults()
+
     def change_config(self, queues: tuple[QueueSpec, ...]) -> None:
         """Publish a new configuration with the given queues."""
         self.queues = queues
--- a/packages/soak/cranberryshore_soak/history.py
+++ b/packages/soak/cranberryshore_soak/history.py
@@ -41,8 +41,14 @@
         Violated guarantees, and all events including these.
     started, done : set of str
         Jobs of which a task has started, and tasks that have succeeded.
+    failures : dict
+        Number of runs of each task that a worker has ended as failed.
     refused : set of str
         Jobs whose caller was told that they have not run.
+    labels : dict
+        Label of the present process of each worker, by name.
+    label_of : callable
+        Returns the label that a task requires, or "".
     draining : dict
         Times at which workers began to drain, by name.
     disturbed_at : float
@@ -54,7 +60,10 @@
     events: list[str] = attrs.field(factory=list)
     started: set[str] = attrs.field(factory=set)
     done: set[str] = attrs.field(factory=set)
+    failures: dict[str, int] = attrs.field(factory=dict)
     refused: set[str] = attrs.field(factory=set)
+    labels: dict[str, str] = attrs.field(factory=dict)
+    label_of: Callable[[str], str] = attrs.field(default=lambda task: "")
     draining: dict[str, float] = attrs.field(factory=dict)
     begun_at: float = attrs.field(factory=time.monotonic)
     disturbed_at: float = 0.0
@@ -83,6 +92,9 @@
             self.crash_model.task_started(worker, key)
         if worker.used() > worker.allowed_millicores(now):
             self.report(f"{worker.name} exceeds its capacity: {sorted(worker.runs)}")
+        label, required = self.labels.get(worker.name, ""), self.label_of(key[0])
+        if required not in ("", label):
+            self.report(f"{key[0]} starts on {worker.name} of kind {label}, not {required}")
         if job in self.refused:
             self.report(f"{key[0]} starts on {worker.name} although its job was refused")
         for other in self.workers.values():
@@ -103,6 +115,14 @@
         """Record the end of a run."""
         if kind is EndKind.DONE:
             self.done.add(key[0])
+        elif kind is EndKind.FAILED:
+            self.failures[key[0]] = self.failures.get(key[0], 0) + 1
+
+    def task_given_up(self, task: str, max_attempts: int) -> None:
+        """Check that a task that is said to have failed too often has done so on workers."""
+        failures = self.failures.get(task, 0)
+        if failures < max_attempts:
+            self.report(f"{task} given up after {failures} of {max_attempts} failures")
 
     def job_refused(self, job: str) -> None:
         """Check that no task has started of a job whose caller was told that it has not run."""
