Cancelling: who has to know of a cancelled job before it is confirmed

A cancel is confirmed when no instance is missing that may be alive; a silent one is awaited until the platform's list, read since, lacks it or another process has its address, since it may be cut off with the job and a scheduler on its side. In a divided pool the schedulers of the other zones confirm for their zones.

The scheduler ends a job at the request of a caller whichever entry instance has it, with the new outcome CANCELLED. Earlier versions ignore the new messages; the outcome travels as GIVEN_UP with a field that they ignore.

--- a/packages/core/cranberryshore/messages/__init__.py
+++ b/packages/core/cranberryshore/messages/__init__.py
@@ -35,6 +35,11 @@
 )
 from cranberryshore.messages.pool import (
     Beat,
+    CancelConfirmed,
+    CancelMessage,
+    CancelNews,
+    CancelNewsNoted,
+    CancelRequest,
     CancelWork,
     ConfigNews,
     ConfigRequest,
@@ -65,6 +70,11 @@
     "Ack",
     "Beat",
     "CancelCall",
+    "CancelConfirmed",
+    "CancelMessage",
+    "CancelNews",
+    "CancelNewsNoted",
+    "CancelRequest",
     "CancelWork",
     "CloseOwner",
     "ConfigAnswer",
--- a/packages/core/cranberryshore/messages/codec.py
+++ b/packages/core/cranberryshore/messages/codec.py
@@ -34,6 +34,7 @@
     | pool.RosterNews
     | pool.RosterChanges
     | pool.LossNews
+    | pool.CancelMessage
 )
 
 _MESSAGE_TYPES: dict[str, type] = {
@@ -59,6 +60,10 @@
         pool.RosterNews,
         pool.RosterChanges,
         pool.LossNews,
+        pool.CancelRequest,
+        pool.CancelConfirmed,
+        pool.CancelNews,
+        pool.CancelNewsNoted,
         peer.SubmitCall,
         peer.JobQuery,
         peer.CancelCall,
--- a/packages/core/cranberryshore/messages/pool.py
+++ b/packages/core/cranberryshore/messages/pool.py
@@ -106,7 +106,14 @@
 
 @attrs.frozen
 class WorkEnded:
-    """Reports the outcome of a job to the entry instance that submitted it."""
+    """Reports the outcome of a job to the entry instance that submitted it.
+
+    Parameters
+    ----------
+    is_cancelled : bool
+        Whether a caller has cancelled the job. Its outcome is then ``GIVEN_UP``, the closest one
+        that earlier versions know.
+    """
 
     place: StreamPosition
     job: str
@@ -114,6 +121,48 @@
     detail: str = ""
     retry_after_ms: int = 0
     failure: JobFailure | None = None
+    is_cancelled: bool = False
+
+
+@attrs.frozen
+class CancelRequest:
+    """Asks the scheduler to cancel jobs, and to confirm it when all instances refuse them."""
+
+    jobs: tuple[str, ...]
+
+
+@attrs.frozen
+class CancelConfirmed:
+    """Confirms a ``CancelRequest``: no task of the jobs is started any more."""
+
+    jobs: tuple[str, ...]
+
+
+@attrs.frozen
+class CancelNews:
+    """Cancelled jobs, which the receiver has to end and to refuse from now on.
+
+    Parameters
+    ----------
+    number : int
+        Number of the last job at the sender, which the receiver confirms.
+    is_for_zone : bool
+        Whether the receiver confirms them as a scheduler, when its availability zone knows of them.
+    """
+
+    number: int
+    jobs: tuple[str, ...]
+    is_for_zone: bool = False
+
+
+@attrs.frozen
+class CancelNewsNoted:
+    """Confirms the ``CancelNews`` of the receiver up to a number."""
+
+    number: int
+
+
+CancelMessage = CancelRequest | CancelConfirmed | CancelNews | CancelNewsNoted
 
 
 @attrs.frozen
--- a/packages/core/cranberryshore/pool/__init__.py
+++ b/packages/core/cranberryshore/pool/__init__.py
@@ -3,6 +3,7 @@
 The load policies are in ``ordering``, ``worker_selection`` and ``refusing``.
 """
 
+from cranberryshore.pool.cancelling import CancelledJobs, CancelSpread, OwedReply
 from cranberryshore.pool.claims import Claim, Member, MemberAddress
 from cranberryshore.pool.config import PoolConfig, QueueSpec, VersionedQueue
 from cranberryshore.pool.confirmation import ConfigConfirmation
@@ -37,6 +38,8 @@
 
 __all__ = [
     "AcknowledgedRights",
+    "CancelSpread",
+    "CancelledJobs",
     "Claim",
     "ConfigConfirmation",
     "CrashHistory",
@@ -57,6 +60,7 @@
     "Member",
     "MemberAddress",
     "Outcome",
+    "OwedReply",
     "SendStream",
     "PoolConfig",
     "PoolEffect",
--- a/packages/core/cranberryshore/pool/group.py
+++ b/packages/core/cranberryshore/pool/group.py
@@ -61,6 +61,8 @@
     ----------
     listed : frozenset of str or None
         Addresses registered with the platform; ``None`` if unknown.
+    listed_at : float
+        Time at which the platform was asked for them.
     is_large, is_uneven : bool
         Whether the pool is large enough to be divided, and whether some zone has too few workers.
     """
@@ -73,6 +75,7 @@
     leaderless_since: float | None = None
     fenced_until: float = float("-inf")
     listed: frozenset[str] | None = None
+    listed_at: float = float("-inf")
     is_large: bool = False
     is_uneven: bool = False
 
--- a/packages/core/cranberryshore/pool/scheduler.py
+++ b/packages/core/cranberryshore/pool/scheduler.py
@@ -209,11 +209,11 @@
             PollWorker(name) for name in self.verification.start_round(self.workers.values(), now)
         ]
 
-    def cancel(self, job_id: str, entry: str, now: float) -> None:
-        """Cancel a job whose caller has disconnected."""
+    def cancel(self, job_id: str, entry: str | None, now: float) -> None:
+        """Cancel a job whose caller has disconnected, or, if ``entry`` is ``None``, has said so."""
         job = self.jobs.get(job_id)
-        if job is not None and job.entry == entry:
-            self._end_job(job, None, "", now)
+        if job is not None and entry in (None, job.entry):
+            self._end_job(job, Outcome.CANCELLED if entry is None else None, "", now)
             self.changed_at = now
 
     def entry_lost(self, entry: str, now: float) -> None:
--- a/packages/core/cranberryshore/pool/tests/test_scheduler.py
+++ b/packages/core/cranberryshore/pool/tests/test_scheduler.py
@@ -128,6 +128,17 @@
         self.end(start, EndKind.STOPPED)
         self.assertEqual(self.scheduler.workers[start.worker].room.millicores, 2000)
 
+    def test_job_goes_on_after_the_cancel_by_a_caller(self):
+        # Review case 2: DELETE was acknowledged, and the further tasks of the job were started.
+        (start,) = self.submit()
+        self.scheduler.cancel("j", "f", self.now)
+        self.assertEqual(self.effects(StopRun), [])
+        self.scheduler.cancel("j", None, self.now)
+        effects = self.scheduler.take_effects()
+        stops = [effect.key for effect in effects if isinstance(effect, StopRun)]
+        ends = [(e.entry, e.outcome) for e in effects if isinstance(e, JobEnded)]
+        self.assertEqual((stops, ends), ([start.key], [("e", Outcome.CANCELLED)]))
+
     def test_resubmitted_job_waits_for_the_end_of_its_earlier_runs(self):
         (start,) = self.submit()
         self.scheduler.cancel("j", "e", self.now)
--- a/packages/core/cranberryshore/pool/work.py
+++ b/packages/core/cranberryshore/pool/work.py
@@ -19,6 +19,9 @@
 """Occurrence number in task names; always 0, because jobs are not repeated."""
 
 
+CANCELLED_DETAIL = "The job was cancelled."
+
+
 class TaskPhase(Enum):
     """Phase of a task."""
 
@@ -32,7 +35,8 @@
     """Outcome of a job.
 
     A refused job has not run. A job that was given up has no result either, but its tasks may have
-    run. A dropped job may be submitted again by its entry instance.
+    run. A dropped job may be submitted again by its entry instance. A cancelled job was cancelled
+    by a request of a caller: its tasks may have run, and none of them starts any more.
     """
 
     COMPLETED = "completed"
@@ -40,6 +44,7 @@
     REFUSED = "refused"
     GIVEN_UP = "given_up"
     DROPPED = "dropped"
+    CANCELLED = "cancelled"
 
 
 @attrs.frozen
