--- a/packages/core/cranberryshore/timeline/log_records.py
+++ b/packages/core/cranberryshore/timeline/log_records.py
@@ -125,6 +125,8 @@
     outcome = last.fields.get("outcome", "")
     if outcome == "completed":
         return f"The job completed after {_total_seconds(last) * 1000:.0f} ms."
+    if outcome == "cancelled":
+        return _find_cancel(own)
     if outcome == "failed":
         return _find_failure_cause(records, own, arrived_at)
     if last.fields.get("resumed"):
@@ -138,6 +140,14 @@
     return f"Cause: {last.fields.get('reason') or 'not recorded'}"
 
 
+def _find_cancel(own: list[LogRecord]) -> str:
+    for record in own:
+        if record.message == "cancelling: Cancel requested.":
+            caller = record.fields["caller"]
+            return f"Cause: {caller} has cancelled the job at {record.instance}."
+    return "Cause: the job was cancelled; at which instance is not recorded."
+
+
 def _find_failure_cause(records: list[LogRecord], own: list[LogRecord], arrived_at: float) -> str:
     """Blame the workers if each that had an unsuccessful run of the job is faulty, else the job."""
     for record in own:
--- a/packages/core/cranberryshore/timeline/tests/test_log_records.py
+++ b/packages/core/cranberryshore/timeline/tests/test_log_records.py
@@ -74,6 +74,15 @@
         )
         self.assertIn("Worker was lost with its runs. worker w1", sentences[0])
 
+    def test_job_that_was_cancelled(self):
+        message = "cancelling: Cancel requested."
+        requested = line(9.5, "e3", message, job="j", caller="10.0.0.7")
+        ended = {"job": "j", "outcome": "cancelled", "waited_ms": 0, "waiting_jobs": 3}
+        stopped = line(9.6, SCHEDULER, "scheduler: Job ended.", total_ms=445, **ended)
+        cause = self.cause(requested, stopped, answered(9.6, "cancelled"))
+        self.assertEqual(cause, "Cause: 10.0.0.7 has cancelled the job at e3.")
+        self.assertIn("not recorded", self.cause(answered(9.6, "cancelled")))
+
     def test_caller_disconnected(self):
         self.assertIn("left", self.cause(line(9.0, ENTRY, "entry: Caller left.", job="j")))
 
--- a/packages/daemon/cranberryshored/metrics.py
+++ b/packages/daemon/cranberryshored/metrics.py
@@ -83,6 +83,9 @@
     failed_jobs: Counter = _counter(
         "cranberryshore_failed_jobs", "Jobs of a pool that failed, by cause.", "cause"
     )
+    cancels: Counter = _counter(
+        "cranberryshore_cancels", "Cancels by callers of a pool.", "outcome"
+    )
     denied_requests: Counter = _counter(
         "cranberryshore_denied_requests", "Requests without a queue, by answer.", "answer"
     )
--- a/packages/daemon/cranberryshored/pool/app.py
+++ b/packages/daemon/cranberryshored/pool/app.py
@@ -8,6 +8,7 @@
 
 from cranberryshore.errors import SettingsError
 from cranberryshore.messages import (
+    CancelMessage,
     CancelWork,
     RosterChanges,
     RosterNews,
@@ -15,6 +16,7 @@
     WorkEnded,
 )
 from cranberryshore.pool import (
+    CancelledJobs,
     Claim,
     ConfigConfirmation,
     CrashHistory,
@@ -30,10 +32,13 @@
 from cranberryshore.settings.pool import PoolSettings
 from cranberryshored.log import make_logger
 from cranberryshored.metrics import Metrics
+from cranberryshored.pool.cancel_service import CancelService
 from cranberryshored.pool.clock import TokenSource, now, unix_ms
 from cranberryshored.pool.entry_service import EntryService
 from cranberryshored.pool.exchange import PeerExchange
 from cranberryshored.pool.loss_keeper import LossKeeper
+from cranberryshored.pool.member_list import MemberLister
+from cranberryshored.pool.outcomes import decode_end, encode_end
 from cranberryshored.pool.protocols import NumberedMessage, Registry, WorkerCalls
 from cranberryshored.pool.roster_keeper import RosterKeeper
 from cranberryshored.pool.routing import RouteFailure, Router
@@ -42,12 +47,6 @@
 from cranberryshored.pool.transports import TransportFactory
 from cranberryshored.tasks import cancel_tasks, start_task
 
-MEMBER_LIST_SECONDS = 0.5
-"""Interval of reading the registered instances while no scheduler is known."""
-
-SCHEDULER_MEMBER_LIST_SECONDS = 3.0
-"""Interval of reading the registered instances on a scheduler; others learn them from its beats."""
-
 READINESS_DRAIN_SECONDS = 2.4
 """Time until the load balancer sends no new connections after readiness has ended: two readiness
 checks, one per second."""
@@ -95,6 +94,15 @@
         log = make_logger("group")
         self.exchange = PeerExchange(Group(own, now()), settings.seeds, self, self.metrics, log)
         self.exchange.transport = self.make_transport(own, self.exchange.deliver)
+        self.cancelled = CancelledJobs()
+        self.cancelling = CancelService(
+            self.exchange,
+            self.cancelled,
+            self._jobs_cancelled,
+            self.metrics,
+            make_logger("cancelling"),
+        )
+        self.members = MemberLister(self.registry, self.exchange, self.cancelling.awaits_silent)
         self.scheduling = SchedulingService(
             own.incarnation,
             self.calls,
@@ -106,11 +114,14 @@
             self.crashes,
             make_logger("scheduler"),
             self.metrics,
+            self.cancelled,
         )
         self.submissions = SubmissionHandler(
             self.exchange, self.scheduling, self.config, self._job_ended, make_logger("daemon")
         )
-        self.entry_service = EntryService(self, self.metrics, make_logger("entry"))
+        self.entry_service = EntryService(
+            self, self.metrics, make_logger("entry"), cancelled=self.cancelled
+        )
         self.confirmation = ConfigConfirmation()
         self.router = Router(
             self.config, self.confirmation, self._read_config, self.metrics, make_logger("router")
@@ -128,10 +139,11 @@
         await self.exchange.transport.start()
         await self.exchange.start()
         await self.entry_service.start()
+        await self.cancelling.start()
         self.tasks = [
             start_task(self.registry.keep_registered(self.group.own), self.log),
             start_task(self.registry.follow_config(self.handle_read_config), self.log),
-            start_task(self._list_members(), self.log),
+            start_task(self.members.run(), self.log),
         ]
         self.log.info("Started.", incarnation=self.group.own.incarnation)
 
@@ -169,6 +181,7 @@
         """Stop all parts."""
         await cancel_tasks([*self.tasks, self.workers_task])
         await self.loss_keeper.close()
+        await self.cancelling.close()
         await self.scheduling.close()
         await self.entry_service.close()
         await self.exchange.close()
@@ -224,15 +237,7 @@
     def handle_message(self, sender: str, message: NumberedMessage) -> None:
         """See :class:`ExchangeListener`."""
         if isinstance(message, WorkEnded):
-            end = JobEnded(
-                "",
-                message.job,
-                message.outcome,
-                message.detail,
-                message.retry_after_ms,
-                failure=message.failure,
-            )
-            self.entry_service.job_ended(end, sender)
+            self.entry_service.job_ended(decode_end(message), sender)
         elif self.scheduling.claim is None:
             self.log.debug("Ignored work because this instance does not schedule.", sender=sender)
         elif isinstance(message, SubmitWork):
@@ -269,6 +274,16 @@
             # The acknowledgement tells which version this instance has.
             self.exchange.acknowledge()
 
+    def handle_cancelling(self, sender: str, message: CancelMessage) -> None:
+        """See :class:`ExchangeListener`."""
+        self.cancelling.handle(sender, message)
+
+    def _jobs_cancelled(self, jobs: tuple[str, ...]) -> None:
+        for job in jobs:
+            self.entry_service.cancel(job)
+            if self.scheduling.claim is not None:
+                self.scheduling.cancel(job, None)
+
     def handle_losses(self, lost_runs: tuple[LostRun, ...]) -> None:
         """See :class:`ExchangeListener`."""
         self.crashes.merge(lost_runs, now())
@@ -396,12 +411,7 @@
         if end.entry == self.group.own.incarnation:
             self.entry_service.job_ended(end, end.entry)
             return
-        self.exchange.send(
-            end.entry,
-            lambda place, echo: WorkEnded(
-                place, end.job, end.outcome, end.detail, end.retry_after_ms, end.failure
-            ),
-        )
+        self.exchange.send(end.entry, lambda place, echo: encode_end(place, end))
 
     def _handle_workers(self, workers: tuple[WorkerRegistration, ...]) -> None:
         if self.group.compare_workers(workers, self.is_first_roster):
@@ -417,21 +427,3 @@
                 # New workers are used only for instances that know them.
                 self.exchange.push_roster()
         self.scheduling.set_roster(workers)
-
-    async def _list_members(self) -> None:
-        while True:
-            listed = await self.registry.list_members()
-            if listed is not None:
-                self.group.list_members(listed)
-                for item in listed:
-                    self.group.add_reported_member(item, now())
-            is_leaderless = not self.exchange.follows
-            if not is_leaderless and self.group.claim is None:
-                # The scheduler's beats list the members, so the registry is not read.
-                await asyncio.sleep(MEMBER_LIST_SECONDS)
-                while self.exchange.follows and self.group.claim is None:
-                    await asyncio.sleep(MEMBER_LIST_SECONDS)
-                continue
-            await asyncio.sleep(
-                MEMBER_LIST_SECONDS if is_leaderless else SCHEDULER_MEMBER_LIST_SECONDS
-            )
--- a/packages/daemon/cranberryshored/pool/documents.py
+++ b/packages/daemon/cranberryshored/pool/documents.py
@@ -12,6 +12,7 @@
     LossNews,
     PeerMessage,
     RosterChanges,
+    RosterNews,
 )
 from cranberryshore.pool import Group, LostRun, Member
 from cranberryshore.pool.transfers import OWN_READ_SECONDS, Transfers
@@ -46,6 +47,19 @@
     config_outdated_since: float | None = None
     config_requested_at: float = float("-inf")
 
+    def deliver(self, sender: str, message: PeerMessage) -> None:
+        """Handle a document, or a request for one."""
+        if isinstance(message, ConfigNews):
+            self.listener.handle_config(message.config)
+        elif isinstance(message, ConfigRequest):
+            self.send_config(sender)
+        elif isinstance(message, RosterNews):
+            self.listener.handle_roster(message.version, message.workers)
+        elif isinstance(message, RosterChanges):
+            self.listener.handle_roster_changes(message)
+        elif isinstance(message, LossNews):
+            self.listener.handle_losses(message.lost_runs)
+
     def config_applied(self) -> None:
         """Record that the configuration in force has changed."""
         self.config_outdated_since = None
--- a/packages/daemon/cranberryshored/pool/entry_service.py
+++ b/packages/daemon/cranberryshored/pool/entry_service.py
@@ -6,9 +6,10 @@
 import attrs
 from structlog.typing import FilteringBoundLogger
 
-from cranberryshore.pool import JobEnded, Outcome, QueueSpec, WorkRequest
+from cranberryshore.pool import CancelledJobs, JobEnded, Outcome, QueueSpec, WorkRequest
 from cranberryshore.pool.config import MAX_LATENESS_FACTOR
 from cranberryshore.pool.refusing import RETRY_AFTER_MS
+from cranberryshore.pool.work import CANCELLED_DETAIL
 from cranberryshored.metrics import Metrics
 from cranberryshored.pool.clock import now
 from cranberryshored.tasks import cancel_tasks, failures_logged, start_task
@@ -105,6 +106,8 @@
     ----------
     is_stopping : bool
         Whether further jobs are refused, since nothing waits for their ends any more.
+    cancelled : CancelledJobs
+        Jobs that are not run if they arrive.
     """
 
     scheduler_client: SchedulerClient
@@ -112,6 +115,7 @@
     log: FilteringBoundLogger
     pending: dict[str, PendingJob] = attrs.field(factory=dict)
     is_stopping: bool = False
+    cancelled: CancelledJobs = attrs.field(factory=CancelledJobs)
     task: asyncio.Task | None = None
 
     async def start(self) -> None:
@@ -124,11 +128,10 @@
 
     async def submit(self, request: WorkRequest, queue: QueueSpec) -> JobEnded:
         """Submit a job and return how it ended; if the caller disconnects, both are cancelled."""
+        if request.id in self.cancelled:
+            return self._refuse(request, Outcome.CANCELLED, CANCELLED_DETAIL)
         if self.is_stopping:
-            detail = "This instance leaves."
-            self.log.info("Job refused.", job=request.id, queue=queue.name, reason=detail)
-            self.metrics.jobs.labels(Outcome.REFUSED.value).inc()
-            return JobEnded("", request.id, Outcome.REFUSED, detail, RETRY_AFTER_MS)
+            return self._refuse(request, Outcome.REFUSED, "This instance leaves.", RETRY_AFTER_MS)
         older = self.pending.pop(request.id, None)
         if older is not None and not older.answer.done():
             older.answer.set_result(
@@ -155,6 +158,30 @@
                     self.scheduler_client.cancel(request.id)
             raise
 
+    def _refuse(
+        self, request: WorkRequest, outcome: Outcome, detail: str, retry_after_ms: int = 0
+    ) -> JobEnded:
+        self.log.info(
+            "Job refused.",
+            job=request.id,
+            queue=request.queue,
+            outcome=outcome.value,
+            reason=detail,
+        )
+        self.metrics.jobs.labels(outcome.value).inc()
+        return JobEnded("", request.id, outcome, detail, retry_after_ms)
+
+    def cancel(self, job_id: str) -> None:
+        """Answer the caller of a job that was cancelled, at this instance or another one."""
+        job = self.pending.pop(job_id, None)
+        if job is None:
+            return
+        if job.sent_to:
+            self.scheduler_client.cancel(job_id)
+        if not job.answer.done():
+            end = JobEnded("", job_id, Outcome.CANCELLED, CANCELLED_DETAIL)
+            job.answer.set_result(end)
+
     def _record_answer(self, job: PendingJob, end: JobEnded) -> None:
         seconds = now() - job.arrived_at
         self.metrics.jobs.labels(end.outcome.value).inc()
--- a/packages/daemon/cranberryshored/pool/exchange.py
+++ b/packages/daemon/cranberryshored/pool/exchange.py
@@ -9,13 +9,9 @@
 
 from cranberryshore.messages import (
     Beat,
+    CancelMessage,
     CancelWork,
-    ConfigNews,
-    ConfigRequest,
-    LossNews,
     PeerMessage,
-    RosterChanges,
-    RosterNews,
     SubmitWork,
 )
 from cranberryshore.pool import (
@@ -125,7 +121,7 @@
     documents: DocumentExchange = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
-        self.documents = DocumentExchange(self.group, self.listener, self._send_document)
+        self.documents = DocumentExchange(self.group, self.listener, self.send_unnumbered)
 
     async def start(self) -> None:
         """Start sending beats."""
@@ -160,7 +156,8 @@
         stream.record_sent(message, moment)
         self.transport.send(member.at.address, incarnation, message)
 
-    def _send_document(self, member: Member, message: PeerMessage) -> None:
+    def send_unnumbered(self, member: Member, message: PeerMessage) -> None:
+        """Send a message to a peer once."""
         self.transport.send(member.at.address, member.at.incarnation, message)
 
     def deliver(self, sender: str, message: Any) -> None:
@@ -168,19 +165,13 @@
         if isinstance(message, Beat):
             if message.sender.address != self.own.address:
                 self._handle_beat(message)
-        elif isinstance(message, ConfigNews):
-            self.listener.handle_config(message.config)
-        elif isinstance(message, ConfigRequest):
-            self.documents.send_config(sender)
-        elif isinstance(message, RosterNews):
-            self.listener.handle_roster(message.version, message.workers)
-        elif isinstance(message, RosterChanges):
-            self.listener.handle_roster_changes(message)
-        elif isinstance(message, LossNews):
-            self.listener.handle_losses(message.lost_runs)
         elif isinstance(message, NumberedMessage):
             for ready in self.in_streams.setdefault(sender, ReceiveStream()).take(message):
                 self.listener.handle_message(sender, ready)
+        elif isinstance(message, CancelMessage):
+            self.listener.handle_cancelling(sender, message)
+        else:
+            self.documents.deliver(sender, message)
 
     def announce_config(self) -> None:
         """Tell the scheduler, or as a scheduler all members, the version of a new configuration.
--- a/packages/daemon/cranberryshored/pool/protocols.py
+++ b/packages/daemon/cranberryshored/pool/protocols.py
@@ -8,6 +8,7 @@
 from result import Result
 
 from cranberryshore.messages import (
+    CancelMessage,
     CancelWork,
     RosterChanges,
     RosterNews,
@@ -209,6 +210,10 @@
         """Handle the changes of a peer's list of workers."""
         ...
 
+    def handle_cancelling(self, sender: str, message: CancelMessage) -> None:
+        """Handle a message about cancelled jobs."""
+        ...
+
     def handle_losses(self, lost_runs: tuple[LostRun, ...]) -> None:
         """Handle runs that were lost with their workers."""
         ...
--- a/packages/daemon/cranberryshored/pool/scheduling.py
+++ b/packages/daemon/cranberryshored/pool/scheduling.py
@@ -8,12 +8,14 @@
 
 from cranberryshore.pool import (
     AcknowledgedRights,
+    CancelledJobs,
     Claim,
     CrashHistory,
     HeldWorker,
     HoldState,
     JobEnded,
     LostRun,
+    Outcome,
     PollWorker,
     PoolConfig,
     ResumedJobReleased,
@@ -25,6 +27,7 @@
     WorkRequest,
 )
 from cranberryshore.pool.held_worker import TAKEOVER_BACKOFF_SECONDS
+from cranberryshore.pool.work import CANCELLED_DETAIL
 from cranberryshored.metrics import Metrics
 from cranberryshored.pool.clock import BaseTimeout, TokenSource, now
 from cranberryshored.pool.protocols import WorkerCalls
@@ -53,6 +56,8 @@
         Called after a stall of this process, when another instance may hold the workers.
     on_losses : callable
         Called with the records of lost runs that other instances lack.
+    cancelled : CancelledJobs
+        Jobs that are not started.
     """
 
     own: str
@@ -65,6 +70,7 @@
     crashes: CrashHistory
     log: FilteringBoundLogger
     metrics: Metrics
+    cancelled: CancelledJobs = attrs.field(factory=CancelledJobs)
     base_timeout: BaseTimeout = attrs.field(factory=BaseTimeout)
     claim: Claim | None = None
     last_tick_at: float = 0.0
@@ -147,7 +153,10 @@
         self.rights.record_roster(entry, roster_version)
 
     def submit(self, request: WorkRequest, entry: str) -> None:
-        """Schedule a job."""
+        """Schedule a job unless it was cancelled."""
+        if request.id in self.cancelled:
+            self._job_ended(JobEnded(entry, request.id, Outcome.CANCELLED, CANCELLED_DETAIL))
+            return
         if request.rosters:
             self.rights.record_roster(entry, request.rosters[-1])
         exposed = None
@@ -172,8 +181,8 @@
             self.scheduler.losses_changed(now())
             self.apply_effects_soon()
 
-    def cancel(self, job: str, entry: str) -> None:
-        """Cancel a job whose caller has disconnected."""
+    def cancel(self, job: str, entry: str | None) -> None:
+        """See :meth:`Scheduler.cancel`."""
         self.scheduler.cancel(job, entry, now())
         self.apply_effects_soon()
 
@@ -209,8 +218,7 @@
                 self.log.info("Resumed job may start.", **attrs.asdict(effect))
                 continue
             if isinstance(effect, JobEnded):
-                self._log_end(effect)
-                self.on_ended(effect)
+                self._job_ended(effect)
                 continue
             channel = self.channels.get(effect.worker)
             if channel is None:
@@ -241,7 +249,7 @@
             runs=[f"{task}/{attempt}" for task, attempt in lost.runs],
         )
 
-    def _log_end(self, end: JobEnded) -> None:
+    def _job_ended(self, end: JobEnded) -> None:
         summary = attrs.asdict(end.summary) if end.summary is not None else {}
         if end.failure is not None:
             summary["failure"] = end.failure.cause.value
@@ -256,6 +264,7 @@
             config=self.scheduler.config.version,
             **summary,
         )
+        self.on_ended(end)
 
     def _hold_worker(self, entry: WorkerRegistration) -> None:
         worker = self.scheduler.workers.get(entry.name)
--- a/packages/daemon/cranberryshored/pool/tests/test_entry_service.py
+++ b/packages/daemon/cranberryshored/pool/tests/test_entry_service.py
@@ -20,7 +20,7 @@
     def __init__(self):
         self.current, self.changes, self.released = "first", 1, set()
         self.claim = 1
-        self.submitted = []
+        self.submitted, self.cancelled = [], []
 
     def scheduler(self):
         return self.current
@@ -44,7 +44,7 @@
         self.submitted.append((self.current, request.is_resumed, request.rosters))
 
     def cancel(self, job):
-        pass
+        self.cancelled.append(job)
 
     def change(self, scheduler):
         self.current = scheduler
@@ -139,6 +139,31 @@
         self.service.job_ended(JobEnded("", "j", Outcome.REFUSED), "first")
         self.assertIs((await self.caller).outcome, Outcome.GIVEN_UP)
 
+    async def test_caller_waits_for_a_cancelled_job(self):
+        # Review case 2: the caller of a cancelled job got its result as if nothing had happened.
+        self.service.cancel("other")
+        self.assertEqual(self.client.cancelled, [])
+        self.service.cancel("j")
+        self.assertIs((await self.caller).outcome, Outcome.CANCELLED)
+        self.assertEqual((self.client.cancelled, self.service.pending), (["j"], {}))
+
+    async def test_cancel_by_the_scheduler_is_answered_as_given_up(self):
+        self.service.job_ended(JobEnded("", "j", Outcome.CANCELLED), "first")
+        self.assertIs((await self.caller).outcome, Outcome.CANCELLED)
+
+    async def test_cancelled_job_that_arrives_again_is_run(self):
+        # DELETE has overtaken POST, or the answer to POST was lost.
+        self.service.cancelled.renew("k", 0.0)
+        request = WorkRequest("k", "q", "", (StepSpec(1, Capacity(1000, 10), 100),), 5000)
+        end = await self.service.submit(request, QUEUE)
+        self.assertEqual((end.outcome, self.client.submitted), (Outcome.CANCELLED, []))
+
+    async def test_cancelled_job_is_answered_as_not_run_by_an_instance_that_leaves(self):
+        self.service.cancelled.renew("k", 0.0)
+        self.service.give_up_all("This instance leaves.")
+        request = WorkRequest("k", "q", "", (StepSpec(1, Capacity(1000, 10), 100),), 5000)
+        self.assertIs((await self.service.submit(request, QUEUE)).outcome, Outcome.CANCELLED)
+
 
 class UnexpectedErrorTest(IsolatedAsyncioTestCase):
     async def test_error_in_one_job_ends_the_checks_of_all(self):
--- a/packages/daemon/cranberryshored/pool/tests/test_scheduling.py
+++ b/packages/daemon/cranberryshored/pool/tests/test_scheduling.py
@@ -8,6 +8,7 @@
 from cranberryshore.pool import (
     Claim,
     CrashHistory,
+    Outcome,
     PoolConfig,
     QueueSpec,
     RosterHistory,
@@ -49,13 +50,13 @@
         quiet = structlog.make_filtering_bound_logger(logging.CRITICAL)
         structlog.configure(wrapper_class=quiet)
         CLOCKS.steady, CLOCKS.unix = Clocks().steady, Clocks().unix
-        self.calls, self.stall_count = RecordingWorkerCalls(), 0
+        self.calls, self.stall_count, self.ends = RecordingWorkerCalls(), 0, []
         self.service = SchedulingService(
             "e",
             self.calls,
             TokenSource("e"),
             RosterHistory(),
-            lambda end: None,
+            self.ends.append,
             self.record_stall,
             lambda lost_runs: None,
             CrashHistory(),
@@ -90,6 +91,15 @@
         await self.service.channels["w"].request_tasks.copy().pop()
         self.assertEqual(self.calls.starts, [("j.0.0.0", 1)])
 
+    async def test_cancelled_job_of_an_uninformed_instance_is_started(self):
+        await self.wait_until_held()
+        self.service.cancelled.renew("j", 0.0)
+        await self.submit()
+        await asyncio.sleep(0.01)
+        self.assertEqual(self.calls.starts, [])
+        ends = [(end.entry, end.job, end.outcome) for end in self.ends]
+        self.assertEqual(ends, [("e", "j", Outcome.CANCELLED)])
+
     async def test_job_without_slack_waits_for_first_worker(self):
         # Regression: a new scheduler refused such jobs until it had read the worker list and the
         # workers had responded, although all of them were idle.
