--- a/packages/core/cranberryshore/pool/cancelling.py
+++ b/packages/core/cranberryshore/pool/cancelling.py
@@ -91,6 +91,10 @@
         chosen = tuple(reversed(jobs))[:count]
         return (self.entries[chosen[-1]].number if chosen else self.last_number), chosen
 
+    def before(self, moment: float) -> tuple[str, ...]:
+        """Return the jobs whose latest cancel was before a time."""
+        return tuple(job for job, entry in self.entries.items() if entry.at < moment)
+
     def _forget_old(self, now: float) -> None:
         for job, entry in list(self.entries.items()):
             if entry.at > now - RETENTION_SECONDS:
@@ -239,23 +243,27 @@
         return group.listed is not None and is_read_since and at.address not in group.listed
 
     def due(self, now: float) -> list[CancelBatch]:
-        """Return the batches to send now.
+        """Return the batches to send now."""
+        batches = (self.next_batch(name, now) for name in self.recipients)
+        return [batch for batch in batches if batch is not None]
+
+    def next_batch(self, name: str, now: float) -> CancelBatch | None:
+        """Return the batch to send to an instance now, ``None`` if there is none.
 
         Only one batch is under way to each instance, so that batches grow with the load.
         """
-        batches = []
-        for name, recipient in self.recipients.items():
-            if recipient.known >= self.cancelled.last_number or recipient.is_silent(now):
-                continue
-            is_under_way = recipient.sent > recipient.known
-            if is_under_way and now - recipient.sent_at < RESEND_SECONDS:
-                continue
-            number, jobs = self.cancelled.after(recipient.known, MAX_JOBS_PER_BATCH)
-            if jobs:
-                recipient.sent, recipient.sent_at = number, now
-                is_for_zone = self.is_divided and recipient.at.zone != self.group.own.zone
-                batches.append(CancelBatch(name, number, jobs, is_for_zone))
-        return batches
+        recipient = self.recipients.get(name)
+        if recipient is None or recipient.known >= self.cancelled.last_number:
+            return None
+        is_under_way = recipient.sent > recipient.known
+        if recipient.is_silent(now) or is_under_way and now - recipient.sent_at < RESEND_SECONDS:
+            return None
+        number, jobs = self.cancelled.after(recipient.known, MAX_JOBS_PER_BATCH)
+        if not jobs:
+            return None
+        recipient.sent, recipient.sent_at = number, now
+        is_for_zone = self.is_divided and recipient.at.zone != self.group.own.zone
+        return CancelBatch(name, number, jobs, is_for_zone)
 
     def confirm(self, name: str, number: int) -> None:
         """Record that an instance remembers all cancelled jobs up to a number."""
@@ -263,17 +271,23 @@
         if recipient is not None:
             recipient.known = max(recipient.known, number)
 
-    def settle(self) -> list[OwedReply]:
-        """Remove and return the confirmations for which no instance is missing."""
+    def settled(self) -> list[OwedReply]:
+        """Return the confirmations for which no instance is missing."""
         if not self.owed:
             return []
         everywhere = self._confirmed_number(is_for_zone=False)
         in_zone = self._confirmed_number(is_for_zone=True)
-        settled, owed = [], []
-        for reply in self.owed:
-            is_settled = reply.number <= (in_zone if reply.is_for_zone else everywhere)
-            (settled if is_settled else owed).append(reply)
-        self.owed = owed
+        return [
+            reply
+            for reply in self.owed
+            if reply.number <= (in_zone if reply.is_for_zone else everywhere)
+        ]
+
+    def settle(self) -> list[OwedReply]:
+        """Remove and return the confirmations for which no instance is missing."""
+        settled = self.settled()
+        if settled:
+            self.owed = [reply for reply in self.owed if reply not in settled]
         return settled
 
     def expire(self, now: float) -> list[OwedReply]:
--- a/packages/daemon/cranberryshored/pool/cancel_service.py
+++ b/packages/daemon/cranberryshored/pool/cancel_service.py
@@ -15,7 +15,12 @@
     PeerMessage,
 )
 from cranberryshore.pool import CancelledJobs, CancelSpread, OwedReply
-from cranberryshore.pool.cancelling import REPLY_SECONDS, RESEND_SECONDS
+from cranberryshore.pool.cancelling import (
+    MAX_JOBS_PER_BATCH,
+    REPLY_SECONDS,
+    RESEND_SECONDS,
+    CancelBatch,
+)
 from cranberryshored.metrics import Metrics
 from cranberryshored.pool.clock import now
 from cranberryshored.pool.exchange import PeerExchange
@@ -24,8 +29,13 @@
 TICK_SECONDS = 0.05
 """Interval of the checks for messages to send again, and for instances that have returned."""
 
-MAX_WAIT_SECONDS = 3.0
-"""Time for which a caller waits until its cancel holds; a registration ends within it."""
+JOINING_SECONDS = 2.0
+"""Time within which the scheduler tells a new instance of the cancelled jobs."""
+
+MAX_WAIT_SECONDS = 3.8
+"""Time for which a caller waits until its cancel holds.
+
+The registration of an instance that has ended expires within 3 s, and is missed 0.6 s later."""
 
 
 @attrs.define(eq=False)
@@ -57,6 +67,10 @@
         Called with cancelled jobs, to end those that wait or are scheduled at this instance.
     spread : CancelSpread or None
         Knowledge of the peers while this instance schedules.
+    met_at : dict
+        Time at which each member became known to this instance.
+    informed : str
+        Scheduler that this instance has told of the cancels from before it started.
     """
 
     exchange: PeerExchange
@@ -66,6 +80,8 @@
     log: FilteringBoundLogger
     asks: dict[str, CancelAsk] = attrs.field(factory=dict)
     spread: CancelSpread | None = None
+    met_at: dict[str, float] = attrs.field(factory=dict)
+    informed: str = ""
     task: asyncio.Task | None = None
 
     async def start(self) -> None:
@@ -124,16 +140,29 @@
 
     def handle(self, sender: str, message: CancelMessage) -> None:
         """Handle a message of a peer."""
+        if isinstance(message, CancelNewsNoted):
+            self._handle_noted(sender, message.number)
+            return
         if isinstance(message, CancelConfirmed):
             self._confirmed(message.jobs)
         elif isinstance(message, CancelNews):
             self._handle_news(sender, message)
-        elif isinstance(message, CancelRequest):
+        else:
             self._handle_request(sender, message.jobs)
-        elif self.spread is not None:
-            self.spread.confirm(sender, message.number)
         self._progress()
 
+    def _handle_noted(self, sender: str, number: int) -> None:
+        """Handle a confirmation, of which a scheduler gets one from each instance."""
+        if self.spread is None:
+            return
+        self.spread.confirm(sender, number)
+        if self.spread.settled():
+            self._progress()
+            return
+        batch = self.spread.next_batch(sender, now())
+        if batch is not None:
+            self._send_batch(batch)
+
     def _handle_request(self, sender: str, jobs: tuple[str, ...]) -> None:
         """Cancel jobs for a follower, which asks another scheduler if this one has no claim."""
         self._update_claim()
@@ -180,7 +209,7 @@
             return
         self.spread.observe(moment)
         for batch in self.spread.due(moment):
-            self._send(batch.receiver, CancelNews(batch.number, batch.jobs, batch.is_for_zone))
+            self._send_batch(batch)
         for reply in self.spread.settle():
             if reply.is_for_zone:
                 self._send(reply.receiver, CancelNewsNoted(reply.batch))
@@ -203,6 +232,20 @@
             ask.sent_to, ask.sent_at = scheduler, moment
             self._send(scheduler[0], CancelRequest((ask.job,)))
 
+    def _inform_new_scheduler(self, moment: float) -> None:
+        """Tell the scheduler of the cancels that it may not know, since it started after them."""
+        members, scheduler = self.exchange.group.members, self.exchange.follows
+        self.met_at = {name: self.met_at.get(name, moment) for name in members}
+        if scheduler == self.informed or scheduler not in members:
+            return
+        self.informed = scheduler
+        jobs = self.cancelled.before(self.met_at[scheduler] + JOINING_SECONDS)
+        for start in range(0, len(jobs), MAX_JOBS_PER_BATCH):
+            self._send(scheduler, CancelNews(0, jobs[start : start + MAX_JOBS_PER_BATCH]))
+
+    def _send_batch(self, batch: CancelBatch) -> None:
+        self._send(batch.receiver, CancelNews(batch.number, batch.jobs, batch.is_for_zone))
+
     def _send(self, receiver: str, message: PeerMessage) -> None:
         member = self.exchange.group.members.get(receiver)
         if member is not None:
@@ -213,6 +256,7 @@
             await asyncio.sleep(TICK_SECONDS)
             with failures_logged(self.log, "cancelling"):
                 self._give_up(now())
+                self._inform_new_scheduler(now())
                 self._progress()
 
     def _give_up(self, moment: float) -> None:
