Cancelling: a DELETE that waits at the end of a drain is answered

A DELETE waits for up to 3.8 s while an instance does not confirm; a process that ended its drain meanwhile closed the connection without an answer. Now waiting cancels are answered 503 at the end of the drain, and later ones, over connections that are still open, after 0.2 s at most.

--- a/packages/daemon/cranberryshored/pool/app.py
+++ b/packages/daemon/cranberryshored/pool/app.py
@@ -176,6 +176,7 @@
         while loop.time() < earliest or (self.entry_service.pending and loop.time() < latest):
             await asyncio.sleep(0.02)
         self.entry_service.give_up_all("This instance leaves.")
+        self.cancelling.give_up_all()
 
     async def close(self) -> None:
         """Stop all parts."""
--- a/packages/daemon/cranberryshored/pool/cancel_service.py
+++ b/packages/daemon/cranberryshored/pool/cancel_service.py
@@ -37,6 +37,9 @@
 
 The registration of an instance that has ended expires within 3 s, and is missed 0.6 s later."""
 
+STOPPING_WAIT_SECONDS = 0.2
+"""The same at the end of a drain, within the time for open responses."""
+
 
 @attrs.define(eq=False)
 class CancelAsk:
@@ -45,7 +48,7 @@
     Parameters
     ----------
     held : asyncio.Future
-        Set when no task of the job can start any more.
+        Set to true when no task of the job can start any more, to false when this instance stops.
     sent_to : tuple
         Scheduler and term of its claim that were asked last.
     """
@@ -71,6 +74,8 @@
         Time at which each member became known to this instance.
     informed : str
         Scheduler that this instance has told of the cancels from before it started.
+    is_stopping : bool
+        Whether this instance has ended its drain, and closes its connections soon.
     """
 
     exchange: PeerExchange
@@ -82,6 +87,7 @@
     spread: CancelSpread | None = None
     met_at: dict[str, float] = attrs.field(factory=dict)
     informed: str = ""
+    is_stopping: bool = False
     task: asyncio.Task | None = None
 
     async def start(self) -> None:
@@ -121,8 +127,10 @@
         # The job has a new number, so a scheduler must confirm it again.
         ask.asked_at, ask.sent_to = moment, ("", 0)
         self._progress()
-        await asyncio.wait([ask.held], timeout=min(seconds, MAX_WAIT_SECONDS))
-        outcome = "held" if ask.held.done() else "unconfirmed"
+        limit = STOPPING_WAIT_SECONDS if self.is_stopping else MAX_WAIT_SECONDS
+        await asyncio.wait([ask.held], timeout=min(seconds, limit))
+        is_held = ask.held.done() and ask.held.result()
+        outcome = "held" if is_held else "unconfirmed"
         self.metrics.cancels.labels(outcome).inc()
         self.log.info(
             "Cancel answered.",
@@ -132,7 +140,14 @@
             scheduler=self.exchange.follows,
             ms=int((now() - moment) * 1000),
         )
-        return ask.held.done()
+        return is_held
+
+    def give_up_all(self) -> None:
+        """Answer the callers that wait, since this instance stops; later ones wait briefly."""
+        self.is_stopping = True
+        for ask in self.asks.values():
+            ask.held.set_result(False)
+        self.asks.clear()
 
     def awaits_silent(self) -> bool:
         """Return whether a cancel waits for an instance that may have ended."""
@@ -189,7 +204,7 @@
         for job in jobs:
             ask = self.asks.pop(job, None)
             if ask is not None:
-                ask.held.set_result(None)
+                ask.held.set_result(True)
 
     def _update_claim(self) -> None:
         """Forget what the peers know when the claim ends, since others may be members by then."""
--- a/packages/daemon/cranberryshored/pool/tests/test_cancel_service.py
+++ b/packages/daemon/cranberryshored/pool/tests/test_cancel_service.py
@@ -172,6 +172,20 @@
         self.pool.tick()
         self.assertEqual(self.knowing(), ["e0", "e1", "e2", "e3"])
 
+    async def test_waiting_cancel_is_cut_off_at_the_end_of_a_drain(self):
+        self.pool.cut = {"e3"}
+        asked = self.begin("e1")
+        await asyncio.sleep(0)
+        self.pool.services["e1"].give_up_all()
+        self.assertFalse(await asyncio.wait_for(asked, 0.1))
+        # Callers keep their connections, and may send further requests over them.
+        self.assertFalse(await asyncio.wait_for(self.begin("e1"), 0.3))
+        self.pool.cut = set()
+        self.now += RESEND_SECONDS
+        self.pool.hear(self.now)
+        self.pool.tick()
+        self.assertTrue(await self.cancel("e1", "k"))
+
     async def test_requests_are_kept_for_ever(self):
         self.pool.cut = {"e3"}
         self.assertFalse(await self.cancel("e1"))
