--- a/packages/core/cranberryshore/pool/__init__.py
+++ b/packages/core/cranberryshore/pool/__init__.py
@@ -3,6 +3,7 @@
 The load policies are in ``ordering``, ``worker_selection`` and ``refusing``.
 """
 
+from cranberryshore.pool.cancelling import CancelledJobs, CancelSpread, OwedReply
 from cranberryshore.pool.claims import Claim, Member, MemberAddress
 from cranberryshore.pool.config import PoolConfig, QueueSpec, VersionedQueue
 from cranberryshore.pool.confirmation import ConfigConfirmation
@@ -38,6 +39,8 @@
 
 __all__ = [
     "AcknowledgedRights",
+    "CancelSpread",
+    "CancelledJobs",
     "Claim",
     "ConfigConfirmation",
     "CrashHistory",
@@ -59,6 +62,7 @@
     "Member",
     "MemberAddress",
     "Outcome",
+    "OwedReply",
     "SendStream",
     "PoolConfig",
     "PoolEffect",
--- a/packages/core/cranberryshore/pool/group.py
+++ b/packages/core/cranberryshore/pool/group.py
@@ -63,6 +63,8 @@
         Addresses registered with the platform; ``None`` if unknown.
     unregistered : frozenset of str
         Members that were known and not registered when these addresses were read.
+    listed_at : float
+        Time at which the platform was asked for them.
     is_large, is_uneven : bool
         Whether the pool is large enough to be divided, and whether some zone has too few workers.
     """
@@ -76,6 +78,7 @@
     fenced_until: float = float("-inf")
     listed: frozenset[str] | None = None
     unregistered: frozenset[str] = frozenset()
+    listed_at: float = float("-inf")
     is_large: bool = False
     is_uneven: bool = False
 
