Mutations of the pool: tests that fail without a mutation count for none

Each test that fails already counted as one that catches every mutation.

The tests run once without a mutation first; those that fail are printed and left out.

--- a/packages/proof/cranberryshore_proof/pool_mutate.py
+++ b/packages/proof/cranberryshore_proof/pool_mutate.py
@@ -280,13 +280,15 @@
 )
 
 
-def count_failing_tests(mutation: PoolMutation) -> int:
-    """Return the number of tests that fail with a mutation."""
+def find_failing_tests(mutation: PoolMutation | None = None) -> set[str]:
+    """Return the ids of the tests that fail, with a mutation or without any."""
     suite = unittest.defaultTestLoader.loadTestsFromNames(TEST_MODULES)
     with ExitStack() as stack:
-        stack.enter_context(patch.object(mutation.owner, mutation.attribute, mutation.substitute))
+        if mutation is not None:
+            patched = patch.object(mutation.owner, mutation.attribute, mutation.substitute)
+            stack.enter_context(patched)
         result = unittest.TextTestRunner(stream=io.StringIO()).run(suite)
-    return len(result.failures) + len(result.errors)
+    return {test.id() for test, _ in result.failures + result.errors}
 
 
 def main() -> None:
@@ -297,11 +299,14 @@
     structlog.configure(wrapper_class=structlog.make_filtering_bound_logger(logging.CRITICAL))
     # Tests that fail leave tasks behind, which asyncio reports.
     logging.getLogger("asyncio").setLevel(logging.CRITICAL + 1)
+    failing = find_failing_tests()
+    for name in sorted(failing):
+        print(f"fails without a mutation, and counts for none: {name}", flush=True)
     undetected = 0
     for mutation in MUTATIONS:
         if arguments.only not in mutation.name:
             continue
-        count = count_failing_tests(mutation)
+        count = len(find_failing_tests(mutation) - failing)
         undetected += not count
         verdict = f"fails {count} tests" if count else "NOT caught"
         print(f"mutation «{mutation.name}»: {verdict}", flush=True)
