Earlier submissions: a job that may have run is not refused as not run

What callers saw: a caller whose instance was lost asked at another one and got 503, which says that the job has not run, although tasks of it had been started. The same held after the caller had left and come back elsewhere, and for a job of which workers had reported runs of another scheduler.

Cause: a refusal looked at this submission only (PoolJob.has_started). The scheduler knew better, by the attempts of ended jobs and the reported runs of other schedulers, and used neither.

Change: EarlierRuns joins the two, and every refusal of a scheduler (queue not declared, no worker can hold it, too late, hopeless) is GIVEN_UP (504) if it knows the job. The time of the answer and its Retry-After stay. A job that was never started is refused as before, each time.

--- a/packages/core/cranberryshore/pool/deadlines.py
+++ b/packages/core/cranberryshore/pool/deadlines.py
@@ -7,6 +7,8 @@
 from cranberryshore.pool import refusing
 from cranberryshore.pool.backlog import Backlog
 from cranberryshore.pool.config import PoolConfig
+from cranberryshore.pool.earlier_runs import EarlierRuns
+from cranberryshore.pool.effects import JobEnded
 from cranberryshore.pool.held_worker import HeldWorker
 from cranberryshore.pool.run_statistics import RunStatistics
 from cranberryshore.pool.work import Outcome, PoolJob
@@ -43,6 +45,12 @@
     workers: Mapping[str, HeldWorker]
     statistics: RunStatistics
     backlog: Backlog
+    earlier_runs: EarlierRuns
+
+    def refuse(self, job_id: str, entry: str, detail: str, retry_after_ms: int) -> JobEnded:
+        """Return the end of a job that is not accepted."""
+        outcome = self.earlier_runs.refusal_outcome(job_id)
+        return JobEnded(entry, job_id, outcome, detail, retry_after_ms)
 
     def workers_of(self, service: str) -> Iterable[HeldWorker]:
         """Return the held workers of a service."""
@@ -61,7 +69,7 @@
         """Return the waiting jobs that too few workers are left for."""
         detail = "The remaining workers cannot answer the job in time."
         return [
-            Verdict(job, Outcome.REFUSED, detail, refusing.RETRY_AFTER_MS)
+            self._refuse_waiting(job, detail)
             for job in self.backlog.find_hopeless_jobs(waiting, config, now)
         ]
 
@@ -81,4 +89,8 @@
         if not is_useless and refusing.may_gain_worker(members, acquiring_since, now):
             return None
         detail = "The job can no longer be answered in time."
-        return Verdict(job, Outcome.REFUSED, detail, refusing.RETRY_AFTER_MS)
+        return self._refuse_waiting(job, detail)
+
+    def _refuse_waiting(self, job: PoolJob, detail: str) -> Verdict:
+        outcome = self.earlier_runs.refusal_outcome(job.request.id)
+        return Verdict(job, outcome, detail, refusing.RETRY_AFTER_MS)
--- a/packages/core/cranberryshore/pool/scheduler.py
+++ b/packages/core/cranberryshore/pool/scheduler.py
@@ -13,6 +13,7 @@
 from cranberryshore.pool.config import PoolConfig
 from cranberryshore.pool.crashes import CrashHistory
 from cranberryshore.pool.deadlines import DeadlinePolicy
+from cranberryshore.pool.earlier_runs import EarlierRuns
 from cranberryshore.pool.effects import (
     JobEnded,
     PollWorker,
@@ -108,6 +109,7 @@
             self.workers,
             self.statistics,
             Backlog(self.workers, self.statistics, self.crashes),
+            EarlierRuns(self.registry, self.foreign),
         )
 
     def take_effects(self) -> list[PoolEffect]:
@@ -148,14 +150,15 @@
             return
         queue = request.queue_in(self.config)
         if queue is None:
-            self._refuse(request.id, entry, "The queue is not declared.", 0)
+            detail = "The queue is not declared."
+            self.effects.append(self.deadlines.refuse(request.id, entry, detail, 0))
             return
         job = PoolJob(request, entry, now - request.waited_ms / 1000, received_at=now)
         job.set_deadlines(queue, self.statistics.expected_seconds(job))
         retry_after_ms = refusing.fit_retry_ms(job, self.deadlines.workers_of(queue.service))
         if retry_after_ms is not None:
             detail = "No worker can hold a task of the job."
-            self._refuse(request.id, entry, detail, retry_after_ms)
+            self.effects.append(self.deadlines.refuse(request.id, entry, detail, retry_after_ms))
             return
         self.registry.restore_attempts(job)
         self.jobs[request.id] = job
@@ -221,9 +224,6 @@
             self._end_job(job, Outcome.DROPPED, "The entry instance fell silent.", now)
         self.changed_at = now
 
-    def _refuse(self, job_id: str, entry: str, detail: str, retry_after_ms: int) -> None:
-        self.effects.append(JobEnded(entry, job_id, Outcome.REFUSED, detail, retry_after_ms))
-
     def losses_changed(self, now: float) -> None:
         """Apply the records of lost runs of another instance."""
         self._end_failed_jobs(now)
--- a/packages/proof/cranberryshore_proof/pool_mutate.py
+++ b/packages/proof/cranberryshore_proof/pool_mutate.py
@@ -36,6 +36,7 @@
     held_worker,
     scheduler,
 )
+from cranberryshore.pool.earlier_runs import EarlierRuns
 from cranberryshore.pool.held_worker import BootState
 from cranberryshore.pool.isolation import Isolation
 from cranberryshore.pool.loss_tracking import LossTracker
@@ -54,6 +55,7 @@
     "cranberryshore.pool.tests.test_confirmation",
     "cranberryshore.pool.tests.test_crashes",
     "cranberryshore.pool.tests.test_departures",
+    "cranberryshore.pool.tests.test_earlier_submissions",
     "cranberryshore.pool.tests.test_isolation",
     "cranberryshore.pool.tests.test_lost_workers",
     "cranberryshore.pool.tests.test_queue_versions",
@@ -173,6 +175,14 @@
     return is_held and not self.strangers and not self.is_draining
 
 
+def _only_own(self: EarlierRuns, job_id: str) -> bool:
+    return job_id in self.registry.attempts
+
+
+def _only_foreign(self: EarlierRuns, job_id: str) -> bool:
+    return bool(self.foreign.workers_of(job_id))
+
+
 def _constant(value: object) -> Callable:
     return lambda *arguments: value
 
@@ -277,6 +287,11 @@
     PoolMutation("loss: records are not saved", LossKeeper, "save_soon", _constant(None)),
     PoolMutation("loss: records are not loaded", LossKeeper, "load_soon", _constant(None)),
     PoolMutation("loss: records are ignored", PoolDaemon, "handle_losses", _constant(None)),
+    PoolMutation(
+        "earlier: own starts are forgotten", EarlierRuns, "may_have_started", _only_foreign
+    ),
+    PoolMutation("earlier: others' starts are unknown", EarlierRuns, "may_have_started", _only_own),
+    PoolMutation("earlier: all jobs have run", EarlierRuns, "may_have_started", _constant(True)),
 )
 
 
