Rejected starts: a worker without room is not asked again at once and without end

What callers saw: nothing directly; the worker got one start after the other (92 of one task in 0.3 s), each rejected, while the job waited, and each start rejected for want of room is paid for.

Cause: a rejection (409 room or late, 421, 429, 503) proves that the run never begins, so the task waited again, and the same worker was the best one again. Nothing recorded that what is known of its room or health had just been contradicted.

Change: RejectionPauses (placement) holds placement on such a worker for 0.05 s, doubled with each further rejection up to 1 s, or until a run ends there, whose room the next start may use. Then starts are sent one by one until one is accepted. Other workers get the task at once. A restart of the worker forgets the pause. The registered total stays as it is until the next registration.

--- a/packages/core/cranberryshore/placement/health.py
+++ b/packages/core/cranberryshore/placement/health.py
@@ -2,6 +2,8 @@
 
 import attrs
 
+from cranberryshore.placement.rejections import RejectionPauses
+
 SMOOTHING_WEIGHT = 0.1
 SLOW_FACTOR = 1.5
 MIN_FAILED_JOBS = 2
@@ -48,6 +50,7 @@
     workers: dict[str, WorkerHealth] = attrs.field(factory=dict)
     success_rate: float = 1.0
     run_ratio: float = 1.0
+    rejections: RejectionPauses = attrs.field(factory=RejectionPauses)
 
     def record_for(self, name: str) -> WorkerHealth:
         """Return the record of a worker, creating it if necessary."""
@@ -59,6 +62,7 @@
     def forget(self, name: str) -> None:
         """Forget what a worker has done, since another process has its place."""
         self.workers.pop(name, None)
+        self.rejections.forget(name)
 
     def on_success(self, name: str, run_ms: float, expected_ms: float) -> None:
         """Record a successful task and the ratio of its run time to the expected one."""
@@ -110,6 +114,8 @@
 
     def allowance(self, name: str, now: float) -> int:
         """Return how many tasks may be placed on a worker now."""
+        if self.rejections.is_paused(name, now):
+            return 0
         record = self.record_for(name)
         if not record.isolation_seconds:
             return 1_000_000  # effectively unlimited
--- a/packages/core/cranberryshore/pool/placing.py
+++ b/packages/core/cranberryshore/pool/placing.py
@@ -210,6 +210,7 @@
         worker.add_run(key, job.step_of(task).demand, now, lease_end_ms)
         record = self.statistics.health.record_for(worker.name)
         record.probe_running = bool(record.isolation_seconds)
+        self.statistics.health.rejections.sent(worker.name, key, now)
         self.index.update(worker.name, now)
         payload = job.request.payload
         self.effects.append(StartRun(worker.name, key, payload, worker.token, lease_end_ms))
--- a/packages/core/cranberryshore/pool/run_registry.py
+++ b/packages/core/cranberryshore/pool/run_registry.py
@@ -8,6 +8,9 @@
 MAX_REMEMBERED_JOBS = 20_000
 """Maximum number of ended jobs whose attempts are kept: some minutes at 100 jobs per second."""
 
+ATTEMPT_INCREMENT = 8
+"""Increment of an attempt number that a worker has rejected as too low."""
+
 
 @attrs.define(eq=False)
 class RunRegistry:
@@ -35,6 +38,10 @@
         self.tasks_by_run[key] = (job, task)
         self.active_tasks.add(key[0])
 
+    def raise_attempt(self, key: RunKey) -> None:
+        """Raise the attempt number of a task whose start was rejected because of it."""
+        self.tasks_by_run[key][1].attempt += ATTEMPT_INCREMENT
+
     def remove(self, key: RunKey) -> tuple[PoolJob, PoolTask]:
         """Remove a finished run and return its job and task."""
         self.active_tasks.discard(key[0])
--- a/packages/core/cranberryshore/pool/run_statistics.py
+++ b/packages/core/cranberryshore/pool/run_statistics.py
@@ -32,6 +32,8 @@
 
         The start time of an adopted run is unknown, so its expected run time is used.
         """
+        if end.kind is not EndKind.NEVER_BEGAN:
+            self.health.rejections.run_ended(worker, now)
         if end.kind is EndKind.DONE:
             expected = self.expected_task_ms(job, task)
             run_ms = expected if end.run.is_adopted else (now - end.run.started_at) * 1000
--- a/packages/core/cranberryshore/pool/scheduler.py
+++ b/packages/core/cranberryshore/pool/scheduler.py
@@ -31,11 +31,7 @@
 from cranberryshore.pool.run import RunEnd, RunState
 from cranberryshore.pool.run_registry import RunRegistry
 from cranberryshore.pool.run_statistics import RunStatistics
-from cranberryshore.pool.start_rights import (
-    RUN_RIGHT_SECONDS,
-    AcknowledgedRights,
-    StartRights,
-)
+from cranberryshore.pool.start_rights import RUN_RIGHT_SECONDS, AcknowledgedRights, StartRights
 from cranberryshore.pool.verifying import Verification
 from cranberryshore.pool.work import Outcome, PoolJob, PoolTask, TaskPhase, WorkRequest
 from cranberryshore.pool.worker_registration import WorkerListing
@@ -56,9 +52,6 @@
 """Time for which a worker without runs that is not in the roster is held, so that it verifies the
 resumed jobs that arrive meanwhile."""
 
-ATTEMPT_INCREMENT = 8
-"""Increment of an attempt number that a worker has rejected as too low."""
-
 
 @attrs.define(eq=False)
 class Scheduler:
@@ -408,15 +401,20 @@
         """Record that a worker has confirmed the start of a run."""
         if name in self.workers:
             self.workers[name].confirm_start(key, now)
+            self.statistics.health.rejections.accepted(name, key)
 
-    def start_rejected(self, name: str, key: RunKey, is_attempt_low: bool, now: float) -> None:
-        """Record that a worker has rejected the start of a run, so that the run never begins."""
+    def start_rejected(
+        self, name: str, key: RunKey, is_attempt_low: bool, now: float, is_paused: bool = False
+    ) -> None:
+        """Record that a worker has rejected a start, and with ``is_paused`` would reject others."""
+        if is_paused:
+            self.statistics.health.rejections.rejected(name, key, now)
         worker = self.workers.get(name)
         run = worker.remove_run(key) if worker is not None else None
         if run is None:
             return
         if is_attempt_low:
-            self.registry.tasks_by_run[key][1].attempt += ATTEMPT_INCREMENT
+            self.registry.raise_attempt(key)
         self._run_ended(worker, RunEnd(key, EndKind.NEVER_BEGAN, run), now)
         self.changed_at = now
 
--- a/packages/daemon/cranberryshored/pool/worker_channel.py
+++ b/packages/daemon/cranberryshored/pool/worker_channel.py
@@ -33,6 +33,14 @@
 
 FAILED_CALLS = (StartReply.REFUSED, StartReply.DISCONNECTED, StartReply.UNANSWERED)
 
+PAUSING_REPLIES = (
+    StartReply.NO_ROOM,
+    StartReply.UNHEALTHY,
+    StartReply.LEASE_EXPIRED,
+    StartReply.WORKER_RESTARTED,
+)
+"""Rejections that do not concern one order only, so the next start would be rejected as well."""
+
 
 @attrs.define(eq=False)
 class WorkerChannel:
@@ -128,8 +136,8 @@
         elif reply is StartReply.FENCED and order.token == worker.token:
             self.scheduler.fenced(worker.name, now())
         else:
-            is_low = reply is StartReply.ATTEMPT_LOW
-            self.scheduler.start_rejected(worker.name, order.key, is_low, now())
+            is_low, is_paused = reply is StartReply.ATTEMPT_LOW, reply in PAUSING_REPLIES
+            self.scheduler.start_rejected(worker.name, order.key, is_low, now(), is_paused)
         self.on_change()
 
     def _has_lapsed(self, order: StartRun) -> bool:
