Members: a late heartbeat of an earlier incarnation does not displace a live one

What callers saw: a submission, cancellation or answer was lost, and the caller waited until its time was over: what is sent to a displaced member is dropped, and nothing sends it again.

Cause: any heartbeat of another incarnation at an address replaced the member there, also one that an earlier process had sent and the network had delayed.

Change: as in the zones' PeerTable, the heartbeat of an earlier start is ignored while the later one is live (heard in the last 0.5 s). The start is the Unix time in the incarnation. A silent member is replaced by any other one, since the clock of a machine may have been set back before a restart.

--- a/packages/core/cranberryshore/pool/claims.py
+++ b/packages/core/cranberryshore/pool/claims.py
@@ -10,7 +10,8 @@
     Parameters
     ----------
     incarnation : str
-        Identifier of the current start of the instance.
+        Identifier of the current start of the instance: its name and the hexadecimal Unix time of
+        the start in milliseconds.
     address : str
         IP address and port.
     millicores : int
@@ -22,6 +23,19 @@
     zone: str
     millicores: int = 1000
 
+    def started_at_ms(self) -> int:
+        """Return the Unix time of the start, by the clock of the instance; 0 if it is not known.
+
+        Examples
+        --------
+        >>> MemberAddress("a.1f", "1", "z").started_at_ms()
+        31
+        """
+        try:
+            return int(self.incarnation.rpartition(".")[2], 16)
+        except ValueError:
+            return 0
+
     def rank(self) -> tuple[int, str]:
         """Return the sort key for claims: most CPU first, since it limits the throughput.
 
--- a/packages/core/cranberryshore/pool/group.py
+++ b/packages/core/cranberryshore/pool/group.py
@@ -84,6 +84,18 @@
         """Return whether each availability zone should have a scheduler of its own."""
         return self.is_large and not self.is_uneven
 
+    def is_replaced(self, sender: MemberAddress, now: float) -> bool:
+        """Return whether a live peer is a later incarnation at the address of a sender.
+
+        The message of the sender was delayed. A peer that is not live may be an earlier one, if the
+        clock of its machine was set back.
+        """
+        return any(
+            member.at.address == sender.address
+            and member.at.started_at_ms() > sender.started_at_ms()
+            for member in self.live(now)
+        )
+
     def record_contact(self, sender: MemberAddress, now: float) -> Member:
         """Record contact with a peer; a new incarnation at an address replaces the old one.
 
--- a/packages/core/cranberryshore/pool/tests/test_group.py
+++ b/packages/core/cranberryshore/pool/tests/test_group.py
@@ -134,6 +134,19 @@
         self.group.record_contact(again, self.now)
         self.assertEqual(list(self.group.members), ["e2.2"])
 
+    def test_live_peer_is_not_replaced_by_an_earlier_incarnation(self):
+        again = attrs.evolve(address(2), incarnation="e2.10")
+        self.group.record_contact(again, self.now)
+        earlier = attrs.evolve(address(2), incarnation="e2.f")
+        self.assertTrue(self.group.is_replaced(earlier, self.now))
+        self.assertFalse(self.group.is_replaced(again, self.now))
+        self.assertFalse(self.group.is_replaced(attrs.evolve(again, incarnation="e2.11"), self.now))
+        self.assertFalse(self.group.is_replaced(address(3), self.now))
+
+    def test_restarted_peer_whose_clock_was_set_back_is_ignored_for_good(self):
+        self.group.record_contact(attrs.evolve(address(2), incarnation="e2.10"), self.now)
+        self.assertFalse(self.group.is_replaced(address(2), self.now + PEER_TIMEOUT_SECONDS))
+
 
 class PossibleSchedulersTest(TestCase):
     """Heartbeats of an instance without a scheduler, in a group of 97."""
--- a/packages/daemon/cranberryshored/pool/exchange.py
+++ b/packages/daemon/cranberryshored/pool/exchange.py
@@ -84,8 +84,7 @@
     zone : str
         Zone that this claim is limited to; empty for all zones.
     follows_heard_at : float
-        Time of its latest beat. It may not be a member any more: a delayed beat of an earlier
-        incarnation at its address displaces it.
+        Time of its latest beat. It may not be a member any more: a later start displaces it.
     successor : str
         Incarnation that takes over scheduling when this instance leaves; empty if none is named.
     leaderless_at : float
@@ -288,6 +287,8 @@
 
     def _handle_beat(self, beat: Beat) -> None:
         moment = now()
+        if self.group.is_replaced(beat.sender, moment):
+            return
         is_new = beat.sender.incarnation not in self.group.members
         member = self.group.record_contact(beat.sender, moment)
         if beat.sender.incarnation == self.follows:
@@ -299,14 +300,12 @@
         member.heartbeat_sent_at, member.known_epoch = beat.sent_at, beat.known_epoch
         has_left = beat.epoch > member.epoch and beat.follows != self.own.incarnation
         if is_new:
-            member.epoch = beat.epoch
+            member.epoch, member.acknowledged_at = beat.epoch, moment
         self.record_epoch(member, beat.epoch)
         member.follows, member.config_version = beat.follows, beat.config_version
         member.roster_version = beat.roster_version
         for item in beat.members:
             self.group.add_reported_member(item, moment)
-        if is_new:
-            member.acknowledged_at = moment
         self._reconnect_if_unheard(member, beat, moment)
         if beat.sender.incarnation in self.out_streams:
             self.out_streams[beat.sender.incarnation].acknowledge(beat.stream, beat.received)
@@ -505,7 +504,7 @@
         self.absent = {name: self.absent.get(name, moment) for name in waiting - members.keys()}
         for incarnation in sorted(waiting):
             if moment - self.absent.get(incarnation, float("-inf")) < PEER_TIMEOUT_SECONDS:
-                # A delayed beat of an earlier incarnation displaces a member until its next beat.
+                # A delayed beat of an earlier incarnation may displace a silent member.
                 continue
             self.log.warning("Entry instance lost.", peer=incarnation)
             self.listener.entry_lost(incarnation)
