--- a/packages/daemon/cranberryshored/pool/protocols.py
+++ b/packages/daemon/cranberryshored/pool/protocols.py
@@ -154,12 +154,12 @@
         """Stop renewing the registration."""
         ...
 
-    async def save_losses(self, publisher: str, lost_runs: tuple[LostRun, ...]) -> None:
-        """Store the records of lost runs of one scheduler, if the store responds."""
+    async def save_losses(self, publisher: str, lost_runs: tuple[LostRun, ...]) -> bool:
+        """Store the records of lost runs of one scheduler; return whether the store took them."""
         ...
 
-    async def load_losses(self) -> tuple[LostRun, ...]:
-        """Return the stored records of all schedulers; none if the store does not respond."""
+    async def load_losses(self) -> tuple[LostRun, ...] | None:
+        """Return the stored records of all schedulers, ``None`` if the store does not respond."""
         ...
 
     async def list_members(self) -> tuple[MemberAddress, ...] | None:
--- a/packages/daemon/cranberryshored/pool/registry.py
+++ b/packages/daemon/cranberryshored/pool/registry.py
@@ -268,7 +268,7 @@
         """See :class:`Registry`; the registration expires with its lease."""
         self.lease = ""
 
-    async def save_losses(self, publisher: str, lost_runs: tuple[LostRun, ...]) -> None:
+    async def save_losses(self, publisher: str, lost_runs: tuple[LostRun, ...]) -> bool:
         """See :class:`Registry`; the records expire with their lease."""
         key = self.layout.losses_prefix + publisher
         written = await self._in_time(self.losses_store.grant_lease(LOSSES_LEASE_SECONDS))
@@ -277,13 +277,14 @@
             written = await self._in_time(self.losses_store.put(key, value, None, written.ok_value))
         if isinstance(written, Err):
             self.status.failed(key, written.err_value)
+        return isinstance(written, Ok)
 
-    async def load_losses(self) -> tuple[LostRun, ...]:
+    async def load_losses(self) -> tuple[LostRun, ...] | None:
         """See :class:`Registry`."""
         listing = await self._in_time(self.losses_store.list(self.layout.losses_prefix))
         if isinstance(listing, Err):
             self.status.failed(self.layout.losses_prefix, listing.err_value)
-            return ()
+            return None
         lost_runs: list[LostRun] = []
         for entry in listing.ok_value.entries:
             try:
--- a/packages/proof/cranberryshore_proof/pool_registry.py
+++ b/packages/proof/cranberryshore_proof/pool_registry.py
@@ -80,15 +80,17 @@
     async def unregister(self) -> None:
         """Do nothing: the registration expires."""
 
-    async def save_losses(self, publisher: str, lost_runs: tuple[LostRun, ...]) -> None:
+    async def save_losses(self, publisher: str, lost_runs: tuple[LostRun, ...]) -> bool:
         """See :class:`Registry`."""
-        if not self._is_store_unreachable():
-            self.deployment.losses[publisher] = lost_runs
+        if self._is_store_unreachable():
+            return False
+        self.deployment.losses[publisher] = lost_runs
+        return True
 
-    async def load_losses(self) -> tuple[LostRun, ...]:
+    async def load_losses(self) -> tuple[LostRun, ...] | None:
         """See :class:`Registry`."""
         if self._is_store_unreachable():
-            return ()
+            return None
         return tuple(lost for saved in self.deployment.losses.values() for lost in saved)
 
     async def list_members(self) -> tuple[MemberAddress, ...] | None:
