Fencing tokens: an advance for one worker does not move those of all others

What callers saw: after some changes of scheduler, one that has just started, or one of a zone with few workers, needed several polls for each worker, or got none of them.

Cause: if clocks differ, a worker that rejects a token is polled again with one that is 1, 2, 4, 8 s ahead. Whoever has only a few workers cannot advance that far in its four retries.

Change: a worker's token is advanced from its own former one; those of the others stay near the clock. They keep the bits of the instance, also after an unanswered start and when a worker is held anew.

--- a/packages/daemon/cranberryshored/pool/clock.py
+++ b/packages/daemon/cranberryshored/pool/clock.py
@@ -37,23 +37,27 @@
 
     A token is the Unix time in milliseconds followed by bits that depend on the instance. If the
     clocks of instances differ, a worker may have accepted a higher token and reject this one's; the
-    caller then calls :meth:`advance` with growing steps until they exceed the difference.
+    caller then calls :meth:`advance` with growing steps until they exceed the difference. A token
+    that is ahead of the clock is for one worker, so that those of the others stay near it.
     """
 
     def __init__(self, instance: str) -> None:
         self.instance_bits = crc32(instance.encode()) % (1 << TOKEN_INSTANCE_BITS)
         self.last = 0
 
-    def next(self) -> int:
-        """Return a token higher than all tokens that this source has returned."""
+    def next(self, former: int = 0) -> int:
+        """Return a token higher than the former one of a worker.
+
+        It is also higher than all others of this source that were not ahead of its clock.
+        """
         fresh = (unix_ms() << TOKEN_INSTANCE_BITS) + self.instance_bits
         self.last = max(fresh, self.last + (1 << TOKEN_INSTANCE_BITS))
-        return self.last
+        after_former = (former >> TOKEN_INSTANCE_BITS) + 1 << TOKEN_INSTANCE_BITS
+        return max(self.last, after_former + self.instance_bits)
 
-    def advance(self, seconds: float) -> int:
-        """Return a token advanced by some seconds, to exceed one that a worker has seen."""
-        self.last += int(seconds * 1000) << TOKEN_INSTANCE_BITS
-        return self.next()
+    def advance(self, token: int, seconds: float) -> int:
+        """Return a token that is some seconds higher than one that a worker has rejected."""
+        return self.next(token + (int(seconds * 1000) << TOKEN_INSTANCE_BITS))
 
 
 REQUEST_TIMEOUT_SECONDS = 0.06
--- a/packages/daemon/cranberryshored/pool/scheduling.py
+++ b/packages/daemon/cranberryshored/pool/scheduling.py
@@ -294,6 +294,7 @@
             # These runs must have ended, or their lease expired, before the worker is replaced.
             self.scheduler.unlist(entry.name, now())
             return
+        former_token = worker.token if worker is not None else 0
         worker = HeldWorker(
             entry.name,
             entry.address,
@@ -301,7 +302,7 @@
             entry.service,
             entry.capacity,
             frozenset(entry.labels),
-            self.tokens.next(),
+            self.tokens.next(former_token),
             entry.rack,
             entry.is_draining,
         )
--- a/packages/daemon/cranberryshored/pool/worker_channel.py
+++ b/packages/daemon/cranberryshored/pool/worker_channel.py
@@ -132,7 +132,8 @@
             self.poll_now()
         elif reply is StartReply.MALFORMED or reply in FAILED_CALLS:
             # A response that cannot be read does not prove that the run never begins.
-            self.scheduler.start_unanswered(worker.name, self.tokens.next(), now())
+            token = self.tokens.next(worker.token)
+            self.scheduler.start_unanswered(worker.name, token, now())
         elif reply is StartReply.FENCED and order.token == worker.token:
             self.scheduler.fenced(worker.name, now())
         else:
@@ -228,7 +229,8 @@
         """Advance the token during a takeover, since clocks may differ; else give up the worker."""
         worker = self.worker
         if worker.state is HoldState.ACQUIRING and self.failed_polls <= TAKEOVER_TOKEN_RETRIES:
-            worker.raise_token(self.tokens.advance(2.0 ** (self.failed_polls - 1)))
+            seconds = 2.0 ** (self.failed_polls - 1)
+            worker.raise_token(self.tokens.advance(worker.token, seconds))
             return
         self.scheduler.fenced(worker.name, now())
 
