Stragglers: time in which a worker was silent is no run time

What operators saw: a machine that was only silent or slow to report for a while had its running work started again elsewhere, and got no work for 5 s. A worker that was frozen for 0.5 s came back with its runs, whose time counted in full: a run expected to take 0.1 s was a straggler, was stopped and started elsewhere, and its worker was isolated.

Cause: a straggler is a run that takes three times as long as expected while its worker answers. Its time was taken from its start, with the time in which the worker did not answer.

Change: from the first failed poll on, the time since the latest answer is taken off (Run .unheard_seconds). A run that really hangs is stopped after as much time with answers as before. The run time of such a run is not known, so neither the worker's speed nor the model of the queue learns from it. A run whose lease ends meanwhile (1.1 s) starts elsewhere as before: silence for so long proves that it has ended.

--- a/packages/core/cranberryshore/pool/run.py
+++ b/packages/core/cranberryshore/pool/run.py
@@ -28,6 +28,10 @@
         Whether another holder started the run.
     lease_until : float
         End of the lease that the start request carried, in seconds on the clock of this instance.
+    is_unheard : bool
+        Whether a poll of the worker has failed since its latest answer.
+    unheard_seconds : float
+        Time without answers of the worker, in which the run may have stood still.
     """
 
     demand: Capacity
@@ -39,6 +43,13 @@
     stop_requested_at: float = float("-inf")
     lease_until: float = float("-inf")
     percent: float = 0.0
+    is_unheard: bool = False
+    unheard_seconds: float = 0.0
+
+    def record_answer(self, heard_at: float, now: float) -> None:
+        """Record an answer of the worker after failed polls, and the time of the one before."""
+        self.unheard_seconds += now - max(heard_at, self.started_at)
+        self.is_unheard = False
 
 
 @attrs.frozen
--- a/packages/core/cranberryshore/pool/run_statistics.py
+++ b/packages/core/cranberryshore/pool/run_statistics.py
@@ -3,6 +3,7 @@
 import attrs
 
 from cranberryshore.placement.health import INITIAL_ISOLATION_SECONDS, PoolHealth
+from cranberryshore.pool.held_worker import HeldWorker
 from cranberryshore.pool.learning import RunTimeModel
 from cranberryshore.pool.run import Run, RunEnd
 from cranberryshore.pool.straggling import is_straggler
@@ -25,19 +26,34 @@
         """Return the expected run time of a task in milliseconds."""
         return self.run_times.expected_ms(job.request.queue, job.step_of(task).estimate_ms)
 
+    @staticmethod
+    def record_poll_failure(worker: HeldWorker) -> None:
+        """Record that a worker has not answered a poll."""
+        for run in worker.runs.values():
+            run.is_unheard = True
+
+    @staticmethod
+    def record_answer(worker: HeldWorker, now: float) -> None:
+        """Record that a worker answers a poll, before the answer is processed."""
+        for run in worker.runs.values():
+            if run.is_unheard:
+                run.record_answer(worker.clock_read_at, now)
+
     def record_end(
         self, worker: str, end: RunEnd, job: PoolJob, task: PoolTask, now: float
     ) -> None:
         """Update the statistics with a finished run.
 
-        The start time of an adopted run is unknown, so its expected run time is used.
+        The run time of an adopted run is unknown, and so is that of one on a worker that was
+        silent meanwhile, so the expected one is used.
         """
         if end.kind is not EndKind.NEVER_BEGAN:
             self.health.rejections.run_ended(worker, now)
         if end.kind is EndKind.DONE:
             expected = self.expected_task_ms(job, task)
-            run_ms = expected if end.run.is_adopted else (now - end.run.started_at) * 1000
-            job.has_adopted_run |= end.run.is_adopted
+            is_unknown = end.run.is_adopted or end.run.unheard_seconds > 0.0
+            run_ms = expected if is_unknown else (now - end.run.started_at) * 1000
+            job.has_adopted_run |= is_unknown
             job.longest_run_ms = max(job.longest_run_ms, run_ms)
             self.health.on_success(worker, run_ms, expected)
             job.ran_on_slow_worker |= self.health.is_slow(worker)
@@ -60,7 +76,8 @@
         self, worker: str, run: Run, job: PoolJob, task: PoolTask, now: float
     ) -> bool:
         """Isolate the worker of a run if the run is a straggler; return whether it is one."""
-        if not is_straggler(now - run.started_at, self.expected_task_ms(job, task) / 1000):
+        ran_seconds = now - run.started_at - run.unheard_seconds
+        if not is_straggler(ran_seconds, self.expected_task_ms(job, task) / 1000):
             return False
         self.health.isolate(worker, INITIAL_ISOLATION_SECONDS, now)
         return True
--- a/packages/core/cranberryshore/pool/scheduler.py
+++ b/packages/core/cranberryshore/pool/scheduler.py
@@ -197,9 +197,7 @@
         self._request_polls(now)
 
     def _request_polls(self, now: float) -> None:
-        self.effects += [
-            PollWorker(name) for name in self.verification.start_round(self.workers.values(), now)
-        ]
+        self.effects += map(PollWorker, self.verification.start_round(self.workers.values(), now))
 
     def cancel(self, job_id: str, entry: str, now: float) -> None:
         """Cancel a job whose caller has disconnected."""
@@ -310,6 +308,7 @@
         worker = self.workers.get(name)
         if worker is None or worker.is_outdated(status, poll_sent_at):
             return
+        self.statistics.record_answer(worker, now)
         former = worker.boot_state(now) if status.born not in (0, worker.born) else None
         ends = worker.record_status(status, token, poll_sent_at, now, lease_until)
         if former is not None:
@@ -386,6 +385,8 @@
         since it carries the lease end as an absolute time.
         """
         worker = self.workers.get(name)
+        if worker is not None:
+            self.statistics.record_poll_failure(worker)
         if worker is not None and failures >= FAILED_POLLS_UNTIL_SILENT:
             worker.mark_silent()
             self.placer.worker_changed(worker)
--- a/packages/core/cranberryshore/pool/work.py
+++ b/packages/core/cranberryshore/pool/work.py
@@ -159,8 +159,8 @@
     exposed_workers : frozenset of str or None
         Workers that may have runs of a resumed job; ``None`` if they are not known.
     ran_on_slow_worker, has_adopted_run : bool
-        Whether a run was on a slow worker, or started by another scheduler, so that the run times
-        are not representative of the queue.
+        Whether a run was on a slow worker, or one of another scheduler or on a worker that was
+        silent meanwhile, so that the run times are not representative of the queue.
     lease_limit : float
         Time by which the leases of its runs must have ended once the job has ended.
     """
