Rejected starts: a job whose starts were all rejected is refused as not run

What callers saw: 504 at the end of their time, without knowing that nothing ran, when workers had less room than registered; a caller gets 503 with Retry-After as soon as a job is certainly too late if nothing of it has run.

Cause: a job counted as started from its first start request on, also after that was rejected, and a rejection proves that the run never begins.

Change: a rejected start (also one that was not delivered or not sent) counts for nothing. One whose answer is missing counts as before, and so does every job with another start or an adopted run. Such a job leaves no attempt number behind, so a later submission of it is refused as not run, too.

Evidence: two of four new tests failed before, on the refusal and on the next submission; the two on jobs that may have run (one start accepted, one unanswered) passed before and pass. test_double_start, test_pool_play and test_load pass.

--- a/packages/core/cranberryshore/pool/run_registry.py
+++ b/packages/core/cranberryshore/pool/run_registry.py
@@ -33,11 +33,18 @@
         """Add a run of a waiting task."""
         job.waiting_tasks -= 1
         task.phase, task.worker, task.last_worker = TaskPhase.PLACED, worker, worker
+        job.possible_starts += 1
         if not job.has_started:
             job.has_started, job.started_at = True, now
         self.tasks_by_run[key] = (job, task)
         self.active_tasks.add(key[0])
 
+    def withdraw_start(self, key: RunKey) -> None:
+        """Record that a start was rejected, so that it counts for nothing."""
+        job = self.tasks_by_run[key][0]
+        job.possible_starts -= 1
+        job.has_started = job.possible_starts > 0 or job.has_adopted_run
+
     def raise_attempt(self, key: RunKey) -> None:
         """Raise the attempt number of a task whose start was rejected because of it."""
         self.tasks_by_run[key][1].attempt += ATTEMPT_INCREMENT
@@ -50,7 +57,7 @@
     def save_attempts(self, job: PoolJob) -> None:
         """Store the last attempt number of an ended job, which may be submitted again."""
         last = max(task.attempt for task in job.tasks)
-        if last:
+        if last and (job.has_started or job.request.id in self.attempts):
             self.attempts.pop(job.request.id, None)
             self.attempts[job.request.id] = last
         while len(self.attempts) > MAX_REMEMBERED_JOBS:
--- a/packages/core/cranberryshore/pool/scheduler.py
+++ b/packages/core/cranberryshore/pool/scheduler.py
@@ -414,6 +414,7 @@
         run = worker.remove_run(key) if worker is not None else None
         if run is None:
             return
+        self.registry.withdraw_start(key)
         if is_attempt_low:
             self.registry.raise_attempt(key)
         self._run_ended(worker, RunEnd(key, EndKind.NEVER_BEGAN, run), now)
--- a/packages/core/cranberryshore/pool/tests/test_rejected_starts.py
+++ b/packages/core/cranberryshore/pool/tests/test_rejected_starts.py
@@ -7,7 +7,7 @@
     MAX_PAUSE_SECONDS,
     RejectionPauses,
 )
-from cranberryshore.pool import EndKind, StartRun, WorkerStatus
+from cranberryshore.pool import EndKind, JobEnded, Outcome, StartRun, WorkerStatus
 from cranberryshore.pool.tests.load_replay import (
     LoadReplay,
     earned_share,
@@ -19,10 +19,11 @@
 LOAD_SECONDS, DRAIN_SECONDS = 10.0, 6.0
 
 
-class RejectedStartTest(SchedulerTestCase):
+class RejectedStartTestCase(SchedulerTestCase):
     """Workers that reject starts although their capacity suffices as far as is known."""
 
     def setUp(self):
+        self.ended = []
         super().setUp()
         self.begun_at = self.now
 
@@ -44,6 +45,8 @@
         self.scheduler.tick(self.now)
         return self.effects(StartRun)
 
+
+class RejectedStartTest(RejectedStartTestCase):
     def test_task_starts_on_another_worker_at_once(self):
         (start,) = self.send("j")
         (again,) = self.reject(start)
@@ -52,7 +55,7 @@
 
     def test_rejected_start_is_repeated_without_end(self):
         self.scheduler.workers["w2"].is_draining = True
-        (start,) = self.send("j")
+        (start,) = self.send("j", estimate_ms=4000, budget_ms=30_000)
         times = []
         while self.now < self.begun_at + 4.0:
             if start is not None:
@@ -99,6 +102,55 @@
         self.assertEqual(len(self.effects(StartRun)), 1)
 
 
+class RejectedJobTest(RejectedStartTestCase):
+    """Answers to the callers of jobs with rejected starts."""
+
+    def outcome_when_late(self, entry: str = "e") -> Outcome:
+        """Let the time pass in which the job can be answered, and return its outcome."""
+        for name in ("w1", "w2"):
+            self.scheduler.workers[name].is_draining = True
+        self.wait(1.0)
+        self.now += 5.0
+        self.scheduler.tick(self.now)
+        self.effects(JobEnded)
+        (end,) = [item for item in self.ended if item.entry == entry]
+        return end.outcome
+
+    def effects(self, kind: type) -> list:
+        taken = self.scheduler.take_effects()
+        self.ended += [item for item in taken if isinstance(item, JobEnded)]
+        return [item for item in taken if isinstance(item, kind)]
+
+    def reject_all(self, starts: list[StartRun]) -> None:
+        while starts:
+            starts = [again for start in starts for again in self.reject(start)]
+
+    def test_job_without_an_accepted_start_counts_as_run(self):
+        self.reject_all(self.send("j", count=2))
+        self.assertIs(self.outcome_when_late(), Outcome.REFUSED)
+
+    def test_job_without_an_accepted_start_counts_as_run_when_it_comes_again(self):
+        self.reject_all(self.send("j"))
+        self.scheduler.cancel("j", "e", self.now)
+        self.scheduler.submit(request("j"), "f", self.now)
+        self.assertIs(self.outcome_when_late("f"), Outcome.REFUSED)
+
+    def test_job_with_one_accepted_start_counts_as_not_run(self):
+        first, second = self.send("j", count=2)
+        self.scheduler.start_confirmed(first.worker, first.key, self.now)
+        self.reject_all([second])
+        self.end(first, EndKind.STOPPED)
+        self.assertIs(self.outcome_when_late(), Outcome.GIVEN_UP)
+
+    def test_job_with_an_unanswered_start_counts_as_not_run(self):
+        (start,) = self.send("j")
+        worker = self.scheduler.workers[start.worker]
+        self.scheduler.start_unanswered(worker.name, worker.token + 1, self.now)
+        self.poll(worker.name)
+        self.reject_all(self.effects(StartRun))
+        self.assertIs(self.outcome_when_late(), Outcome.GIVEN_UP)
+
+
 @attrs.define(eq=False)
 class ShrunkReplay(LoadReplay):
     """Replay in which workers have half of the capacity that the scheduler knows."""
--- a/packages/core/cranberryshore/pool/work.py
+++ b/packages/core/cranberryshore/pool/work.py
@@ -158,6 +158,8 @@
         Time before which a resumed job does not start unless all workers are verified.
     exposed_workers : frozenset of str or None
         Workers that may have runs of a resumed job; ``None`` if they are not known.
+    possible_starts : int
+        Number of starts, apart from those that workers have rejected.
     ran_on_slow_worker, has_adopted_run : bool
         Whether a run was on a slow worker, or one of another scheduler or on a worker that was
         silent meanwhile, so that the run times are not representative of the queue.
@@ -178,6 +180,7 @@
     delayed_until: float = 0.0
     exposed_workers: frozenset[str] | None = None
     has_started: bool = False
+    possible_starts: int = 0
     started_at: float = 0.0
     longest_run_ms: float = 0.0
     ran_on_slow_worker: bool = False
