Exchange: following, heartbeats, streams and connections are modules of their own

Callers keep send, follows, epoch and has_released; the application sets seeds and successor at the sender of heartbeats. test_exchange imports RECONNECT_SECONDS from its new place.

Measured: test_exchange, test_submissions, test_double_start, test_pool_play, test_configurations, test_store_follower and the doctests pass.

--- a/packages/daemon/cranberryshored/pool/app.py
+++ b/packages/daemon/cranberryshored/pool/app.py
@@ -143,7 +143,7 @@
             self.log.error("Changed settings are not valid; the old ones stay.", faults=faults)
             return
         self.settings = loaded.ok_value
-        self.exchange.seeds = self.settings.seeds
+        self.exchange.heartbeats.seeds = self.settings.seeds
         self.log.info("Settings read again.")
 
     async def drain(self) -> None:
@@ -153,7 +153,7 @@
         successor = self.group.successor(now())
         if self.group.claim is not None and successor is not None:
             if not self.group.claim.zone or self.group.claim.is_divided:
-                self.exchange.successor = successor.at.incarnation
+                self.exchange.heartbeats.successor = successor.at.incarnation
             self.group.claim = None
             self.claim_ended("this instance leaves")
         self.exchange.announce()
--- a/packages/daemon/cranberryshored/pool/exchange.py
+++ b/packages/daemon/cranberryshored/pool/exchange.py
@@ -9,66 +9,39 @@
 
 from cranberryshore.messages import (
     Beat,
-    CancelWork,
     ConfigNews,
     ConfigRequest,
     LossNews,
     PeerMessage,
     RosterChanges,
     RosterNews,
-    SubmitWork,
 )
 from cranberryshore.pool import (
     Group,
     LostRun,
     Member,
     MemberAddress,
-    ReceiveStream,
-    SendStream,
 )
 from cranberryshore.pool.group import (
     FENCED_BACKOFF_SECONDS,
-    MEMBER_EXPIRY_SECONDS,
     PEER_TIMEOUT_SECONDS,
 )
 from cranberryshore.pool.stream import StreamPosition
 from cranberryshored.metrics import Metrics
-from cranberryshored.pool.clock import now, unix_ms
+from cranberryshored.pool.clock import now
 from cranberryshored.pool.documents import DocumentExchange
+from cranberryshored.pool.following import Following
+from cranberryshored.pool.heartbeats import BEAT_SECONDS, HeartbeatSender
+from cranberryshored.pool.peer_connections import PeerConnections
+from cranberryshored.pool.peer_streams import PeerStreams
 from cranberryshored.pool.protocols import ExchangeListener, NumberedMessage
 from cranberryshored.tasks import cancel_tasks, failures_logged, start_task
 from cranberryshored.transport import Transport
 
-BEAT_SECONDS = 0.15
-"""Interval of beats: about a third of the 0.5 s of silence after which a peer counts as failed."""
-
-ROUNDS_PER_MEMBER_LIST = 5
-"""A scheduler sends the list of live members only in every fifth round, because both the list and
-the number of its receivers grow with the group."""
-
-RECONNECT_SECONDS = 0.4
-"""Silence after which the connection to a peer is replaced, since it may be broken."""
-
 STALL_SECONDS = 0.45
 """Gap between two beats after which this process counts as stalled."""
 
 
-@attrs.frozen
-class FormerScheduler:
-    """A scheduler that this instance has left.
-
-    Parameters
-    ----------
-    epoch : int
-        Epoch of this instance that began then.
-    heard_at : float
-        Time of its latest beat by then.
-    """
-
-    epoch: int
-    heard_at: float
-
-
 @attrs.define(eq=False)
 class PeerExchange:
     """Maintains the view of the group and transfers messages between its members.
@@ -77,24 +50,6 @@
     ----------
     seeds : tuple of str
         Addresses to send beats to while no scheduler is known.
-    follows : str
-        Incarnation of the scheduler; empty if there is none.
-    term : int
-        Term of its claim: a scheduler that claims again has dropped all jobs.
-    zone : str
-        Zone that this claim is limited to; empty for all zones.
-    follows_heard_at : float
-        Time of its latest beat. It may not be a member any more: a later start displaces it.
-    successor : str
-        Incarnation that takes over scheduling when this instance leaves; empty if none is named.
-    leaderless_at : float
-        Time since which this instance has had no scheduler, if it has none.
-    epoch : int
-        Number of times that ``follows`` or ``term`` has changed.
-    former : dict
-        Former schedulers by incarnation.
-    acknowledged_at : float
-        Time of the last heartbeat to the scheduler.
     absent : dict
         Time since which an entry instance whose jobs are scheduled here is not a member.
     """
@@ -105,30 +60,33 @@
     metrics: Metrics
     log: FilteringBoundLogger
     transport: Transport | None = None
-    out_streams: dict[str, SendStream] = attrs.field(factory=dict)
-    in_streams: dict[str, ReceiveStream] = attrs.field(factory=dict)
-    reconnected_at: dict[str, float] = attrs.field(factory=dict)
-    follows: str = ""
-    term: int = 0
-    zone: str = ""
-    follows_heard_at: float = float("-inf")
-    former: dict[str, FormerScheduler] = attrs.field(factory=dict)
-    acknowledged_at: float = float("-inf")
     absent: dict[str, float] = attrs.field(factory=dict)
-    successor: str = ""
-    leaderless_at: float = float("-inf")
     beat_at: float = 0.0
-    rounds: int = 0
-    epoch: int = 0
     task: asyncio.Task | None = None
     documents: DocumentExchange = attrs.field(init=False)
+    following: Following = attrs.field(init=False)
+    streams: PeerStreams = attrs.field(init=False)
+    connections: PeerConnections = attrs.field(init=False)
+    heartbeats: HeartbeatSender = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
         self.documents = DocumentExchange(self.group, self.listener, self._send_document)
+        self.following = Following(self.group)
+        self.streams = PeerStreams(self.group, self._send_message)
+        self.connections = PeerConnections(self._disconnect, self.log)
+        self.heartbeats = HeartbeatSender(
+            self.group,
+            self.seeds,
+            self.listener,
+            self.following,
+            self.streams,
+            self.documents,
+            self._send_message,
+        )
 
     async def start(self) -> None:
         """Start sending beats."""
-        self.beat_at = self.leaderless_at = now()
+        self.beat_at = self.following.leaderless_at = now()
         self.task = start_task(self._run(), self.log)
 
     async def close(self) -> None:
@@ -140,6 +98,16 @@
         """Return the address of this instance."""
         return self.group.own
 
+    @property
+    def follows(self) -> str:
+        """Return the incarnation of the scheduler, or an empty string if there is none."""
+        return self.following.scheduler
+
+    @property
+    def epoch(self) -> int:
+        """Return how often this instance has changed its scheduler."""
+        return self.following.epoch
+
     def send(
         self, incarnation: str, make: Callable[[StreamPosition, float], NumberedMessage]
     ) -> None:
@@ -148,16 +116,13 @@
         ``make`` returns the message, given its position in the stream and the estimated time of the
         peer's monotonic clock.
         """
-        member = self.group.members.get(incarnation)
-        if member is None:
-            return
-        stream = self.out_streams.get(incarnation)
-        if stream is None:
-            stream = self.out_streams[incarnation] = SendStream(unix_ms())
-        moment = now()
-        message = make(stream.next_position(), member.clock(moment))
-        stream.record_sent(message, moment)
-        self.transport.send(member.at.address, incarnation, message)
+        self.streams.send(incarnation, make)
+
+    def _send_message(self, address: str, incarnation: str, message: Any) -> None:
+        self.transport.send(address, incarnation, message)
+
+    def _disconnect(self, address: str) -> None:
+        self.transport.disconnect(address)
 
     def _send_document(self, member: Member, message: PeerMessage) -> None:
         self.transport.send(member.at.address, member.at.incarnation, message)
@@ -178,7 +143,7 @@
         elif isinstance(message, LossNews):
             self.listener.handle_losses(message.lost_runs)
         elif isinstance(message, NumberedMessage):
-            for ready in self.in_streams.setdefault(sender, ReceiveStream()).take(message):
+            for ready in self.streams.take(sender, message):
                 self.listener.handle_message(sender, ready)
 
     def announce_config(self) -> None:
@@ -206,7 +171,7 @@
         """Send a beat to all members now."""
         moment = now()
         for member in list(self.group.members.values()):
-            self._send_beat(member, moment)
+            self.heartbeats.send(member, moment)
 
     def follow(self) -> None:
         """Follow the scheduler with the strongest claim."""
@@ -216,53 +181,34 @@
         if not follows and scheduler is not None:
             follows, term = scheduler.at.incarnation, scheduler.claim.term
             zone = scheduler.claim.zone
-        if (follows, term) == (self.follows, self.term):
+        if (follows, term) == (self.follows, self.following.term):
             return
-        self.term, self.zone = term, zone
         self.log.info("Scheduler followed.", before=self.follows, scheduler=follows)
         self._reset_acknowledgement_times()
-        self.epoch += 1
-        self._withdraw_jobs(self.follows)
-        if self.follows not in ("", self.own.incarnation):
-            self.former[self.follows] = FormerScheduler(self.epoch, self.follows_heard_at)
-        before, self.follows = self.group.members.get(self.follows), follows
-        self.follows_heard_at = now()
+        self.streams.withdraw_jobs(self.follows)
+        before = self.group.members.get(self.follows)
+        self.following.change(follows, term, zone)
         if not follows:
-            self.leaderless_at = now()
-            for member in self.group.possible_schedulers(now(), self.rounds, now()):
-                self._send_beat(member, now())
+            for member in self.group.possible_schedulers(now(), self.heartbeats.rounds, now()):
+                self.inform(member)
         if before is not None and follows:
             # The previous scheduler then stops this instance's jobs, so the new one can start them.
-            self._send_beat(before, now())
+            self.inform(before)
         if scheduler is not None and follows == scheduler.at.incarnation:
-            self._send_beat(scheduler, now())
+            self.inform(scheduler)
         self.listener.scheduler_changed()
 
     def claim_zone(self) -> str:
         """Return the zone that the claim of the followed scheduler is limited to, if any."""
-        return self.zone if self.group.claim is None else self.group.claim.zone
+        return self.following.zone if self.group.claim is None else self.group.claim.zone
 
     def claim_term(self) -> int:
         """Return the term of the claim of the followed scheduler, 0 if there is none."""
-        return self.term if self.group.claim is None else self.group.claim.term
+        return self.following.term if self.group.claim is None else self.group.claim.term
 
     def has_released(self, scheduler: str) -> bool:
-        """Return whether a former scheduler can start nothing more for this instance.
-
-        It has taken note that this instance left it, it schedules no more, or this instance has
-        not acknowledged its heartbeats for so long that its right to start tasks has ended.
-        """
-        if scheduler == self.own.incarnation:
-            return self.group.claim is None
-        left = self.former.get(scheduler)
-        member = self.group.members.get(scheduler)
-        if left is None or member is None:
-            return left is None or now() - left.heard_at >= PEER_TIMEOUT_SECONDS
-        if member.claim is None or member.known_epoch is None:
-            return True
-        if now() - member.heard_at >= PEER_TIMEOUT_SECONDS:
-            return True
-        return member.known_epoch >= left.epoch
+        """See :meth:`Following.has_released`."""
+        return self.following.has_released(scheduler)
 
     def _reset_acknowledgement_times(self) -> None:
         """Restart the timeouts for acknowledgement of beats.
@@ -273,18 +219,6 @@
         for member in self.group.members.values():
             member.acknowledged_at = moment
 
-    def _withdraw_jobs(self, scheduler: str) -> None:
-        """Replace unacknowledged submissions to a former scheduler with cancellations."""
-        stream = self.out_streams.get(scheduler)
-        if stream is not None:
-            stream.replace(
-                lambda item: (
-                    CancelWork(item.place, item.request.id)
-                    if isinstance(item, SubmitWork)
-                    else item
-                )
-            )
-
     def _handle_beat(self, beat: Beat) -> None:
         moment = now()
         if self.group.is_replaced(beat.sender, moment):
@@ -292,7 +226,7 @@
         is_new = beat.sender.incarnation not in self.group.members
         member = self.group.record_contact(beat.sender, moment)
         if beat.sender.incarnation == self.follows:
-            self.follows_heard_at = moment
+            self.following.heard_at = moment
         if beat.sent_at < member.heartbeat_sent_at:
             # A newer beat has already arrived over a newer connection.
             return
@@ -306,18 +240,16 @@
         member.roster_version = beat.roster_version
         for item in beat.members:
             self.group.add_reported_member(item, moment)
-        self._reconnect_if_unheard(member, beat, moment)
-        if beat.sender.incarnation in self.out_streams:
-            self.out_streams[beat.sender.incarnation].acknowledge(beat.stream, beat.received)
+        self.connections.replace_if_unheard(member, beat, moment)
+        self.streams.acknowledge(beat)
         if beat.successor == self.own.incarnation and self.group.claim is None:
             self._take_over(beat)
         if is_new:
             self.log.info("Peer discovered.", peer=beat.sender.incarnation)
             if self.group.claim is not None:
                 self.documents.send_losses(member, self.listener.lost_runs())
-        is_outdated = self._follows_wrong_scheduler(beat) or self._is_competing_claim(beat)
-        if is_new or has_left or is_outdated:
-            self._send_beat(member, moment)
+        if is_new or has_left or self.following.must_inform(beat):
+            self.heartbeats.send(member, moment)
         self.documents.record_confirmation(beat)
         self.documents.compare_config(member, moment)
         self._handle_follower(member, beat, moment)
@@ -326,8 +258,8 @@
         if beat.claim is not None or member.at.incarnation == self.follows:
             self._update_claim(moment)
         if member.at.incarnation == self.follows:
-            self._send_beat(member, moment)
-        elif beat.sender.incarnation in self.former:
+            self.heartbeats.send(member, moment)
+        elif beat.sender.incarnation in self.following.former:
             self.listener.scheduler_released()
 
     def _handle_follower(self, member: Member, beat: Beat, moment: float) -> None:
@@ -353,13 +285,13 @@
 
     def inform(self, member: Member) -> None:
         """Send a beat to a member now."""
-        self._send_beat(member, now())
+        self.heartbeats.send(member, now())
 
     def acknowledge(self) -> None:
         """Send a beat to the scheduler now, which tells the version of the roster."""
         scheduler = self.group.members.get(self.follows)
         if scheduler is not None:
-            self._send_beat(scheduler, now())
+            self.inform(scheduler)
 
     def _take_over(self, beat: Beat) -> None:
         """Take over from a scheduler that has named this instance as its successor."""
@@ -367,74 +299,6 @@
             self.log.info("Taking over from a leaving scheduler.", peer=self.follows)
             self.listener.claim_due(self.group.claim_of_successor())
 
-    def _reconnect_if_unheard(self, member: Member, beat: Beat, moment: float) -> None:
-        """Replace the connection to a peer that no longer hears this instance.
-
-        Each direction has its own connection, which can fail alone: only the peer's beats show it.
-        """
-        if beat.hears_receiver:
-            member.acknowledged_at = moment
-        elif moment - member.acknowledged_at > RECONNECT_SECONDS:
-            member.acknowledged_at = moment
-            self.log.warning("Peer does not hear this instance.", peer=member.at.incarnation)
-            self.transport.disconnect(member.at.address)
-
-    def _follows_wrong_scheduler(self, beat: Beat) -> bool:
-        """Return whether a peer must learn which instance schedules.
-
-        It follows this instance, which has no claim, or no scheduler although one is known.
-        """
-        if beat.follows == self.own.incarnation:
-            return self.group.claim is None
-        is_searching = not beat.follows and beat.claim is None
-        return is_searching and bool(self.follows) and self._may_share_scheduler(beat.sender)
-
-    def _may_share_scheduler(self, peer: MemberAddress) -> bool:
-        """Return whether a peer can follow the same scheduler as this instance."""
-        return not self.group.is_divided or peer.zone == self.own.zone
-
-    def _send_beat(self, member: Member, moment: float) -> None:
-        if member.at.incarnation == self.follows:
-            self.acknowledged_at = moment
-        stream = self.in_streams.get(member.at.incarnation, ReceiveStream())
-        beat = Beat(
-            self.own,
-            self.listener.config().version,
-            self.epoch,
-            stream.id,
-            stream.received,
-            moment,
-            self.group.is_draining,
-            self.group.claim,
-            self.follows,
-            self.listener.roster()[0],
-            self.successor,
-            moment - member.heard_at < PEER_TIMEOUT_SECONDS,
-            self._members_to_send(member, moment),
-            member.heartbeat_sent_at,
-            member.epoch,
-            self.documents.config_age(moment),
-        )
-        self.transport.send(member.at.address, "", beat)
-
-    def _is_competing_claim(self, beat: Beat) -> bool:
-        """Return whether a peer claims workers of the own zone beside the followed scheduler."""
-        if beat.claim is None or self.follows in ("", beat.sender.incarnation):
-            return False
-        return beat.claim.zone in ("", self.own.zone) or not self.group.is_divided
-
-    def _members_to_send(self, member: Member, moment: float) -> tuple[MemberAddress, ...]:
-        followed = self.group.members.get(self.follows)
-        is_searching = not member.follows and self.group.is_divided
-        may_need_scheduler = is_searching and self._may_share_scheduler(member.at)
-        is_other = followed is not None and followed is not member
-        if is_other and (member.claim is not None or may_need_scheduler):
-            # The two schedulers, or the peer and the scheduler, may not know of each other.
-            return (followed.at,)
-        if self.group.claim is None or self.rounds % ROUNDS_PER_MEMBER_LIST:
-            return ()
-        return tuple(member.at for member in self.group.live(moment))
-
     async def _run(self) -> None:
         while True:
             planned = now() + BEAT_SECONDS
@@ -444,7 +308,7 @@
             if moment - self.beat_at > STALL_SECONDS:
                 self._handle_stall(moment)
             self.beat_at = moment
-            self.rounds += 1
+            self.heartbeats.rounds += 1
             with failures_logged(self.log, "round"):
                 self._run_round(moment)
             self.metrics.live_peers.set(len(self.group.live(moment)))
@@ -466,23 +330,15 @@
     def _run_round(self, moment: float) -> None:
         for member in self.group.remove_expired_members(moment):
             self.transport.disconnect(member.at.address)
-        self._forget_streams()
+        self.following.discard_outdated()
+        self.streams.discard_outdated()
         if self.group.claim is not None:
             self._check_claim(moment)
         self._update_claim(moment)
-        for member in self._beat_targets(moment):
-            self._reconnect_if_silent(member, moment)
-            self._send_beat(member, moment)
-        for incarnation, stream in self.out_streams.items():
-            member = self.group.members.get(incarnation)
-            if member is not None:
-                self._resend_due(member, stream, moment)
-
-    def _resend_due(self, member: Member, stream: SendStream, moment: float) -> None:
-        for message in stream.due_for_resend(moment):
-            if isinstance(message, SubmitWork):
-                message = attrs.evolve(message, echo=member.clock(moment))
-            self.transport.send(member.at.address, member.at.incarnation, message)
+        for member in self.heartbeats.targets(moment):
+            self.connections.replace_if_silent(member, moment)
+            self.heartbeats.send(member, moment)
+        self.streams.resend_due(moment)
 
     def _check_claim(self, moment: float) -> None:
         """Drop the jobs of silent entry instances, and the claim if most workers are lost."""
@@ -521,44 +377,3 @@
         if claim is not None:
             self.listener.claim_due(claim)
         self.follow()
-
-    def _beat_targets(self, moment: float) -> list[Member]:
-        """Return the members to send a beat to.
-
-        A scheduler sends to all members, an instance without one to those that may become one, and
-        others to the scheduler.
-        Without a scheduler, this method itself sends a beat to the seeds that are not members.
-        """
-        members = self.group.members
-        if self.group.claim is not None:
-            is_divided = self.group.claim.is_divided
-            return self.group.scheduled_members() if is_divided else list(members.values())
-        if not self.follows:
-            member_addresses = {member.at.address for member in members.values()}
-            for address in self.seeds:
-                if address not in member_addresses and address != self.own.address:
-                    self.transport.send(address, "", self._seed_beat())
-            return self.group.possible_schedulers(self.leaderless_at, self.rounds, moment)
-        # The beats of the scheduler are answered at once, which is usually enough.
-        scheduler = members.get(self.follows)
-        is_due = moment - self.acknowledged_at >= BEAT_SECONDS
-        return [scheduler] if scheduler is not None and is_due else []
-
-    def _seed_beat(self) -> Beat:
-        return Beat(self.own, self.listener.config().version, self.epoch, 0, 0, now())
-
-    def _reconnect_if_silent(self, member: Member, moment: float) -> None:
-        address = member.at.address
-        silent_since = max(member.heard_at, member.listed_at, self.reconnected_at.get(address, 0.0))
-        if moment - silent_since > RECONNECT_SECONDS:
-            self.reconnected_at[address] = moment
-            self.transport.disconnect(address)
-
-    def _forget_streams(self) -> None:
-        """Drop the streams of incarnations that are no longer members, and old schedulers."""
-        for name, left in list(self.former.items()):
-            if now() - left.heard_at > MEMBER_EXPIRY_SECONDS and name not in self.group.members:
-                del self.former[name]
-        for streams in (self.out_streams, self.in_streams):
-            for incarnation in [name for name in streams if name not in self.group.members]:
-                del streams[incarnation]
--- a/packages/daemon/cranberryshored/pool/tests/test_exchange.py
+++ b/packages/daemon/cranberryshored/pool/tests/test_exchange.py
@@ -20,7 +20,8 @@
 from cranberryshored.log import make_logger
 from cranberryshored.metrics import Metrics
 from cranberryshored.pool.clock import CLOCKS, Clocks
-from cranberryshored.pool.exchange import BEAT_SECONDS, RECONNECT_SECONDS, PeerExchange
+from cranberryshored.pool.exchange import BEAT_SECONDS, PeerExchange
+from cranberryshored.pool.peer_connections import RECONNECT_SECONDS
 
 SCHEDULER = MemberAddress("s.1", "127.0.0.1:1", "a", 1000)
 FOLLOWER = MemberAddress("f.1", "127.0.0.1:2", "b", 1000)
