--- /dev/null
+++ b/packages/proof/cranberryshore_proof/contact_mutations.py
@@ -0,0 +1,116 @@
+"""Mutations of a pool that concern what is known from the last contact with another process.
+
+Each one is a name, and the owner, the attribute and the substitute of :class:`PoolMutation`.
+"""
+
+import asyncio
+from collections.abc import Callable
+
+from cranberryshore.placement import rejections
+from cranberryshore.placement.rejections import RejectionPauses
+from cranberryshore.pool import Group, MemberAddress, Scheduler
+from cranberryshore.pool.earlier_runs import EarlierRuns
+from cranberryshore.pool.run import Run
+from cranberryshore.pool.run_registry import RunRegistry
+from cranberryshore.pool.run_statistics import RunStatistics
+from cranberryshore.pool.worker_status import RunKey
+from cranberryshored.pool import loss_keeper, worker_channel
+from cranberryshored.pool.clock import TOKEN_INSTANCE_BITS, TokenSource, now
+from cranberryshored.pool.loss_keeper import LossKeeper
+from cranberryshored.pool.registry import StoreRegistry
+
+RECORD_POLL_FAILURE = Scheduler.record_poll_failure
+NEXT_TOKEN = TokenSource.next
+SAVE_LOSSES, LOAD_LOSSES = StoreRegistry.save_losses, StoreRegistry.load_losses
+
+
+def _constant(value: object) -> Callable:
+    return lambda *arguments: value
+
+
+def _only_own(self: EarlierRuns, job_id: str) -> bool:
+    return job_id in self.registry.attempts
+
+
+def _only_foreign(self: EarlierRuns, job_id: str) -> bool:
+    return bool(self.foreign.workers_of(job_id))
+
+
+def _accept_any(self: RejectionPauses, name: str, start: object) -> None:
+    self.forget(name)
+
+
+def _withdraw_all(self: RunRegistry, key: RunKey) -> None:
+    self.tasks_by_run[key][0].has_started = False
+
+
+def _any_later(self: Group, sender: MemberAddress, now: float) -> bool:
+    return any(
+        member.at.address == sender.address and member.at.started_at_ms() > sender.started_at_ms()
+        for member in self.members.values()
+    )
+
+
+async def _claim_saved(self: StoreRegistry, *arguments: object) -> bool:
+    await SAVE_LOSSES(self, *arguments)
+    return True
+
+
+async def _claim_none(self: StoreRegistry) -> tuple:
+    return await LOAD_LOSSES(self) or ()
+
+
+async def _save_for_good(self: LossKeeper) -> None:
+    while not await self.registry.save_losses(self.publisher, self.crashes.records(now())):
+        await asyncio.sleep(loss_keeper.SAVE_SECONDS)
+
+
+async def _load_for_good(self: LossKeeper) -> None:
+    while await self.registry.load_losses() is None:
+        await asyncio.sleep(loss_keeper.SAVE_SECONDS)
+
+
+def _advance_all(self: TokenSource, token: int, seconds: float) -> int:
+    self.last += int(seconds * 1000) << TOKEN_INSTANCE_BITS
+    return self.next()
+
+
+def _next_by_clock(self: TokenSource, former: int = 0) -> int:
+    return NEXT_TOKEN(self)
+
+
+def _note_second(self: Scheduler, name: str, failures: int, now: float) -> None:
+    if failures > 1:
+        RECORD_POLL_FAILURE(self, name, failures, now)
+
+
+def _excuse_always(self: Run, heard_at: float, now: float) -> None:
+    self.unheard_seconds += now - max(heard_at, self.started_at)
+
+
+CONTACT_MUTATIONS = (
+    ("earlier: own starts are forgotten", EarlierRuns, "may_have_started", _only_foreign),
+    ("earlier: others' starts are unknown", EarlierRuns, "may_have_started", _only_own),
+    ("earlier: all jobs have run", EarlierRuns, "may_have_started", _constant(True)),
+    ("rejected: no pause", RejectionPauses, "is_paused", _constant(False)),
+    ("rejected: pauses do not grow", rejections, "MAX_PAUSE_SECONDS", 0.05),
+    ("rejected: starts are sent at once", RejectionPauses, "sent", _constant(None)),
+    ("rejected: pauses never end early", RejectionPauses, "accepted", _constant(None)),
+    ("rejected: ends make no room", RejectionPauses, "run_ended", _constant(None)),
+    ("rejected: boots share pauses", RejectionPauses, "forget", _constant(None)),
+    ("rejected: any acceptance counts", RejectionPauses, "accepted", _accept_any),
+    ("rejected: full workers are asked", worker_channel, "PAUSING_REPLIES", ()),
+    ("rejected: such starts count as run", RunRegistry, "withdraw_start", _constant(None)),
+    ("rejected: one voids all starts", RunRegistry, "withdraw_start", _withdraw_all),
+    ("peer: late heartbeats replace live ones", Group, "is_replaced", _constant(False)),
+    ("peer: earlier starts are ignored for good", Group, "is_replaced", _any_later),
+    ("keeper: failed writes count", StoreRegistry, "save_losses", _claim_saved),
+    ("keeper: unread records are none", StoreRegistry, "load_losses", _claim_none),
+    ("keeper: writes are repeated for good", LossKeeper, "_save", _save_for_good),
+    ("keeper: reads are repeated for good", LossKeeper, "_load", _load_for_good),
+    ("token: advances of a worker count for all", TokenSource, "advance", _advance_all),
+    ("token: former ones do not matter", TokenSource, "next", _next_by_clock),
+    ("silence: it is run time", RunStatistics, "record_answer", _constant(None)),
+    ("silence: one failed poll is none", Scheduler, "record_poll_failure", _note_second),
+    ("silence: it never ends", Run, "record_answer", _excuse_always),
+)
--- a/packages/proof/cranberryshore_proof/pool_mutate.py
+++ b/packages/proof/cranberryshore_proof/pool_mutate.py
@@ -36,13 +36,13 @@
     held_worker,
     scheduler,
 )
-from cranberryshore.pool.earlier_runs import EarlierRuns
 from cranberryshore.pool.held_worker import BootState
 from cranberryshore.pool.isolation import Isolation
 from cranberryshore.pool.loss_tracking import LossTracker
 from cranberryshore.pool.placing import Placer
 from cranberryshore.pool.run import Run
 from cranberryshore.pool.verifying import ResumedJobs
+from cranberryshore_proof.contact_mutations import CONTACT_MUTATIONS
 from cranberryshored.pool import PoolDaemon, registry, store_follower, submissions
 from cranberryshored.pool.clock import now
 from cranberryshored.pool.documents import DocumentExchange
@@ -56,19 +56,25 @@
     "cranberryshore.pool.tests.test_crashes",
     "cranberryshore.pool.tests.test_departures",
     "cranberryshore.pool.tests.test_earlier_submissions",
+    "cranberryshore.pool.tests.test_group",
     "cranberryshore.pool.tests.test_isolation",
     "cranberryshore.pool.tests.test_lost_workers",
     "cranberryshore.pool.tests.test_queue_versions",
+    "cranberryshore.pool.tests.test_rejected_starts",
     "cranberryshore.pool.tests.test_start_rights",
     "cranberryshore.pool.tests.test_scheduler",
+    "cranberryshore.pool.tests.test_silent_workers",
     "cranberryshore.pool.tests.test_takeover",
     "cranberryshore.pool.tests.test_unproven_losses",
     "cranberryshore.pool.tests.test_worker_selection",
     "cranberryshored.pool.tests.test_exchange",
+    "cranberryshored.pool.tests.test_loss_keeper",
     "cranberryshored.pool.tests.test_roster_keeper",
     "cranberryshored.pool.tests.test_entry_service",
     "cranberryshored.pool.tests.test_submissions",
+    "cranberryshored.pool.tests.test_takeover_tokens",
     "cranberryshored.pool.tests.test_routing",
+    "cranberryshored.pool.tests.test_worker_channel",
     "cranberryshore_proof.tests.test_configurations",
     "cranberryshore_proof.tests.test_crashing_tasks",
     "cranberryshore_proof.tests.test_double_start",
@@ -175,14 +181,6 @@
     return is_held and not self.strangers and not self.is_draining
 
 
-def _only_own(self: EarlierRuns, job_id: str) -> bool:
-    return job_id in self.registry.attempts
-
-
-def _only_foreign(self: EarlierRuns, job_id: str) -> bool:
-    return bool(self.foreign.workers_of(job_id))
-
-
 def _constant(value: object) -> Callable:
     return lambda *arguments: value
 
@@ -287,11 +285,7 @@
     PoolMutation("loss: records are not saved", LossKeeper, "save_soon", _constant(None)),
     PoolMutation("loss: records are not loaded", LossKeeper, "load_soon", _constant(None)),
     PoolMutation("loss: records are ignored", PoolDaemon, "handle_losses", _constant(None)),
-    PoolMutation(
-        "earlier: own starts are forgotten", EarlierRuns, "may_have_started", _only_foreign
-    ),
-    PoolMutation("earlier: others' starts are unknown", EarlierRuns, "may_have_started", _only_own),
-    PoolMutation("earlier: all jobs have run", EarlierRuns, "may_have_started", _constant(True)),
+    *(PoolMutation(*item) for item in CONTACT_MUTATIONS),
 )
 
 
