Rejected starts: a test that ends without the pauses, too

reject_all repeated rejections for as long as starts followed, so it did not end under the mutation without pauses. It rejects on both workers and checks that nothing follows.

--- a/packages/core/cranberryshore/pool/tests/test_rejected_starts.py
+++ b/packages/core/cranberryshore/pool/tests/test_rejected_starts.py
@@ -122,8 +122,10 @@
         return [item for item in taken if isinstance(item, kind)]
 
     def reject_all(self, starts: list[StartRun]) -> None:
-        while starts:
+        """Reject starts, and those that follow on the other worker."""
+        for _ in range(2):
             starts = [again for start in starts for again in self.reject(start)]
+        self.assertEqual(starts, [])
 
     def test_job_without_an_accepted_start_counts_as_run(self):
         self.reject_all(self.send("j", count=2))
