--- a/packages/core/cranberryshore/pool/claims.py
+++ b/packages/core/cranberryshore/pool/claims.py
@@ -2,6 +2,8 @@
 
 import attrs
 
+from cranberryshore.bounds import Amount, Name, Text
+
 
 @attrs.frozen
 class MemberAddress:
@@ -18,10 +20,10 @@
         CPU capacity, in thousandths of a core.
     """
 
-    incarnation: str
-    address: str
-    zone: str
-    millicores: int = 1000
+    incarnation: Name
+    address: Text
+    zone: Text
+    millicores: Amount = 1000
 
     def started_at_ms(self) -> int:
         """Return the Unix time of the start, by the clock of the instance; 0 if it is not known.
--- a/packages/core/cranberryshore/pool/crashes.py
+++ b/packages/core/cranberryshore/pool/crashes.py
@@ -82,6 +82,8 @@
         Other tasks that may have been on the worker.
     was_running : bool
         Whether the run was provably on the worker when connections were first refused.
+    was_store_answering : bool
+        Whether the platform's store had just answered then.
     was_registered : bool
         Whether the worker was registered as not leaving after that.
     has_common_cause : bool
@@ -97,6 +99,7 @@
     beside: tuple[str, ...] = ()
     state: LossState = LossState.SUSPECTED
     was_running: bool = False
+    was_store_answering: bool = False
     was_registered: bool = False
     has_common_cause: bool = False
     age_seconds: float = 0.0
@@ -124,6 +127,7 @@
             self,
             state=max(self.state, other.state, key=STATE_ORDER.index),
             was_running=self.was_running or other.was_running,
+            was_store_answering=self.was_store_answering or other.was_store_answering,
             was_registered=self.was_registered or other.was_registered,
             has_common_cause=self.has_common_cause or other.has_common_cause,
         )
@@ -165,7 +169,13 @@
     discarded_at: float = float("-inf")
 
     def record(
-        self, worker: str, born: int, runs: Mapping[RunKey, bool], state: LossState, now: float
+        self,
+        worker: str,
+        born: int,
+        runs: Mapping[RunKey, bool],
+        state: LossState,
+        now: float,
+        is_store_answering: bool = False,
     ) -> None:
         """Record the runs that may have been on a worker when it was lost.
 
@@ -175,7 +185,9 @@
         entries = []
         for (task, attempt), was_running in runs.items():
             beside = tuple(sorted(tasks - {task}))
-            lost = LostRun(task, attempt, worker, born, beside, state, was_running)
+            lost = LostRun(
+                task, attempt, worker, born, beside, state, was_running, is_store_answering
+            )
             self._merge(lost, now)
             if task in self.entries:
                 entries.append(self.entries[task][lost.key])
@@ -224,6 +236,14 @@
             if (entry.lost.worker, entry.lost.born) == (worker, born):
                 self._merge(attrs.evolve(entry.lost, was_registered=True), now)
 
+    def unregistered(self) -> list[Entry]:
+        """Return the losses of which it is not known that the worker has not left."""
+        return [
+            entry
+            for entry in self._entries()
+            if not entry.lost.was_registered and entry.lost.state is not LossState.REFUTED
+        ]
+
     def dismiss(self, registration: WorkerRegistration, now: float) -> None:
         """Record that a worker has left that is registered as leaving, so it has not crashed."""
         for entry in self._suspected(registration.name):
--- a/packages/core/cranberryshore/pool/loss_tracking.py
+++ b/packages/core/cranberryshore/pool/loss_tracking.py
@@ -5,9 +5,10 @@
 from cranberryshore.pool.crashes import CrashHistory, LossState
 from cranberryshore.pool.departures import Departure, DepartureCheck
 from cranberryshore.pool.effects import PoolEffect, WorkerLossJudged, WorkerLost
-from cranberryshore.pool.held_worker import BootState, HeldWorker
+from cranberryshore.pool.held_worker import HeldWorker
 from cranberryshore.pool.isolation import Isolation
 from cranberryshore.pool.job_failure import FailureCause, JobFailure
+from cranberryshore.pool.run import BootState
 from cranberryshore.pool.work import PoolJob, TaskPhase
 from cranberryshore.pool.worker_registration import WorkerListing
 
@@ -22,26 +23,26 @@
         Receives the log records.
     departures : DepartureCheck
         What the registrations tell of lost workers.
-    undecided : dict
-        Times at which workers were lost of which it is not known whether they have left, by name
-        and start.
+    judged : set
+        Name and start of the lost workers of which it is decided whether they have left.
     """
 
     crashes: CrashHistory
     isolation: Isolation
     effects: list[PoolEffect]
     departures: DepartureCheck = attrs.field(factory=DepartureCheck)
-    undecided: dict[tuple[str, int], float] = attrs.field(factory=dict)
+    judged: set[tuple[str, int]] = attrs.field(factory=set)
 
     def worker_refuses(self, worker: HeldWorker, now: float) -> None:
         """Record that no process listens at the address of a worker, which may have crashed."""
         if not worker.is_loss_recorded:
-            self._record(worker, worker.boot_state(now), LossState.SUSPECTED, now)
+            self._record(worker, worker.refused_boot(now), LossState.SUSPECTED, now)
 
     def worker_replaced(self, worker: HeldWorker, now: float) -> None:
         """Record that another process answers at the address of a worker, so it has ended."""
         if not worker.is_loss_recorded:
-            self._record(worker, worker.boot_state(now), LossState.PROVEN, now)
+            boot = worker.closed_boot or worker.boot_state(now)
+            self._record(worker, boot, LossState.PROVEN, now)
         self.crashes.resolve(worker.name, None, now)
 
     def worker_restarted(self, worker: HeldWorker, former: BootState, now: float) -> None:
@@ -58,11 +59,14 @@
     def workers_listed(self, listing: WorkerListing, now: float) -> None:
         """Record the registrations, which may tell whether lost workers have left."""
         self.departures.record(listing)
-        for (name, born), lost_at in list(self.undecided.items()):
-            departure = self.departures.judge(name, born, lost_at)
+        for entry in self.crashes.unregistered():
+            name, born = boot = (entry.lost.worker, entry.lost.born)
+            if boot in self.judged:
+                continue
+            departure = self.departures.judge(entry)
             if departure is Departure.UNDECIDED:
                 continue
-            del self.undecided[name, born]
+            self.judged.add(boot)
             self.effects.append(WorkerLossJudged(name, departure))
             if departure is Departure.EXCLUDED:
                 self.crashes.confirm_registered(name, born, now)
@@ -87,10 +91,10 @@
         if worker.is_draining or not boot.runs:
             return
         worker.is_loss_recorded = True
-        self.undecided[worker.name, boot.born] = now
         self.isolation.worker_lost(worker, boot, now)
         running = tuple(sorted(key for key, is_certain in boot.runs.items() if is_certain))
         possible = tuple(sorted(boot.runs.keys() - set(running)))
         silent_ms = int((now - worker.polled_at) * 1000)
         self.effects.append(WorkerLost(worker.name, running, possible, state, silent_ms))
-        self.crashes.record(worker.name, boot.born, boot.runs, state, now)
+        is_store_answering = self.departures.is_answering(now)
+        self.crashes.record(worker.name, boot.born, boot.runs, state, now, is_store_answering)
--- a/packages/core/cranberryshore/pool/run.py
+++ b/packages/core/cranberryshore/pool/run.py
@@ -59,3 +59,20 @@
     key: RunKey
     kind: EndKind
     run: Run
+
+
+@attrs.frozen
+class BootState:
+    """What is known of the present start of a worker process before something else is learned.
+
+    Parameters
+    ----------
+    runs : dict
+        Runs that may be active, and whether each one certainly is.
+    is_exposed : bool
+        Whether one of them may crash the worker.
+    """
+
+    born: int
+    runs: dict[RunKey, bool]
+    is_exposed: bool
--- a/packages/core/cranberryshore/pool/scheduler.py
+++ b/packages/core/cranberryshore/pool/scheduler.py
@@ -283,13 +283,23 @@
             worker.unlist(now)
             self.placer.worker_changed(worker)
 
-    def relist(self, name: str, total: Capacity, labels: frozenset[str], is_draining: bool) -> None:
-        """Apply the present registration of a held worker."""
+    def relist(
+        self,
+        name: str,
+        total: Capacity,
+        labels: frozenset[str],
+        is_draining: bool,
+        born: int = 0,
+    ) -> None:
+        """Apply the present registration of a held worker, which the start ``born`` has written."""
         worker = self.workers[name]
-        worker.is_draining, worker.labels = is_draining, labels
+        worker.is_draining, worker.labels, worker.registered_born = is_draining, labels, born
         worker.relist()
         worker.resize(total)
         self.placer.worker_changed(worker)
+        if not worker.is_registration_current():
+            # An idle worker may have restarted without any notice.
+            self.effects.append(PollWorker(name))
 
     def lease_end_ms(self, worker: HeldWorker, now: float) -> int | None:
         """Return the new lease end on the clock of a worker; ``None`` to keep the old one."""
@@ -358,6 +368,12 @@
                 worker.isolated_runs.add(key)
             self.placer.worker_changed(worker)
 
+    def worker_closed(self, name: str, now: float) -> None:
+        """Record that the host of a worker has closed a connection before the reply."""
+        worker = self.workers.get(name)
+        if worker is not None:
+            worker.record_closing(now)
+
     def worker_refuses(self, name: str, now: float) -> None:
         """Record that no process listens at the address of a worker."""
         worker = self.workers.get(name)
--- a/packages/core/cranberryshore/pool/tests/test_lost_workers.py
+++ b/packages/core/cranberryshore/pool/tests/test_lost_workers.py
@@ -49,6 +49,7 @@
 
     def refuse(self, name: str) -> None:
         """Let a worker refuse connections, while the store does not answer."""
+        self.scheduler.worker_closed(name, self.now)
         self.fail_polls(name)
         self.scheduler.worker_refuses(name, self.now)
         self.now += LEASE_EXPIRY_SECONDS + 0.01
--- a/packages/core/cranberryshore/pool/tests/test_unproven_losses.py
+++ b/packages/core/cranberryshore/pool/tests/test_unproven_losses.py
@@ -85,6 +85,26 @@
         self.lose_twice(lose)
         self.assert_not_failed()
 
+    def test_job_failed_for_workers_behind_a_partition_that_resets_connections(self):
+        # Their processes end later, behind the partition.
+        def lose(name: str) -> None:
+            self.list_workers()
+            self.fail_polls(name)
+            self.scheduler.worker_refuses(name, self.now)
+            self.now += LEASE_EXPIRY_SECONDS + 0.01
+            self.scheduler.tick(self.now)
+            self.list_later()
+            self.scheduler.worker_replaced(name, self.now)
+
+        self.lose_twice(lose)
+        self.assert_not_failed()
+
+    def test_connection_that_was_closed_before_a_later_answer_proves_nothing(self):
+        (start,) = self.submit()
+        self.scheduler.worker_closed(start.worker, self.now)
+        self.poll(start.worker, [start.key])
+        self.assertIsNone(self.scheduler.workers[start.worker].closed_boot)
+
     def test_job_failed_for_workers_that_left_unseen(self):
         def lose(name: str) -> None:
             self.refuse(name)
--- a/packages/daemon/cranberryshored/pool/registry.py
+++ b/packages/daemon/cranberryshored/pool/registry.py
@@ -6,11 +6,11 @@
 from typing import Protocol, TypeVar
 
 import attrs
-import msgspec
 from result import Err, Ok, Result
 from structlog.typing import FilteringBoundLogger
 
-from cranberryshore.messages import decode_json, encode_json
+from cranberryshore.bounds import Rejection
+from cranberryshore.messages import encode_json
 from cranberryshore.pool import (
     LostRun,
     MemberAddress,
@@ -18,15 +18,18 @@
     WorkerListing,
     WorkerRegistration,
 )
-from cranberryshored.platform.store import Store, StoreFailure
+from cranberryshored.platform.store import Store, StoreFailure, StoreUnavailable
 from cranberryshored.pool.clock import now
 from cranberryshored.pool.protocols import ConfigHandler
+from cranberryshored.pool.records import decode_lost_run, decode_member, split_losses
+from cranberryshored.pool.rejections import EntryReader, RejectionLog, decode_entry
 from cranberryshored.pool.store_follower import (
     RETRY_SECONDS,
     StoreFollower,
     StoreStatus,
     call_in_time,
 )
+from cranberryshored.tasks import failures_logged
 
 T = TypeVar("T")
 
@@ -83,15 +86,15 @@
     Parameters
     ----------
     decode_config, decode_worker : callable
-        Return ``None`` for values that cannot be used. ``decode_worker`` takes the worker's name,
+        Return why a value cannot be used, if it cannot. ``decode_worker`` takes the worker's name,
         which is the key without the prefix, and the value.
     """
 
     config_key: str
     workers_prefix: str
     members_prefix: str
-    decode_config: Callable[[str], PoolConfig | None]
-    decode_worker: Callable[[str, str], WorkerRegistration | None]
+    decode_config: Callable[[str], Result[PoolConfig, Rejection]]
+    decode_worker: Callable[[str, str], Result[WorkerRegistration, Rejection]]
     losses_prefix: str = "pool/losses/"
 
 
@@ -104,17 +107,22 @@
     open_store : callable
         Returns a new client of the store. Each use has a client of its own, so that none takes a
         connection that a call of another use has left silent.
-    config_text, config : str, PoolConfig or None
+    config_text, config : str or None, PoolConfig or None
         Latest value of the configuration that was read, and its decoded form.
+    rejections : RejectionLog
+        Rejected values of all prefixes.
     """
 
     open_store: Callable[[], LeasingStore]
     layout: StoreLayout
     log: FilteringBoundLogger
     lease: str = ""
-    config_text: str = ""
+    config_text: str | None = None
     config: PoolConfig | None = None
     status: StoreStatus = attrs.field(init=False)
+    rejections: RejectionLog = attrs.field(init=False)
+    workers_reader: EntryReader[WorkerRegistration] = attrs.field(init=False)
+    members_reader: EntryReader[MemberAddress] = attrs.field(init=False)
     config_store: LeasingStore = attrs.field(init=False)
     workers_store: LeasingStore = attrs.field(init=False)
     lease_store: LeasingStore = attrs.field(init=False)
@@ -124,6 +132,13 @@
 
     def __attrs_post_init__(self) -> None:
         self.status = StoreStatus(self.log)
+        self.rejections = RejectionLog("Rejected an entry; using the others.", self.log)
+        self.workers_reader = EntryReader(
+            self.layout.workers_prefix, self.layout.decode_worker, self.rejections
+        )
+        self.members_reader = EntryReader(
+            self.layout.members_prefix, decode_member, self.rejections
+        )
         self.config_store, self.workers_store = self.open_store(), self.open_store()
         self.lease_store, self.members_store = self.open_store(), self.open_store()
         self.query_store, self.losses_store = self.open_store(), self.open_store()
@@ -174,10 +189,14 @@
         if text is None:
             return
         if text != self.config_text:
-            self.config_text, self.config = text, self.layout.decode_config(text)
-            if self.config is None:
+            decoded = decode_entry(self.layout.decode_config, text)
+            self.config_text, self.config = text, decoded.ok()
+            if isinstance(decoded, Err):
                 self.log.warning(
-                    "Cannot decode the configuration; keeping the one in force.", size=len(text)
+                    "Cannot decode the configuration; keeping the one in force.",
+                    key=self.layout.config_key,
+                    size=len(text),
+                    reason=decoded.err_value.reason,
                 )
         if self.config is not None:
             on_config(self.config, confirmed_at)
@@ -196,12 +215,7 @@
         missing: dict[str, float] = {}
 
         def report(entries: dict[str, str], confirmed_at: float) -> None:
-            fresh: dict[str, WorkerRegistration] = {}
-            for key, text in entries.items():
-                name = key.removeprefix(self.layout.workers_prefix)
-                worker = self.layout.decode_worker(name, text)
-                if worker is not None:
-                    fresh[name] = worker
+            fresh = self.workers_reader.read(entries)
             for name in reported.keys() - fresh.keys():
                 missing.setdefault(name, now())
             for name in list(missing):
@@ -228,11 +242,12 @@
         key = self.layout.members_prefix + member.address
         value = encode_json(member).decode()
         for renewal in count(1):
-            if not self.lease:
-                await self._register(key, value)
-            elif not await self._is_renewed(key, renewal % RENEWALS_PER_CHECK == 0):
-                self.lease = ""
-                continue
+            with failures_logged(self.log, "register"):
+                if not self.lease:
+                    await self._register(key, value)
+                elif not await self._is_renewed(key, renewal % RENEWALS_PER_CHECK == 0):
+                    self.lease = ""
+                    continue
             await asyncio.sleep(RENEWAL_SECONDS if self.lease else RETRY_SECONDS)
 
     async def _is_renewed(self, key: str, is_checked: bool) -> bool:
@@ -287,27 +302,30 @@
             return None
         lost_runs: list[LostRun] = []
         for entry in listing.ok_value.entries:
-            try:
-                lost_runs += decode_json(entry.value.encode(), tuple[LostRun, ...])
-            except (msgspec.DecodeError, ValueError) as error:
-                self.log.warning(
-                    "Cannot decode records of lost runs; ignoring them.",
-                    key=entry.key,
-                    error=str(error),
-                )
+            lost_runs += self._decode_losses(entry.key, entry.value)
         return tuple(lost_runs)
 
+    def _decode_losses(self, key: str, text: str) -> list[LostRun]:
+        """Return the records of an entry, without those that cannot be used."""
+        items = decode_entry(split_losses, text)
+        if isinstance(items, Err):
+            self.rejections.rejected(key, items.err_value)
+            return []
+        usable = []
+        for number, item in enumerate(items.ok_value):
+            decoded = decode_entry(decode_lost_run, item)
+            if isinstance(decoded, Err):
+                self.rejections.rejected(f"{key}[{number}]", decoded.err_value)
+            else:
+                usable.append(decoded.ok_value)
+        return usable
+
     async def list_members(self) -> tuple[MemberAddress, ...] | None:
         """See :class:`Registry`."""
-        listing = await self._in_time(self.members_store.list(self.layout.members_prefix))
+        listing = Err(StoreUnavailable("unexpected error"))
+        with failures_logged(self.log, "list_members"):
+            listing = await self._in_time(self.members_store.list(self.layout.members_prefix))
         if isinstance(listing, Err):
             return None
-        members = []
-        for entry in listing.ok_value.entries:
-            try:
-                members.append(decode_json(entry.value.encode(), MemberAddress))
-            except (msgspec.DecodeError, ValueError) as error:
-                self.log.warning(
-                    "Cannot decode a member entry; ignoring it.", key=entry.key, error=str(error)
-                )
-        return tuple(members)
+        entries = {entry.key: entry.value for entry in listing.ok_value.entries}
+        return tuple(self.members_reader.read(entries).values())
--- a/packages/daemon/cranberryshored/pool/worker_channel.py
+++ b/packages/daemon/cranberryshored/pool/worker_channel.py
@@ -15,7 +15,7 @@
     now,
 )
 from cranberryshored.pool.protocols import PollFailure, PollRequest, StartReply, WorkerCalls
-from cranberryshored.tasks import cancel_tasks, start_task
+from cranberryshored.tasks import cancel_tasks, failures_logged, start_task
 
 ACK_DELAY_SECONDS = 1.0
 """Delay before the last ended runs of an idle worker are acknowledged, which must happen within
@@ -31,7 +31,12 @@
 RETRY_SECONDS = 0.15
 """Delay between polls of a worker after repeated failures."""
 
-FAILED_CALLS = (StartReply.REFUSED, StartReply.DISCONNECTED, StartReply.UNANSWERED)
+FAILED_CALLS = (
+    StartReply.REFUSED,
+    StartReply.CLOSED,
+    StartReply.DISCONNECTED,
+    StartReply.UNANSWERED,
+)
 
 PAUSING_REPLIES = (
     StartReply.NO_ROOM,
@@ -125,6 +130,8 @@
             token=order.token,
             reply=reply.value,
         )
+        if reply is StartReply.CLOSED:
+            self.scheduler.worker_closed(worker.name, now())
         if reply is StartReply.REFUSED:
             # The request was not delivered, since nothing listens there.
             self.scheduler.start_rejected(worker.name, order.key, False, now())
@@ -160,7 +167,8 @@
         while True:
             self.wake.clear()
             if self._needs_poll():
-                await self._poll(self._wait_ms())
+                with failures_logged(self.log, "status", worker=self.worker.name):
+                    await self._poll(self._wait_ms())
                 if self.failed_polls > IMMEDIATE_RETRIES:
                     await asyncio.sleep(RETRY_SECONDS)
             elif self.worker.last_seen > self.worker.acknowledged_end:
@@ -201,7 +209,9 @@
         seconds = wait_ms / 1000 + self.timeout.seconds(self.failed_polls)
         if worker.state is HoldState.ACQUIRING:
             seconds += TAKEOVER_EXTRA_SECONDS
-        answer = await self.calls.poll(worker, poll, seconds)
+        answer = Err(PollFailure.MALFORMED)
+        with failures_logged(self.log, "poll", worker=worker.name):
+            answer = await self.calls.poll(worker, poll, seconds)
         self.is_polling = False
         if isinstance(answer, Err):
             self._poll_failed(answer.err_value, token)
@@ -245,6 +255,8 @@
             if token == worker.token:
                 self._fenced()
             return
+        if failure is PollFailure.CLOSED:
+            self.scheduler.worker_closed(worker.name, now())
         self.scheduler.record_poll_failure(worker.name, self.failed_polls, now())
         if failure is PollFailure.REFUSED:
             self.scheduler.worker_refuses(worker.name, now())
--- a/packages/proof/cranberryshore_proof/contact_mutations.py
+++ b/packages/proof/cranberryshore_proof/contact_mutations.py
@@ -19,6 +19,16 @@
 from cranberryshored.pool.loss_keeper import LossKeeper
 from cranberryshored.pool.registry import StoreRegistry
 
+CONTACT_TEST_MODULES = (
+    "cranberryshore.pool.tests.test_earlier_submissions",
+    "cranberryshore.pool.tests.test_group",
+    "cranberryshore.pool.tests.test_rejected_starts",
+    "cranberryshore.pool.tests.test_silent_workers",
+    "cranberryshored.pool.tests.test_loss_keeper",
+    "cranberryshored.pool.tests.test_takeover_tokens",
+    "cranberryshored.pool.tests.test_worker_channel",
+)
+
 RECORD_POLL_FAILURE = Scheduler.record_poll_failure
 NEXT_TOKEN = TokenSource.next
 SAVE_LOSSES, LOAD_LOSSES = StoreRegistry.save_losses, StoreRegistry.load_losses
--- a/packages/proof/cranberryshore_proof/pool_mutate.py
+++ b/packages/proof/cranberryshore_proof/pool_mutate.py
@@ -1,4 +1,4 @@
-"""Mutation tests of a pool: each defect has to fail a test.
+"""Mutation tests of a pool: each defect has to fail a test that holds without it.
 
 The defects concern who may start a job, by which configuration instances act, and which task is to
 blame for crashed workers.
@@ -15,8 +15,11 @@
 
 import attrs
 import structlog
+from result import Result
 
-from cranberryshore.messages import Beat
+from cranberryshore.bounds import Rejection
+from cranberryshore.messages import Beat, codec
+from cranberryshore.placement.health import PoolHealth
 from cranberryshore.pool import (
     AcknowledgedRights,
     ConfigConfirmation,
@@ -36,49 +39,48 @@
     held_worker,
     scheduler,
 )
-from cranberryshore.pool.held_worker import BootState
+from cranberryshore.pool.departures import DepartureCheck
 from cranberryshore.pool.isolation import Isolation
 from cranberryshore.pool.loss_tracking import LossTracker
 from cranberryshore.pool.placing import Placer
-from cranberryshore.pool.run import Run
+from cranberryshore.pool.run import BootState, Run
 from cranberryshore.pool.verifying import ResumedJobs
-from cranberryshore_proof.contact_mutations import CONTACT_MUTATIONS
-from cranberryshored.pool import PoolDaemon, registry, store_follower, submissions
+from cranberryshore_proof.contact_mutations import CONTACT_MUTATIONS, CONTACT_TEST_MODULES
+from cranberryshored.pool import PoolDaemon, registry, rejections, store_follower, submissions
 from cranberryshored.pool.clock import now
 from cranberryshored.pool.documents import DocumentExchange
 from cranberryshored.pool.exchange import PeerExchange
 from cranberryshored.pool.loss_keeper import LossKeeper
+from cranberryshored.pool.rejections import EntryReader, RejectionLog
 from cranberryshored.pool.roster_keeper import RosterKeeper
 from cranberryshored.pool.store_follower import CallTimeout, StoreFollower
 
 TEST_MODULES = (
+    "cranberryshore.messages.tests.test_odd_values",
     "cranberryshore.pool.tests.test_confirmation",
     "cranberryshore.pool.tests.test_crashes",
     "cranberryshore.pool.tests.test_departures",
-    "cranberryshore.pool.tests.test_earlier_submissions",
-    "cranberryshore.pool.tests.test_group",
+    "cranberryshore.pool.tests.test_former_boots",
     "cranberryshore.pool.tests.test_isolation",
     "cranberryshore.pool.tests.test_lost_workers",
     "cranberryshore.pool.tests.test_queue_versions",
-    "cranberryshore.pool.tests.test_rejected_starts",
+    "cranberryshore.pool.tests.test_records_of_losses",
     "cranberryshore.pool.tests.test_start_rights",
     "cranberryshore.pool.tests.test_scheduler",
-    "cranberryshore.pool.tests.test_silent_workers",
     "cranberryshore.pool.tests.test_takeover",
     "cranberryshore.pool.tests.test_unproven_losses",
     "cranberryshore.pool.tests.test_worker_selection",
     "cranberryshored.pool.tests.test_exchange",
-    "cranberryshored.pool.tests.test_loss_keeper",
     "cranberryshored.pool.tests.test_roster_keeper",
     "cranberryshored.pool.tests.test_entry_service",
     "cranberryshored.pool.tests.test_submissions",
-    "cranberryshored.pool.tests.test_takeover_tokens",
     "cranberryshored.pool.tests.test_routing",
-    "cranberryshored.pool.tests.test_worker_channel",
     "cranberryshore_proof.tests.test_configurations",
     "cranberryshore_proof.tests.test_crashing_tasks",
     "cranberryshore_proof.tests.test_double_start",
     "cranberryshore_proof.tests.test_store_follower",
+    "cranberryshore_proof.tests.test_unseen_crashes",
+    *CONTACT_TEST_MODULES,
 )
 
 
@@ -168,6 +170,10 @@
     return _ignore_stops(self, now) | dict.fromkeys(self.strangers, True)
 
 
+def _trust_reset(self: HeldWorker, now: float) -> BootState:
+    return self.closed_boot or self.boot_state(now)
+
+
 def _count_without_registration(self: LostRun) -> bool:
     return self.state is LossState.PROVEN and self.was_running
 
@@ -181,6 +187,27 @@
     return is_held and not self.strangers and not self.is_draining
 
 
+def _decode_unchecked(decode: Callable, *arguments: str) -> Result:
+    return decode(*arguments)
+
+
+def _report_unguarded(self: StoreFollower, entries: dict[str, str], confirmed_at: float) -> None:
+    self.report(entries, confirmed_at)
+
+
+def _log_again(self: RejectionLog, key: str, rejection: Rejection) -> None:
+    self.log.warning(self.sentence, key=key, reason=rejection.reason)
+
+
+_read_entries = EntryReader.read
+
+
+def _decode_again(self: EntryReader, entries: dict[str, str]) -> dict:
+    self.known.clear()
+    self.rejections.reasons.clear()
+    return _read_entries(self, entries)
+
+
 def _constant(value: object) -> Callable:
     return lambda *arguments: value
 
@@ -269,7 +296,24 @@
     PoolMutation(
         "loss: any start's registration counts", WorkerRegistration, "is_of_start", _constant(True)
     ),
+    PoolMutation(
+        "labels of a former start are used",
+        HeldWorker,
+        "is_registration_current",
+        _constant(True),
+    ),
     PoolMutation("loss: unclear losses have no limit", crashes, "MAX_UNCLEAR_LOSSES", 1000),
+    PoolMutation(
+        "loss: a reset tells when a process ends", HeldWorker, "refused_boot", _trust_reset
+    ),
+    PoolMutation(
+        "loss: other schedulers' stores have answered",
+        DepartureCheck,
+        "_would_have_read_announcement",
+        _constant(True),
+    ),
+    PoolMutation("boots: late answers count", HeldWorker, "is_outdated", _constant(False)),
+    PoolMutation("boots: health outlives a start", PoolHealth, "forget", _constant(None)),
     PoolMutation("loss: a lost rack is to blame", LostRun, "is_crash", _count_common_cause),
     PoolMutation("loss: a replaced worker is no proof", CrashHistory, "resolve", _constant(None)),
     PoolMutation("loss: proof is not awaited", CrashHistory, "awaits_proof", _constant(False)),
@@ -285,6 +329,14 @@
     PoolMutation("loss: records are not saved", LossKeeper, "save_soon", _constant(None)),
     PoolMutation("loss: records are not loaded", LossKeeper, "load_soon", _constant(None)),
     PoolMutation("loss: records are ignored", PoolDaemon, "handle_losses", _constant(None)),
+    PoolMutation("foreign: entries are not checked", rejections, "decode_entry", _decode_unchecked),
+    PoolMutation(
+        "foreign: an error ends the follower", StoreFollower, "_report", _report_unguarded
+    ),
+    PoolMutation("foreign: rejections are logged again", RejectionLog, "rejected", _log_again),
+    PoolMutation("foreign: an entry is decoded again", EntryReader, "read", _decode_again),
+    PoolMutation("foreign: one item costs a message", codec, "_INDEPENDENT_ITEMS", {}),
+    PoolMutation("foreign: deep nesting is raised", codec, "DECODING_ERRORS", (ValueError,)),
     *(PoolMutation(*item) for item in CONTACT_MUTATIONS),
 )
 
@@ -308,10 +360,10 @@
     structlog.configure(wrapper_class=structlog.make_filtering_bound_logger(logging.CRITICAL))
     # Tests that fail leave tasks behind, which asyncio reports.
     logging.getLogger("asyncio").setLevel(logging.CRITICAL + 1)
+    undetected = 0
     failing = find_failing_tests()
     for name in sorted(failing):
         print(f"fails without a mutation, and counts for none: {name}", flush=True)
-    undetected = 0
     for mutation in MUTATIONS:
         if arguments.only not in mutation.name:
             continue
