--- a/packages/core/cranberryshore/pool/group.py
+++ b/packages/core/cranberryshore/pool/group.py
@@ -63,6 +63,8 @@
         Addresses registered with the platform; ``None`` if unknown.
     unregistered : frozenset of str
         Members that were known and not registered when these addresses were read.
+    listed_at : float
+        Time at which the platform was asked for them.
     is_large, is_uneven : bool
         Whether the pool is large enough to be divided, and whether some zone has too few workers.
     """
@@ -76,6 +78,7 @@
     fenced_until: float = float("-inf")
     listed: frozenset[str] | None = None
     unregistered: frozenset[str] = frozenset()
+    listed_at: float = float("-inf")
     is_large: bool = False
     is_uneven: bool = False
 
@@ -84,6 +87,18 @@
         """Return whether each availability zone should have a scheduler of its own."""
         return self.is_large and not self.is_uneven
 
+    def is_replaced(self, sender: MemberAddress, now: float) -> bool:
+        """Return whether a live peer is a later incarnation at the address of a sender.
+
+        The message of the sender was delayed. A peer that is not live may be an earlier one, if the
+        clock of its machine was set back.
+        """
+        return any(
+            member.at.address == sender.address
+            and member.at.started_at_ms() > sender.started_at_ms()
+            for member in self.live(now)
+        )
+
     def record_contact(self, sender: MemberAddress, now: float) -> Member:
         """Record contact with a peer; a new incarnation at an address replaces the old one.
 
--- a/packages/core/cranberryshore/pool/work.py
+++ b/packages/core/cranberryshore/pool/work.py
@@ -19,6 +19,9 @@
 """Occurrence number in task names; always 0, because jobs are not repeated."""
 
 
+CANCELLED_DETAIL = "The job was cancelled."
+
+
 class TaskPhase(Enum):
     """Phase of a task."""
 
@@ -32,7 +35,8 @@
     """Outcome of a job.
 
     A refused job has not run. A job that was given up has no result either, but its tasks may have
-    run. A dropped job may be submitted again by its entry instance.
+    run. A dropped job may be submitted again by its entry instance. A cancelled job was cancelled
+    by a request of a caller: its tasks may have run, and none of them starts any more.
     """
 
     COMPLETED = "completed"
@@ -40,6 +44,7 @@
     REFUSED = "refused"
     GIVEN_UP = "given_up"
     DROPPED = "dropped"
+    CANCELLED = "cancelled"
 
 
 @attrs.frozen
@@ -158,9 +163,11 @@
         Time before which a resumed job does not start unless all workers are verified.
     exposed_workers : frozenset of str or None
         Workers that may have runs of a resumed job; ``None`` if they are not known.
+    possible_starts : int
+        Number of starts, apart from those that workers have rejected.
     ran_on_slow_worker, has_adopted_run : bool
-        Whether a run was on a slow worker, or started by another scheduler, so that the run times
-        are not representative of the queue.
+        Whether a run was on a slow worker, or one of another scheduler or on a worker that was
+        silent meanwhile, so that the run times are not representative of the queue.
     lease_limit : float
         Time by which the leases of its runs must have ended once the job has ended.
     """
@@ -178,6 +185,7 @@
     delayed_until: float = 0.0
     exposed_workers: frozenset[str] | None = None
     has_started: bool = False
+    possible_starts: int = 0
     started_at: float = 0.0
     longest_run_ms: float = 0.0
     ran_on_slow_worker: bool = False
--- a/packages/daemon/cranberryshored/pool/protocols.py
+++ b/packages/daemon/cranberryshored/pool/protocols.py
@@ -8,6 +8,7 @@
 from result import Result
 
 from cranberryshore.messages import (
+    CancelMessage,
     CancelWork,
     RosterChanges,
     RosterNews,
@@ -157,12 +158,12 @@
         """Stop renewing the registration."""
         ...
 
-    async def save_losses(self, publisher: str, lost_runs: tuple[LostRun, ...]) -> None:
-        """Store the records of lost runs of one scheduler, if the store responds."""
+    async def save_losses(self, publisher: str, lost_runs: tuple[LostRun, ...]) -> bool:
+        """Store the records of lost runs of one scheduler; return whether the store took them."""
         ...
 
-    async def load_losses(self) -> tuple[LostRun, ...]:
-        """Return the stored records of all schedulers; none if the store does not respond."""
+    async def load_losses(self) -> tuple[LostRun, ...] | None:
+        """Return the stored records of all schedulers, ``None`` if the store does not respond."""
         ...
 
     async def list_members(self) -> tuple[MemberAddress, ...] | None:
@@ -213,6 +214,10 @@
         """Handle the changes of a peer's list of workers."""
         ...
 
+    def handle_cancelling(self, sender: str, message: CancelMessage) -> None:
+        """Handle a message about cancelled jobs."""
+        ...
+
     def handle_losses(self, lost_runs: tuple[LostRun, ...]) -> None:
         """Handle runs that were lost with their workers."""
         ...
--- a/packages/daemon/cranberryshored/pool/scheduling.py
+++ b/packages/daemon/cranberryshored/pool/scheduling.py
@@ -8,6 +8,7 @@
 
 from cranberryshore.pool import (
     AcknowledgedRights,
+    CancelledJobs,
     Claim,
     CrashHistory,
     Departure,
@@ -15,6 +16,7 @@
     HoldState,
     JobEnded,
     LostRun,
+    Outcome,
     PollWorker,
     PoolConfig,
     ResumedJobReleased,
@@ -28,6 +30,7 @@
     WorkRequest,
 )
 from cranberryshore.pool.held_worker import TAKEOVER_BACKOFF_SECONDS
+from cranberryshore.pool.work import CANCELLED_DETAIL
 from cranberryshored.metrics import Metrics
 from cranberryshored.pool.clock import BaseTimeout, TokenSource, now
 from cranberryshored.pool.protocols import WorkerCalls
@@ -63,6 +66,8 @@
         Called after a stall of this process, when another instance may hold the workers.
     on_losses : callable
         Called with the records of lost runs that other instances lack.
+    cancelled : CancelledJobs
+        Jobs that are not started.
     """
 
     own: str
@@ -75,6 +80,7 @@
     crashes: CrashHistory
     log: FilteringBoundLogger
     metrics: Metrics
+    cancelled: CancelledJobs = attrs.field(factory=CancelledJobs)
     base_timeout: BaseTimeout = attrs.field(factory=BaseTimeout)
     claim: Claim | None = None
     last_tick_at: float = 0.0
@@ -163,7 +169,10 @@
         self.rights.record_roster(entry, roster_version)
 
     def submit(self, request: WorkRequest, entry: str) -> None:
-        """Schedule a job."""
+        """Schedule a job unless it was cancelled."""
+        if request.id in self.cancelled:
+            self._job_ended(JobEnded(entry, request.id, Outcome.CANCELLED, CANCELLED_DETAIL))
+            return
         if request.rosters:
             self.rights.record_roster(entry, request.rosters[-1])
         exposed = None
@@ -188,8 +197,8 @@
             self.scheduler.losses_changed(now())
             self.apply_effects_soon()
 
-    def cancel(self, job: str, entry: str) -> None:
-        """Cancel a job whose caller has disconnected."""
+    def cancel(self, job: str, entry: str | None) -> None:
+        """See :meth:`Scheduler.cancel`."""
         self.scheduler.cancel(job, entry, now())
         self.apply_effects_soon()
 
@@ -228,8 +237,7 @@
                 self.log.info("Resumed job may start.", **attrs.asdict(effect))
                 continue
             if isinstance(effect, JobEnded):
-                self._log_end(effect)
-                self.on_ended(effect)
+                self._job_ended(effect)
                 continue
             channel = self.channels.get(effect.worker)
             if channel is None:
@@ -266,7 +274,7 @@
         self.metrics.judged_losses.labels(judged.departure.value).inc()
         self.log.info(DEPARTURE_SENTENCES[judged.departure], worker=judged.worker)
 
-    def _log_end(self, end: JobEnded) -> None:
+    def _job_ended(self, end: JobEnded) -> None:
         summary = attrs.asdict(end.summary) if end.summary is not None else {}
         if end.failure is not None:
             summary["failure"] = end.failure.cause.value
@@ -281,6 +289,7 @@
             config=self.scheduler.config.version,
             **summary,
         )
+        self.on_ended(end)
 
     def _hold_worker(self, entry: WorkerRegistration) -> None:
         worker = self.scheduler.workers.get(entry.name)
@@ -294,6 +303,7 @@
             # These runs must have ended, or their lease expired, before the worker is replaced.
             self.scheduler.unlist(entry.name, now())
             return
+        former_token = worker.token if worker is not None else 0
         worker = HeldWorker(
             entry.name,
             entry.address,
@@ -301,7 +311,7 @@
             entry.service,
             entry.capacity,
             frozenset(entry.labels),
-            self.tokens.next(),
+            self.tokens.next(former_token),
             entry.rack,
             entry.is_draining,
             entry.born,
--- a/packages/daemon/cranberryshored/pool/worker_channel.py
+++ b/packages/daemon/cranberryshored/pool/worker_channel.py
@@ -38,6 +38,14 @@
     StartReply.UNANSWERED,
 )
 
+PAUSING_REPLIES = (
+    StartReply.NO_ROOM,
+    StartReply.UNHEALTHY,
+    StartReply.LEASE_EXPIRED,
+    StartReply.WORKER_RESTARTED,
+)
+"""Rejections that do not concern one order only, so the next start would be rejected as well."""
+
 
 @attrs.define(eq=False)
 class WorkerChannel:
@@ -131,12 +139,13 @@
             self.poll_now()
         elif reply is StartReply.MALFORMED or reply in FAILED_CALLS:
             # A response that cannot be read does not prove that the run never begins.
-            self.scheduler.start_unanswered(worker.name, self.tokens.next(), now())
+            token = self.tokens.next(worker.token)
+            self.scheduler.start_unanswered(worker.name, token, now())
         elif reply is StartReply.FENCED and order.token == worker.token:
             self.scheduler.fenced(worker.name, now())
         else:
-            is_low = reply is StartReply.ATTEMPT_LOW
-            self.scheduler.start_rejected(worker.name, order.key, is_low, now())
+            is_low, is_paused = reply is StartReply.ATTEMPT_LOW, reply in PAUSING_REPLIES
+            self.scheduler.start_rejected(worker.name, order.key, is_low, now(), is_paused)
         self.on_change()
 
     def _has_lapsed(self, order: StartRun) -> bool:
@@ -230,7 +239,8 @@
         """Advance the token during a takeover, since clocks may differ; else give up the worker."""
         worker = self.worker
         if worker.state is HoldState.ACQUIRING and self.failed_polls <= TAKEOVER_TOKEN_RETRIES:
-            worker.raise_token(self.tokens.advance(2.0 ** (self.failed_polls - 1)))
+            seconds = 2.0 ** (self.failed_polls - 1)
+            worker.raise_token(self.tokens.advance(worker.token, seconds))
             return
         self.scheduler.fenced(worker.name, now())
 
