Scheduler: an instance that the store answers schedules instead of one that it rejects

Cause: only the scheduler reads the registrations, and it went on by its last list for any time while the store rejected it, although its peers reached the store. Change: heartbeats tell when the store has last answered their sender. A scheduler without an answer for 2.5 s hands its claim to the best-ranked instance with one in the last 1.5 s, by the hand-over of a drain. It keeps the claim if there is none, and in a zone that is cut off.

--- a/packages/core/cranberryshore/messages/pool.py
+++ b/packages/core/cranberryshore/messages/pool.py
@@ -42,6 +42,9 @@
     config_age : float or None
         Seconds since the sender's configuration was last known to be the newest one; ``None`` if it
         knows of a newer one, and in heartbeats of earlier versions.
+    store_age : float or None
+        Seconds since the platform's store has last answered the sender; ``None`` if it has not, and
+        in heartbeats of earlier versions.
     members : tuple of MemberAddress
         Live instances known to the sender. Schedulers include them in some heartbeats only. An
         instance that receives heartbeats of two schedulers sends the address of the one that it
@@ -64,6 +67,7 @@
     echo: float | None = None
     known_epoch: int | None = None
     config_age: float | None = None
+    store_age: float | None = None
 
 
 @attrs.frozen
--- a/packages/core/cranberryshore/pool/claims.py
+++ b/packages/core/cranberryshore/pool/claims.py
@@ -96,6 +96,8 @@
         Latest epoch of this instance that it has taken note of; ``None`` if it does not tell.
     heartbeat_sent_at : float
         Time on the monotonic clock of the peer.
+    store_answered_at : float
+        Time at which the platform's store has last answered the peer.
     """
 
     at: MemberAddress
@@ -110,6 +112,7 @@
     epoch: int = 0
     known_epoch: int | None = 0
     heartbeat_sent_at: float = float("-inf")
+    store_answered_at: float = float("-inf")
 
     def clock(self, now: float) -> float:
         """Return the monotonic clock of the peer, late by the transit time of its heartbeat."""
--- a/packages/core/cranberryshore/pool/group.py
+++ b/packages/core/cranberryshore/pool/group.py
@@ -17,6 +17,7 @@
 
 from cranberryshore.pool import division
 from cranberryshore.pool.claims import Claim, Member, MemberAddress
+from cranberryshore.pool.store_access import find_reader
 from cranberryshore.pool.worker_registration import WorkerRegistration
 
 PEER_TIMEOUT_SECONDS = 0.5
@@ -255,6 +256,15 @@
             self._possible_successors(now), key=lambda member: member.at.rank(), default=None
         )
 
+    def reader(self, listing_age: float, now: float) -> Member | None:
+        """Return the peer that should schedule since it can read the workers' registrations.
+
+        ``listing_age`` is the time since this scheduler has read them, in seconds.
+        """
+        if self.claim is None or (self.claim.zone and not self.claim.is_divided):
+            return None
+        return find_reader(self._possible_successors(now), listing_age, now)
+
     def _possible_successors(self, now: float) -> list[Member]:
         """Return the live peers that may schedule the workers that this instance may schedule."""
         return [
--- a/packages/daemon/cranberryshored/pool/app.py
+++ b/packages/daemon/cranberryshored/pool/app.py
@@ -1,6 +1,7 @@
 """Entry instance of a pool, assembled from its parts, with explicit start, drain and close."""
 
 import asyncio
+from math import isfinite
 
 import attrs
 from result import Err, Result
@@ -9,7 +10,6 @@
 from cranberryshore.errors import SettingsError
 from cranberryshore.messages import (
     CancelMessage,
-    CancelWork,
     RosterChanges,
     RosterNews,
     SubmitWork,
@@ -28,7 +28,6 @@
     QueueSpec,
     WorkerListing,
     WorkerRegistration,
-    WorkRequest,
 )
 from cranberryshore.settings.pool import PoolSettings
 from cranberryshored.log import make_logger
@@ -43,6 +42,7 @@
 from cranberryshored.pool.protocols import NumberedMessage, Registry, WorkerCalls
 from cranberryshored.pool.roster_keeper import RosterKeeper
 from cranberryshored.pool.routing import RouteFailure, Router
+from cranberryshored.pool.scheduler_link import SchedulerLink
 from cranberryshored.pool.scheduling import SchedulingService
 from cranberryshored.pool.submissions import SubmissionHandler
 from cranberryshored.pool.transports import TransportFactory
@@ -63,6 +63,9 @@
         Returns the transport to the peers.
     is_first_roster : bool
         Whether the workers have not been read from the store since the latest claim.
+    store_answered_at, listed_at : float
+        Times at which the store has last answered with the configuration, and with the workers or
+        the latest claim has begun.
     """
 
     settings: PoolSettings
@@ -72,6 +75,8 @@
     make_transport: TransportFactory
     is_draining: bool = False
     is_first_roster: bool = False
+    store_answered_at: float = float("-inf")
+    listed_at: float = float("-inf")
     pool_config: PoolConfig = PoolConfig()
     tasks: list[asyncio.Task] = attrs.field(factory=list)
     workers_task: asyncio.Task | None = None
@@ -120,8 +125,9 @@
         self.submissions = SubmissionHandler(
             self.exchange, self.scheduling, self.config, self._job_ended, make_logger("daemon")
         )
+        link = SchedulerLink(self.exchange, self.scheduling, self.rosters, self.config)
         self.entry_service = EntryService(
-            self, self.metrics, make_logger("entry"), cancelled=self.cancelled
+            link, self.metrics, make_logger("entry"), cancelled=self.cancelled
         )
         self.confirmation = ConfigConfirmation()
         self.router = Router(
@@ -206,6 +212,7 @@
 
     def handle_read_config(self, config: PoolConfig, newest_at: float) -> None:
         """Apply a configuration that was the newest one in the store at a time."""
+        self.store_answered_at = now()
         self.confirmation.record(config.version, newest_at)
         self.handle_config(config)
 
@@ -318,6 +325,15 @@
         """See :class:`ExchangeListener`."""
         return self.confirmation
 
+    def store_age(self, moment: float) -> float | None:
+        """See :class:`ExchangeListener`."""
+        age = moment - self.store_answered_at
+        return age if isfinite(age) else None
+
+    def listing_age(self, moment: float) -> float:
+        """See :class:`ExchangeListener`."""
+        return moment - self.listed_at
+
     def roster(self) -> tuple[int, tuple[WorkerRegistration, ...]]:
         """See :class:`ExchangeListener`."""
         return self.rosters.version, self.rosters.workers
@@ -344,7 +360,7 @@
             return
         claim = attrs.evolve(claim, term=self.tokens.next())
         self.group.claim = claim
-        self.is_first_roster = True
+        self.is_first_roster, self.listed_at = True, now()
         self.scheduling.begin(claim, self.pool_config, self.rosters.workers)
         self.workers_task = start_task(
             self.registry.follow_workers(self._handle_workers, self.rosters.workers), self.log
@@ -362,54 +378,6 @@
         self.scheduling.end(reason)
         self.exchange.follow()
 
-    # Implementation of SchedulerClient
-
-    def scheduler(self) -> str:
-        """See :class:`SchedulerClient`."""
-        return self.exchange.follows
-
-    def claim_term(self) -> int:
-        """See :class:`SchedulerClient`."""
-        return self.exchange.claim_term()
-
-    def claim_zone(self) -> str:
-        """See :class:`SchedulerClient`."""
-        return self.exchange.claim_zone()
-
-    def epoch(self) -> int:
-        """See :class:`SchedulerClient`."""
-        return self.exchange.epoch
-
-    def has_released(self, scheduler: str) -> bool:
-        """See :class:`SchedulerClient`."""
-        return self.exchange.has_released(scheduler)
-
-    def rosters_since(self, moment: float) -> tuple[int, ...]:
-        """See :class:`SchedulerClient`."""
-        return self.rosters.versions_since(moment)
-
-    def submit(self, request: WorkRequest) -> None:
-        """See :class:`SchedulerClient`."""
-        if self.exchange.follows == self.group.own.incarnation:
-            self.scheduling.submit(request, self.exchange.follows)
-        else:
-            epoch, term = self.exchange.epoch, self.exchange.claim_term()
-            scheduler = self.group.members.get(self.exchange.follows)
-            version = scheduler.config_version if scheduler is not None else 0
-            known_queue = self.pool_config.queue_after(version, request.queue)
-            sent = attrs.evolve(request, known_queue=known_queue) if known_queue else request
-            self.exchange.send(
-                self.exchange.follows,
-                lambda place, echo: SubmitWork(place, sent, epoch, echo, term),
-            )
-
-    def cancel(self, job: str) -> None:
-        """See :class:`SchedulerClient`."""
-        if self.exchange.follows == self.group.own.incarnation:
-            self.scheduling.cancel(job, self.exchange.follows)
-        elif self.exchange.follows:
-            self.exchange.send(self.exchange.follows, lambda place, echo: CancelWork(place, job))
-
     def _job_ended(self, end: JobEnded) -> None:
         if end.entry == self.group.own.incarnation:
             self.entry_service.job_ended(end, end.entry)
@@ -417,6 +385,7 @@
         self.exchange.send(end.entry, lambda place, echo: encode_end(place, end))
 
     def _handle_workers(self, listing: WorkerListing) -> None:
+        self.listed_at = listing.answered_at
         if self.group.compare_workers(listing.workers, self.is_first_roster):
             # Before the pool is divided, which the others must agree to.
             self.exchange.announce()
--- a/packages/daemon/cranberryshored/pool/exchange.py
+++ b/packages/daemon/cranberryshored/pool/exchange.py
@@ -13,6 +13,7 @@
     PeerMessage,
 )
 from cranberryshore.pool import (
+    Claim,
     Group,
     LostRun,
     Member,
@@ -229,6 +230,8 @@
         self.record_epoch(member, beat.epoch)
         member.follows, member.config_version = beat.follows, beat.config_version
         member.roster_version = beat.roster_version
+        if beat.store_age is not None:
+            member.store_answered_at = moment - beat.store_age
         for item in beat.members:
             self.group.add_reported_member(item, moment)
         self.connections.replace_if_unheard(member, beat, moment)
@@ -288,7 +291,7 @@
         """Take over from a scheduler that has named this instance as its successor."""
         if beat.sender.incarnation == self.follows and not self.group.is_draining:
             self.log.info("Taking over from a leaving scheduler.", peer=self.follows)
-            self.listener.claim_due(self.group.claim_of_successor())
+            self._claim(self.group.claim_of_successor())
 
     async def _run(self) -> None:
         while True:
@@ -343,6 +346,10 @@
         if self.group.claim.is_divided and self.group.is_uneven:
             self._end_claim("the workers of another zone are needed")
             return
+        reader = self.group.reader(self.listener.listing_age(moment), moment)
+        if reader is not None:
+            self._hand_over(reader, moment)
+            return
         held = self.listener.held_count()
         self.group.claim = attrs.evolve(self.group.claim, held=held)
         members = self.group.members
@@ -356,6 +363,21 @@
             self.log.warning("Entry instance lost.", peer=incarnation)
             self.listener.entry_lost(incarnation)
 
+    def _hand_over(self, reader: Member, moment: float) -> None:
+        """Let an instance schedule that the store answers."""
+        self.log.warning(
+            "Store does not answer with the workers; another instance schedules.",
+            peer=reader.at.incarnation,
+        )
+        self.group.fenced_until = moment + FENCED_BACKOFF_SECONDS
+        self.heartbeats.successor = reader.at.incarnation
+        self._end_claim("another instance reads the registrations of the workers")
+        self.announce()
+
+    def _claim(self, claim: Claim) -> None:
+        self.heartbeats.successor = ""
+        self.listener.claim_due(claim)
+
     def _end_claim(self, reason: str) -> None:
         if self.group.claim is not None:
             self.group.claim = None
@@ -366,5 +388,5 @@
             self._end_claim("another claim is stronger")
         claim = self.group.next_claim(moment)
         if claim is not None:
-            self.listener.claim_due(claim)
+            self._claim(claim)
         self.follow()
--- a/packages/daemon/cranberryshored/pool/heartbeats.py
+++ b/packages/daemon/cranberryshored/pool/heartbeats.py
@@ -72,6 +72,7 @@
             member.heartbeat_sent_at,
             member.epoch,
             self.documents.config_age(moment),
+            self.listener.store_age(moment),
         )
         self.send_message(member.at.address, "", beat)
 
--- a/packages/proof/cranberryshore_proof/pool_mutate.py
+++ b/packages/proof/cranberryshore_proof/pool_mutate.py
@@ -27,6 +27,7 @@
     CancelSpread,
     ConfigConfirmation,
     CrashHistory,
+    Group,
     HeldWorker,
     HoldState,
     LossState,
@@ -45,6 +46,7 @@
     departures,
     held_worker,
     scheduler,
+    store_access,
 )
 from cranberryshore.pool.cancelling import Recipient
 from cranberryshore.pool.departures import DepartureCheck
@@ -358,6 +360,9 @@
         "is_registration_current",
         _constant(True),
     ),
+    PoolMutation("store: old registrations are kept", Group, "reader", _constant(None)),
+    PoolMutation("store: any peer reads", store_access, "MAX_ANSWER_AGE_SECONDS", 1e9),
+    PoolMutation("store: early hand-over", store_access, "MAX_LISTING_AGE_SECONDS", 1.0),
     PoolMutation("loss: unclear losses have no limit", crashes, "MAX_UNCLEAR_LOSSES", 1000),
     PoolMutation(
         "loss: a reset tells when a process ends", HeldWorker, "refused_boot", _trust_reset
