Crashing tasks: a test of the copies of the records at other instances

The mutations that do not send, or ignore, the records were caught no longer: since a task may be given up only a second after its losses, the copy in the store was always there. The test loses it as well.

--- a/packages/proof/cranberryshore_proof/tests/test_crashing_tasks.py
+++ b/packages/proof/cranberryshore_proof/tests/test_crashing_tasks.py
@@ -90,6 +90,20 @@
 
         self.simulate(scenario)
 
+    def test_crashes_are_forgotten_with_the_scheduler_and_its_copy_in_the_store(self):
+        async def scenario(deployment: PoolDeployment) -> None:
+            scheduler = deployment.scheduler_number()
+            entry = (scheduler + 1) % len(deployment.zones)
+            job, caller = self.submit(deployment, entry, 0.9, is_deadly=True)
+            await self.crash_count_reaches(deployment, 2)
+            await asyncio.sleep(1.6)
+            deployment.kill(scheduler)
+            deployment.losses.clear()
+            await caller
+            self.assert_given_up(deployment, job)
+
+        self.simulate(scenario)
+
     def test_crashes_are_forgotten_with_the_entry_instance(self):
         # The entry instance is the scheduler as well; its caller submits the job again elsewhere.
         async def scenario(deployment: PoolDeployment) -> None:
