Scheduler: accepting, ending, taking over and stopping are modules of their own; no logic changed

Scheduler keeps its public methods: the reports of workers, the roster, and time. Only submit passes its call on. ADOPTION_WINDOW_SECONDS and STOP_RETRY_SECONDS moved with their code; two tests import the former from takeover, and the mutation "a resumed job waits for no lease" patches takeover.

Tests: core pool 262 and daemon pool 106 pass. Mutations: "a resumed job waits for no lease" fails 23 tests, "cancel: the scheduler goes on" 1, "silence: one failed poll is none" 1.

--- a/packages/core/cranberryshore/pool/scheduler.py
+++ b/packages/core/cranberryshore/pool/scheduler.py
@@ -4,50 +4,35 @@
 certainly never started, or its lease has certainly expired.
 """
 
-from collections.abc import Iterable
-
 import attrs
 
-from cranberryshore.pool import adoption, refusing
 from cranberryshore.pool.backlog import Backlog
 from cranberryshore.pool.config import PoolConfig
 from cranberryshore.pool.crashes import CrashHistory
 from cranberryshore.pool.deadlines import DeadlinePolicy
 from cranberryshore.pool.earlier_runs import EarlierRuns
-from cranberryshore.pool.effects import (
-    JobEnded,
-    PollWorker,
-    PoolEffect,
-    StopRun,
-    UnsuccessfulRun,
-)
+from cranberryshore.pool.effects import PollWorker, PoolEffect
 from cranberryshore.pool.foreign_runs import ForeignRuns
 from cranberryshore.pool.held_worker import HeldWorker
-from cranberryshore.pool.job_failure import FailureCause, JobFailure
-from cranberryshore.pool.job_summary import summarize_job
+from cranberryshore.pool.job_ending import JobEnder
 from cranberryshore.pool.loss_tracking import LossTracker
 from cranberryshore.pool.placing import Placer
-from cranberryshore.pool.refusing import RESUMED_JOB_WAIT_SECONDS, VERIFICATION_SECONDS
-from cranberryshore.pool.run import RunEnd, RunState
+from cranberryshore.pool.run import RunEnd
 from cranberryshore.pool.run_registry import RunRegistry
 from cranberryshore.pool.run_statistics import RunStatistics
-from cranberryshore.pool.start_rights import RUN_RIGHT_SECONDS, AcknowledgedRights, StartRights
+from cranberryshore.pool.start_rights import AcknowledgedRights, StartRights
+from cranberryshore.pool.stopping import RunStopper
+from cranberryshore.pool.submitting import JobIntake
+from cranberryshore.pool.takeover import Takeover
 from cranberryshore.pool.verifying import Verification
-from cranberryshore.pool.work import Outcome, PoolJob, PoolTask, TaskPhase, WorkRequest
+from cranberryshore.pool.work import Outcome, PoolJob, WorkRequest
 from cranberryshore.pool.worker_registration import WorkerListing
 from cranberryshore.pool.worker_status import EndKind, RunKey, WorkerStatus
 from cranberryshore.work.capacity import Capacity
 
-STOP_RETRY_SECONDS = 0.15
-"""Time after which a stop without effect is sent again; workers stop runs within 50 ms."""
-
 FAILED_POLLS_UNTIL_SILENT = 2
 """Consecutive failed polls after which no task is placed on a worker."""
 
-ADOPTION_WINDOW_SECONDS = 0.15
-"""Time after which foreign runs are stopped unless their jobs are handed over; entry instances
-learn of a new scheduler within some milliseconds."""
-
 UNLISTED_WORKER_SECONDS = 3.0
 """Time for which a worker without runs that is not in the roster is held, so that it verifies the
 resumed jobs that arrive meanwhile."""
@@ -87,6 +72,10 @@
     placer: Placer = attrs.field(init=False)
     losses: LossTracker = attrs.field(init=False)
     deadlines: DeadlinePolicy = attrs.field(init=False)
+    stopper: RunStopper = attrs.field(init=False)
+    ender: JobEnder = attrs.field(init=False)
+    takeover: Takeover = attrs.field(init=False)
+    intake: JobIntake = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
         self.placer = Placer(
@@ -104,6 +93,40 @@
             Backlog(self.workers, self.statistics, self.crashes),
             EarlierRuns(self.registry, self.foreign),
         )
+        self.stopper = RunStopper(self.workers, self.registry, self.statistics, self.effects)
+        self.ender = JobEnder(
+            self.jobs,
+            self.registry,
+            self.statistics,
+            self.crashes,
+            self.placer,
+            self.losses,
+            self.deadlines,
+            self.stopper,
+            self.effects,
+        )
+        self.takeover = Takeover(
+            self.jobs,
+            self.workers,
+            self.registry,
+            self.crashes,
+            self.foreign,
+            self.verification,
+            self.placer,
+            self.ender,
+            self.effects,
+        )
+        self.intake = JobIntake(
+            self.jobs,
+            self.registry,
+            self.statistics,
+            self.placer,
+            self.losses,
+            self.deadlines,
+            self.ender,
+            self.takeover,
+            self.effects,
+        )
 
     def take_effects(self) -> list[PoolEffect]:
         """Place waiting tasks if the state has changed, and pop the pending effects."""
@@ -132,78 +155,14 @@
         ``exposed_workers`` are the workers that may have runs of a resumed job, ``None`` if they
         are not known.
         """
-        known = self.jobs.get(request.id)
-        if known is not None and known.entry != entry and not request.is_resumed:
-            known = self._move_job(known, entry, now)
-        if known is not None:
-            known.entry = entry
-            known.deadline_at = now + (request.budget_ms - request.waited_ms) / 1000
-            if request.is_resumed:
-                self._delay_until_verified(known, exposed_workers, now)
-            return
-        queue = request.queue_in(self.config)
-        if queue is None:
-            detail = "The queue is not declared."
-            self.effects.append(self.deadlines.refuse(request.id, entry, detail, 0))
-            return
-        job = PoolJob(request, entry, now - request.waited_ms / 1000, received_at=now)
-        job.set_deadlines(queue, self.statistics.expected_seconds(job))
-        retry_after_ms = refusing.fit_retry_ms(job, self.deadlines.workers_of(queue.service))
-        if retry_after_ms is not None:
-            detail = "No worker can hold a task of the job."
-            self.effects.append(self.deadlines.refuse(request.id, entry, detail, retry_after_ms))
-            return
-        self.registry.restore_attempts(job)
-        self.jobs[request.id] = job
-        failure = self.losses.find_failure(job)
-        if failure is not None:
-            self._fail_job(job, failure, now)
-            return
-        if request.is_resumed:
-            self._delay_until_verified(job, exposed_workers, now)
-        self.deadlines.backlog.record_arrival(job, queue.service, now)
-        self.placer.waiting.update(job, now)
-        self.changed_at = now
-
-    def _move_job(self, job: PoolJob, entry: str, now: float) -> PoolJob | None:
-        """Take a job from an entry instance whose caller has asked another one.
-
-        It would hand the job over to another scheduler while this one continues it. Return ``None``
-        if the job must begin anew, since the other instance does not know all of its workers.
-        """
-        detail = "The caller has asked another instance."
-        usable = self.rights.usable_workers(entry)
-        placed = {task.worker for task in job.tasks if task.phase is TaskPhase.PLACED}
-        if usable is not None and not placed <= usable and job.delayed_until <= now:
-            self._end_job(job, Outcome.GIVEN_UP, detail, now)
-            return None
-        self.effects.append(JobEnded(job.entry, job.request.id, Outcome.GIVEN_UP, detail))
-        return job
-
-    def _delay_until_verified(
-        self, job: PoolJob, exposed_workers: frozenset[str] | None, now: float
-    ) -> None:
-        """Delay the start of waiting tasks until no run of another scheduler can be active."""
-        if job.delayed_until > now and exposed_workers is not None:
-            # Another entry instance has handed the job over, too.
-            earlier = job.exposed_workers
-            exposed_workers = earlier if earlier is None else earlier | exposed_workers
-        self.placer.resumed_jobs.remove(job)
-        job.received_at, job.exposed_workers = now, exposed_workers
-        job.delayed_until = now + RESUMED_JOB_WAIT_SECONDS
-        self.placer.resumed_jobs.add(job)
-        self._adopt_job(job, now)
-        self.verification.request(now)
-        self._request_polls(now)
-
-    def _request_polls(self, now: float) -> None:
-        self.effects += map(PollWorker, self.verification.start_round(self.workers.values(), now))
+        if self.intake.submit(request, entry, self.config, now, exposed_workers):
+            self.changed_at = now
 
     def cancel(self, job_id: str, entry: str | None, now: float) -> None:
         """Cancel a job whose caller has disconnected, or, if ``entry`` is ``None``, has said so."""
         job = self.jobs.get(job_id)
         if job is not None and entry in (None, job.entry):
-            self._end_job(job, Outcome.CANCELLED if entry is None else None, "", now)
+            self.ender.end(job, Outcome.CANCELLED if entry is None else None, "", now)
             self.changed_at = now
 
     def entry_lost(self, entry: str, now: float) -> None:
@@ -212,12 +171,12 @@
         The instance is notified, so that it can submit jobs again whose callers still wait.
         """
         for job in [job for job in self.jobs.values() if job.entry == entry]:
-            self._end_job(job, Outcome.DROPPED, "The entry instance fell silent.", now)
+            self.ender.end(job, Outcome.DROPPED, "The entry instance fell silent.", now)
         self.changed_at = now
 
     def losses_changed(self, now: float) -> None:
         """Apply the records of lost runs of another instance."""
-        self._end_failed_jobs(now)
+        self.ender.end_failed_jobs(now)
         for name in sorted(self.crashes.unresolved & self.workers.keys()):
             self.effects.append(PollWorker(name))
         self.changed_at = now
@@ -225,43 +184,7 @@
     def workers_listed(self, listing: WorkerListing, now: float) -> None:
         """Apply what the registrations tell of lost workers."""
         self.losses.workers_listed(listing, now)
-        self._end_failed_jobs(now)
-
-    def _end_failed_jobs(self, now: float) -> None:
-        """End the jobs with a task that crashes its workers, if any of them is newly known."""
-        if not self.crashes.changes:
-            return
-        for job in list(self.jobs.values()):
-            failure = self.losses.find_failure(job)
-            if failure is not None:
-                self._fail_job(job, failure, now)
-
-    def _fail_job(self, job: PoolJob, failure: JobFailure, now: float) -> None:
-        self._end_job(job, Outcome.FAILED, failure.describe(), now, failure=failure)
-
-    def _end_job(
-        self,
-        job: PoolJob,
-        outcome: Outcome | None,
-        detail: str,
-        now: float,
-        retry_ms: int = 0,
-        failure: JobFailure | None = None,
-    ) -> None:
-        """End a job and stop its runs; notify its entry instance if there is an outcome."""
-        job.is_ended = True
-        job.lease_limit = min(self.rights.lease_limit(job.entry), now + RUN_RIGHT_SECONDS)
-        del self.jobs[job.request.id]
-        self.placer.job_ended(job)
-        self.registry.save_attempts(job)
-        for task in job.tasks:
-            if task.phase is TaskPhase.PLACED:
-                self._stop_run(task.worker, (job.name_of(task), task.attempt), now)
-        if outcome is not None:
-            summary = summarize_job(job, self.statistics.expected_seconds(job), len(self.jobs), now)
-            self.effects.append(
-                JobEnded(job.entry, job.request.id, outcome, detail, retry_ms, summary, failure)
-            )
+        self.ender.end_failed_jobs(now)
 
     # Workers
 
@@ -325,49 +248,16 @@
             self.statistics.health.forget(name)
             self.losses.worker_restarted(worker, former, now)
         self.losses.worker_answered(worker, now)
-        self._end_failed_jobs(now)
+        self.ender.end_failed_jobs(now)
         for end in ends:
-            self._run_ended(worker, end, now)
-        self.foreign.record(worker, [end.task for end in status.ended])
-        for end in status.ended:
-            job = self.jobs.get(adoption.job_id_of((end.task, end.attempt)))
-            if job is not None and end.task in worker.foreign_ends:
-                self._adopt_ends(job, [worker], now)
-        for key in sorted(worker.strangers):
-            self._adopt_run(worker, key, now)
-        if now >= worker.strangers_since + ADOPTION_WINDOW_SECONDS:
-            for key in sorted(worker.strangers):
-                self.effects.append(StopRun(name, key, worker.token))
-        self._stop_stragglers(worker, {(run.task, run.attempt) for run in status.running}, now)
-        for key, run in worker.runs.items():
-            if run.state is RunState.STOPPING and now > run.stop_requested_at + STOP_RETRY_SECONDS:
-                self._stop_run(name, key, now)
+            self.ender.run_ended(worker, end, now)
+        self.takeover.worker_reported(worker, status, now)
+        listed = {(run.task, run.attempt) for run in status.running}
+        self.stopper.stop_stragglers(worker, listed, now)
+        self.stopper.repeat_stops(worker, now)
         self.placer.worker_changed(worker)
         self.changed_at = now
 
-    def _adopt_job(self, job: PoolJob, now: float) -> None:
-        """Adopt the active and finished runs of a job that another scheduler has started."""
-        names = self.foreign.workers_of(job.request.id)
-        workers = [self.workers[name] for name in names if name in self.workers]
-        self._adopt_ends(job, workers, now)
-        for worker in workers:
-            for key in sorted(worker.strangers):
-                if adoption.job_id_of(key) == job.request.id:
-                    self._adopt_run(worker, key, now)
-
-    def _adopt_ends(self, job: PoolJob, workers: Iterable[HeldWorker], now: float) -> None:
-        """Record the tasks of a job that have ended under another scheduler."""
-        for task in adoption.record_ends(job, workers, now):
-            self._task_done(job, task, now)
-
-    def _adopt_run(self, worker: HeldWorker, key: RunKey, now: float) -> None:
-        """Adopt a run that another scheduler has started, if its job was handed over."""
-        job = self.jobs.get(adoption.job_id_of(key))
-        if job is not None and adoption.adopt_run(job, worker, key, self.registry, now):
-            if self.crashes.is_suspect(key[0]):
-                worker.isolated_runs.add(key)
-            self.placer.worker_changed(worker)
-
     def worker_closed(self, name: str, now: float) -> None:
         """Record that the host of a worker has closed a connection before the reply."""
         worker = self.workers.get(name)
@@ -381,7 +271,7 @@
             self.losses.worker_refuses(worker, now)
             worker.mark_silent()
             self.placer.worker_changed(worker)
-            self._end_failed_jobs(now)
+            self.ender.end_failed_jobs(now)
 
     def worker_replaced(self, name: str, now: float) -> None:
         """Record that another process answers at the address of a worker."""
@@ -390,8 +280,8 @@
             return
         self.losses.worker_replaced(worker, now)
         for end in worker.remove_ended_runs():
-            self._run_ended(worker, end, now)
-        self._end_failed_jobs(now)
+            self.ender.run_ended(worker, end, now)
+        self.ender.end_failed_jobs(now)
         self.changed_at = now
 
     def record_poll_failure(self, name: str, failures: int, now: float) -> None:
@@ -433,7 +323,7 @@
         self.registry.withdraw_start(key)
         if is_attempt_low:
             self.registry.raise_attempt(key)
-        self._run_ended(worker, RunEnd(key, EndKind.NEVER_BEGAN, run), now)
+        self.ender.run_ended(worker, RunEnd(key, EndKind.NEVER_BEGAN, run), now)
         self.changed_at = now
 
     def start_unanswered(self, name: str, token: int, now: float) -> None:
@@ -451,7 +341,7 @@
         """Refuse or give up late jobs, end runs with expired leases, and request polls."""
         for name, worker in list(self.workers.items()):
             for end in worker.remove_expired_runs(now):
-                self._run_ended(worker, end, now)
+                self.ender.run_ended(worker, end, now)
             if now > worker.unlisted_at + UNLISTED_WORKER_SECONDS and not worker.runs:
                 del self.workers[name]
                 self.placer.worker_removed(name)
@@ -461,71 +351,6 @@
         if self.changed_at is not None:
             # No job is refused while capacity for it is free.
             self.placer.place_jobs(self.config, now)
-        self._end_late_jobs(now)
-        self._request_polls(now)
+        self.ender.end_late_jobs(self.config, self.acquiring_since, now)
+        self.takeover.request_polls(now)
         self.changed_at = now
-
-    def _stop_stragglers(self, worker: HeldWorker, listed: set[RunKey], now: float) -> None:
-        """Stop stragglers among the reported runs, so that their tasks start elsewhere.
-
-        A run that is missing from the latest report may have ended while polls were lost.
-        """
-        for key, run in worker.runs.items():
-            if run.state is not RunState.RUNNING or key not in listed:
-                continue
-            if self.statistics.isolate_straggler(
-                worker.name, run, *self.registry.tasks_by_run[key], now
-            ):
-                self._stop_run(worker.name, key, now)
-
-    def _end_late_jobs(self, now: float) -> None:
-        """End the jobs that cannot be answered any more."""
-        verdicts = self.deadlines.find_late_jobs(
-            self.jobs.values(), self.config, self.acquiring_since, now
-        )
-        if now >= self.acquiring_since + VERIFICATION_SECONDS:
-            ended = {verdict.job for verdict in verdicts}
-            waiting = [job for job in self.placer.waiting if job not in ended]
-            verdicts += self.deadlines.find_hopeless_jobs(waiting, self.config, now)
-        for verdict in verdicts:
-            self._end_job(verdict.job, verdict.outcome, verdict.detail, now, verdict.retry_after_ms)
-
-    def _stop_run(self, name: str, key: RunKey, now: float) -> None:
-        worker = self.workers.get(name)
-        run = worker.runs.get(key) if worker is not None else None
-        if run is not None:
-            run.state, run.stop_requested_at = RunState.STOPPING, now
-            self.effects.append(StopRun(name, key, worker.token))
-
-    # Ends of runs
-
-    def _run_ended(self, worker: HeldWorker, end: RunEnd, now: float) -> None:
-        job, task = self.registry.remove(end.key)
-        self.placer.worker_changed(worker)
-        self.statistics.record_end(worker.name, end, job, task, now)
-        if end.kind is not EndKind.DONE:
-            ran_ms = int((now - end.run.started_at) * 1000)
-            self.effects.append(UnsuccessfulRun(worker.name, end.key, end.kind, ran_ms))
-        if job.is_ended:
-            return
-        if end.kind is EndKind.DONE:
-            self.crashes.clear(end.key[0])
-            self._task_done(job, task, now)
-            return
-        task.phase, task.worker = TaskPhase.WAITING, ""
-        job.waiting_tasks += 1
-        if end.kind is not EndKind.NEVER_BEGAN:
-            task.avoided_workers.add(worker.name)
-        self.placer.waiting.update(job, now)
-        if end.kind is EndKind.FAILED:
-            task.failures += 1
-            if task.failures >= job.max_attempts:
-                failure = JobFailure(FailureCause.TASK_FAILED, end.key[0], task.attempt)
-                self._fail_job(job, failure, now)
-
-    def _task_done(self, job: PoolJob, task: PoolTask, now: float) -> None:
-        task.phase = TaskPhase.DONE
-        job.unfinished_tasks -= 1
-        if job.unfinished_tasks == 0:
-            self.statistics.record_completed_job(job)
-            self._end_job(job, Outcome.COMPLETED, "", now)
--- a/packages/core/cranberryshore/pool/tests/test_scheduler.py
+++ b/packages/core/cranberryshore/pool/tests/test_scheduler.py
@@ -22,8 +22,9 @@
 )
 from cranberryshore.pool.held_worker import MAX_CLOCK_AGE_SECONDS
 from cranberryshore.pool.refusing import RESUMED_JOB_WAIT_SECONDS, VERIFICATION_SECONDS
-from cranberryshore.pool.scheduler import ADOPTION_WINDOW_SECONDS, UNLISTED_WORKER_SECONDS
+from cranberryshore.pool.scheduler import UNLISTED_WORKER_SECONDS
 from cranberryshore.pool.start_rights import RUN_RIGHT_SECONDS, START_RIGHT_SECONDS
+from cranberryshore.pool.takeover import ADOPTION_WINDOW_SECONDS
 from cranberryshore.pool.tests.unlimited_rights import UnlimitedRights
 from cranberryshore.pool.verifying import ROUND_INTERVAL_SECONDS
 from cranberryshore.work import Capacity
--- a/packages/core/cranberryshore/pool/tests/test_unproven_losses.py
+++ b/packages/core/cranberryshore/pool/tests/test_unproven_losses.py
@@ -16,7 +16,7 @@
     LEASE_MARGIN_SECONDS,
     LEASE_SECONDS,
 )
-from cranberryshore.pool.scheduler import ADOPTION_WINDOW_SECONDS
+from cranberryshore.pool.takeover import ADOPTION_WINDOW_SECONDS
 from cranberryshore.pool.tests.test_lost_workers import LostWorkerTestCase
 from cranberryshore.pool.tests.test_scheduler import request
 
--- a/packages/proof/cranberryshore_proof/pool_mutate.py
+++ b/packages/proof/cranberryshore_proof/pool_mutate.py
@@ -45,8 +45,8 @@
     crashes,
     departures,
     held_worker,
-    scheduler,
     store_access,
+    takeover,
 )
 from cranberryshore.pool.cancelling import Recipient
 from cranberryshore.pool.departures import DepartureCheck
@@ -295,7 +295,7 @@
     ),
     PoolMutation("a release is not awaited", PeerExchange, "has_released", _constant(True)),
     PoolMutation("resumed jobs are not verified", ResumedJobs, "release", _release_all),
-    PoolMutation("a resumed job waits for no lease", scheduler, "RESUMED_JOB_WAIT_SECONDS", 0.0),
+    PoolMutation("a resumed job waits for no lease", takeover, "RESUMED_JOB_WAIT_SECONDS", 0.0),
     PoolMutation(
         "jobs are exposed to no workers", RosterHistory, "names_in_any", _constant(frozenset())
     ),
