--- a/packages/core/cranberryshore/pool/crashes.py
+++ b/packages/core/cranberryshore/pool/crashes.py
@@ -64,8 +64,8 @@
     PROVEN = "proven"
 
 
-LossKey = tuple[str, int, int]
-"""Name and start of a worker, and attempt of a task."""
+LossKey = tuple[str, int, int, int]
+"""Name and start of a worker, attempt of a task, and number of the loss among those of the run."""
 
 STATE_ORDER = tuple(LossState)
 
@@ -88,6 +88,8 @@
         Whether the worker was registered as not leaving after that.
     has_common_cause : bool
         Whether several workers were lost at the same time.
+    number : int
+        Number of earlier losses of the run that were refuted.
     age_seconds : float
         Time since the loss when the record was sent to another instance or to the store.
     """
@@ -102,6 +104,7 @@
     was_store_answering: bool = False
     was_registered: bool = False
     has_common_cause: bool = False
+    number: int = 0
     age_seconds: float = 0.0
 
     @property
@@ -110,7 +113,7 @@
 
         Attempts are numbered anew by the next scheduler.
         """
-        return (self.worker, self.born, self.attempt)
+        return (self.worker, self.born, self.attempt, self.number)
 
     def is_crash(self) -> bool:
         """Return whether the worker has provably crashed while the task was running.
@@ -135,10 +138,19 @@
 
 @attrs.define
 class Entry:
-    """Record of a loss at this instance, with the time of the loss in seconds."""
+    """Record of a loss at this instance.
+
+    Parameters
+    ----------
+    lost_at : float
+        Time of the loss, in seconds.
+    is_judged : bool
+        Whether it is decided here if the worker has left.
+    """
 
     lost: LostRun
     lost_at: float
+    is_judged: bool = False
 
 
 @attrs.define(eq=False)
@@ -186,7 +198,15 @@
         for (task, attempt), was_running in runs.items():
             beside = tuple(sorted(tasks - {task}))
             lost = LostRun(
-                task, attempt, worker, born, beside, state, was_running, is_store_answering
+                task,
+                attempt,
+                worker,
+                born,
+                beside,
+                state,
+                was_running,
+                is_store_answering,
+                number=self._refuted_count(task, worker, born, attempt),
             )
             self._merge(lost, now)
             if task in self.entries:
@@ -197,6 +217,12 @@
             for entry in [entry for _, _, lost in self.recent for entry in lost]:
                 self._merge(attrs.evolve(entry.lost, has_common_cause=True), now)
 
+    def _refuted_count(self, task: str, worker: str, born: int, attempt: int) -> int:
+        return sum(
+            entry.lost.state is LossState.REFUTED and entry.lost.key[:3] == (worker, born, attempt)
+            for entry in self.entries.get(task, {}).values()
+        )
+
     def merge(self, records: Iterable[LostRun], now: float) -> None:
         """Add the records of another instance."""
         for lost in records:
@@ -233,15 +259,17 @@
     def confirm_registered(self, worker: str, born: int, now: float) -> None:
         """Record that a lost worker was still registered as not leaving, so it has not left."""
         for entry in self._entries():
-            if (entry.lost.worker, entry.lost.born) == (worker, born):
+            is_refuted = entry.lost.state is LossState.REFUTED
+            if not is_refuted and (entry.lost.worker, entry.lost.born) == (worker, born):
                 self._merge(attrs.evolve(entry.lost, was_registered=True), now)
 
     def unregistered(self) -> list[Entry]:
-        """Return the losses of which it is not known that the worker has not left."""
+        """Return the losses of which it is not decided whether the worker has left."""
         return [
             entry
             for entry in self._entries()
-            if not entry.lost.was_registered and entry.lost.state is not LossState.REFUTED
+            if not (entry.is_judged or entry.lost.was_registered)
+            and entry.lost.state is not LossState.REFUTED
         ]
 
     def dismiss(self, registration: WorkerRegistration, now: float) -> None:
--- a/packages/core/cranberryshore/pool/departures.py
+++ b/packages/core/cranberryshore/pool/departures.py
@@ -62,7 +62,7 @@
 
     def is_answering(self, now: float) -> bool:
         """Return whether an announcement that a worker has made by now would be read."""
-        is_recent = now <= self.answered_at + MAX_ANSWER_GAP_SECONDS
+        is_recent = now <= self.answered_at + NOTICE_SECONDS
         return is_recent and self.answering_since <= now - NOTICE_SECONDS
 
     def judge(self, loss: Entry) -> Departure:
--- a/packages/core/cranberryshore/pool/held_worker.py
+++ b/packages/core/cranberryshore/pool/held_worker.py
@@ -32,6 +32,10 @@
 """Time before the calculated end of a lease from which it may be over on the clock of the worker,
 whose reading may be late by a lag of the event loop."""
 
+CLOSING_SECONDS = 0.3
+"""Time after a closed connection within which the next call is refused if the process has ended:
+one is sent at once, others each 0.15 s."""
+
 MAX_CLOCK_DRIFT = 0.02
 """Share by which the steady clock of a worker may be slow."""
 
@@ -89,6 +93,8 @@
     closed_boot : BootState or None
         What was known of the worker when its host has closed a connection before the reply, as when
         the process ends; ``None`` if the worker has answered since.
+    closed_at : float
+        Time of that, in seconds.
     is_loss_recorded : bool
         Whether the worker has been recorded as lost since its last answer.
     strangers : set of RunKey
@@ -134,6 +140,7 @@
     runs: dict[RunKey, Run] = attrs.field(factory=dict)
     isolated_runs: set[RunKey] = attrs.field(factory=set)
     closed_boot: BootState | None = None
+    closed_at: float = float("-inf")
     is_loss_recorded: bool = False
     strangers: set[RunKey] = attrs.field(factory=set)
     strangers_since: float = float("inf")
@@ -254,8 +261,7 @@
             return {}
         is_held = now <= self.lease_until - LEASE_MARGIN_SECONDS
         certain = {
-            key: is_held and run.state is RunState.RUNNING and run.start_confirmed_at <= now
-            for key, run in self.runs.items()
+            key: is_held and run.was_running_when_heard(now) for key, run in self.runs.items()
         }
         return dict.fromkeys(self.strangers, False) | certain
 
@@ -266,15 +272,19 @@
     def record_closing(self, now: float) -> None:
         """Record that the host of the worker has closed a connection before the reply."""
         if self.closed_boot is None:
-            self.closed_boot = self.boot_state(now)
+            self.closed_boot, self.closed_at = self.boot_state(now), now
+
+    def has_just_closed(self, now: float) -> bool:
+        """Return whether a connection was closed just now, and no answer has come since."""
+        return self.closed_boot is not None and now <= self.closed_at + CLOSING_SECONDS
 
     def refused_boot(self, now: float) -> BootState:
         """Return what is known of the worker when connections are refused.
 
-        Only a connection that was closed tells when the process has ended: a partition may reset
-        connections and refuse new ones long before.
+        Only a connection that was closed just before tells when the process has ended: a partition
+        may reset connections and refuse new ones long before.
         """
-        if self.closed_boot is not None:
+        if self.has_just_closed(now):
             return self.closed_boot
         boot = self.boot_state(now)
         return attrs.evolve(boot, runs=dict.fromkeys(boot.runs, False))
--- a/packages/core/cranberryshore/pool/loss_tracking.py
+++ b/packages/core/cranberryshore/pool/loss_tracking.py
@@ -23,15 +23,12 @@
         Receives the log records.
     departures : DepartureCheck
         What the registrations tell of lost workers.
-    judged : set
-        Name and start of the lost workers of which it is decided whether they have left.
     """
 
     crashes: CrashHistory
     isolation: Isolation
     effects: list[PoolEffect]
     departures: DepartureCheck = attrs.field(factory=DepartureCheck)
-    judged: set[tuple[str, int]] = attrs.field(factory=set)
 
     def worker_refuses(self, worker: HeldWorker, now: float) -> None:
         """Record that no process listens at the address of a worker, which may have crashed."""
@@ -41,7 +38,8 @@
     def worker_replaced(self, worker: HeldWorker, now: float) -> None:
         """Record that another process answers at the address of a worker, so it has ended."""
         if not worker.is_loss_recorded:
-            boot = worker.closed_boot or worker.boot_state(now)
+            is_closed = worker.has_just_closed(now)
+            boot = worker.closed_boot if is_closed else worker.boot_state(now)
             self._record(worker, boot, LossState.PROVEN, now)
         self.crashes.resolve(worker.name, None, now)
 
@@ -59,17 +57,16 @@
     def workers_listed(self, listing: WorkerListing, now: float) -> None:
         """Record the registrations, which may tell whether lost workers have left."""
         self.departures.record(listing)
+        judged: dict[str, Departure] = {}
         for entry in self.crashes.unregistered():
-            name, born = boot = (entry.lost.worker, entry.lost.born)
-            if boot in self.judged:
-                continue
             departure = self.departures.judge(entry)
             if departure is Departure.UNDECIDED:
                 continue
-            self.judged.add(boot)
-            self.effects.append(WorkerLossJudged(name, departure))
+            entry.is_judged = True
+            judged[entry.lost.worker] = departure
             if departure is Departure.EXCLUDED:
-                self.crashes.confirm_registered(name, born, now)
+                self.crashes.confirm_registered(entry.lost.worker, entry.lost.born, now)
+        self.effects += [WorkerLossJudged(name, judged[name]) for name in sorted(judged)]
         if self.crashes.unresolved:
             for entry in listing.workers:
                 if entry.is_draining and entry.name in self.crashes.unresolved:
--- a/packages/core/cranberryshore/pool/run.py
+++ b/packages/core/cranberryshore/pool/run.py
@@ -44,6 +44,15 @@
     lease_until: float = float("-inf")
     percent: float = 0.0
     is_unheard: bool = False
+
+    def was_running_when_heard(self, now: float) -> bool:
+        """Return whether the run is active for all that its worker has answered up to now.
+
+        It may have ended if a poll has failed since, or if it is being stopped.
+        """
+        is_begun = self.state is RunState.RUNNING and self.start_confirmed_at <= now
+        return is_begun and not self.is_unheard
+
     unheard_seconds: float = 0.0
 
     def record_answer(self, heard_at: float, now: float) -> None:
--- a/packages/core/cranberryshore/pool/tests/test_departures.py
+++ b/packages/core/cranberryshore/pool/tests/test_departures.py
@@ -75,7 +75,7 @@
         self.assertFalse(self.check.is_answering(LOST_AT))
         self.read(9.0, 9.8)
         self.assertTrue(self.check.is_answering(LOST_AT))
-        self.assertFalse(self.check.is_answering(9.8 + MAX_ANSWER_GAP_SECONDS + 0.1))
+        self.assertFalse(self.check.is_answering(9.8 + NOTICE_SECONDS + 0.1))
 
     def test_nothing_is_known_before_the_first_answer(self):
         self.assertIs(self.judge(), Departure.UNDECIDED)
--- a/packages/core/cranberryshore/pool/tests/test_former_boots.py
+++ b/packages/core/cranberryshore/pool/tests/test_former_boots.py
@@ -26,6 +26,9 @@
         self.scheduler.record_status(name, status, token, sent_at, self.now)
 
     def crashed_workers(self, start: StartRun) -> int:
+        """Return the number of crashes under a task, if no worker has left."""
+        for born in (1, 2):
+            self.scheduler.crashes.confirm_registered(start.worker, born, self.now)
         return self.scheduler.crashes.crashed_workers(start.key[0])
 
 
--- a/packages/core/cranberryshore/pool/tests/test_records_of_losses.py
+++ b/packages/core/cranberryshore/pool/tests/test_records_of_losses.py
@@ -8,6 +8,11 @@
 SUSPECTED, PROVEN = LossState.SUSPECTED, LossState.PROVEN
 
 
+def crash(worker: str, attempt: int, state: LossState = PROVEN) -> LostRun:
+    """Return the record of a worker that has crashed under the task, if that is proven."""
+    return LostRun(TASK, attempt, worker, 1, (), state, was_running=True, was_registered=True)
+
+
 class RecordsOfLossesTest(RestartTestCase):
     """Records of lost runs that come from other instances or from the store."""
 
@@ -19,14 +24,14 @@
         starts = self.submit(count=2)
         (first,) = [start for start in starts if start.key[0] == TASK]
         self.end(first, EndKind.DONE)
-        self.merge(LostRun(TASK, 1, "w8", 1, (), PROVEN), LostRun(TASK, 2, "w9", 1, (), PROVEN))
+        self.merge(crash("w8", 1), crash("w9", 2))
         self.assertEqual(self.effects(JobEnded), [])
 
     def test_job_fails_for_a_task_that_has_ended_well_under_another_scheduler(self):
         self.add_worker("w9")
         self.poll("w1", ended=[((TASK, 3), EndKind.DONE)])
         self.submit(count=2, is_resumed=True)
-        self.merge(LostRun(TASK, 1, "w8", 1, (), PROVEN), LostRun(TASK, 2, "w9", 1))
+        self.merge(crash("w8", 1), crash("w9", 2, SUSPECTED))
         self.assertEqual(self.effects(JobEnded), [])
         self.answer("w9", 2)
         self.assertEqual(self.effects(JobEnded), [])
