Mutations: of losses and of cancels in modules of their own; five more, of the review's findings

Each of the five is caught: closed connections that count for ever, unheard runs, refuted losses, ended tasks (the audit's tests of these were vacuous), and records of cleared tasks, which needed a test.

--- a/packages/core/cranberryshore/pool/tests/test_crashes.py
+++ b/packages/core/cranberryshore/pool/tests/test_crashes.py
@@ -94,6 +94,13 @@
         self.assertEqual(set(other.records(51.0)), set(self.history.records(51.0)))
         self.assertEqual(self.history.take_changes(51.0), ())
 
+    def test_task_that_has_ended_well_is_a_suspect_again_by_the_record_of_a_peer(self):
+        self.lose("w1", CULPRIT)
+        record = self.history.take_changes(1.0)
+        self.history.clear(CULPRIT)
+        self.history.merge(record, 2.0)
+        self.assertFalse(self.history.is_suspect(CULPRIT))
+
     def test_older_record_does_not_replace_a_proof(self):
         self.lose("w1", CULPRIT, state=SUSPECTED)
         older = self.history.take_changes(1.0)
--- a/packages/proof/cranberryshore_proof/pool_mutate.py
+++ b/packages/proof/cranberryshore_proof/pool_mutate.py
@@ -11,7 +11,6 @@
 from argparse import ArgumentParser
 from collections.abc import Callable
 from contextlib import ExitStack
-from types import SimpleNamespace
 from unittest.mock import patch
 
 import attrs
@@ -20,56 +19,34 @@
 
 from cranberryshore.bounds import Rejection
 from cranberryshore.messages import Beat, codec
-from cranberryshore.placement.health import PoolHealth
 from cranberryshore.pool import (
     AcknowledgedRights,
-    CancelledJobs,
-    CancelSpread,
     ConfigConfirmation,
-    CrashHistory,
     Group,
     HeldWorker,
-    HoldState,
-    LossState,
-    LostRun,
-    Outcome,
-    OwedReply,
     PoolConfig,
     QueueSpec,
     RosterHistory,
-    Scheduler,
     VersionedQueue,
-    WorkerRegistration,
-    cancelling,
     confirmation,
-    crashes,
-    departures,
-    held_worker,
     store_access,
     takeover,
 )
-from cranberryshore.pool.cancelling import Recipient
-from cranberryshore.pool.departures import DepartureCheck
-from cranberryshore.pool.isolation import Isolation
-from cranberryshore.pool.loss_tracking import LossTracker
 from cranberryshore.pool.placing import Placer
-from cranberryshore.pool.run import BootState, Run
 from cranberryshore.pool.verifying import ResumedJobs
+from cranberryshore_proof.cancel_mutations import CANCEL_MUTATIONS
 from cranberryshore_proof.contact_mutations import CONTACT_MUTATIONS, CONTACT_TEST_MODULES
+from cranberryshore_proof.loss_mutations import LOSS_MUTATIONS
 from cranberryshored.pool import (
     PoolDaemon,
-    outcomes,
     registry,
     rejections,
     store_follower,
     submissions,
 )
-from cranberryshored.pool.cancel_service import CancelAsk, CancelService
 from cranberryshored.pool.clock import now
 from cranberryshored.pool.documents import DocumentExchange
-from cranberryshored.pool.entry_service import EntryService
 from cranberryshored.pool.exchange import PeerExchange
-from cranberryshored.pool.loss_keeper import LossKeeper
 from cranberryshored.pool.rejections import EntryReader, RejectionLog
 from cranberryshored.pool.roster_keeper import RosterKeeper
 from cranberryshored.pool.store_follower import CallTimeout, StoreFollower
@@ -85,6 +62,7 @@
     "cranberryshore.pool.tests.test_lost_workers",
     "cranberryshore.pool.tests.test_queue_versions",
     "cranberryshore.pool.tests.test_records_of_losses",
+    "cranberryshore.pool.tests.test_review_of_losses",
     "cranberryshore.pool.tests.test_start_rights",
     "cranberryshore.pool.tests.test_scheduler",
     "cranberryshore.pool.tests.test_takeover",
@@ -151,66 +129,6 @@
     return self.get_queue(name) if known is None else known.queue
 
 
-def _blame_all(self: CrashHistory, task: str) -> bool:
-    return self.crashed_workers(task) >= crashes.MAX_LOST_WORKERS
-
-
-def _prove_refusal(self: LossTracker, worker: HeldWorker, now: float) -> None:
-    if not worker.is_loss_recorded:
-        self._record(worker, worker.boot_state(now), LossState.PROVEN, now)
-
-
-def _record_leaving(
-    self: LossTracker, worker: HeldWorker, boot: BootState, state: LossState, now: float
-) -> None:
-    worker.is_loss_recorded = True
-    self.crashes.record(worker.name, boot.born, boot.runs, state, now)
-
-
-def _possible_runs(self: HeldWorker, is_certain: Callable[[HeldWorker, Run], bool]) -> dict:
-    certain = {key: is_certain(self, run) for key, run in self.runs.items()}
-    return dict.fromkeys(self.strangers, False) | certain
-
-
-def _is_lease_held(worker: HeldWorker, now: float) -> bool:
-    return now <= worker.lease_until - held_worker.LEASE_MARGIN_SECONDS
-
-
-def _ignore_leases(self: HeldWorker, now: float) -> dict:
-    return _possible_runs(self, lambda _, run: run.start_confirmed_at <= now)
-
-
-def _ignore_confirmations(self: HeldWorker, now: float) -> dict:
-    return _possible_runs(self, lambda worker, _: _is_lease_held(worker, now))
-
-
-def _ignore_stops(self: HeldWorker, now: float) -> dict:
-    return _possible_runs(
-        self, lambda worker, run: _is_lease_held(worker, now) and run.start_confirmed_at <= now
-    )
-
-
-def _blame_strangers(self: HeldWorker, now: float) -> dict:
-    return _ignore_stops(self, now) | dict.fromkeys(self.strangers, True)
-
-
-def _trust_reset(self: HeldWorker, now: float) -> BootState:
-    return self.closed_boot or self.boot_state(now)
-
-
-def _count_without_registration(self: LostRun) -> bool:
-    return self.state is LossState.PROVEN and self.was_running
-
-
-def _count_common_cause(self: LostRun) -> bool:
-    return self.state is LossState.PROVEN and self.was_running and self.was_registered
-
-
-def _is_available(self: HeldWorker) -> bool:
-    is_held = self.state is HoldState.HELD and self.is_listed
-    return is_held and not self.strangers and not self.is_draining
-
-
 def _decode_unchecked(decode: Callable, *arguments: str) -> Result:
     return decode(*arguments)
 
@@ -232,40 +150,6 @@
     return _read_entries(self, entries)
 
 
-def _settle_all(self: CancelSpread) -> list[OwedReply]:
-    settled, self.owed = self.owed, []
-    return settled
-
-
-def _is_silent_recipient(self: CancelSpread, recipient: Recipient, now: float) -> bool:
-    return recipient.is_silent(now)
-
-
-def _cancel_for_entry(self: Scheduler, job_id: str, entry: str | None, now: float) -> None:
-    if entry is not None:
-        _CANCEL(self, job_id, entry, now)
-
-
-def _ask_first_scheduler(self: CancelService, ask: CancelAsk, moment: float) -> None:
-    if ask.sent_to == ("", 0):
-        _ASK_SCHEDULER(self, ask, moment)
-
-
-def _renew_unknown(self: CancelledJobs, job: str, now: float) -> int | None:
-    return self.note(job, now) if job in self.entries else _RENEW(self, job, now)
-
-
-def _renew_or_ignore(self: CancelledJobs, job: str, now: float) -> int:
-    return _RENEW(self, job, now) or self.last_number
-
-
-_CANCEL, _ASK_SCHEDULER, _RENEW = (
-    Scheduler.cancel,
-    CancelService._ask_scheduler,
-    CancelledJobs.renew,
-)
-
-
 def _constant(value: object) -> Callable:
     return lambda *arguments: value
 
@@ -332,28 +216,6 @@
     ),
     PoolMutation("the entry instance's queue is ignored", PoolConfig, "newest_queue", _own_queue),
     PoolMutation("the entry instance's queue is preferred", PoolConfig, "newest_queue", _any_queue),
-    PoolMutation("loss: no task is the culprit", CrashHistory, "is_culprit", _constant(False)),
-    PoolMutation(
-        "loss: all tasks on a worker are to blame", CrashHistory, "is_culprit", _blame_all
-    ),
-    PoolMutation("loss: one crash is enough", crashes, "MAX_LOST_WORKERS", 1),
-    PoolMutation("loss: a refusal is a proof", LossTracker, "worker_refuses", _prove_refusal),
-    PoolMutation("loss: a leaving worker has crashed", LossTracker, "_record", _record_leaving),
-    PoolMutation("loss: leases do not matter", HeldWorker, "possible_runs", _ignore_leases),
-    PoolMutation("loss: the end of a lease is exact", held_worker, "LEASE_MARGIN_SECONDS", 0.0),
-    PoolMutation(
-        "loss: starts count without an answer", HeldWorker, "possible_runs", _ignore_confirmations
-    ),
-    PoolMutation("loss: stopped runs count", HeldWorker, "possible_runs", _ignore_stops),
-    PoolMutation("loss: foreign runs count", HeldWorker, "possible_runs", _blame_strangers),
-    PoolMutation("loss: departures count", LostRun, "is_crash", _count_without_registration),
-    PoolMutation("loss: announcements are ignored", CrashHistory, "dismiss", _constant(None)),
-    PoolMutation("loss: a silent store hides nothing", departures, "MAX_ANSWER_GAP_SECONDS", 100.0),
-    PoolMutation("loss: registrations are never late", departures, "HIDDEN_CHANGE_SECONDS", 0.0),
-    PoolMutation("loss: notices are not awaited", departures, "NOTICE_SECONDS", 0.0),
-    PoolMutation(
-        "loss: any start's registration counts", WorkerRegistration, "is_of_start", _constant(True)
-    ),
     PoolMutation(
         "labels of a former start are used",
         HeldWorker,
@@ -363,33 +225,6 @@
     PoolMutation("store: old registrations are kept", Group, "reader", _constant(None)),
     PoolMutation("store: any peer reads", store_access, "MAX_ANSWER_AGE_SECONDS", 1e9),
     PoolMutation("store: early hand-over", store_access, "MAX_LISTING_AGE_SECONDS", 1.0),
-    PoolMutation("loss: unclear losses have no limit", crashes, "MAX_UNCLEAR_LOSSES", 1000),
-    PoolMutation(
-        "loss: a reset tells when a process ends", HeldWorker, "refused_boot", _trust_reset
-    ),
-    PoolMutation(
-        "loss: other schedulers' stores have answered",
-        DepartureCheck,
-        "_would_have_read_announcement",
-        _constant(True),
-    ),
-    PoolMutation("boots: late answers count", HeldWorker, "is_outdated", _constant(False)),
-    PoolMutation("boots: health outlives a start", PoolHealth, "forget", _constant(None)),
-    PoolMutation("loss: a lost rack is to blame", LostRun, "is_crash", _count_common_cause),
-    PoolMutation("loss: a replaced worker is no proof", CrashHistory, "resolve", _constant(None)),
-    PoolMutation("loss: proof is not awaited", CrashHistory, "awaits_proof", _constant(False)),
-    PoolMutation("loss: a lost rack makes suspects", crashes, "MIN_SIMULTANEOUS_WORKERS", 1000),
-    PoolMutation("loss: no task is a suspect", CrashHistory, "is_suspect", _constant(False)),
-    PoolMutation("loss: tasks run beside suspects", HeldWorker, "is_available", _is_available),
-    PoolMutation("loss: suspects run beside long work", Isolation, "is_suitable", _constant(True)),
-    PoolMutation("loss: suspects run anywhere", Isolation, "may_start", _constant(True)),
-    PoolMutation(
-        "loss: a queue uses up all workers", Isolation, "confined_workers", _constant(None)
-    ),
-    PoolMutation("loss: records are not sent", PeerExchange, "push_losses", _constant(None)),
-    PoolMutation("loss: records are not saved", LossKeeper, "save_soon", _constant(None)),
-    PoolMutation("loss: records are not loaded", LossKeeper, "load_soon", _constant(None)),
-    PoolMutation("loss: records are ignored", PoolDaemon, "handle_losses", _constant(None)),
     PoolMutation("foreign: entries are not checked", rejections, "decode_entry", _decode_unchecked),
     PoolMutation(
         "foreign: an error ends the follower", StoreFollower, "_report", _report_unguarded
@@ -398,60 +233,9 @@
     PoolMutation("foreign: an entry is decoded again", EntryReader, "read", _decode_again),
     PoolMutation("foreign: one item costs a message", codec, "_INDEPENDENT_ITEMS", {}),
     PoolMutation("foreign: deep nesting is raised", codec, "DECODING_ERRORS", (ValueError,)),
-    PoolMutation("cancel: it is confirmed at once", CancelSpread, "settle", _settle_all),
-    PoolMutation("cancel: it is not passed on", CancelSpread, "due", _constant(())),
-    PoolMutation("cancel: it is never confirmed", CancelSpread, "settle", _constant(())),
-    PoolMutation(
-        "cancel: silent instances are not awaited", CancelSpread, "_is_gone", _is_silent_recipient
-    ),
-    PoolMutation(
-        "cancel: ended instances are awaited for ever", CancelSpread, "_is_gone", _constant(False)
-    ),
-    PoolMutation(
-        "cancel: zones without a scheduler are not awaited",
-        CancelSpread,
-        "_known_by_zone",
-        _constant({}),
-    ),
-    PoolMutation(
-        "cancel: a repeated cancel is not passed on", CancelledJobs, "renew", _renew_unknown
-    ),
-    PoolMutation("cancel: a lost message is not repeated", cancelling, "RESEND_SECONDS", 1e9),
-    PoolMutation(
-        "cancel: a cancelled job runs when it arrives",
-        CancelledJobs,
-        "__contains__",
-        _constant(False),
-    ),
-    PoolMutation("cancel: cancelled jobs are forgotten", cancelling, "RETENTION_SECONDS", 0.0),
-    PoolMutation("cancel: the scheduler goes on", Scheduler, "cancel", _cancel_for_entry),
-    PoolMutation(
-        "cancel: the waiting caller is not answered", EntryService, "cancel", _constant(None)
-    ),
-    PoolMutation("cancel: the job goes on", PoolDaemon, "_jobs_cancelled", _constant(None)),
-    PoolMutation(
-        "cancel: earlier versions cannot read the outcome",
-        outcomes,
-        "Outcome",
-        SimpleNamespace(CANCELLED=None, GIVEN_UP=Outcome.GIVEN_UP),
-    ),
-    PoolMutation(
-        "cancel: it is not repeated to another scheduler",
-        CancelService,
-        "_ask_scheduler",
-        _ask_first_scheduler,
-    ),
-    PoolMutation(
-        "cancel: a new instance is not told of earlier ones",
-        CancelService,
-        "inform_new_members",
-        _constant(None),
-    ),
-    PoolMutation(
-        "cancel: a new scheduler is not told", CancelService, "_is_teller", _constant(False)
-    ),
-    PoolMutation("cancel: a full instance confirms", CancelledJobs, "renew", _renew_or_ignore),
     *(PoolMutation(*item) for item in CONTACT_MUTATIONS),
+    *(PoolMutation(*item) for item in LOSS_MUTATIONS),
+    *(PoolMutation(*item) for item in CANCEL_MUTATIONS),
 )
 
 
