Losses: a task that ends one host after another without a trace is bounded

What callers saw: a task whose workers each time ended with their hosts, without closing or refusing a connection, was started on one worker after another until its caller's time was over; other work on these workers was lost each time.

Cause: losses were recorded of runs whose leases still held. A worker that ends in silence is known to have ended only by its return as a later start, when the leases are over and its runs have been removed.

Change: a worker keeps the runs that have lapsed since its latest answer. When a later start or another process answers, those of tasks that may be started again are recorded, marked as lapsed. They blame no task, as nothing shows that the runs were there by then; one of them makes no suspect; from the second on the task runs alone, and from the fourth on it waits as after other unclear losses.

LostRun and HoldState have modules of their own, without a change.

--- a/packages/core/cranberryshore/messages/pool.py
+++ b/packages/core/cranberryshore/messages/pool.py
@@ -4,8 +4,8 @@
 
 from cranberryshore.pool.claims import Claim, MemberAddress
 from cranberryshore.pool.config import PoolConfig
-from cranberryshore.pool.crashes import LostRun
 from cranberryshore.pool.job_failure import JobFailure
+from cranberryshore.pool.lost_run import LostRun
 from cranberryshore.pool.stream import StreamPosition
 from cranberryshore.pool.work import Outcome, WorkRequest
 from cranberryshore.pool.worker_registration import WorkerRegistration
--- a/packages/core/cranberryshore/pool/__init__.py
+++ b/packages/core/cranberryshore/pool/__init__.py
@@ -7,7 +7,7 @@
 from cranberryshore.pool.claims import Claim, Member, MemberAddress
 from cranberryshore.pool.config import PoolConfig, QueueSpec, VersionedQueue
 from cranberryshore.pool.confirmation import ConfigConfirmation
-from cranberryshore.pool.crashes import CrashHistory, LossState, LostRun
+from cranberryshore.pool.crashes import CrashHistory
 from cranberryshore.pool.departures import Departure
 from cranberryshore.pool.effects import (
     JobEnded,
@@ -21,8 +21,10 @@
     WorkerLost,
 )
 from cranberryshore.pool.group import Group
-from cranberryshore.pool.held_worker import HeldWorker, HoldState
+from cranberryshore.pool.held_worker import HeldWorker
+from cranberryshore.pool.hold_state import HoldState
 from cranberryshore.pool.job_failure import FailureCause, JobFailure
+from cranberryshore.pool.lost_run import LossState, LostRun
 from cranberryshore.pool.roster import RosterHistory
 from cranberryshore.pool.scheduler import Scheduler
 from cranberryshore.pool.start_rights import AcknowledgedRights, StartRights
--- a/packages/core/cranberryshore/pool/crashes.py
+++ b/packages/core/cranberryshore/pool/crashes.py
@@ -16,14 +16,19 @@
 leaving after that. A task is the culprit if two workers have provably crashed under it and nothing
 else was on one of them, apart from tasks that have ended well elsewhere.
 
+A worker whose host ends with it closes and refuses no connection. Only its return as a later start
+shows that it has ended, when the leases of its runs are long over. Such a loss blames no task, but
+a task must not end one host after another without a bound: it is a suspect from the second such
+loss on, and waits as after others from the fourth on.
+
 Every instance has a copy of the records, so that the next scheduler does not begin anew.
 """
 
 from collections.abc import Iterable, Mapping
-from enum import Enum
 
 import attrs
 
+from cranberryshore.pool.lost_run import LossKey, LossState, LostRun
 from cranberryshore.pool.worker_registration import WorkerRegistration
 from cranberryshore.pool.worker_status import RunKey
 
@@ -56,86 +61,6 @@
 MAX_CLEARED_TASKS = 1000
 
 
-class LossState(Enum):
-    """What is known of a loss; a later member replaces an earlier one."""
-
-    SUSPECTED = "suspected"
-    REFUTED = "refuted"
-    PROVEN = "proven"
-
-
-LossKey = tuple[str, int, int, int]
-"""Name and start of a worker, attempt of a task, and number of the loss among those of the run."""
-
-STATE_ORDER = tuple(LossState)
-
-
-@attrs.frozen
-class LostRun:
-    """Run that was on a worker when the worker was lost.
-
-    Parameters
-    ----------
-    born : int
-        Identifier of the start of the worker process.
-    beside : tuple of str
-        Other tasks that may have been on the worker.
-    was_running : bool
-        Whether the run was provably on the worker when connections were first refused.
-    was_store_answering : bool
-        Whether the platform's store had just answered then.
-    was_registered : bool
-        Whether the worker was registered as not leaving after that.
-    has_common_cause : bool
-        Whether several workers were lost at the same time.
-    number : int
-        Number of earlier losses of the run that were refuted.
-    age_seconds : float
-        Time since the loss when the record was sent to another instance or to the store.
-    """
-
-    task: str
-    attempt: int
-    worker: str
-    born: int
-    beside: tuple[str, ...] = ()
-    state: LossState = LossState.SUSPECTED
-    was_running: bool = False
-    was_store_answering: bool = False
-    was_registered: bool = False
-    has_common_cause: bool = False
-    number: int = 0
-    age_seconds: float = 0.0
-
-    @property
-    def key(self) -> LossKey:
-        """Return what distinguishes it from the other losses of the task.
-
-        Attempts are numbered anew by the next scheduler.
-        """
-        return (self.worker, self.born, self.attempt, self.number)
-
-    def is_crash(self) -> bool:
-        """Return whether the worker has provably crashed while the task was running.
-
-        Of several workers that were lost together, none counts unless the task was alone on it.
-        """
-        if self.has_common_cause and self.beside:
-            return False
-        return self.state is LossState.PROVEN and self.was_running and self.was_registered
-
-    def merge(self, other: "LostRun") -> "LostRun":
-        """Return the record with what another one of the same loss knows besides."""
-        return attrs.evolve(
-            self,
-            state=max(self.state, other.state, key=STATE_ORDER.index),
-            was_running=self.was_running or other.was_running,
-            was_store_answering=self.was_store_answering or other.was_store_answering,
-            was_registered=self.was_registered or other.was_registered,
-            has_common_cause=self.has_common_cause or other.has_common_cause,
-        )
-
-
 @attrs.define
 class Entry:
     """Record of a loss at this instance.
@@ -194,23 +119,37 @@
         The values of ``runs`` tell whether a run was provably there.
         """
         tasks = {task for task, _ in runs}
-        entries = []
-        for (task, attempt), was_running in runs.items():
-            beside = tuple(sorted(tasks - {task}))
-            lost = LostRun(
+        lost_runs = [
+            LostRun(
                 task,
                 attempt,
                 worker,
                 born,
-                beside,
+                tuple(sorted(tasks - {task})),
                 state,
                 was_running,
                 is_store_answering,
                 number=self._refuted_count(task, worker, born, attempt),
             )
+            for (task, attempt), was_running in runs.items()
+        ]
+        self._add(worker, lost_runs, now)
+
+    def record_lapsed(self, worker: str, born: int, runs: Iterable[RunKey], now: float) -> None:
+        """Record the runs that had lapsed on a worker before it was known to have ended."""
+        lost_runs = [
+            LostRun(task, attempt, worker, born, state=LossState.PROVEN, has_lapsed=True)
+            for task, attempt in sorted(runs)
+        ]
+        self._add(worker, lost_runs, now)
+
+    def _add(self, worker: str, lost_runs: Iterable[LostRun], now: float) -> None:
+        """Add the losses with one worker, which may have a common cause with recent ones."""
+        entries = []
+        for lost in lost_runs:
             self._merge(lost, now)
-            if task in self.entries:
-                entries.append(self.entries[task][lost.key])
+            if lost.task in self.entries:
+                entries.append(self.entries[lost.task][lost.key])
         self.recent = [item for item in self.recent if now <= item[0] + SIMULTANEOUS_SECONDS]
         self.recent.append((now, worker, entries))
         if len({name for _, name, _ in self.recent}) >= MIN_SIMULTANEOUS_WORKERS:
@@ -268,7 +207,7 @@
         return [
             entry
             for entry in self._entries()
-            if not (entry.is_judged or entry.lost.was_registered)
+            if not (entry.is_judged or entry.lost.was_registered or entry.lost.has_lapsed)
             and entry.lost.state is not LossState.REFUTED
         ]
 
@@ -315,8 +254,10 @@
 
     def is_suspect(self, task: str) -> bool:
         """Return whether a worker was lost under a task, perhaps because of it."""
-        losses = self._losses(task)
-        return len(losses) > 1 or any(not entry.lost.has_common_cause for entry in losses)
+        losses = [entry.lost for entry in self._losses(task)]
+        return len(losses) > 1 or any(
+            not (lost.has_common_cause or lost.has_lapsed) for lost in losses
+        )
 
     def must_run_alone(self, task: str) -> bool:
         """Return whether a task must not be started beside others."""
--- a/packages/core/cranberryshore/pool/effects.py
+++ b/packages/core/cranberryshore/pool/effects.py
@@ -2,10 +2,10 @@
 
 import attrs
 
-from cranberryshore.pool.crashes import LossState
 from cranberryshore.pool.departures import Departure
 from cranberryshore.pool.job_failure import JobFailure
 from cranberryshore.pool.job_summary import JobSummary
+from cranberryshore.pool.lost_run import LossState
 from cranberryshore.pool.work import Outcome
 from cranberryshore.pool.worker_status import EndKind, RunKey
 
--- a/packages/core/cranberryshore/pool/held_worker.py
+++ b/packages/core/cranberryshore/pool/held_worker.py
@@ -5,10 +5,9 @@
 this holder. Runs that this holder did not start are adopted or stopped before a lease is extended.
 """
 
-from enum import Enum
-
 import attrs
 
+from cranberryshore.pool.hold_state import HoldState
 from cranberryshore.pool.run import BootState, Run, RunEnd, RunState
 from cranberryshore.pool.worker_status import (
     EndKind,
@@ -54,19 +53,6 @@
 """Maximum number of stored ends of foreign runs, which a busy worker reaches within seconds."""
 
 
-class HoldState(Enum):
-    """State of the hold on a worker.
-
-    A worker is being acquired until its first response to a poll, silent while it does not respond,
-    and lost once it obeys another holder or has left.
-    """
-
-    ACQUIRING = "taking"
-    HELD = "held"
-    SILENT = "silent"
-    LOST = "lost"
-
-
 @attrs.define(eq=False)
 class HeldWorker:
     """State of a worker that this instance holds.
@@ -95,6 +81,8 @@
         the process ends; ``None`` if the worker has answered since.
     closed_at : float
         Time of that, in seconds.
+    lapsed_runs : set of RunKey
+        Runs of the present start whose leases have expired since its latest answer.
     is_loss_recorded : bool
         Whether the worker has been recorded as lost since its last answer.
     strangers : set of RunKey
@@ -141,6 +129,7 @@
     isolated_runs: set[RunKey] = attrs.field(factory=set)
     closed_boot: BootState | None = None
     closed_at: float = float("-inf")
+    lapsed_runs: set[RunKey] = attrs.field(factory=set)
     is_loss_recorded: bool = False
     strangers: set[RunKey] = attrs.field(factory=set)
     strangers_since: float = float("inf")
@@ -267,7 +256,8 @@
 
     def boot_state(self, now: float) -> BootState:
         """Return what is known of the present start of the worker process."""
-        return BootState(self.born, self.possible_runs(now), bool(self.isolated_runs))
+        lapsed = frozenset(self.lapsed_runs)
+        return BootState(self.born, self.possible_runs(now), bool(self.isolated_runs), lapsed)
 
     def record_closing(self, now: float) -> None:
         """Record that the host of the worker has closed a connection before the reply."""
@@ -313,6 +303,7 @@
         """Remove and return the runs of a worker that is not held and whose lease has expired."""
         if self.state is HoldState.HELD or now < self.lease_extended_at + LEASE_EXPIRY_SECONDS:
             return []
+        self.lapsed_runs.update(self.runs)
         return [RunEnd(key, EndKind.LAPSED, self.remove_run(key)) for key in list(self.runs)]
 
     def record_status(
@@ -338,6 +329,7 @@
             self.lease_until = float("-inf")
             self.last_seen = self.acknowledged_end = 0
         self.reported_ms, self.closed_boot = status.clock_ms, None
+        self.lapsed_runs.clear()
         self.lease_until = max(self.lease_until, lease_until)
         self.clock_offset_ms, self.clock_read_at = status.clock_ms - now * 1000, now
         if self.state is HoldState.ACQUIRING:
--- a/packages/core/cranberryshore/pool/isolation.py
+++ b/packages/core/cranberryshore/pool/isolation.py
@@ -14,7 +14,8 @@
 import attrs
 
 from cranberryshore.pool.crashes import MIN_SIMULTANEOUS_WORKERS, SIMULTANEOUS_SECONDS
-from cranberryshore.pool.held_worker import HeldWorker, HoldState
+from cranberryshore.pool.held_worker import HeldWorker
+from cranberryshore.pool.hold_state import HoldState
 from cranberryshore.pool.run import BootState
 from cranberryshore.pool.run_registry import RunRegistry
 from cranberryshore.pool.run_statistics import RunStatistics
--- a/packages/core/cranberryshore/pool/loss_tracking.py
+++ b/packages/core/cranberryshore/pool/loss_tracking.py
@@ -1,16 +1,21 @@
 """Records of the workers that a scheduler loses, from their failed polls and their return."""
 
+from collections.abc import Iterable, Mapping
+
 import attrs
 
-from cranberryshore.pool.crashes import CrashHistory, LossState
+from cranberryshore.pool.adoption import job_id_of
+from cranberryshore.pool.crashes import CrashHistory
 from cranberryshore.pool.departures import Departure, DepartureCheck
 from cranberryshore.pool.effects import PoolEffect, WorkerLossJudged, WorkerLost
 from cranberryshore.pool.held_worker import HeldWorker
 from cranberryshore.pool.isolation import Isolation
 from cranberryshore.pool.job_failure import FailureCause, JobFailure
+from cranberryshore.pool.lost_run import LossState
 from cranberryshore.pool.run import BootState
 from cranberryshore.pool.work import PoolJob, TaskPhase
 from cranberryshore.pool.worker_registration import WorkerListing
+from cranberryshore.pool.worker_status import RunKey
 
 
 @attrs.define(eq=False)
@@ -19,12 +24,15 @@
 
     Parameters
     ----------
+    jobs : mapping
+        Jobs of the scheduler by id.
     effects : list of PoolEffect
         Receives the log records.
     departures : DepartureCheck
         What the registrations tell of lost workers.
     """
 
+    jobs: Mapping[str, PoolJob]
     crashes: CrashHistory
     isolation: Isolation
     effects: list[PoolEffect]
@@ -85,13 +93,42 @@
 
     def _record(self, worker: HeldWorker, boot: BootState, state: LossState, now: float) -> None:
         # A worker that leaves ends its runs, too.
-        if worker.is_draining or not boot.runs:
+        if worker.is_draining:
+            return
+        if not boot.runs:
+            if state is LossState.PROVEN:
+                self._record_lapsed(worker, boot, now)
             return
         worker.is_loss_recorded = True
         self.isolation.worker_lost(worker, boot, now)
         running = tuple(sorted(key for key, is_certain in boot.runs.items() if is_certain))
-        possible = tuple(sorted(boot.runs.keys() - set(running)))
-        silent_ms = int((now - worker.polled_at) * 1000)
-        self.effects.append(WorkerLost(worker.name, running, possible, state, silent_ms))
+        self._log_loss(worker, running, boot.runs.keys() - set(running), state, now)
         is_store_answering = self.departures.is_answering(now)
         self.crashes.record(worker.name, boot.born, boot.runs, state, now, is_store_answering)
+
+    def _record_lapsed(self, worker: HeldWorker, boot: BootState, now: float) -> None:
+        """Record the runs that may have ended a process of whose end nobody saw anything."""
+        lapsed = {key for key in boot.lapsed_runs if self._is_unfinished(key)}
+        if lapsed:
+            worker.is_loss_recorded = True
+            self._log_loss(worker, (), lapsed, LossState.PROVEN, now)
+            self.crashes.record_lapsed(worker.name, boot.born, lapsed, now)
+
+    def _is_unfinished(self, key: RunKey) -> bool:
+        """Return whether the task of a run may be started again."""
+        job = self.jobs.get(job_id_of(key))
+        return job is not None and any(
+            job.name_of(task) == key[0] and task.phase is not TaskPhase.DONE for task in job.tasks
+        )
+
+    def _log_loss(
+        self,
+        worker: HeldWorker,
+        running: tuple[RunKey, ...],
+        possible: Iterable[RunKey],
+        state: LossState,
+        now: float,
+    ) -> None:
+        silent_ms = int((now - worker.polled_at) * 1000)
+        lost = WorkerLost(worker.name, running, tuple(sorted(possible)), state, silent_ms)
+        self.effects.append(lost)
--- a/packages/core/cranberryshore/pool/refusing.py
+++ b/packages/core/cranberryshore/pool/refusing.py
@@ -7,7 +7,8 @@
 
 from collections.abc import Iterable
 
-from cranberryshore.pool.held_worker import HeldWorker, HoldState
+from cranberryshore.pool.held_worker import HeldWorker
+from cranberryshore.pool.hold_state import HoldState
 from cranberryshore.pool.work import ANSWER_LATENCY_SECONDS, PoolJob
 
 RETRY_AFTER_MS = 1000
--- a/packages/core/cranberryshore/pool/run.py
+++ b/packages/core/cranberryshore/pool/run.py
@@ -80,8 +80,11 @@
         Runs that may be active, and whether each one certainly is.
     is_exposed : bool
         Whether one of them may crash the worker.
+    lapsed_runs : frozenset of RunKey
+        Runs that were on the worker at its latest answer, and whose leases have expired since.
     """
 
     born: int
     runs: dict[RunKey, bool]
     is_exposed: bool
+    lapsed_runs: frozenset[RunKey] = frozenset()
--- a/packages/core/cranberryshore/pool/scheduler.py
+++ b/packages/core/cranberryshore/pool/scheduler.py
@@ -86,7 +86,7 @@
             self.crashes,
             self.effects,
         )
-        self.losses = LossTracker(self.crashes, self.placer.isolation, self.effects)
+        self.losses = LossTracker(self.jobs, self.crashes, self.placer.isolation, self.effects)
         self.deadlines = DeadlinePolicy(
             self.workers,
             self.statistics,
--- a/packages/core/cranberryshore/pool/tests/test_crashes.py
+++ b/packages/core/cranberryshore/pool/tests/test_crashes.py
@@ -7,8 +7,8 @@
     RETENTION_SECONDS,
     SIMULTANEOUS_SECONDS,
     CrashHistory,
-    LossState,
 )
+from cranberryshore.pool.lost_run import LossState
 
 CULPRIT, SOUND, LATER = "j.0.0.0", "k.0.0.0", "l.0.0.0"
 SUSPECTED, PROVEN = LossState.SUSPECTED, LossState.PROVEN
--- a/packages/core/cranberryshore/pool/tests/test_records_of_losses.py
+++ b/packages/core/cranberryshore/pool/tests/test_records_of_losses.py
@@ -1,7 +1,8 @@
 from cranberryshore.pool import EndKind, JobEnded, LostRun, PollWorker
-from cranberryshore.pool.crashes import RETENTION_SECONDS, CrashHistory, LossState
+from cranberryshore.pool.crashes import RETENTION_SECONDS, CrashHistory
 from cranberryshore.pool.departures import HIDDEN_CHANGE_SECONDS
 from cranberryshore.pool.held_worker import LEASE_EXPIRY_SECONDS
+from cranberryshore.pool.lost_run import LossState
 from cranberryshore.pool.tests.test_former_boots import RestartTestCase
 
 TASK = "j.0.0.0"
--- a/packages/daemon/cranberryshored/pool/tests/test_loss_keeper.py
+++ b/packages/daemon/cranberryshored/pool/tests/test_loss_keeper.py
@@ -7,7 +7,7 @@
 
 from cranberryshore.messages import encode_json
 from cranberryshore.pool import CrashHistory
-from cranberryshore.pool.crashes import LossState
+from cranberryshore.pool.lost_run import LossState
 from cranberryshored.log import make_logger
 from cranberryshored.platform.store import Entry, KeyListing, StoreUnavailable
 from cranberryshored.pool import loss_keeper
--- a/packages/proof/cranberryshore_proof/loss_mutations.py
+++ b/packages/proof/cranberryshore_proof/loss_mutations.py
@@ -143,6 +143,7 @@
     ("loss: notices are not awaited", departures, "NOTICE_SECONDS", 0.0),
     ("loss: any start's registration counts", WorkerRegistration, "is_of_start", _constant(True)),
     ("loss: unclear losses have no limit", crashes, "MAX_UNCLEAR_LOSSES", 1000),
+    ("loss: lapsed runs ended no worker", CrashHistory, "record_lapsed", _constant(None)),
     ("loss: a reset tells when a process ends", HeldWorker, "refused_boot", _trust_reset),
     (
         "loss: other schedulers' stores have answered",
