Refusals: "never" follows from all capacities that an instance has seen, not from one scheduler's

What callers saw: a job that no worker could hold while capacities were smaller was refused without Retry-After, as one that never fits, if the scheduler had begun meanwhile or held one zone only.

Cause: the largest capacity of a worker was known from the beginning of the claim (docs/design/beliefs.md, marked as differing). Change: each instance keeps, by service, the most of each resource that any list of workers has told; a scheduler begins with that, for all zones.

Measured: test_job_is_refused_for_good_that_workers_held_before_the_scheduler_began and test_capacity_from_before_it_shrunk_is_forgotten fail without the change (no such value) and pass.

--- a/packages/core/cranberryshore/pool/refusing.py
+++ b/packages/core/cranberryshore/pool/refusing.py
@@ -10,6 +10,7 @@
 from cranberryshore.pool.held_worker import HeldWorker
 from cranberryshore.pool.hold_state import HoldState
 from cranberryshore.pool.work import ANSWER_LATENCY_SECONDS, PoolJob
+from cranberryshore.work.capacity import Capacity
 
 RETRY_AFTER_MS = 1000
 """Retry delay for refused callers; load bursts last one to four seconds."""
@@ -57,14 +58,19 @@
     return not members or any(worker.state is HoldState.ACQUIRING for worker in members)
 
 
-def fit_retry_ms(job: PoolJob, workers: Iterable[HeldWorker]) -> int | None:
+def fit_retry_ms(
+    job: PoolJob, workers: Iterable[HeldWorker], largest: Capacity | None
+) -> int | None:
     """Return when a job may be tried again that no worker has room for, 0 for never.
 
     ``None`` if its tasks fit, or if no worker of the service is known yet. A worker may have a
-    smaller capacity for a while.
+    smaller capacity for a while, and the scheduler may hold a part of the workers. ``largest`` is
+    the most that any worker of the service has had of each resource, if it is known.
     """
     demands = {step.demand for step in job.request.steps}
     ever_too_large, is_any_known = demands, False
+    if largest is not None:
+        ever_too_large = {item for item in demands if not largest.holds(item)}
     for worker in workers:
         is_any_known = True
         demands = {demand for demand in demands if not worker.total.holds(demand)}
--- a/packages/core/cranberryshore/pool/roster.py
+++ b/packages/core/cranberryshore/pool/roster.py
@@ -11,6 +11,7 @@
 import attrs
 
 from cranberryshore.pool.worker_registration import WorkerRegistration
+from cranberryshore.work.capacity import Capacity
 
 MAX_REMEMBERED_ROSTERS = 64
 """A job that used an older roster cannot be verified and waits until its runs have ended."""
@@ -53,13 +54,19 @@
 class RosterHistory:
     """Latest rosters by version, with the latest registration of each of their workers.
 
-    ``names_by_version`` has ``None`` for a version that two publishers have used.
+    Parameters
+    ----------
+    names_by_version : dict
+        Names of the workers; ``None`` for a version that two publishers have used.
+    largest : dict
+        Most that one worker of a service has had of each resource in any roster so far.
     """
 
     names_by_version: dict[int, frozenset[str] | None] = attrs.field(
         factory=lambda: {0: frozenset()}
     )
     registrations: dict[str, WorkerRegistration] = attrs.field(factory=dict)
+    largest: dict[str, Capacity] = attrs.field(factory=dict)
     latest_exposure: tuple[tuple, frozenset[str] | None] | None = None
     entries_by_version: dict[int, dict[str, WorkerRegistration]] = attrs.field(
         factory=lambda: {0: {}}
@@ -71,6 +78,9 @@
         self.entries_by_version[version] = entries
         self.latest_exposure = None
         self.registrations.update(entries)
+        for entry in entries.values():
+            known = self.largest.get(entry.service, entry.capacity)
+            self.largest[entry.service] = known.largest(entry.capacity)
         names = frozenset(entries)
         for known in self.names_by_version.values():
             if known == names:
--- a/packages/core/cranberryshore/pool/scheduler.py
+++ b/packages/core/cranberryshore/pool/scheduler.py
@@ -4,6 +4,8 @@
 certainly never started, or its lease has certainly expired.
 """
 
+from collections.abc import Mapping
+
 import attrs
 
 from cranberryshore.pool.backlog import Backlog
@@ -52,6 +54,8 @@
         Right to start and continue the tasks of an entry instance.
     acquiring_since : float
         Time at which this scheduler started or last added a worker, in seconds.
+    largest : mapping
+        See :class:`RosterHistory`.
     """
 
     config: PoolConfig = PoolConfig()
@@ -69,6 +73,7 @@
     crashes: CrashHistory = attrs.field(factory=CrashHistory)
     changed_at: float | None = None
     acquiring_since: float = float("-inf")
+    largest: Mapping[str, Capacity] = attrs.field(factory=dict)
     placer: Placer = attrs.field(init=False)
     losses: LossTracker = attrs.field(init=False)
     deadlines: DeadlinePolicy = attrs.field(init=False)
@@ -125,6 +130,7 @@
             self.deadlines,
             self.ender,
             self.takeover,
+            self.largest,
             self.effects,
         )
 
--- a/packages/core/cranberryshore/pool/submitting.py
+++ b/packages/core/cranberryshore/pool/submitting.py
@@ -1,5 +1,7 @@
 """Acceptance of the jobs that entry instances submit."""
 
+from collections.abc import Mapping
+
 import attrs
 
 from cranberryshore.pool import refusing
@@ -13,6 +15,7 @@
 from cranberryshore.pool.run_statistics import RunStatistics
 from cranberryshore.pool.takeover import Takeover
 from cranberryshore.pool.work import Outcome, PoolJob, TaskPhase, WorkRequest
+from cranberryshore.work.capacity import Capacity
 
 
 @attrs.frozen(eq=False)
@@ -23,6 +26,8 @@
     ----------
     jobs : dict
         Jobs of the scheduler by id; those that are accepted are added.
+    largest : mapping
+        See :class:`RosterHistory`.
     effects : list of PoolEffect
         Receives the required actions.
     """
@@ -35,6 +40,7 @@
     deadlines: DeadlinePolicy
     ender: JobEnder
     takeover: Takeover
+    largest: Mapping[str, Capacity]
     effects: list[PoolEffect]
 
     def submit(
@@ -65,7 +71,9 @@
             return False
         job = PoolJob(request, entry, now - request.waited_ms / 1000, received_at=now)
         job.set_deadlines(queue, self.statistics.expected_seconds(job))
-        retry_after_ms = refusing.fit_retry_ms(job, self.deadlines.workers_of(queue.service))
+        retry_after_ms = refusing.fit_retry_ms(
+            job, self.deadlines.workers_of(queue.service), self.largest.get(queue.service)
+        )
         if retry_after_ms is not None:
             self._refuse(request, entry, "No worker can hold a task of the job.", retry_after_ms)
             return False
--- a/packages/core/cranberryshore/pool/tests/test_lost_workers.py
+++ b/packages/core/cranberryshore/pool/tests/test_lost_workers.py
@@ -181,6 +181,17 @@
         self.scheduler.relist("w1", Capacity(2000, 1000), frozenset(), is_draining=False)
         self.assertEqual(len(self.submit()), 1)
 
+    def test_job_is_refused_for_good_that_workers_held_before_the_scheduler_began(self):
+        self.scheduler.largest["s"] = Capacity(4000, 1000)
+        for name in ("w1", "w2"):
+            worker = self.scheduler.workers[name]
+            worker.resize(Capacity(500, 1000))
+            worker.largest = worker.total
+        self.scheduler.submit(request(), "e", self.now)
+        self.scheduler.submit(request("k", millicores=4001), "e", self.now)
+        ends = self.effects(JobEnded)
+        self.assertEqual([end.retry_after_ms for end in ends], [RETRY_AFTER_MS, 0])
+
     def test_room_that_shrinks_counts_starts_and_stops_under_way(self):
         self.scheduler.submit(request(count=2), "e", self.now)
         starts = self.effects(StartRun)
--- a/packages/core/cranberryshore/pool/tests/test_roster.py
+++ b/packages/core/cranberryshore/pool/tests/test_roster.py
@@ -41,3 +41,8 @@
             self.history.record(version, SECOND)
         self.assertIsNone(self.history.differences(1, 2))
         self.assertLessEqual(len(self.history.entries_by_version), MAX_REMEMBERED_ROSTERS)
+
+    def test_capacity_from_before_it_shrunk_is_forgotten(self):
+        small = tuple(attrs.evolve(entry, capacity=Capacity(200, 9)) for entry in FIRST)
+        self.history.record(3, small)
+        self.assertEqual(self.history.largest, {"s": Capacity(1000, 9)})
--- a/packages/daemon/cranberryshored/pool/scheduling.py
+++ b/packages/daemon/cranberryshored/pool/scheduling.py
@@ -97,7 +97,13 @@
         """Start scheduling: take over the workers that a claim covers."""
         self.claim, self.last_tick_at = claim, now()
         self.rights = AcknowledgedRights(self.own, now(), self.rosters)
-        self.scheduler = Scheduler(config, self.rights, crashes=self.crashes, acquiring_since=now())
+        self.scheduler = Scheduler(
+            config,
+            self.rights,
+            crashes=self.crashes,
+            acquiring_since=now(),
+            largest=self.rosters.largest,
+        )
         self.log.info("Scheduling begins.", term=claim.term, zone=claim.zone or "all")
         self.set_roster(roster)
         self.task = start_task(self._tick(), self.log)
