Jobs: a copy that arrives late leaves the job with the instance that the caller has asked last

What callers saw: a caller that had turned to another instance, as the first one was paused, got 504 for a job that was running, when the first one went on and submitted its jobs again; when it then noticed that the connection was closed, the job was cancelled.

Cause: a scheduler gave a job to whichever instance submitted it last. Change: it compares when the caller has asked the two; the earlier copy is given up, and the runs of an earlier scheduler that its instance knows of are verified all the same.

Measured: three of four new tests of copied jobs fail without the change, all pass; 285 tests of the pool, 111 of its daemon and 47 of its simulation (double starts, pool plays, cancelled jobs) pass.

--- a/packages/core/cranberryshore/pool/submitting.py
+++ b/packages/core/cranberryshore/pool/submitting.py
@@ -17,6 +17,8 @@
 from cranberryshore.pool.work import Outcome, PoolJob, TaskPhase, WorkRequest
 from cranberryshore.work.capacity import Capacity
 
+ASKED_ELSEWHERE_DETAIL = "The caller has asked another instance."
+
 
 @attrs.frozen(eq=False)
 class JobIntake:
@@ -57,10 +59,15 @@
         are not known.
         """
         known = self.jobs.get(request.id)
-        if known is not None and known.entry != entry and not request.is_resumed:
-            known = self._move_job(known, entry, now)
+        asked_at = now - request.waited_ms / 1000
+        if known is not None and known.entry != entry:
+            if asked_at < known.asked_at:
+                self._refuse_earlier_copy(known, request, entry, exposed_workers, now)
+                return False
+            if not request.is_resumed:
+                known = self._move_job(known, entry, now)
         if known is not None:
-            known.entry = entry
+            known.entry, known.asked_at = entry, asked_at
             known.deadline_at = now + (request.budget_ms - request.waited_ms) / 1000
             if request.is_resumed:
                 self.takeover.resume_job(known, exposed_workers, now)
@@ -69,7 +76,7 @@
         if queue is None:
             self._refuse(request, entry, "The queue is not declared.", 0)
             return False
-        job = PoolJob(request, entry, now - request.waited_ms / 1000, received_at=now)
+        job = PoolJob(request, entry, asked_at, received_at=now)
         job.set_deadlines(queue, self.statistics.expected_seconds(job))
         retry_after_ms = refusing.fit_retry_ms(
             job, self.deadlines.workers_of(queue.service), self.largest.get(queue.service)
@@ -98,11 +105,31 @@
         It would hand the job over to another scheduler while this one continues it. Return ``None``
         if the job must begin anew, since the other instance does not know all of its workers.
         """
-        detail = "The caller has asked another instance."
         usable = self.placer.rights.usable_workers(entry)
         placed = {task.worker for task in job.tasks if task.phase is TaskPhase.PLACED}
         if usable is not None and not placed <= usable and job.delayed_until <= now:
-            self.ender.end(job, Outcome.GIVEN_UP, detail, now)
+            self.ender.end(job, Outcome.GIVEN_UP, ASKED_ELSEWHERE_DETAIL, now)
             return None
-        self.effects.append(JobEnded(job.entry, job.request.id, Outcome.GIVEN_UP, detail))
+        self._give_up_copy(job, job.entry)
         return job
+
+    def _refuse_earlier_copy(
+        self,
+        job: PoolJob,
+        request: WorkRequest,
+        entry: str,
+        exposed_workers: frozenset[str] | None,
+        now: float,
+    ) -> None:
+        """Leave a job with the instance that its caller has asked last.
+
+        Another one may submit it again after a pause in which the caller has turned elsewhere. Runs
+        of an earlier scheduler that it knows of are verified all the same.
+        """
+        if request.is_resumed:
+            self.takeover.resume_job(job, exposed_workers, now)
+        self._give_up_copy(job, entry)
+
+    def _give_up_copy(self, job: PoolJob, entry: str) -> None:
+        outcome = Outcome.GIVEN_UP
+        self.effects.append(JobEnded(entry, job.request.id, outcome, ASKED_ELSEWHERE_DETAIL))
--- a/packages/core/cranberryshore/pool/work.py
+++ b/packages/core/cranberryshore/pool/work.py
@@ -152,6 +152,8 @@
         Entry instance that holds the connection of the caller.
     arrived_at : float
         Arrival time of the request, in seconds on the clock of the scheduler.
+    asked_at : float
+        The same of the latest request of the caller, which may have asked several instances.
     target_at, useless_at, deadline_at : float
         Times at which the job should be answered, its answer becomes useless, and its caller
         stops waiting.
@@ -182,6 +184,9 @@
     deadline_at: float = 0.0
     latest_start_at: float = 0.0
     received_at: float = 0.0
+    asked_at: float = attrs.field(
+        default=attrs.Factory(lambda job: job.arrived_at, takes_self=True)
+    )
     delayed_until: float = 0.0
     exposed_workers: frozenset[str] | None = None
     has_started: bool = False
