Soak: jobs are cancelled at any instance, while they run, again, and before their POST

After an acknowledgement no task may start 3 s later, nor run on, unless all instances that knew of the cancel have ended (open, docs/design/platform.md).

--- a/packages/soak/cranberryshore_soak/callers.py
+++ b/packages/soak/cranberryshore_soak/callers.py
@@ -12,6 +12,7 @@
 from cranberryshore.work import Capacity
 from cranberryshore_platform.tests import platform_api
 from cranberryshore_proof.pool_crashes import CrashModel
+from cranberryshore_soak.cancelling import Canceller
 from cranberryshore_soak.history import History, job_of
 from cranberryshore_soak.processes import DaemonProcess
 from cranberryshored.loop_lag import LoopLag
@@ -139,6 +140,8 @@
         All jobs by id; model workers read demands and durations from it.
     deadly_share, patient_share : float
         Shares of the jobs with a task that crashes its workers, and with long tasks.
+    canceller : Canceller or None
+        Cancels some of the jobs.
     task_counts : tuple of int
         Numbers of tasks to choose from for a job.
     """
@@ -151,6 +154,7 @@
     crash_model: CrashModel
     deadly_share: float = DEADLY_SHARE
     patient_share: float = PATIENT_SHARE
+    canceller: Canceller | None = None
     jobs: dict[str, SoakJob] = attrs.field(factory=dict)
     task_counts: tuple[int, ...] = (1, 2, 4, 8)
 
@@ -182,6 +186,10 @@
             job.seconds = PATIENT_TASK_SECONDS
         if drawn < self.deadly_share + self.patient_share:
             job.budget_seconds, job.disconnects_early = LONG_BUDGET_SECONDS, False
+        if self.canceller is not None and self.canceller.is_chosen():
+            job.seconds, job.budget_seconds = PATIENT_TASK_SECONDS, LONG_BUDGET_SECONDS
+            job.disconnects_early = False
+            self.canceller.cancel_soon(job.id)
         self.jobs[job.id] = job
         return job
 
--- a/packages/soak/cranberryshore_soak/cluster.py
+++ b/packages/soak/cranberryshore_soak/cluster.py
@@ -15,6 +15,7 @@
 from cranberryshore_proof.pool_crashes import CrashModel
 from cranberryshore_proof.pool_workers import ModelWorker
 from cranberryshore_soak.callers import COMMON_LABEL, Balancer, Callers
+from cranberryshore_soak.cancelling import Canceller
 from cranberryshore_soak.config_probe import ConfigProbe
 from cranberryshore_soak.history import History
 from cranberryshore_soak.processes import DaemonProcess
@@ -115,7 +116,11 @@
             self.lag,
             self.crash_model,
         )
+        self.callers.canceller = Canceller(
+            QUEUE, self.history, Random(self.plan.seed + 8), self.daemons
+        )
         self.history.label_of = self.callers.task_label
+        self.history.oldest_start = self._oldest_start
         self.config_probe = ConfigProbe(
             self.daemons, QUEUE.host, self.history, Random(self.plan.seed + 5)
         )
@@ -367,8 +372,14 @@
                 connection.is_silent = True
         self.config_probe.disturbances.strike(time.monotonic(), *self.daemons)
 
+    def _oldest_start(self) -> float:
+        running = [daemon for daemon in self.daemons.values() if daemon.is_running()]
+        return min((daemon.started_at for daemon in running), default=float("inf"))
+
     async def run_callers(self, seconds: float, caller_count: int, pause: float) -> list:
         """Let callers submit jobs for some time, with pauses of this mean; return the jobs."""
         end = time.monotonic() + seconds
         running = [self.callers.run_caller(end, pause) for _ in range(caller_count)]
-        return [job for jobs in await asyncio.gather(*running) for job in jobs]
+        jobs = [job for jobs in await asyncio.gather(*running) for job in jobs]
+        await self.callers.canceller.close()
+        return jobs
--- a/packages/soak/cranberryshore_soak/history.py
+++ b/packages/soak/cranberryshore_soak/history.py
@@ -14,6 +14,9 @@
 """Time after which no task may start on a draining worker: the strictest limit of any deployment is
 2 s after the list of workers has been read, which takes up to 1 s."""
 
+CANCEL_TIMEOUT_SECONDS = 3.0
+"""Time after the acknowledgement of a cancel from which no task of the job may start."""
+
 UNDISTURBED_SECONDS = 4.0
 """Time limits are checked only when no fault has begun or ended for this long."""
 
@@ -49,6 +52,10 @@
         Label of the present process of each worker, by name.
     label_of : callable
         Returns the label that a task requires, or "".
+    cancelled : dict
+        Times at which cancels of jobs were acknowledged.
+    oldest_start : callable
+        Returns the time at which the oldest of the running instances has started.
     draining : dict
         Times at which workers began to drain, by name.
     disturbed_at : float
@@ -64,6 +71,8 @@
     refused: set[str] = attrs.field(factory=set)
     labels: dict[str, str] = attrs.field(factory=dict)
     label_of: Callable[[str], str] = attrs.field(default=lambda task: "")
+    cancelled: dict[str, float] = attrs.field(factory=dict)
+    oldest_start: Callable[[], float] = attrs.field(default=lambda: float("-inf"))
     draining: dict[str, float] = attrs.field(factory=dict)
     begun_at: float = attrs.field(factory=time.monotonic)
     disturbed_at: float = 0.0
@@ -97,6 +106,7 @@
             self.report(f"{key[0]} starts on {worker.name} of kind {label}, not {required}")
         if job in self.refused:
             self.report(f"{key[0]} starts on {worker.name} although its job was refused")
+        self._check_cancelled(worker, key[0])
         for other in self.workers.values():
             other.end_due_runs(now)
             for task, attempt in other.runs:
@@ -111,6 +121,33 @@
         ):
             self.report(f"{key[0]} starts on {worker.name}, which is draining")
 
+    def _check_cancelled(self, worker: ModelWorker, task: str) -> None:
+        job = job_of(task)
+        late_by = time.monotonic() - self.cancelled.get(job, float("inf")) - CANCEL_TIMEOUT_SECONDS
+        if late_by > 0 and not self._is_cancel_forgotten(job):
+            self.report(f"{task} starts on {worker.name}, cancelled {late_by:.2f} s too long ago")
+
+    def _is_cancel_forgotten(self, job: str) -> bool:
+        """Return whether all instances that knew of the cancel of a job have ended."""
+        return self.oldest_start() >= self.cancelled[job]
+
+    def check_cancelled_runs(self, job: str) -> None:
+        """Check that no task of a cancelled job runs any more."""
+        if self._is_cancel_forgotten(job):
+            return
+        now = asyncio.get_running_loop().time()
+        for worker in self.workers.values():
+            worker.end_due_runs(now)
+            for task, attempt in worker.runs:
+                if job_of(task) == job:
+                    self.report(f"{task}/{attempt} runs on at {worker.name}, though cancelled")
+
+    def job_cancelled(self, job: str, instance: str, asked_at: float) -> None:
+        """Record that an instance has acknowledged the cancel of a job."""
+        now = time.monotonic()
+        self.cancelled.setdefault(job, now)
+        self.record_event(f"{instance} has cancelled {job} after {now - asked_at:.2f} s")
+
     def run_ended(self, worker: ModelWorker, key: RunKey, kind: EndKind) -> None:
         """Record the end of a run."""
         if kind is EndKind.DONE:
--- a/packages/soak/cranberryshore_soak/runner.py
+++ b/packages/soak/cranberryshore_soak/runner.py
@@ -13,14 +13,12 @@
 from cranberryshore_soak.callers import BUDGET_SECONDS, SoakJob
 from cranberryshore_soak.cluster import QUEUE, SoakCluster, SoakPlan
 from cranberryshore_soak.fault_injection import FaultInjector
+from cranberryshore_soak.history import CANCEL_TIMEOUT_SECONDS
 from cranberryshored.platform.session import single_try_session
 
 SETTLE_SECONDS = 5.0
 """Minimum time from the last fault to the recovery checks: up to 4 s of recovery and 1 s margin."""
 
-CANCEL_TIMEOUT_SECONDS = 3.0
-"""No task may run this long after the last caller has finished: a cancel may take up to 3 s."""
-
 MAX_OVERHEAD_SECONDS = 90.0
 """Time limit of a run beyond its two phases: two waits of up to 30 s until all daemons are ready,
 the last faults, settling and checks; a longer run is a violation."""
@@ -147,7 +145,7 @@
     """Submit jobs after the faults and check that they complete; return them."""
     callers = cluster.callers
     callers.task_counts, callers.deadly_share = RECOVERY_TASK_COUNTS, 0.0
-    callers.patient_share = 0.0
+    callers.patient_share = callers.canceller.share = 0.0
     jobs = await cluster.run_callers(
         cluster.plan.recovery_seconds, RECOVERY_CALLER_COUNT, RECOVERY_MEAN_PAUSE_SECONDS
     )
--- a/packages/soak/cranberryshore_soak/tests/test_changed_workers.py
+++ b/packages/soak/cranberryshore_soak/tests/test_changed_workers.py
@@ -20,6 +20,7 @@
         self.cluster = SoakCluster(SoakPlan(1, 3, 6, 0))
         callers = self.cluster.callers
         callers.task_counts, callers.deadly_share, callers.patient_share = TASK_COUNTS, 0.0, 0.0
+        callers.canceller.share = 0.0
         await self.cluster.start()
         self.faults = WorkerFaults(self.cluster, Random(1)).faults_by_name()
 
