--- a/packages/core/cranberryshore/pool/crashes.py
+++ b/packages/core/cranberryshore/pool/crashes.py
@@ -139,7 +139,7 @@
         """Record the runs that had lapsed on a worker before it was known to have ended."""
         lost_runs = [
             LostRun(task, attempt, worker, born, state=LossState.PROVEN, has_lapsed=True)
-            for task, attempt in sorted(runs)
+            for task, attempt in runs
         ]
         self._add(worker, lost_runs, now)
 
--- a/packages/core/cranberryshore/pool/effects.py
+++ b/packages/core/cranberryshore/pool/effects.py
@@ -77,6 +77,8 @@
         Whether its process has provably ended.
     silent_ms : int
         Time since the latest poll that it has answered was sent, in milliseconds.
+    lapsed : tuple of RunKey
+        Runs that were on it when it fell silent, and whose leases were over when it returned.
     """
 
     worker: str
@@ -84,6 +86,7 @@
     possible: tuple[RunKey, ...]
     state: LossState
     silent_ms: int
+    lapsed: tuple[RunKey, ...] = ()
 
 
 @attrs.frozen
--- a/packages/core/cranberryshore/pool/loss_tracking.py
+++ b/packages/core/cranberryshore/pool/loss_tracking.py
@@ -1,6 +1,6 @@
 """Records of the workers that a scheduler loses, from their failed polls and their return."""
 
-from collections.abc import Iterable, Mapping
+from collections.abc import Mapping
 
 import attrs
 
@@ -102,16 +102,19 @@
         worker.is_loss_recorded = True
         self.isolation.worker_lost(worker, boot, now)
         running = tuple(sorted(key for key, is_certain in boot.runs.items() if is_certain))
-        self._log_loss(worker, running, boot.runs.keys() - set(running), state, now)
+        possible = tuple(sorted(boot.runs.keys() - set(running)))
+        silent_ms = self._silent_ms(worker, now)
+        self.effects.append(WorkerLost(worker.name, running, possible, state, silent_ms))
         is_store_answering = self.departures.is_answering(now)
         self.crashes.record(worker.name, boot.born, boot.runs, state, now, is_store_answering)
 
     def _record_lapsed(self, worker: HeldWorker, boot: BootState, now: float) -> None:
         """Record the runs that may have ended a process of whose end nobody saw anything."""
-        lapsed = {key for key in boot.lapsed_runs if self._is_unfinished(key)}
+        lapsed = tuple(sorted(key for key in boot.lapsed_runs if self._is_unfinished(key)))
         if lapsed:
             worker.is_loss_recorded = True
-            self._log_loss(worker, (), lapsed, LossState.PROVEN, now)
+            state, silent_ms = LossState.PROVEN, self._silent_ms(worker, now)
+            self.effects.append(WorkerLost(worker.name, (), (), state, silent_ms, lapsed))
             self.crashes.record_lapsed(worker.name, boot.born, lapsed, now)
 
     def _is_unfinished(self, key: RunKey) -> bool:
@@ -121,14 +124,6 @@
             job.name_of(task) == key[0] and task.phase is not TaskPhase.DONE for task in job.tasks
         )
 
-    def _log_loss(
-        self,
-        worker: HeldWorker,
-        running: tuple[RunKey, ...],
-        possible: Iterable[RunKey],
-        state: LossState,
-        now: float,
-    ) -> None:
-        silent_ms = int((now - worker.polled_at) * 1000)
-        lost = WorkerLost(worker.name, running, tuple(sorted(possible)), state, silent_ms)
-        self.effects.append(lost)
+    @staticmethod
+    def _silent_ms(worker: HeldWorker, now: float) -> int:
+        return int((now - worker.polled_at) * 1000)
--- a/packages/daemon/cranberryshored/pool/exchange.py
+++ b/packages/daemon/cranberryshored/pool/exchange.py
@@ -370,6 +370,8 @@
         self.log.warning(
             "Store does not answer with the workers; another instance schedules.",
             peer=reader.at.incarnation,
+            listing_seconds=round(moment - self.group.listing_read_at, 2),
+            answer_seconds=self.listener.store_age(moment),
         )
         self.group.fenced_until = moment + FENCED_BACKOFF_SECONDS
         self.heartbeats.successor = reader.at.incarnation
--- a/packages/daemon/cranberryshored/pool/scheduling.py
+++ b/packages/daemon/cranberryshored/pool/scheduling.py
@@ -274,6 +274,7 @@
             silent_ms=lost.silent_ms,
             runs=[f"{task}/{attempt}" for task, attempt in lost.running],
             possible_runs=[f"{task}/{attempt}" for task, attempt in lost.possible],
+            lapsed_runs=[f"{task}/{attempt}" for task, attempt in lost.lapsed],
         )
 
     def _log_judged_loss(self, judged: WorkerLossJudged) -> None:
