Stragglers: a task that is longer than its estimate ends on a later attempt

What callers saw: a job with a task that takes over three times its estimate was stopped and started on one worker after another until its caller's time was over.

Cause: each run was measured against the same limit, although a task that has straggled on one worker may itself be long. Change: after each straggler the next run of the task may take twice as long. A task that hangs on two workers is still stopped there.

The stub of test_stopping_stragglers_improves_earnings takes the third argument.

--- a/packages/core/cranberryshore/pool/run_statistics.py
+++ b/packages/core/cranberryshore/pool/run_statistics.py
@@ -77,7 +77,9 @@
     ) -> bool:
         """Isolate the worker of a run if the run is a straggler; return whether it is one."""
         ran_seconds = now - run.started_at - run.unheard_seconds
-        if not is_straggler(ran_seconds, self.expected_task_ms(job, task) / 1000):
+        expected_seconds = self.expected_task_ms(job, task) / 1000
+        if not is_straggler(ran_seconds, expected_seconds, task.stragglers):
             return False
+        task.stragglers += 1
         self.health.isolate(worker, INITIAL_ISOLATION_SECONDS, now)
         return True
--- a/packages/core/cranberryshore/pool/tests/test_load.py
+++ b/packages/core/cranberryshore/pool/tests/test_load.py
@@ -58,7 +58,7 @@
                 arrival.request = attrs.evolve(arrival.request, budget_ms=SHORT_CALLER_TIMEOUT_MS)
             return earned_share(replay.simulate(arrivals))
 
-        def never(ran_seconds: float, expected_seconds: float) -> bool:
+        def never(ran_seconds: float, expected_seconds: float, earlier_stragglers: int) -> bool:
             return False
 
         stopped = [earned(seed) for seed in SEEDS]
--- a/packages/core/cranberryshore/pool/work.py
+++ b/packages/core/cranberryshore/pool/work.py
@@ -130,6 +130,8 @@
         Number of the last attempt, across submissions of the job; 0 if there is none.
     avoided_workers : set of str
         Workers on which a begun attempt ended without success; they are used last.
+    stragglers : int
+        Number of attempts that were stopped because they took much longer than expected.
     """
 
     step: int
@@ -140,6 +142,7 @@
     attempt: int = 0
     failures: int = 0
     avoided_workers: set[str] = attrs.field(factory=set)
+    stragglers: int = 0
 
 
 @attrs.define(eq=False)
--- a/packages/core/cranberryshore/timeline/log_records.py
+++ b/packages/core/cranberryshore/timeline/log_records.py
@@ -29,7 +29,7 @@
     "daemon: Draining.",
     "store: Store does not answer.",
 )
-_HIDDEN_FIELDS = ("job", "queue", "entry", "runs", "possible_runs", "config")
+_HIDDEN_FIELDS = ("job", "queue", "entry", "runs", "possible_runs", "lapsed_runs", "config")
 
 
 @attrs.frozen
