--- a/packages/proof/cranberryshore_proof/pool_mutate.py
+++ b/packages/proof/cranberryshore_proof/pool_mutate.py
@@ -30,11 +30,15 @@
     RosterHistory,
     VersionedQueue,
     confirmation,
+    run_statistics,
     store_access,
     takeover,
 )
 from cranberryshore.pool.placing import Placer
+from cranberryshore.pool.straggling import is_straggler
+from cranberryshore.pool.submitting import JobIntake
 from cranberryshore.pool.verifying import ResumedJobs
+from cranberryshore.pool.work import PoolJob
 from cranberryshore_proof.cancel_mutations import CANCEL_MUTATIONS
 from cranberryshore_proof.contact_mutations import CONTACT_MUTATIONS, CONTACT_TEST_MODULES
 from cranberryshore_proof.loss_mutations import LOSS_MUTATIONS
@@ -56,6 +60,7 @@
     "cranberryshore.messages.tests.test_odd_values",
     "cranberryshore.pool.tests.test_cancelling",
     "cranberryshore.pool.tests.test_confirmation",
+    "cranberryshore.pool.tests.test_copies_of_jobs",
     "cranberryshore.pool.tests.test_crashes",
     "cranberryshore.pool.tests.test_departures",
     "cranberryshore.pool.tests.test_former_boots",
@@ -66,6 +71,7 @@
     "cranberryshore.pool.tests.test_records_of_losses",
     "cranberryshore.pool.tests.test_review_of_losses",
     "cranberryshore.pool.tests.test_start_rights",
+    "cranberryshore.pool.tests.test_stragglers",
     "cranberryshore.pool.tests.test_scheduler",
     "cranberryshore.pool.tests.test_takeover",
     "cranberryshore.pool.tests.test_unproven_losses",
@@ -148,6 +154,16 @@
     self.claim, self.claimed_at, self.listing_read_at = claim, now, now
 
 
+def _take_earlier_copy(
+    self: JobIntake, job: PoolJob, request: object, entry: str, exposed: object, now: float
+) -> None:
+    job.entry = entry
+
+
+def _same_limit(ran_seconds: float, expected_seconds: float, earlier_stragglers: int) -> bool:
+    return is_straggler(ran_seconds, expected_seconds)
+
+
 _read_entries = EntryReader.read
 
 
@@ -229,6 +245,8 @@
         "is_registration_current",
         _constant(True),
     ),
+    PoolMutation("jobs: late copies win", JobIntake, "_refuse_earlier_copy", _take_earlier_copy),
+    PoolMutation("stragglers: one limit", run_statistics, "is_straggler", _same_limit),
     PoolMutation("store: old registrations are kept", Group, "reader", _constant(None)),
     PoolMutation("store: any peer reads", store_access, "MAX_ANSWER_AGE_SECONDS", 1e9),
     PoolMutation("store: inherited registrations are new", Group, "record_claim", _claim_anew),
--- a/packages/soak/cranberryshore_soak/tests/test_cancelling.py
+++ b/packages/soak/cranberryshore_soak/tests/test_cancelling.py
@@ -5,36 +5,24 @@
 from cranberryshore.pool import StartRun
 from cranberryshore_soak.cluster import SoakCluster, SoakPlan
 from cranberryshore_soak.history import CANCEL_TIMEOUT_SECONDS
-from cranberryshore_soak.tests.test_history import JOB_ID, TASK
+from cranberryshore_soak.tests.test_history import JOB_ID, TASK, HistoryTestCase
 from cranberryshore_soak.tests.test_soak import prepare_loop
 
 CALLER_COUNT, MEAN_PAUSE_SECONDS, LOAD_SECONDS = 6, 0.3, 6.0
 
 
-class CancelledStartTest(IsolatedAsyncioTestCase):
-    """Starts of a job whose cancel was acknowledged, without daemons."""
-
-    async def asyncSetUp(self):  # noqa: N802
-        self.cluster = SoakCluster(SoakPlan(1))
-        self.history = self.cluster.history
-        self.worker = await self.cluster.add_worker()
-
-    async def asyncTearDown(self):  # noqa: N802
-        await self.worker.proxy.close()
-        await self.worker.http_server.close()
-        self.cluster.socket_owners.close()
-        self.cluster.folder.cleanup()
+class CancelledStartTest(HistoryTestCase):
+    """Starts of a job whose cancel was acknowledged."""
 
     def check_start(self, cancelled_before: float, oldest_start: float) -> int:
         """Return the number of violations of a start some time after the acknowledgement."""
-        now = time.monotonic()
-        self.history.cancelled[JOB_ID] = now - cancelled_before
-        self.history.oldest_start = lambda: now - oldest_start
+        now, history = time.monotonic(), self.cluster.history
+        history.cancelled[JOB_ID] = now - cancelled_before
+        history.oldest_start = lambda: now - oldest_start
         model = self.worker.model
         order = StartRun(model.name, (TASK, 1), "", 1, int(1000 * now) + 1000)
-        self.cluster.callers.jobs[JOB_ID] = self.cluster.callers._draw_job()
         model.start(order, 1000, asyncio.get_running_loop().time())
-        return len(self.history.faults)
+        return len(history.faults)
 
     async def test_start_too_long_after_a_cancel(self):
         self.assertEqual(self.check_start(CANCEL_TIMEOUT_SECONDS + 0.1, oldest_start=60.0), 1)
--- a/packages/soak/cranberryshore_soak/tests/test_history.py
+++ b/packages/soak/cranberryshore_soak/tests/test_history.py
@@ -11,8 +11,8 @@
 LEASE_SECONDS = 0.2
 
 
-class FailedJobTest(IsolatedAsyncioTestCase):
-    """Jobs that are answered as failed, without daemons."""
+class HistoryTestCase(IsolatedAsyncioTestCase):
+    """A job and a worker of a cluster, without daemons."""
 
     async def asyncSetUp(self):  # noqa: N802
         self.cluster = SoakCluster(SoakPlan(1))
@@ -26,6 +26,10 @@
         self.cluster.socket_owners.close()
         self.cluster.folder.cleanup()
 
+
+class FailedJobTest(HistoryTestCase):
+    """Jobs that are answered as failed."""
+
     def violations(self, crashing_task: str = "", failing_task: str = "") -> int:
         response = CallerResponse(200, False, True, crashing_task, failing_task)
         self.cluster.callers.check_failure(self.job, response)
