--- a/packages/core/cranberryshore/pool/roster.py
+++ b/packages/core/cranberryshore/pool/roster.py
@@ -77,10 +77,11 @@
         entries = {entry.name: entry for entry in workers}
         self.entries_by_version[version] = entries
         self.latest_exposure = None
+        for name, entry in entries.items():
+            if self.registrations.get(name) is not entry:
+                known = self.largest.get(entry.service, entry.capacity)
+                self.largest[entry.service] = known.largest(entry.capacity)
         self.registrations.update(entries)
-        for entry in entries.values():
-            known = self.largest.get(entry.service, entry.capacity)
-            self.largest[entry.service] = known.largest(entry.capacity)
         names = frozenset(entries)
         for known in self.names_by_version.values():
             if known == names:
