--- a/packages/core/cranberryshore/pool/held_worker.py
+++ b/packages/core/cranberryshore/pool/held_worker.py
@@ -319,15 +319,10 @@
         ``token`` and ``lease_until`` are the token and the end of the lease that were sent with the
         poll.
         """
-        ends: list[RunEnd] = []
         if self.is_outdated(status, poll_sent_at):
-            return ends
+            return []
         if status.born not in (0, self.born):
-            # The worker has restarted: earlier runs are missing from the report, but runs
-            # started since then may be in it.
-            self.born, self.born_polled_at = status.born, poll_sent_at
-            self.lease_until = float("-inf")
-            self.last_seen = self.acknowledged_end = 0
+            self._begin_boot(status.born, poll_sent_at)
         self.reported_ms, self.closed_boot = status.clock_ms, None
         self.lapsed_runs.clear()
         self.lease_until = max(self.lease_until, lease_until)
@@ -336,15 +331,7 @@
             # The previous holder may have extended the lease until this worker was acquired.
             self.lease_extended_at = max(self.lease_extended_at, now)
         listed = {(run.task, run.attempt): run for run in status.running}
-        for end in sorted(status.ended, key=lambda item: item.number):
-            if end.number <= self.last_seen:
-                continue
-            self.last_seen = end.number
-            run = self.remove_run((end.task, end.attempt))
-            if run is not None:
-                ends.append(RunEnd((end.task, end.attempt), end.kind, run))
-            else:
-                self._save_foreign_end(end)
+        ends = self._take_reported_ends(status)
         ends += self._remove_missing_runs(listed, token, poll_sent_at)
         for key, item in listed.items():
             if key in self.runs:
@@ -360,6 +347,26 @@
             self.state = HoldState.HELD
         return ends
 
+    def _begin_boot(self, born: int, poll_sent_at: float) -> None:
+        """Record that the worker has restarted; its report has the runs started since then."""
+        self.born, self.born_polled_at = born, poll_sent_at
+        self.lease_until = float("-inf")
+        self.last_seen = self.acknowledged_end = 0
+
+    def _take_reported_ends(self, status: WorkerStatus) -> list[RunEnd]:
+        """Remove and return the runs of this holder that are newly reported as ended."""
+        ends = []
+        for end in sorted(status.ended, key=lambda item: item.number):
+            if end.number <= self.last_seen:
+                continue
+            self.last_seen = end.number
+            run = self.remove_run((end.task, end.attempt))
+            if run is not None:
+                ends.append(RunEnd((end.task, end.attempt), end.kind, run))
+            else:
+                self._save_foreign_end(end)
+        return ends
+
     def adopt_run(self, key: RunKey, demand: Capacity, now: float) -> None:
         """Take over a run of another holder."""
         self.strangers.discard(key)
--- a/packages/core/cranberryshore/pool/scheduler.py
+++ b/packages/core/cranberryshore/pool/scheduler.py
@@ -121,7 +121,10 @@
             self.ender,
             self.effects,
         )
-        self.intake = JobIntake(
+        self.intake = self._make_intake()
+
+    def _make_intake(self) -> JobIntake:
+        return JobIntake(
             self.jobs,
             self.registry,
             self.statistics,
--- a/packages/daemon/cranberryshored/pool/app.py
+++ b/packages/daemon/cranberryshored/pool/app.py
@@ -107,7 +107,21 @@
             make_logger("cancelling"),
         )
         self.members = MemberLister(self.registry, self.exchange, self.cancelling.awaits_silent)
-        self.scheduling = SchedulingService(
+        self.scheduling = self._make_scheduling(own)
+        self.submissions = SubmissionHandler(
+            self.exchange, self.scheduling, self.config, self._job_ended, make_logger("daemon")
+        )
+        link = SchedulerLink(self.exchange, self.scheduling, self.rosters, self.config)
+        self.entry_service = EntryService(
+            link, self.metrics, make_logger("entry"), cancelled=self.cancelled
+        )
+        self.confirmation = ConfigConfirmation()
+        self.router = Router(
+            self.config, self.confirmation, self._read_config, self.metrics, make_logger("router")
+        )
+
+    def _make_scheduling(self, own: MemberAddress) -> SchedulingService:
+        return SchedulingService(
             own.incarnation,
             self.calls,
             self.tokens,
@@ -120,17 +134,6 @@
             self.metrics,
             self.cancelled,
         )
-        self.submissions = SubmissionHandler(
-            self.exchange, self.scheduling, self.config, self._job_ended, make_logger("daemon")
-        )
-        link = SchedulerLink(self.exchange, self.scheduling, self.rosters, self.config)
-        self.entry_service = EntryService(
-            link, self.metrics, make_logger("entry"), cancelled=self.cancelled
-        )
-        self.confirmation = ConfigConfirmation()
-        self.router = Router(
-            self.config, self.confirmation, self._read_config, self.metrics, make_logger("router")
-        )
 
     @property
     def group(self) -> Group:
