--- a/packages/soak/cranberryshore_soak/regressions.py
+++ b/packages/soak/cranberryshore_soak/regressions.py
@@ -25,6 +25,11 @@
     return SoakPlan(seed, 4, 6, 10, 8.0, fault_names=("foreign_entries", "workers_leave_unseen"))
 
 
+def _large_plan(seed: int) -> SoakPlan:
+    """Return a plan of 16 instances, which needs a machine without much other load."""
+    return SoakPlan(seed, 16, 24, 40, 16.0)
+
+
 REGRESSIONS: dict[str, SoakPlan] = {
     "SIGHUP during imports; requests sent late in a graceful shutdown": SoakPlan(1),
     "responses of all workers slow for seconds": SoakPlan(2),
@@ -37,6 +42,12 @@
     "job failed for workers on which its runs had lapsed": _worker_loss_plan(725),
     "job failed for two workers that had left unseen": _worker_loss_plan(726),
     "job failed for a worker that a start had not reached": _worker_loss_plan(730),
+    "SIGHUP before the interpreter had started (open)": _large_plan(4002),
+    "listings of the workers took over 1 s, so a smaller room was not read (open)": _large_plan(
+        4003
+    ),
+    "instances were not ready on a busy machine (open)": _large_plan(4004),
+    "request unanswered and configuration late on a busy machine (open)": _large_plan(4005),
     "a nested entry ended the scheduler's watch of the workers": _foreign_entry_plan(744),
 }
 """Plans by the cause of the failure; ``(open)`` marks an unresolved failure."""
