Simulated pool: workers crash in waves, and idle ones refuse the starts on their way

WorkerFaults.crash_in_waves lets 15 to 40 in a hundred of the workers crash at one moment without a cut, two to five times each 1.4 to 4 s, for 0.5 to 3 s; at a quarter of the waves the scheduler is killed within 0.1 s. A caller processes the refusals of one worker one after the other, so several starts to it are on their way; refused starts are counted.

--- a/packages/proof/cranberryshore_proof/pool_deployment.py
+++ b/packages/proof/cranberryshore_proof/pool_deployment.py
@@ -23,7 +23,7 @@
 from cranberryshore_proof.config_checks import STORE, ConfigChecks, Disturbances
 from cranberryshore_proof.network import Network
 from cranberryshore_proof.pool_crashes import CrashModel
-from cranberryshore_proof.pool_jobs import SimulatedJob
+from cranberryshore_proof.pool_jobs import JobMix, SimulatedJob
 from cranberryshore_proof.pool_probe import HOST, QueueProbe
 from cranberryshore_proof.pool_registrations import ModelRegistrations
 from cranberryshore_proof.pool_registry import CONFIG_KEY, LAYOUT, FakeRegistry
@@ -97,6 +97,7 @@
     late_share: float = 0.0
     budget_ms: int = BUDGET_MS
     deadly_share: float = 0.0
+    job_mix: JobMix = JobMix()
     hosts: tuple[Host, ...] = ()
     hosts_by_address: dict[str, Host] = attrs.field(factory=dict)
     link_free_at: dict[str, float] = attrs.field(factory=dict)
@@ -364,13 +365,13 @@
             await asyncio.sleep(self.random.expovariate(per_second))
             job = SimulatedJob(f"{self.job_count:016x}", self.now())
             self.job_count += 1
-            self.demands[job.id] = self.random.choice((900, 1400, 2000))
-            self.seconds[job.id] = self.random.choice((0.06, 0.2, 0.9))
+            self.demands[job.id] = self.random.choice(self.job_mix.millicores)
+            self.seconds[job.id] = self.random.choice(self.job_mix.seconds)
             self.jobs.append(job)
             if self.deadly_share and self.crash_model.random.random() < self.deadly_share:
                 self.crash_model.deadly_tasks.add(f"{job.id}.0.0.0")
             number = self.random.randrange(len(self.zones))
-            count = self.random.choice((1, 2, 4))
+            count = self.random.choice(self.job_mix.counts)
             callers.append(asyncio.ensure_future(self.call(number, job, count)))
         return callers
 
--- a/packages/proof/cranberryshore_proof/pool_play.py
+++ b/packages/proof/cranberryshore_proof/pool_play.py
@@ -2,6 +2,7 @@
 
 import asyncio
 from argparse import ArgumentParser
+from collections.abc import Callable, Coroutine
 from random import Random
 
 import attrs
@@ -9,6 +10,7 @@
 from cranberryshore.pool import PoolConfig
 from cranberryshore_proof.config_checks import STORE
 from cranberryshore_proof.pool_deployment import PoolDeployment
+from cranberryshore_proof.pool_jobs import JobMix
 from cranberryshore_proof.pool_worker_faults import WorkerFaults
 from cranberryshore_proof.virtual_loop import run_virtual
 
@@ -19,6 +21,22 @@
 """Share of the jobs with a task that crashes its workers: with 8 jobs a second, some five of the
 load's 14 s."""
 
+WAVE_DEADLY_SHARE = 0.002
+"""The same beside waves of crashes, under their load."""
+
+FAULT_INTERVAL_SECONDS = (0.2, 2.5)
+WAVE_FAULT_INTERVAL_SECONDS = (1.5, 8.0)
+"""Range of the time between two other faults beside waves of crashes."""
+
+SERIES_INTERVAL_SECONDS = (3.0, 9.0)
+"""Range of the time between the beginnings of two series of waves."""
+
+WAVE_WORKERS, WAVE_JOBS_PER_SECOND = 24, 50.0
+"""Workers and load of simulations with waves of crashes: starts are always on their way."""
+
+WAVE_JOB_MIX = JobMix((900, 1400), (0.06, 0.06, 0.06, 0.2), (2, 4, 8))
+"""Each job occupies several workers for a short time, so that starts are sent to idle workers."""
+
 FULL_ROOM = 4000
 """Millicores of each worker."""
 
@@ -38,6 +56,9 @@
         Violations that were found.
     jobs, completed : int
         Jobs submitted under faults, and those of them that completed.
+    refused_starts, refused_at_once : int
+        Starts whose connections were refused, and the most of them that were on their way to one
+        worker at the same time.
     """
 
     seed: int
@@ -47,6 +68,8 @@
     completed: int
     jobs_after_faults: int
     completed_after_faults: int
+    refused_starts: int
+    refused_at_once: int
 
 
 @attrs.define(eq=False)
@@ -58,10 +81,13 @@
     has_crashes : bool
         Whether some tasks crash their workers, and some workers refuse connections, have less
         room for a while, crash unseen or leave.
+    has_waves : bool
+        Whether workers crash in waves instead of unseen, beside fewer other faults.
     """
 
     deployment: PoolDeployment
     has_crashes: bool = False
+    has_waves: bool = False
     events: list[str] = attrs.field(factory=list)
 
     @property
@@ -237,12 +263,17 @@
             faults.append(asyncio.ensure_future(worker_faults.inject()))
         await asyncio.gather(*faults)
 
-    async def run(self) -> PoolResult:
-        """Submit jobs under faults, then without."""
-        deployment = self.deployment
-        deployment.registrations.shows_born = self.has_crashes
-        await deployment.start()
-        load = asyncio.ensure_future(deployment.load(LOAD_SECONDS, 8.0))
+    async def _crash_in_waves(self, end: float) -> None:
+        """Begin series of waves of crashes, some of which overlap, until a time."""
+        worker_faults = WorkerFaults(self.deployment, self._record_event)
+        series = []
+        while self.deployment.now() < end:
+            series.append(asyncio.ensure_future(worker_faults.crash_in_waves()))
+            await asyncio.sleep(self.random.uniform(*SERIES_INTERVAL_SECONDS))
+        await asyncio.gather(*series)
+
+    def _fault_kinds(self) -> tuple[Callable[[float], Coroutine], ...]:
+        """Return the methods that inject faults other than those of :class:`WorkerFaults`."""
         kinds = (
             self._kill,
             self._kill_all,
@@ -255,24 +286,43 @@
         )
         if self.has_crashes:
             kinds += (self._refuse_connections, self._resize) * 2
-            deployment.deadly_share, deployment.budget_ms = DEADLY_SHARE, LONG_BUDGET_MS
-        if deployment.is_store_simulated:
-            store_kinds = (
+        if self.deployment.is_store_simulated:
+            kinds += (
                 self._silence,
                 self._silence_store,
                 self._slow_store,
                 self._compact_store,
             )
-            kinds += store_kinds
-            deployment.background.append(asyncio.ensure_future(self._change_config()))
+        return kinds
+
+    async def _inject_faults(self, end: float) -> list[asyncio.Future]:
+        """Inject random faults until a time; return those that may not have ended."""
+        kinds, interval_seconds = self._fault_kinds(), FAULT_INTERVAL_SECONDS
         faults = []
-        end = deployment.now() + LOAD_SECONDS - 3.0
-        if self.has_crashes:
+        if self.has_waves:
+            faults.append(asyncio.ensure_future(self._crash_in_waves(end)))
+            interval_seconds = WAVE_FAULT_INTERVAL_SECONDS
+        elif self.has_crashes:
             faults.append(asyncio.ensure_future(self._disturb_workers(end)))
-        while deployment.now() < end:
-            await asyncio.sleep(deployment.random.uniform(0.2, 2.5))
-            fault = deployment.random.choice(kinds)
-            faults.append(asyncio.ensure_future(fault(deployment.random.uniform(0.3, 4.0))))
+        while self.deployment.now() < end:
+            await asyncio.sleep(self.random.uniform(*interval_seconds))
+            fault = self.random.choice(kinds)
+            faults.append(asyncio.ensure_future(fault(self.random.uniform(0.3, 4.0))))
+        return faults
+
+    async def run(self) -> PoolResult:
+        """Submit jobs under faults, then without."""
+        deployment = self.deployment
+        deployment.registrations.shows_born = self.has_crashes
+        await deployment.start()
+        jobs_per_second = WAVE_JOBS_PER_SECOND if self.has_waves else 8.0
+        load = asyncio.ensure_future(deployment.load(LOAD_SECONDS, jobs_per_second))
+        if self.has_crashes:
+            deployment.deadly_share = WAVE_DEADLY_SHARE if self.has_waves else DEADLY_SHARE
+            deployment.budget_ms = LONG_BUDGET_MS
+        if deployment.is_store_simulated:
+            deployment.background.append(asyncio.ensure_future(self._change_config()))
+        faults = await self._inject_faults(deployment.now() + LOAD_SECONDS - 3.0)
         callers = await load
         await asyncio.gather(*faults)
         await asyncio.gather(*callers)
@@ -289,17 +339,27 @@
             under_faults.completed,
             after_faults.jobs,
             after_faults.completed,
+            sum(len(worker.refused_starts) for worker in deployment.workers.values()),
+            max(worker.refused_at_once() for worker in deployment.workers.values()),
         )
 
 
 def simulate_pool(
-    seed: int, is_store_simulated: bool = True, has_crashes: bool = False
+    seed: int,
+    is_store_simulated: bool = True,
+    has_crashes: bool = False,
+    has_waves: bool = False,
 ) -> PoolResult:
-    """Simulate a pool; the seed determines load, faults, configurations and delays."""
+    """Simulate a pool; the seed determines load, faults, configurations and delays.
+
+    Waves of crashes are simulated only with ``has_crashes``.
+    """
 
     async def run() -> PoolResult:
         deployment = PoolDeployment(seed, is_store_simulated=is_store_simulated)
-        return await PoolSimulation(deployment, has_crashes).run()
+        if has_waves:
+            deployment.worker_count, deployment.job_mix = WAVE_WORKERS, WAVE_JOB_MIX
+        return await PoolSimulation(deployment, has_crashes, has_waves).run()
 
     return run_virtual(run())
 
@@ -310,15 +370,19 @@
     parser.add_argument("--seed", type=int, default=1)
     parser.add_argument("--rounds", type=int, default=20)
     parser.add_argument("--crashes", action="store_true", help="some tasks crash their workers")
+    parser.add_argument("--waves", action="store_true", help="and workers crash in waves")
     arguments = parser.parse_args()
     failed = 0
     for seed in range(arguments.seed, arguments.seed + arguments.rounds):
-        result = simulate_pool(seed, has_crashes=arguments.crashes)
+        result = simulate_pool(
+            seed, has_crashes=arguments.crashes or arguments.waves, has_waves=arguments.waves
+        )
         has_failed = bool(result.faults) or result.completed_after_faults < result.jobs_after_faults
         failed += has_failed
         print(
             f"seed {seed}: {result.completed} of {result.jobs} under faults, "
-            f"{result.completed_after_faults} of {result.jobs_after_faults} after"
+            f"{result.completed_after_faults} of {result.jobs_after_faults} after, "
+            f"{result.refused_starts} starts refused, {result.refused_at_once} at once"
         )
         for line in (*result.events, *result.faults) if has_failed else ():
             print(f"    {line}")
--- a/packages/proof/cranberryshore_proof/pool_worker_faults.py
+++ b/packages/proof/cranberryshore_proof/pool_worker_faults.py
@@ -1,7 +1,7 @@
-"""Faults of the workers of a simulated pool: crashes that no instance sees, and departures.
+"""Faults of the workers of a simulated pool: crashes that no instance sees, departures, and waves.
 
 No run is known to be on these workers when their processes end: their leases are over, the start of
-the run was not answered, or nobody has read that they leave.
+the run was not answered or is refused afterwards, or nobody has read that they leave.
 """
 
 import asyncio
@@ -21,6 +21,23 @@
 SERIES_INTERVAL_SECONDS = 2.0
 SERIES_CUT_SECONDS = 1.4
 
+WAVES_RANGE = (2, 5)
+"""Range of the number of waves of a series."""
+
+WAVE_SHARE_RANGE = (0.15, 0.4)
+"""Range of the share of the workers that crash at one moment."""
+
+WAVE_INTERVAL_RANGE_SECONDS = (1.4, 4.0)
+WAVE_DOWN_RANGE_SECONDS = (0.5, 3.0)
+REFUSAL_RANGE_SECONDS = (0.0, 0.006)
+"""Range of the time between two refused starts that a caller processes."""
+
+WAVE_KILL_SHARE = 0.25
+"""Share of the waves at which the scheduler is killed."""
+
+WAVE_KILL_SECONDS = 0.1
+"""Longest time between a wave and the end of the scheduler, in either order."""
+
 NOTICE_RANGE_SECONDS = (0.5, 2.0)
 POLL_SECONDS = 0.01
 
@@ -57,13 +74,17 @@
         )
         await self.random.choice(kinds)()
 
-    def _choose(self, count: int) -> list[ModelWorker]:
-        """Return some workers without a fault, often such with runs."""
-        free = [
+    def _free_workers(self) -> list[ModelWorker]:
+        """Return the workers without a fault."""
+        return [
             worker
             for worker in self.deployment.workers.values()
             if worker.address not in self.affected and not (worker.is_down or worker.refuses)
         ]
+
+    def _choose(self, count: int) -> list[ModelWorker]:
+        """Return some workers without a fault, often such with runs."""
+        free = self._free_workers()
         count = min(count, len(free) - MIN_WORKERS)
         if count < 1:
             return []
@@ -98,6 +119,48 @@
             ]
             await asyncio.gather(asyncio.sleep(SERIES_INTERVAL_SECONDS), *faults)
 
+    async def crash_in_waves(self) -> None:
+        """Crash shares of the workers, one wave after the other."""
+        for _ in range(self.random.randint(*WAVES_RANGE)):
+            count = round(self.random.uniform(*WAVE_SHARE_RANGE) * self.deployment.worker_count)
+            down_seconds = self.random.uniform(*WAVE_DOWN_RANGE_SECONDS)
+            faults = [asyncio.sleep(self.random.uniform(*WAVE_INTERVAL_RANGE_SECONDS))]
+            if self.random.random() < WAVE_KILL_SHARE:
+                faults.append(self._kill_scheduler(self.random.uniform(0.0, 2 * WAVE_KILL_SECONDS)))
+            faults.append(self._crash_wave(count, down_seconds))
+            await asyncio.gather(*faults)
+
+    async def _crash_wave(self, count: int, down_seconds: float) -> None:
+        await asyncio.sleep(WAVE_KILL_SECONDS)
+        free = self._free_workers()
+        count = max(min(count, len(free) - MIN_WORKERS), 0)
+        self.crash_wave(self.random.sample(free, count), down_seconds)
+
+    def crash_wave(
+        self, workers: list[ModelWorker], down_seconds: float, is_renamed: bool | None = None
+    ) -> None:
+        """Crash workers at one moment, without any cut.
+
+        ``is_renamed`` is that of :meth:`crash_behind_cut`.
+        """
+        names = ", ".join(worker.name for worker in workers)
+        idle = sum(not worker.runs for worker in workers)
+        self.record_event(f"wave: {names} crash, {idle} idle, restart after {down_seconds:.2f} s")
+        for worker in workers:
+            worker.refusal_seconds = self.random.uniform(*REFUSAL_RANGE_SECONDS)
+            self.deployment.crash_model.crash(worker, down_seconds, True, is_renamed)
+
+    async def _kill_scheduler(self, seconds: float) -> None:
+        """Kill the scheduler after some time, and start its instance again later."""
+        await asyncio.sleep(seconds)
+        number = self.deployment.scheduler_number()
+        if number is None:
+            return
+        self.record_event(f"kill e{number}, the scheduler")
+        self.deployment.kill(number)
+        await asyncio.sleep(self.random.uniform(0.2, 2.0))
+        await self.deployment.start_instance(number)
+
     async def crash_behind_cut(
         self,
         worker: ModelWorker,
--- a/packages/proof/cranberryshore_proof/pool_workers.py
+++ b/packages/proof/cranberryshore_proof/pool_workers.py
@@ -24,6 +24,9 @@
 LATE_DELAY_RANGE_SECONDS = (2.0, 12.0)
 MAX_LEASE_MS = 1000
 
+POLL_REFUSAL_FACTOR = 1.5
+"""How much longer it takes until the refusal of a poll is processed than that of a start."""
+
 RENAMED_SUFFIX = "+"
 """Added to the name of a worker by the one that takes its address."""
 
@@ -43,6 +46,15 @@
     fails: bool
 
 
+@attrs.frozen
+class RefusedStart:
+    """Order to start a run that found no process at the address of its worker."""
+
+    key: RunKey
+    sent_at: float
+    refused_at: float
+
+
 @attrs.define(eq=False)
 class ModelWorker:
     """Model of a worker, which starts every run that it is ordered to, even beyond its capacity.
@@ -65,6 +77,12 @@
         Whether the answers to starts are lost.
     lost_starts : int
         Number of starts that were lost in either way.
+    refusal_seconds : float
+        Time until a caller processes a refusal; those of several starts follow one another.
+    refused_until : float
+        Time at which it processes the latest refusal of a start.
+    refused_starts : list of RefusedStart
+        Starts whose connections were refused.
     fails_all : bool
         Whether the runs that start now will fail.
     token : int
@@ -88,6 +106,9 @@
     loses_starts: bool = False
     loses_start_replies: bool = False
     lost_starts: int = 0
+    refusal_seconds: float = 0.0
+    refused_until: float = 0.0
+    refused_starts: list[RefusedStart] = attrs.field(factory=list)
     fails_all: bool = False
     token: int = 0
     lease_end: float = 0.0
@@ -106,6 +127,14 @@
         """Return the millicores allocated to runs."""
         return sum(run.demand for run in self.runs.values())
 
+    def refused_at_once(self) -> int:
+        """Return the largest number of refused starts that were on their way at the same time."""
+        starts = self.refused_starts
+        return max(
+            (sum(one.sent_at <= at.sent_at < one.refused_at for one in starts) for at in starts),
+            default=0,
+        )
+
     def resize(self, millicores: int, now: float) -> None:
         """Change the capacity, which the next registration shows."""
         self.former_rooms.append((now, self.millicores))
@@ -233,9 +262,19 @@
         if model.loses_starts or model.loses_start_replies:
             await self._lose_start(model, lambda now: model.start(start, demand, now), seconds)
             return StartReply.UNANSWERED
+        sent_at = asyncio.get_running_loop().time()
         reply = await self._call_worker(model, lambda now: model.start(start, demand, now), seconds)
+        if reply is PollFailure.REFUSED:
+            await self._refuse_start(model, start.key, sent_at)
         return StartReply(reply.value) if isinstance(reply, PollFailure) else reply
 
+    async def _refuse_start(self, model: ModelWorker, key: RunKey, sent_at: float) -> None:
+        loop = asyncio.get_running_loop()
+        if model.refusal_seconds:
+            model.refused_until = max(model.refused_until, loop.time()) + model.refusal_seconds
+            await asyncio.sleep(model.refused_until - loop.time())
+        model.refused_starts.append(RefusedStart(key, sent_at, loop.time()))
+
     async def _lose_start(self, model: ModelWorker, execute, seconds: float) -> None:
         model.lost_starts += 1
         if model.loses_starts:
@@ -259,6 +298,8 @@
         loop = asyncio.get_running_loop()
         deadline = loop.time() + seconds
         is_accepted = await self._call_worker(model, lambda now: model.poll(poll, now), seconds)
+        if is_accepted is PollFailure.REFUSED and model.refusal_seconds:
+            await asyncio.sleep(POLL_REFUSAL_FACTOR * model.refusal_seconds)
         if isinstance(is_accepted, PollFailure):
             return Err(is_accepted)
         if not is_accepted:
