Soak: the port of a worker stays its own while the worker is down

A series of waves of crashes ended with "address already in use": while a worker was down its proxy had closed its socket, and an outgoing connection took the port, which is from the range of outgoing connections. The proxy now keeps the address bound without listening, so the kernel refuses connections and gives the port to nobody. test_port_of_a_worker_was_taken_while_it_was_down fails without the change, since the address can be bound.

--- a/packages/soak/cranberryshore_soak/proxy.py
+++ b/packages/soak/cranberryshore_soak/proxy.py
@@ -111,6 +111,7 @@
     find_owner: Callable[[Address, Address], str | None]
     address: str = ""
     server: asyncio.Server | None = None
+    held: socket.socket | None = None
     connections: set[ProxiedConnection] = attrs.field(factory=set)
 
     async def start(self) -> None:
@@ -128,11 +129,21 @@
 
     def refuse(self) -> None:
         """Stop listening and close all connections, as the host of a process does that ends."""
-        self.server.close()
+        self._hold_address()
         for connection in list(self.connections):
             connection.end_target()
             connection.writers[0].close()
 
+    def _hold_address(self) -> None:
+        """Refuse connections at the address, which no other process can take meanwhile."""
+        if not self.server.is_serving():
+            return
+        self.server.close()
+        host, port = self.address.split(":")
+        self.held = socket.socket()
+        self.held.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        self.held.bind((host, int(port)))
+
     def end_target(self) -> None:
         """End all connections as an endpoint does whose process ends; continue to listen."""
         for connection in list(self.connections):
@@ -142,12 +153,13 @@
         """Listen at the same address again, if that was stopped."""
         if self.server.is_serving():
             return
-        host, port = self.address.split(":")
-        self.server = await asyncio.start_server(self._serve, host, int(port), reuse_address=True)
+        self.server, self.held = await asyncio.start_server(self._serve, sock=self.held), None
 
     async def close(self) -> None:
         """Stop listening, heal all links and reset all connections."""
         self.server.close()
+        if self.held is not None:
+            self.held.close()
         self.link_faults.cuts.clear()
         self.link_faults.delays.clear()
         self.link_faults.isolated.clear()
--- a/packages/soak/cranberryshore_soak/tests/test_proxy.py
+++ b/packages/soak/cranberryshore_soak/tests/test_proxy.py
@@ -147,3 +147,19 @@
         seen_from = connection.writers[-1].get_extra_info("sockname")
         self.assertEqual(self.proxy.source_of(seen_from), "client")
         self.assertEqual(self.proxy.source_of(("127.0.0.1", 1)), "")
+
+    async def test_port_of_a_worker_was_taken_while_it_was_down(self):
+        await self.ask()
+        (connection,) = self.proxy.connections
+        connection.reset()
+        with self.assertRaises(ConnectionResetError):
+            await self.ask()
+        host, port = self.proxy.address.split(":")
+        self.proxy.refuse()
+        with self.assertRaises(ConnectionRefusedError):
+            await asyncio.open_connection(host, int(port))
+        with socket.socket() as other, self.assertRaises(OSError):
+            other.bind((host, int(port)))
+        await self.proxy.restore()
+        self.reader, self.writer = await asyncio.open_connection(host, int(port))
+        self.assertEqual(await self.ask(), b"ping")
