Soak: a third of the workers crashes at one moment, and refuses the starts on their way

Callers send jobs of eight short tasks beside a series, and more of them right before each wave, half of the times while the scheduler stands still for 0.06 s, so that many starts are sent at once. signal_scheduler kills, shuts down or suspends the instances that schedule, by their logs. Refused starts are counted from the logs and shown. A job shown as failed is checked against what the workers saw, as before.

--- a/packages/soak/cranberryshore_soak/__main__.py
+++ b/packages/soak/cranberryshore_soak/__main__.py
@@ -21,6 +21,7 @@
     print(
         f"seed {result.plan.seed}: {result.completed} of {result.jobs} under faults, "
         f"{result.recovery_completed} of {result.recovery_jobs} after, "
+        f"{result.refused_starts} starts refused, "
         f"{len(result.faults)} promises broken, loop late by {result.max_lag_seconds:.3f} s",
         flush=True,
     )
--- a/packages/soak/cranberryshore_soak/callers.py
+++ b/packages/soak/cranberryshore_soak/callers.py
@@ -36,6 +36,9 @@
 DEADLY_SHARE = 0.06
 """Share of the jobs with a task that crashes each worker that starts it."""
 
+SHORT_JOB_TASKS, SHORT_TASK_SECONDS = 8, 0.06
+"""Size of the jobs of callers with short ones only."""
+
 PATIENT_SHARE, PATIENT_TASK_SECONDS = 0.15, 1.4
 """Share of the jobs with sound tasks that are long enough to lose several workers."""
 
@@ -170,6 +173,13 @@
         """Return the label that a task requires."""
         return self.jobs[job_of(task)].label
 
+    def _draw_short_job(self) -> SoakJob:
+        """Return a job that occupies several workers for a short time."""
+        id, millicores = f"{self.random.getrandbits(64):016x}", self.random.choice((1400, 2000))
+        job = SoakJob(id, SHORT_JOB_TASKS, millicores, SHORT_TASK_SECONDS, time.monotonic())
+        self.jobs[job.id] = job
+        return job
+
     def _draw_job(self) -> SoakJob:
         job = SoakJob(
             f"{self.random.getrandbits(64):016x}",
@@ -193,14 +203,17 @@
         self.jobs[job.id] = job
         return job
 
-    async def run_caller(self, end: float, pause: float) -> list[SoakJob]:
-        """Submit jobs over one connection until a time, with random pauses; return the jobs."""
+    async def run_caller(self, end: float, pause: float, is_short: bool = False) -> list[SoakJob]:
+        """Submit jobs over one connection until a time, with random pauses; return the jobs.
+
+        ``is_short`` is whether all of them are short.
+        """
         submitted = []
         async with single_try_session(TCPConnector(limit=1)) as session:
             daemon = self.balancer.choose()
             while time.monotonic() < end:
                 await asyncio.sleep(self.random.expovariate(1 / pause))
-                job = self._draw_job()
+                job = self._draw_short_job() if is_short else self._draw_job()
                 daemon = await self._submit_until_answered(session, daemon, job)
                 submitted.append(job)
         return submitted
--- a/packages/soak/cranberryshore_soak/cluster.py
+++ b/packages/soak/cranberryshore_soak/cluster.py
@@ -355,6 +355,11 @@
         if self.store.store_faults is store_faults:
             self.store.store_faults = StoreFaults()
 
+    def refused_starts(self) -> int:
+        """Return the number of starts that workers have refused."""
+        daemons = [*self.daemons.values(), *self.retired]
+        return sum(daemon.refused_starts for daemon in daemons)
+
     def change_config(self, queues: tuple[QueueSpec, ...]) -> None:
         """Publish a new configuration with the given queues."""
         self.queues = queues
--- a/packages/soak/cranberryshore_soak/fault_injection.py
+++ b/packages/soak/cranberryshore_soak/fault_injection.py
@@ -4,7 +4,7 @@
 import time
 from collections.abc import Coroutine
 from random import Random
-from signal import SIGHUP, SIGUSR1
+from signal import SIGHUP, SIGKILL, SIGSTOP, SIGTERM, SIGUSR1
 
 import attrs
 
@@ -102,6 +102,7 @@
         return {
             "kill": self._kill,
             "kill_all": self._kill_all,
+            "signal_scheduler": self._signal_scheduler,
             "pause": self._pause,
             "leave": self._leave,
             "leave_in_turn": self._leave_in_turn,
@@ -163,6 +164,19 @@
         restarts = [self._restart(daemon, daemon.kill(), length / 4) for daemon in chosen]
         await asyncio.gather(*restarts)
 
+    async def _signal_scheduler(self, length: float) -> None:
+        """Kill, shut down or pause the schedulers, one after the other."""
+        for daemon in list(self.cluster.daemons.values()):
+            if not daemon.is_scheduler or daemon.name in self.busy or not daemon.is_running():
+                continue
+            self.cluster.history.record_event(f"  {daemon.name} is the scheduler")
+            number = self.random.choice((SIGKILL, SIGTERM, SIGSTOP))
+            if number == SIGSTOP:
+                await daemon.pause(length / 2)
+            else:
+                stop = daemon.kill() if number == SIGKILL else daemon.leave()
+                await self._restart(daemon, stop, length / 4)
+
     async def _pause(self, length: float) -> None:
         daemon = self._choose_daemon()
         if daemon is not None:
--- a/packages/soak/cranberryshore_soak/processes.py
+++ b/packages/soak/cranberryshore_soak/processes.py
@@ -17,6 +17,10 @@
 MAX_LOG_LINES = 40_000
 """Log lines retained for each daemon."""
 
+SCHEDULING_EVENTS = {"scheduler: Scheduling begins.": True, "scheduler: Scheduling ends.": False}
+"""Events of the log, and whether the instance schedules after them."""
+
+FAILED_START_EVENT = "scheduler: Start request failed."
 EXIT_TIMEOUT_SECONDS = 8.0
 """Time for a process to exit after SIGTERM: its drain time of 4 s, and a margin."""
 
@@ -50,6 +54,10 @@
         Receives a description of each unexpected behavior of the process.
     terminating : Process or None
         The last process that was killed or told to shut down.
+    is_scheduler : bool
+        Whether the log of the current process says that it schedules.
+    refused_starts : int
+        Number of starts that workers refused, by the log.
     """
 
     name: str
@@ -66,6 +74,8 @@
     started_at: float = 0.0
     terminating: asyncio.subprocess.Process | None = None
     watcher: asyncio.Task | None = None
+    is_scheduler: bool = False
+    refused_starts: int = 0
 
     @property
     def front(self) -> str:
@@ -108,7 +118,7 @@
             stdout=asyncio.subprocess.PIPE,
             stderr=asyncio.subprocess.STDOUT,
         )
-        self.started_at = time.monotonic()
+        self.started_at, self.is_scheduler = time.monotonic(), False
         self.watcher = asyncio.create_task(self._watch(self.process))
 
     async def _watch(self, process: asyncio.subprocess.Process) -> None:
@@ -125,9 +135,14 @@
         text = line.decode(errors="replace").rstrip()
         self.log_lines.append(text)
         try:
-            json.loads(text)
+            record = json.loads(text)
         except ValueError:
             self.on_violation(f"{self.name} wrote a log line that is not JSON: {text[:200]}")
+            return
+        event = record["event"]
+        if event in SCHEDULING_EVENTS:
+            self.is_scheduler = SCHEDULING_EVENTS[event]
+        self.refused_starts += event == FAILED_START_EVENT and record["reply"] == "refused"
 
     def send(self, number: signal.Signals) -> None:
         """Send a signal if the process is running."""
--- a/packages/soak/cranberryshore_soak/runner.py
+++ b/packages/soak/cranberryshore_soak/runner.py
@@ -42,6 +42,8 @@
         Jobs submitted in the fault phase, and those that completed.
     recovery_jobs, recovery_completed : int
         The same for the recovery phase, without jobs whose callers disconnect early.
+    refused_starts : int
+        Starts that workers without a process refused.
     max_lag_seconds : float
         Largest lag of the soak's own event loop.
     """
@@ -53,6 +55,7 @@
     completed: int
     recovery_jobs: int
     recovery_completed: int
+    refused_starts: int
     max_lag_seconds: float
 
 
@@ -118,6 +121,7 @@
         _count_completed(jobs),
         len(recovery),
         _count_completed(recovery),
+        cluster.refused_starts(),
         cluster.lag.max_seconds,
     )
 
--- a/packages/soak/cranberryshore_soak/worker_faults.py
+++ b/packages/soak/cranberryshore_soak/worker_faults.py
@@ -4,6 +4,7 @@
 import time
 from collections.abc import Callable, Coroutine, Iterator
 from contextlib import contextmanager
+from math import ceil
 from random import Random
 
 import attrs
@@ -31,6 +32,19 @@
 SERIES_CUT_SECONDS, SERIES_PAUSE_SECONDS = 1.4, 0.4
 """Length of a cut and of the pause after it: a task lapses behind it, and is started elsewhere."""
 
+WAVE_COUNT, WAVE_PAUSE_SECONDS = 3, (1.0, 3.0)
+"""Number of waves of crashes in a series, and range of the time from the return of the workers to
+the next one."""
+
+WAVE_DOWN_SECONDS = (0.3, 1.5)
+WAVE_CALLER_SHARE, WAVE_BURST_SHARE, WAVE_CALLER_PAUSE_SECONDS = 0.2, 0.5, 0.05
+"""Callers with short jobs for each worker, beside a series and right before each wave, and their
+mean pause: workers are idle for short times, and many starts are on their way."""
+
+WAVE_BURST_SECONDS = 0.2
+SCHEDULER_PAUSE_SECONDS = 0.06
+"""Time before a wave in which the scheduler is suspended, so that it sends many starts after it."""
+
 NOTICE_SECONDS, SUCCESSION_SECONDS = 0.5, (0.05, 0.6)
 """Time from the notice of a worker to its end, if no instance reads the notice, and range of the
 time to its successor. Three departures take less time than a smaller room may stay unknown."""
@@ -59,6 +73,7 @@
             "worker_crash_cut_off": self._worker_crash_cut_off,
             "workers_crash_cut_off": self._workers_crash_cut_off,
             "workers_crash_in_series": self._workers_crash_in_series,
+            "workers_crash_in_waves": self.crash_in_waves,
             "workers_leave_unseen": self._workers_leave_unseen,
             "workers_end_at_starts": self._workers_end_at_starts,
             "workers_return_as_others": self._workers_return_as_others,
@@ -139,6 +154,33 @@
                 await asyncio.gather(*crashes)
             await asyncio.sleep(SERIES_PAUSE_SECONDS)
 
+    async def crash_in_waves(self, length: float) -> None:
+        """Crash a third of the workers at one moment, without any cut, again and again."""
+        longest = WAVE_COUNT * (WAVE_DOWN_SECONDS[1] + WAVE_PAUSE_SECONDS[1])
+        load = self._run_short_jobs(WAVE_CALLER_SHARE, longest)
+        for _ in range(WAVE_COUNT):
+            await asyncio.sleep(self.random.uniform(*WAVE_PAUSE_SECONDS))
+            load += self._run_short_jobs(WAVE_BURST_SHARE, WAVE_BURST_SECONDS)
+            if self.random.random() < 0.5:
+                schedulers = [item for item in self.cluster.daemons.values() if item.is_scheduler]
+                await asyncio.gather(*(item.pause(SCHEDULER_PAUSE_SECONDS) for item in schedulers))
+            with self._reserve() as chosen:
+                for worker in chosen:
+                    self.cluster.end_process(worker, is_crash=True)
+                    worker.proxy.refuse()
+                down = self.random.uniform(*WAVE_DOWN_SECONDS)
+                await asyncio.gather(*(self._restart(worker, down) for worker in chosen))
+        await asyncio.gather(*load)
+
+    def _run_short_jobs(self, share: float, seconds: float) -> list[asyncio.Task]:
+        """Start callers with short jobs for some time; ``share`` is their number a worker."""
+        end, count = time.monotonic() + seconds, ceil(share * len(self.cluster.workers))
+        run_caller = self.cluster.callers.run_caller
+        return [
+            asyncio.create_task(run_caller(end, WAVE_CALLER_PAUSE_SECONDS, is_short=True))
+            for _ in range(count)
+        ]
+
     async def _crash_behind_cut(
         self, worker: SoakWorker, delay: float, down: float, healing: float
     ) -> None:
