Losses: a start that turns out to be refused is in no record of a lost worker

Cause: a run is entered when its start is sent. When the first of several starts on their way to a crashed worker is refused, the worker is recorded as lost with the others, and these records stayed when the others were refused a millisecond later. They made suspects of tasks that had never begun, which then run apart and wait up to 5 s for a proof after the second one, and stood beside the culprit.

Change: a rejected start withdraws its run from the records (refuted), and from the tasks beside others of the same loss.

--- a/packages/core/cranberryshore/pool/crashes.py
+++ b/packages/core/cranberryshore/pool/crashes.py
@@ -8,7 +8,8 @@
 A worker that refuses connections has crashed or is behind a partition that resets them, so a
 refusal makes the tasks on it *suspects*. They are started again, apart from each other. The loss is
 *proven* if another process answers at the address of the worker, or if the worker has a later
-start, and *refuted* if the same process answers again, or if the worker has left.
+start, and *refuted* if the same process answers again, if the worker has left, or for a task whose
+start turns out to have been rejected.
 
 That a process has ended says neither what it ran by then nor why it ended. A loss counts as a crash
 under a task only if the task was provably running: its start was confirmed, no end of it is known,
@@ -217,6 +218,23 @@
             if registration.is_of_start(entry.lost.born):
                 self._merge(attrs.evolve(entry.lost, state=LossState.REFUTED), now)
 
+    def withdraw(self, worker: str, run: RunKey) -> None:
+        """Record that a run has never begun, so that no worker was lost under it."""
+        task, attempt = run
+        for entry in self._losses(task):
+            lost = entry.lost
+            if (lost.worker, lost.attempt) == (worker, attempt) and not lost.was_running:
+                self._replace(entry, attrs.evolve(lost, state=LossState.REFUTED))
+                for other in self._entries():
+                    if (other.lost.worker, other.lost.born) == (worker, lost.born):
+                        beside = tuple(name for name in other.lost.beside if name != task)
+                        self._replace(other, attrs.evolve(other.lost, beside=beside))
+
+    def _replace(self, entry: Entry, lost: LostRun) -> None:
+        if lost != entry.lost:
+            entry.lost = lost
+            self.changes.append(entry)
+
     def _suspected(self, worker: str) -> list[Entry]:
         return [
             entry
--- a/packages/core/cranberryshore/pool/scheduler.py
+++ b/packages/core/cranberryshore/pool/scheduler.py
@@ -325,6 +325,7 @@
         """Record that a worker has rejected a start, and with ``is_paused`` would reject others."""
         if is_paused:
             self.statistics.health.rejections.rejected(name, key, now)
+        self.crashes.withdraw(name, key)
         worker = self.workers.get(name)
         run = worker.remove_run(key) if worker is not None else None
         if run is None:
