Losses: workers that are lost at the same moment blame no task

Cause: of a loss with a common cause, the task that was alone on its worker was blamed all the same. A suspect always runs alone, so the next wave finds it alone.

Change: a loss with a common cause is no crash under any task. Workers on which a suspect ran apart make no common cause, so that several culprits at once do not excuse each other.

--- a/packages/core/cranberryshore/pool/crashes.py
+++ b/packages/core/cranberryshore/pool/crashes.py
@@ -17,6 +17,10 @@
 leaving after that. A task is the culprit if two workers have provably crashed under it and nothing
 else was on one of them, apart from tasks that have ended well elsewhere.
 
+Workers that are lost at the same moment have a common cause, which is none of their tasks, so such
+losses blame nobody. Suspects run apart from each other, so several of them that crash their workers
+at once are no common cause.
+
 A worker whose host ends with it closes and refuses no connection. Only its return as a later start
 shows that it has ended, when the leases of its runs are long over. Such a loss blames no task, but
 a task must not end one host after another without a bound: it is a suspect from the second such
@@ -79,6 +83,24 @@
     is_judged: bool = False
 
 
+@attrs.frozen(eq=False)
+class RecentLoss:
+    """Loss of a worker that this instance has noticed.
+
+    Parameters
+    ----------
+    lost_at : float
+        Time of the loss, in seconds.
+    is_exposed : bool
+        Whether a suspect was running on the worker.
+    """
+
+    worker: str
+    lost_at: float
+    is_exposed: bool
+    entries: list[Entry]
+
+
 @attrs.define(eq=False)
 class CrashHistory:
     """Records of lost runs by task.
@@ -93,8 +115,8 @@
         Suspects that have ended well.
     changes : list of Entry
         New and changed records that other instances lack.
-    recent : list
-        Latest losses that this instance has noticed: time, worker and entries.
+    recent : list of RecentLoss
+        Latest losses that this instance has noticed.
     discarded_at : float
         Time at which old records were last discarded.
     """
@@ -103,7 +125,7 @@
     unresolved: set[str] = attrs.field(factory=set)
     cleared: dict[str, None] = attrs.field(factory=dict)
     changes: list[Entry] = attrs.field(factory=list)
-    recent: list[tuple[float, str, list[Entry]]] = attrs.field(factory=list)
+    recent: list[RecentLoss] = attrs.field(factory=list)
     discarded_at: float = float("-inf")
 
     def record(
@@ -114,10 +136,12 @@
         state: LossState,
         now: float,
         is_store_answering: bool = False,
+        is_exposed: bool = False,
     ) -> None:
         """Record the runs that may have been on a worker when it was lost.
 
-        The values of ``runs`` tell whether a run was provably there.
+        The values of ``runs`` tell whether a run was provably there, and ``is_exposed`` whether one
+        of them was a suspect.
         """
         tasks = {task for task, _ in runs}
         lost_runs = [
@@ -134,7 +158,7 @@
             )
             for (task, attempt), was_running in runs.items()
         ]
-        self._add(worker, lost_runs, now)
+        self._add(worker, lost_runs, now, is_exposed)
 
     def record_lapsed(self, worker: str, born: int, runs: Iterable[RunKey], now: float) -> None:
         """Record the runs that had lapsed on a worker before it was known to have ended."""
@@ -144,17 +168,20 @@
         ]
         self._add(worker, lost_runs, now)
 
-    def _add(self, worker: str, lost_runs: Iterable[LostRun], now: float) -> None:
+    def _add(
+        self, worker: str, lost_runs: Iterable[LostRun], now: float, is_exposed: bool = False
+    ) -> None:
         """Add the losses with one worker, which may have a common cause with recent ones."""
         entries = []
         for lost in lost_runs:
             self._merge(lost, now)
             if lost.task in self.entries:
                 entries.append(self.entries[lost.task][lost.key])
-        self.recent = [item for item in self.recent if now <= item[0] + SIMULTANEOUS_SECONDS]
-        self.recent.append((now, worker, entries))
-        if len({name for _, name, _ in self.recent}) >= MIN_SIMULTANEOUS_WORKERS:
-            for entry in [entry for _, _, lost in self.recent for entry in lost]:
+        self.recent = [loss for loss in self.recent if now <= loss.lost_at + SIMULTANEOUS_SECONDS]
+        self.recent.append(RecentLoss(worker, now, is_exposed, entries))
+        workers = {loss.worker for loss in self.recent if not loss.is_exposed}
+        if len(workers) >= MIN_SIMULTANEOUS_WORKERS:
+            for entry in [entry for loss in self.recent for entry in loss.entries]:
                 self._merge(attrs.evolve(entry.lost, has_common_cause=True), now)
 
     def _refuted_count(self, task: str, worker: str, born: int, attempt: int) -> int:
--- a/packages/core/cranberryshore/pool/loss_tracking.py
+++ b/packages/core/cranberryshore/pool/loss_tracking.py
@@ -105,8 +105,15 @@
         possible = tuple(sorted(boot.runs.keys() - set(running)))
         silent_ms = self._silent_ms(worker, now)
         self.effects.append(WorkerLost(worker.name, running, possible, state, silent_ms))
-        is_store_answering = self.departures.is_answering(now)
-        self.crashes.record(worker.name, boot.born, boot.runs, state, now, is_store_answering)
+        self.crashes.record(
+            worker.name,
+            boot.born,
+            boot.runs,
+            state,
+            now,
+            is_store_answering=self.departures.is_answering(now),
+            is_exposed=boot.is_exposed,
+        )
 
     def _record_lapsed(self, worker: HeldWorker, boot: BootState, now: float) -> None:
         """Record the runs that may have ended a process of whose end nobody saw anything."""
--- a/packages/core/cranberryshore/pool/lost_run.py
+++ b/packages/core/cranberryshore/pool/lost_run.py
@@ -70,11 +70,10 @@
     def is_crash(self) -> bool:
         """Return whether the worker has provably crashed while the task was running.
 
-        Of several workers that were lost together, none counts unless the task was alone on it.
+        Of several workers that were lost together, none counts.
         """
-        if self.has_common_cause and self.beside:
-            return False
-        return self.state is LossState.PROVEN and self.was_running and self.was_registered
+        is_proven = self.state is LossState.PROVEN and self.was_running and self.was_registered
+        return is_proven and not self.has_common_cause
 
     def merge(self, other: "LostRun") -> "LostRun":
         """Return the record with what another one of the same loss knows besides."""
