Losses: tests for starts that are refused in a wave of crashes (LOST)

What callers saw: a job was shown as failed 1.4 s after it had been handed in, since two workers had crashed "while it ran".

--- a/packages/daemon/cranberryshored/pool/tests/test_worker_channel.py
+++ b/packages/daemon/cranberryshored/pool/tests/test_worker_channel.py
@@ -48,7 +48,29 @@
         return seconds >= self.answer_seconds
 
 
-class WorkerChannelTest(IsolatedAsyncioTestCase):
+class OrderedCalls(DelayedCalls):
+    """Calls that fail in a given order, after a number of answered polls."""
+
+    def __init__(self, answered_polls: int, *failures: StartReply | PollFailure) -> None:
+        super().__init__()
+        self.answered_polls = answered_polls
+        self.failures = list(failures)
+
+    async def poll(self, worker, poll, seconds):
+        if self.polls < self.answered_polls:
+            return await super().poll(worker, poll, seconds)
+        return Err(await self.next_failure(PollFailure))
+
+    async def start_run(self, worker, start, seconds):
+        return await self.next_failure(StartReply)
+
+    async def next_failure(self, kind):
+        while not self.failures or not isinstance(self.failures[0], kind):
+            await asyncio.sleep(0.001)
+        return self.failures.pop(0)
+
+
+class ChannelTestCase(IsolatedAsyncioTestCase):
     def open_channel(self, calls):
         structlog.configure(wrapper_class=quiet)
         CLOCKS.steady, CLOCKS.unix = Clocks().steady, Clocks().unix
@@ -67,6 +89,8 @@
         channel.start()
         return channel
 
+
+class WorkerChannelTest(ChannelTestCase):
     async def test_start_on_a_worker_that_is_slow_to_answer(self):
         # Regression (soak seed 2 on a busy machine): workers took more than 60 ms to respond for
         # several seconds, so every start request timed out and every job was refused.
@@ -175,3 +199,54 @@
         await asyncio.sleep(0.05)
         self.assertEqual(channel.calls.replies, [])
         await channel.close()
+
+
+class RefusedCallsTest(ChannelTestCase):
+    """A worker that crashes while the starts of two tasks are on their way to it (issue 41)."""
+
+    async def crashes_after(self, *failures: StartReply | PollFailure) -> list[int]:
+        """Return the crashes under each of the tasks, after calls that fail in this order.
+
+        The lease holds, and another process answers at the end.
+        """
+        channel = self.open_channel(OrderedCalls(2, *failures, PollFailure.WORKER_RESTARTED))
+        moment = CLOCKS.steady()
+        self.addCleanup(setattr, CLOCKS, "steady", CLOCKS.steady)
+        CLOCKS.steady = lambda: moment
+        async with asyncio.timeout(5):
+            while channel.worker.state is not HoldState.HELD:
+                await asyncio.sleep(0.001)
+            channel.poll_now()
+            while channel.worker.lease_until < moment:
+                await asyncio.sleep(0.001)
+            self.submit(channel)
+            while channel.calls.failures:
+                await asyncio.sleep(0.001)
+        await channel.close()
+        crashes = channel.scheduler.crashes
+        crashes.confirm_registered("w", 1, moment)
+        return [crashes.crashed_workers(task) for task in ("j.0.0.0", "j.0.0.1")]
+
+    def submit(self, channel: WorkerChannel) -> None:
+        """Submit a job of two tasks, and send their starts."""
+        scheduler = channel.scheduler
+        queue = QueueSpec("q", "h", "/q/", "s", slack_factor=2.0, aim_ms=5000)
+        scheduler.config, scheduler.rights = PoolConfig(1, (queue,)), AcknowledgedRights("e")
+        step = StepSpec(2, Capacity(500, 5), 100)
+        scheduler.submit(WorkRequest("j", "q", "", (step,), 5000), "e", CLOCKS.steady())
+        starts = [item for item in scheduler.take_effects() if isinstance(item, StartRun)]
+        self.assertEqual(len(starts), 2)
+        for start in starts:
+            channel.send_order(start)
+
+    async def test_starts_that_were_refused_before_and_after_a_poll_count_as_crashed_under(self):
+        refused = StartReply.REFUSED, PollFailure.REFUSED, StartReply.REFUSED
+        self.assertEqual(await self.crashes_after(*refused), [0, 0])
+
+    async def test_starts_that_were_refused_after_a_closed_poll_count_as_crashed_under(self):
+        refused = StartReply.REFUSED, PollFailure.REFUSED, StartReply.REFUSED
+        self.assertEqual(await self.crashes_after(PollFailure.CLOSED, *refused), [0, 0])
+
+    async def test_starts_that_were_closed_with_a_poll_count_as_crashed_under(self):
+        closed = PollFailure.CLOSED, StartReply.CLOSED, StartReply.CLOSED
+        self.assertEqual(await self.crashes_after(*closed, PollFailure.REFUSED), [0, 0])
