Runs: the time of a start's confirmation is not compared again

`was_running_when_heard` asked for the state RUNNING and for a confirmation of the start by now. The second follows from the first: a run is made in two places, REQUESTED when its start is sent (`add_run`), and RUNNING with a confirmation at the same time when it is adopted; `confirm_start` sets the confirmation before the state, and only lowers it; a stop only leads to STOPPING. The clock doesn't go back (CLOCK_BOOTTIME). What keeps refused starts out of the crashes is the state, as test_certain_runs shows.

Change: the comparison is removed, and with it the time as an argument.

--- a/packages/core/cranberryshore/pool/held_worker.py
+++ b/packages/core/cranberryshore/pool/held_worker.py
@@ -249,9 +249,7 @@
         if now >= self.lease_extended_at + LEASE_EXPIRY_SECONDS:
             return {}
         is_held = now <= self.lease_until - LEASE_MARGIN_SECONDS
-        certain = {
-            key: is_held and run.was_running_when_heard(now) for key, run in self.runs.items()
-        }
+        certain = {key: is_held and run.was_running_when_heard() for key, run in self.runs.items()}
         return dict.fromkeys(self.strangers, False) | certain
 
     def boot_state(self, now: float) -> BootState:
--- a/packages/core/cranberryshore/pool/run.py
+++ b/packages/core/cranberryshore/pool/run.py
@@ -9,7 +9,10 @@
 
 
 class RunState(Enum):
-    """State of one run on a worker."""
+    """State of one run on a worker.
+
+    It is ``REQUESTED`` until its start is confirmed or a status report lists it.
+    """
 
     REQUESTED = "asked"
     RUNNING = "running"
@@ -26,6 +29,8 @@
         Time of the start request or of the adoption, in seconds.
     is_adopted : bool
         Whether another holder started the run.
+    start_confirmed_at : float
+        Time at which the start was confirmed, or a status report has first listed the run.
     lease_until : float
         End of the lease that the start request carried, in seconds on the clock of this instance.
     is_unheard : bool
@@ -44,16 +49,14 @@
     lease_until: float = float("-inf")
     percent: float = 0.0
     is_unheard: bool = False
+    unheard_seconds: float = 0.0
 
-    def was_running_when_heard(self, now: float) -> bool:
-        """Return whether the run is active for all that its worker has answered up to now.
+    def was_running_when_heard(self) -> bool:
+        """Return whether the run is active for all that its worker has answered.
 
         It may have ended if a poll has failed since, or if it is being stopped.
         """
-        is_begun = self.state is RunState.RUNNING and self.start_confirmed_at <= now
-        return is_begun and not self.is_unheard
-
-    unheard_seconds: float = 0.0
+        return self.state is RunState.RUNNING and not self.is_unheard
 
     def record_answer(self, heard_at: float, now: float) -> None:
         """Record an answer of the worker after failed polls, and the time of the one before."""
--- a/packages/proof/cranberryshore_proof/loss_mutations.py
+++ b/packages/proof/cranberryshore_proof/loss_mutations.py
@@ -94,8 +94,8 @@
     return is_held and not self.strangers and not self.is_draining
 
 
-def _ignore_silence(self: Run, now: float) -> bool:
-    return self.state is RunState.RUNNING and self.start_confirmed_at <= now
+def _ignore_silence(self: Run) -> bool:
+    return self.state is RunState.RUNNING
 
 
 def _fail_ended_tasks(self: LossTracker, job: PoolJob) -> JobFailure | None:
