--- a/packages/proof/cranberryshore_proof/pool_deployment.py
+++ b/packages/proof/cranberryshore_proof/pool_deployment.py
@@ -68,6 +68,8 @@
         Time that callers wait for a job.
     deadly_share : float
         Share of the jobs with a task that crashes its workers.
+    job_mix : JobMix
+        Sizes of the jobs of :meth:`load`.
     hosts : tuple of Host
         Hosts of the instances; without them, processors and links are infinitely fast.
     is_store_simulated : bool
--- a/packages/proof/cranberryshore_proof/pool_play.py
+++ b/packages/proof/cranberryshore_proof/pool_play.py
@@ -24,9 +24,8 @@
 WAVE_DEADLY_SHARE = 0.002
 """The same beside waves of crashes, under their load."""
 
-FAULT_INTERVAL_SECONDS = (0.2, 2.5)
-WAVE_FAULT_INTERVAL_SECONDS = (1.5, 8.0)
-"""Range of the time between two other faults beside waves of crashes."""
+FAULT_INTERVAL_SECONDS, WAVE_FAULT_INTERVAL_SECONDS = (0.2, 2.5), (1.5, 8.0)
+"""Ranges of the time between two faults, without waves of crashes and beside them."""
 
 SERIES_INTERVAL_SECONDS = (3.0, 9.0)
 """Range of the time between the beginnings of two series of waves."""
--- a/packages/proof/cranberryshore_proof/pool_worker_faults.py
+++ b/packages/proof/cranberryshore_proof/pool_worker_faults.py
@@ -1,4 +1,4 @@
-"""Faults of the workers of a simulated pool: crashes that no instance sees, departures, and waves.
+"""Faults of the workers of a simulated pool: crashes, unseen or in waves, and departures.
 
 No run is known to be on these workers when their processes end: their leases are over, the start of
 the run was not answered or is refused afterwards, or nobody has read that they leave.
--- a/packages/soak/cranberryshore_soak/processes.py
+++ b/packages/soak/cranberryshore_soak/processes.py
@@ -139,7 +139,7 @@
         except ValueError:
             self.on_violation(f"{self.name} wrote a log line that is not JSON: {text[:200]}")
             return
-        event = record["event"]
+        event = record.get("event")
         if event in SCHEDULING_EVENTS:
             self.is_scheduler = SCHEDULING_EVENTS[event]
         self.refused_starts += event == FAILED_START_EVENT and record["reply"] == "refused"
