Losses: idle workers make a wave known, and usual losses do not make one

And on large pools culprits went on: with 7 deadly jobs/s on 540 workers, three other workers are often lost in the same tenth of a second, and 37 of 220 culprits were started six times.

Change: the rule is a module of its own, `common_cause`, which names these loads. More workers than usual have to be lost at the same moment, three times the mean of 3 s; the moment is that of the closed connection, if one was closed; an idle worker that refuses a call counts; and when a worker is lost under a suspect, up to 32 idle workers are polled, at most each 0.1 s.

--- a/packages/core/cranberryshore/pool/crashes.py
+++ b/packages/core/cranberryshore/pool/crashes.py
@@ -17,9 +17,8 @@
 leaving after that. A task is the culprit if two workers have provably crashed under it and nothing
 else was on one of them, apart from tasks that have ended well elsewhere.
 
-Workers that are lost at the same moment have a common cause, which is none of their tasks, so such
-losses blame nobody. Suspects run apart from each other, so several of them that crash their workers
-at once are no common cause.
+Workers that are lost at the same moment may have a common cause, which is none of their tasks, so
+such losses blame nobody (`common_cause`).
 
 A worker whose host ends with it closes and refuses no connection. Only its return as a later start
 shows that it has ended, when the leases of its runs are long over. Such a loss blames no task, but
@@ -33,6 +32,7 @@
 
 import attrs
 
+from cranberryshore.pool.common_cause import NoticedLoss, RecentLosses
 from cranberryshore.pool.lost_run import LossKey, LossState, LostRun
 from cranberryshore.pool.worker_registration import WorkerRegistration
 from cranberryshore.pool.worker_status import RunKey
@@ -48,11 +48,6 @@
 """Time for which a task with several losses waits for a proof. A worker is back after some 3 s. The
 time doubles with each further loss."""
 
-SIMULTANEOUS_SECONDS = 0.1
-MIN_SIMULTANEOUS_WORKERS = 3
-"""Number of workers that, lost within ``SIMULTANEOUS_SECONDS``, have a common cause: a rack, a zone
-or a partition."""
-
 RETENTION_SECONDS = 120.0
 """Time for which a loss is remembered. Callers submit a job again within seconds."""
 
@@ -83,24 +78,6 @@
     is_judged: bool = False
 
 
-@attrs.frozen(eq=False)
-class RecentLoss:
-    """Loss of a worker that this instance has noticed.
-
-    Parameters
-    ----------
-    lost_at : float
-        Time of the loss, in seconds.
-    is_exposed : bool
-        Whether a suspect was running on the worker.
-    """
-
-    worker: str
-    lost_at: float
-    is_exposed: bool
-    entries: list[Entry]
-
-
 @attrs.define(eq=False)
 class CrashHistory:
     """Records of lost runs by task.
@@ -115,7 +92,7 @@
         Suspects that have ended well.
     changes : list of Entry
         New and changed records that other instances lack.
-    recent : list of RecentLoss
+    recent : RecentLosses
         Latest losses that this instance has noticed.
     discarded_at : float
         Time at which old records were last discarded.
@@ -125,7 +102,7 @@
     unresolved: set[str] = attrs.field(factory=set)
     cleared: dict[str, None] = attrs.field(factory=dict)
     changes: list[Entry] = attrs.field(factory=list)
-    recent: list[RecentLoss] = attrs.field(factory=list)
+    recent: RecentLosses = attrs.field(factory=RecentLosses)
     discarded_at: float = float("-inf")
 
     def record(
@@ -137,11 +114,12 @@
         now: float,
         is_store_answering: bool = False,
         is_exposed: bool = False,
+        ended_at: float | None = None,
     ) -> None:
         """Record the runs that may have been on a worker when it was lost.
 
         The values of ``runs`` tell whether a run was provably there, and ``is_exposed`` whether one
-        of them was a suspect.
+        of them was a suspect. ``ended_at`` is the time at which a connection was closed before.
         """
         tasks = {task for task, _ in runs}
         lost_runs = [
@@ -158,7 +136,14 @@
             )
             for (task, attempt), was_running in runs.items()
         ]
-        self._add(worker, lost_runs, now, is_exposed)
+        self._add(lost_runs, now)
+        records = tuple((lost.task, lost.key) for lost in lost_runs)
+        moment = now if ended_at is None else ended_at
+        self._notice(NoticedLoss(worker, moment, is_exposed, records), now)
+
+    def record_idle(self, worker: str, now: float) -> None:
+        """Record that a worker without runs was lost."""
+        self._notice(NoticedLoss(worker, now), now)
 
     def record_lapsed(self, worker: str, born: int, runs: Iterable[RunKey], now: float) -> None:
         """Record the runs that had lapsed on a worker before it was known to have ended."""
@@ -166,23 +151,19 @@
             LostRun(task, attempt, worker, born, state=LossState.PROVEN, has_lapsed=True)
             for task, attempt in runs
         ]
-        self._add(worker, lost_runs, now)
+        self._add(lost_runs, now)
 
-    def _add(
-        self, worker: str, lost_runs: Iterable[LostRun], now: float, is_exposed: bool = False
-    ) -> None:
-        """Add the losses with one worker, which may have a common cause with recent ones."""
-        entries = []
+    def _add(self, lost_runs: Iterable[LostRun], now: float) -> None:
         for lost in lost_runs:
             self._merge(lost, now)
-            if lost.task in self.entries:
-                entries.append(self.entries[lost.task][lost.key])
-        self.recent = [loss for loss in self.recent if now <= loss.lost_at + SIMULTANEOUS_SECONDS]
-        self.recent.append(RecentLoss(worker, now, is_exposed, entries))
-        workers = {loss.worker for loss in self.recent if not loss.is_exposed}
-        if len(workers) >= MIN_SIMULTANEOUS_WORKERS:
-            for entry in [entry for loss in self.recent for entry in loss.entries]:
-                self._merge(attrs.evolve(entry.lost, has_common_cause=True), now)
+
+    def _notice(self, noticed: NoticedLoss, now: float) -> None:
+        """Add the loss of a worker, which may have a common cause with recent ones."""
+        for loss in self.recent.add(noticed, now):
+            for task, key in loss.records:
+                entry = self.entries.get(task, {}).get(key)
+                if entry is not None:
+                    self._merge(attrs.evolve(entry.lost, has_common_cause=True), now)
 
     def _refuted_count(self, task: str, worker: str, born: int, attempt: int) -> int:
         return sum(
--- a/packages/core/cranberryshore/pool/isolation.py
+++ b/packages/core/cranberryshore/pool/isolation.py
@@ -13,7 +13,7 @@
 
 import attrs
 
-from cranberryshore.pool.crashes import MIN_SIMULTANEOUS_WORKERS, SIMULTANEOUS_SECONDS
+from cranberryshore.pool.common_cause import MIN_SIMULTANEOUS_WORKERS, SIMULTANEOUS_SECONDS
 from cranberryshore.pool.held_worker import HeldWorker
 from cranberryshore.pool.hold_state import HoldState
 from cranberryshore.pool.run import BootState
--- a/packages/core/cranberryshore/pool/loss_tracking.py
+++ b/packages/core/cranberryshore/pool/loss_tracking.py
@@ -7,8 +7,9 @@
 from cranberryshore.pool.adoption import job_id_of
 from cranberryshore.pool.crashes import CrashHistory
 from cranberryshore.pool.departures import Departure, DepartureCheck
-from cranberryshore.pool.effects import PoolEffect, WorkerLossJudged, WorkerLost
+from cranberryshore.pool.effects import PollWorker, PoolEffect, WorkerLossJudged, WorkerLost
 from cranberryshore.pool.held_worker import HeldWorker
+from cranberryshore.pool.hold_state import HoldState
 from cranberryshore.pool.isolation import Isolation
 from cranberryshore.pool.job_failure import FailureCause, JobFailure
 from cranberryshore.pool.lost_run import LossState
@@ -17,6 +18,12 @@
 from cranberryshore.pool.worker_registration import WorkerListing
 from cranberryshore.pool.worker_status import RunKey
 
+MAX_CHECKED_WORKERS = 32
+"""Maximum number of idle workers that are polled when a worker is lost under a suspect."""
+
+CHECK_SECONDS = 0.1
+"""Shortest interval between such polls."""
+
 
 @attrs.define(eq=False)
 class LossTracker:
@@ -24,19 +31,23 @@
 
     Parameters
     ----------
-    jobs : mapping
-        Jobs of the scheduler by id.
+    jobs, workers : mapping
+        Jobs of the scheduler by id, and held workers by name.
     effects : list of PoolEffect
         Receives the log records.
     departures : DepartureCheck
         What the registrations tell of lost workers.
+    checked_at : float
+        Time at which idle workers were last polled because of a loss.
     """
 
     jobs: Mapping[str, PoolJob]
+    workers: Mapping[str, HeldWorker]
     crashes: CrashHistory
     isolation: Isolation
     effects: list[PoolEffect]
     departures: DepartureCheck = attrs.field(factory=DepartureCheck)
+    checked_at: float = float("-inf")
 
     def worker_refuses(self, worker: HeldWorker, now: float) -> None:
         """Record that no process listens at the address of a worker, which may have crashed."""
@@ -98,6 +109,8 @@
         if not boot.runs:
             if state is LossState.PROVEN:
                 self._record_lapsed(worker, boot, now)
+            elif worker.state is HoldState.HELD or worker.has_just_closed(now):
+                self.crashes.record_idle(worker.name, now)
             return
         worker.is_loss_recorded = True
         self.isolation.worker_lost(worker, boot, now)
@@ -113,7 +126,23 @@
             now,
             is_store_answering=self.departures.is_answering(now),
             is_exposed=boot.is_exposed,
+            ended_at=worker.closed_at if worker.has_just_closed(now) else None,
         )
+        if boot.is_exposed:
+            self._check_idle_workers(worker.service, now)
+
+    def _check_idle_workers(self, service: str, now: float) -> None:
+        """Poll some idle workers, which may have been lost at the same moment unnoticed."""
+        if now < self.checked_at + CHECK_SECONDS:
+            return
+        self.checked_at = now
+        idle = [
+            worker.name
+            for worker in self.workers.values()
+            if worker.service == service and worker.state is HoldState.HELD and not worker.runs
+        ]
+        step = -(-len(idle) // MAX_CHECKED_WORKERS) or 1
+        self.effects += [PollWorker(name) for name in idle[::step]]
 
     def _record_lapsed(self, worker: HeldWorker, boot: BootState, now: float) -> None:
         """Record the runs that may have ended a process of whose end nobody saw anything."""
--- a/packages/core/cranberryshore/pool/scheduler.py
+++ b/packages/core/cranberryshore/pool/scheduler.py
@@ -91,7 +91,9 @@
             self.crashes,
             self.effects,
         )
-        self.losses = LossTracker(self.jobs, self.crashes, self.placer.isolation, self.effects)
+        self.losses = LossTracker(
+            self.jobs, self.workers, self.crashes, self.placer.isolation, self.effects
+        )
         self.deadlines = DeadlinePolicy(
             self.workers,
             self.statistics,
--- a/packages/core/cranberryshore/pool/tests/load_replay.py
+++ b/packages/core/cranberryshore/pool/tests/load_replay.py
@@ -215,9 +215,7 @@
     def _execute_effects(self) -> None:
         for effect in self.scheduler.take_effects():
             if isinstance(effect, JobEnded):
-                ended = self.outcomes[effect.job]
-                ended.outcome = effect.outcome
-                ended.seconds = self.clock - ended.arrival.at
+                self._record_end(effect)
             elif isinstance(effect, StartRun):
                 self._schedule(
                     self.clock + REQUEST_LATENCY_SECONDS, lambda e=effect: self._start(e)
@@ -229,6 +227,11 @@
                     self.clock + REQUEST_LATENCY_SECONDS, lambda e=effect: self._poll(e.worker)
                 )
 
+    def _record_end(self, end: JobEnded) -> None:
+        ended = self.outcomes[end.job]
+        ended.outcome = end.outcome
+        ended.seconds = self.clock - ended.arrival.at
+
     def _start(self, effect: StartRun) -> None:
         worker = self.workers[effect.worker]
         job, _, _, index = effect.key[0].rsplit(".", 3)
--- a/packages/core/cranberryshore/pool/tests/test_common_cause.py
+++ b/packages/core/cranberryshore/pool/tests/test_common_cause.py
@@ -1,7 +1,7 @@
 from unittest import TestCase
 
 from cranberryshore.pool import CrashHistory, LossState
-from cranberryshore.pool.crashes import MIN_SIMULTANEOUS_WORKERS
+from cranberryshore.pool.common_cause import MIN_SIMULTANEOUS_WORKERS
 
 TASK = "j.0.0.0"
 
--- a/packages/core/cranberryshore/pool/tests/test_crashes.py
+++ b/packages/core/cranberryshore/pool/tests/test_crashes.py
@@ -1,11 +1,11 @@
 from unittest import TestCase
 
+from cranberryshore.pool.common_cause import SIMULTANEOUS_SECONDS
 from cranberryshore.pool.crashes import (
     MAX_RECORDS,
     PROOF_SECONDS,
     RESEND_SECONDS,
     RETENTION_SECONDS,
-    SIMULTANEOUS_SECONDS,
     CrashHistory,
 )
 from cranberryshore.pool.lost_run import LossState
--- a/packages/core/cranberryshore/pool/tests/test_isolation.py
+++ b/packages/core/cranberryshore/pool/tests/test_isolation.py
@@ -1,4 +1,4 @@
-from cranberryshore.pool.crashes import SIMULTANEOUS_SECONDS
+from cranberryshore.pool.common_cause import SIMULTANEOUS_SECONDS
 from cranberryshore.pool.isolation import CONFINING_SHARE, RECOVERY_SECONDS
 from cranberryshore.pool.tests.test_lost_workers import LostWorkerTestCase
 
