Soak: at most 16 callers with short jobs beside waves of crashes

Each wave of each series started callers for half of the workers, without a bound over all series.

Run again with the bound at a load of 34 to 47, the instances were not ready after 30 s (loop late by 9.3 s), so that size is not shown to hold on this machine while others use it. test_crash_waves: failed in 1 of 2 runs. In that one, beside two other soaks of mine at a load of 34 to 44, an instance ended with status 3 (an address could not be bound), another answered 503 for an unknown queue; not traced further.

--- a/packages/soak/cranberryshore_soak/worker_faults.py
+++ b/packages/soak/cranberryshore_soak/worker_faults.py
@@ -41,6 +41,9 @@
 """Callers with short jobs for each worker, beside a series and right before each wave, and their
 mean pause: workers are idle for short times, and many starts are on their way."""
 
+MAX_WAVE_CALLERS = 16
+"""Number of these callers at a time, whose jobs load the event loop that serves the workers."""
+
 WAVE_BURST_SECONDS = 0.2
 SCHEDULER_PAUSE_SECONDS = 0.06
 """Time before a wave in which the scheduler is suspended, so that it sends many starts after it."""
@@ -61,10 +64,17 @@
 
 @attrs.define(eq=False)
 class WorkerFaults:
-    """Injects faults into random workers."""
+    """Injects faults into random workers.
+
+    Parameters
+    ----------
+    short_callers : set of asyncio.Task
+        Running callers with short jobs only.
+    """
 
     cluster: SoakCluster
     random: Random
+    short_callers: set[asyncio.Task] = attrs.field(factory=set)
 
     def faults_by_name(self) -> dict[str, Fault]:
         """Return the methods that inject faults, by name of the fault."""
@@ -157,10 +167,10 @@
     async def crash_in_waves(self, length: float) -> None:
         """Crash a third of the workers at one moment, without any cut, again and again."""
         longest = WAVE_COUNT * (WAVE_DOWN_SECONDS[1] + WAVE_PAUSE_SECONDS[1])
-        load = self._run_short_jobs(WAVE_CALLER_SHARE, longest)
+        self._run_short_jobs(WAVE_CALLER_SHARE, longest)
         for _ in range(WAVE_COUNT):
             await asyncio.sleep(self.random.uniform(*WAVE_PAUSE_SECONDS))
-            load += self._run_short_jobs(WAVE_BURST_SHARE, WAVE_BURST_SECONDS)
+            self._run_short_jobs(WAVE_BURST_SHARE, WAVE_BURST_SECONDS)
             if self.random.random() < 0.5:
                 schedulers = [item for item in self.cluster.daemons.values() if item.is_scheduler]
                 await asyncio.gather(*(item.pause(SCHEDULER_PAUSE_SECONDS) for item in schedulers))
@@ -170,16 +180,16 @@
                     worker.proxy.refuse()
                 down = self.random.uniform(*WAVE_DOWN_SECONDS)
                 await asyncio.gather(*(self._restart(worker, down) for worker in chosen))
-        await asyncio.gather(*load)
+        await asyncio.gather(*self.short_callers)
 
-    def _run_short_jobs(self, share: float, seconds: float) -> list[asyncio.Task]:
+    def _run_short_jobs(self, share: float, seconds: float) -> None:
         """Start callers with short jobs for some time; ``share`` is their number a worker."""
         end, count = time.monotonic() + seconds, ceil(share * len(self.cluster.workers))
-        run_caller = self.cluster.callers.run_caller
-        return [
-            asyncio.create_task(run_caller(end, WAVE_CALLER_PAUSE_SECONDS, is_short=True))
-            for _ in range(count)
-        ]
+        for _ in range(min(count, MAX_WAVE_CALLERS - len(self.short_callers))):
+            running = self.cluster.callers.run_caller(end, WAVE_CALLER_PAUSE_SECONDS, is_short=True)
+            task = asyncio.create_task(running)
+            self.short_callers.add(task)
+            task.add_done_callback(self.short_callers.discard)
 
     async def _crash_behind_cut(
         self, worker: SoakWorker, delay: float, down: float, healing: float
