Crashes: a refused start was recorded as lost with what was known at a closing

A start that was refused after that stayed in it, so the refusal, recorded right after the start had been withdrawn, named the start among the runs that may have been there. The same with the runs that have lapsed: a start whose refusal came after its lease had ended was recorded as one that may have ended its host.

Callers see tasks as suspects that have never begun anywhere: they wait for a worker of their own, and others are not started beside them.

A start that is withdrawn is now forgotten in both places (withdraw_start). A start without any reply stays, since it may have begun.

--- a/packages/core/cranberryshore/pool/run.py
+++ b/packages/core/cranberryshore/pool/run.py
@@ -88,3 +88,8 @@
     runs: dict[RunKey, bool]
     is_exposed: bool
     lapsed_runs: frozenset[RunKey] = frozenset()
+
+    def without(self, key: RunKey, is_exposed: bool) -> "BootState":
+        """Return the state without a run that has never begun."""
+        runs = {run: is_certain for run, is_certain in self.runs.items() if run != key}
+        return attrs.evolve(self, runs=runs, is_exposed=is_exposed)
--- a/packages/core/cranberryshore/pool/scheduler.py
+++ b/packages/core/cranberryshore/pool/scheduler.py
@@ -27,6 +27,7 @@
 from cranberryshore.pool.submitting import JobIntake
 from cranberryshore.pool.takeover import Takeover
 from cranberryshore.pool.verifying import Verification
+from cranberryshore.pool.withdrawal import withdraw_start
 from cranberryshore.pool.work import Outcome, PoolJob, WorkRequest
 from cranberryshore.pool.worker_registration import WorkerListing
 from cranberryshore.pool.worker_status import EndKind, RunKey, WorkerStatus
@@ -326,7 +327,7 @@
         if is_paused:
             self.statistics.health.rejections.rejected(name, key, now)
         worker = self.workers.get(name)
-        run = worker.remove_run(key) if worker is not None else None
+        run = withdraw_start(worker, key) if worker is not None else None
         if run is None:
             return
         self.registry.withdraw_start(key)
