Workers: a reply to a start of a former boot was taken for the present one

A worker restarts while a start is under way, a poll shows the later boot, and then the reply of the former one arrives. The run counted as confirmed, and its lease as held, on the boot that had never had it. If this boot ended before its next answer, its loss was recorded with the run as provably there. The lease that such a start had carried was also taken for one of the later boot if that had listed the run, although it is a time on the clock of the former one.

Callers see a job nearer to being given up for a worker that crashed without their task.

A run now names the boot that its request was sent to. A reply confirms it only there; after a restart, the next listing does, and only polls of the new boot extend the lease.

--- a/packages/core/cranberryshore/pool/held_worker.py
+++ b/packages/core/cranberryshore/pool/held_worker.py
@@ -212,7 +212,7 @@
         self, key: RunKey, demand: Capacity, now: float, lease_end_ms: int | None = None
     ) -> None:
         """Add a run whose start is being requested."""
-        run = self.runs[key] = Run(demand, RunState.REQUESTED, self.token, now)
+        run = self.runs[key] = Run(demand, RunState.REQUESTED, self.token, now, born=self.born)
         if lease_end_ms is not None:
             run.lease_until = self.lease_end_at(lease_end_ms)
         self.room = self.room - demand
@@ -224,6 +224,9 @@
         if run is None:
             return
         run.start_confirmed_at = min(run.start_confirmed_at, now)
+        if run.born != self.born:
+            # Not known which start of the process has begun it.
+            return
         self.lease_until = max(self.lease_until, run.lease_until)
         if run.state is RunState.REQUESTED:
             run.state = RunState.RUNNING
@@ -296,8 +299,7 @@
 
     def mark_lost(self, now: float) -> None:
         """Record that the worker obeys another holder."""
-        self.state = HoldState.LOST
-        self.lost_at = now
+        self.state, self.lost_at = HoldState.LOST, now
 
     def remove_expired_runs(self, now: float) -> list[RunEnd]:
         """Remove and return the runs of a worker that is not held and whose lease has expired."""
@@ -335,7 +337,7 @@
         ends += self._remove_missing_runs(listed, token, poll_sent_at)
         for key, item in listed.items():
             if key in self.runs:
-                self.runs[key].percent = item.percent
+                self.runs[key].record_listing(self.born, item.percent)
                 self.confirm_start(key, now)
         self.strangers = {key for key in listed if key not in self.runs}
         self.strangers_since = min(self.strangers_since, now) if self.strangers else float("inf")
@@ -370,9 +372,8 @@
     def adopt_run(self, key: RunKey, demand: Capacity, now: float) -> None:
         """Take over a run of another holder."""
         self.strangers.discard(key)
-        self.runs[key] = Run(
-            demand, RunState.RUNNING, self.token, now, is_adopted=True, start_confirmed_at=now
-        )
+        run = Run(demand, RunState.RUNNING, self.token, now, is_adopted=True, born=self.born)
+        run.start_confirmed_at, self.runs[key] = now, run
         self.room = self.room - demand
 
     def _save_foreign_end(self, end: ReportedEnd) -> None:
@@ -391,9 +392,8 @@
         ends = []
         for key, run in list(self.runs.items()):
             is_certain = run.token < token or run.start_confirmed_at < poll_sent_at
-            if key in listed or not is_certain:
-                continue
-            has_begun = run.start_confirmed_at < float("inf")
-            kind = EndKind.VANISHED if has_begun else EndKind.NEVER_BEGAN
-            ends.append(RunEnd(key, kind, self.remove_run(key)))
+            if key not in listed and is_certain:
+                has_begun = run.start_confirmed_at < float("inf")
+                kind = EndKind.VANISHED if has_begun else EndKind.NEVER_BEGAN
+                ends.append(RunEnd(key, kind, self.remove_run(key)))
         return ends
--- a/packages/core/cranberryshore/pool/run.py
+++ b/packages/core/cranberryshore/pool/run.py
@@ -30,6 +30,9 @@
         End of the lease that the start request carried, in seconds on the clock of this instance.
     is_unheard : bool
         Whether a poll of the worker has failed since its latest answer.
+    born : int
+        Identifier of the start of the worker process that the request was sent to, or that has
+        listed the run since.
     unheard_seconds : float
         Time without answers of the worker, in which the run may have stood still.
     """
@@ -44,6 +47,7 @@
     lease_until: float = float("-inf")
     percent: float = 0.0
     is_unheard: bool = False
+    born: int = 0
 
     def was_running_when_heard(self, now: float) -> bool:
         """Return whether the run is active for all that its worker has answered up to now.
@@ -60,6 +64,13 @@
         self.unheard_seconds += now - max(heard_at, self.started_at)
         self.is_unheard = False
 
+    def record_listing(self, born: int, percent: float) -> None:
+        """Record that a start of the worker process has listed the run."""
+        self.percent = percent
+        if born != self.born:
+            # The lease that the request carried is a time on the clock of the former start.
+            self.born, self.lease_until = born, float("-inf")
+
 
 @attrs.frozen
 class RunEnd:
