Worker channel: a start that was fenced occupied its worker for a lease

A worker that obeys a higher token rejects a start, and has done nothing then. If the token was still that of the scheduler, the run was left as one that may be active: its task waited 1.1 s until the lease had ended, the run counted as lapsed, and the job as started, so that a refusal said "may have run" and came only with the end of the caller's time.

Each rejection now withdraws the start.

--- a/packages/daemon/cranberryshored/pool/tests/test_worker_channel.py
+++ b/packages/daemon/cranberryshored/pool/tests/test_worker_channel.py
@@ -1,5 +1,6 @@
 import asyncio
 import logging
+from collections.abc import Callable
 from unittest import IsolatedAsyncioTestCase
 
 import structlog
@@ -48,7 +49,7 @@
         return seconds >= self.answer_seconds
 
 
-class WorkerChannelTest(IsolatedAsyncioTestCase):
+class WorkerChannelTestCase(IsolatedAsyncioTestCase):
     def open_channel(self, calls):
         structlog.configure(wrapper_class=quiet)
         CLOCKS.steady, CLOCKS.unix = Clocks().steady, Clocks().unix
@@ -67,6 +68,13 @@
         channel.start()
         return channel
 
+    async def wait_for(self, is_met: Callable[[], bool]) -> None:
+        async with asyncio.timeout(5):
+            while not is_met():
+                await asyncio.sleep(0.01)
+
+
+class WorkerChannelTest(WorkerChannelTestCase):
     async def test_start_on_a_worker_that_is_slow_to_answer(self):
         # Regression (soak seed 2 on a busy machine): workers took more than 60 ms to respond for
         # several seconds, so every start request timed out and every job was refused.
--- a/packages/daemon/cranberryshored/pool/worker_channel.py
+++ b/packages/daemon/cranberryshored/pool/worker_channel.py
@@ -141,9 +141,9 @@
             # A response that cannot be read does not prove that the run never begins.
             token = self.tokens.next(worker.token)
             self.scheduler.start_unanswered(worker.name, token, now())
-        elif reply is StartReply.FENCED and order.token == worker.token:
-            self.scheduler.fenced(worker.name, now())
         else:
+            if reply is StartReply.FENCED and order.token == worker.token:
+                self.scheduler.fenced(worker.name, now())
             is_low, is_paused = reply is StartReply.ATTEMPT_LOW, reply in PAUSING_REPLIES
             self.scheduler.start_rejected(worker.name, order.key, is_low, now(), is_paused)
         self.on_change()
