Scheduler: tasks were started on a worker at whose address another answers

When another process answers at the address of a worker (421), its runs are over and it has ended, but it stayed held: an idle one is not polled any more, so it counted as available until its registration was gone, and tasks were started there. Each such start is rejected and counts towards the pause of the worker; the task loses a round trip, and a queue's whole job if it fits no other worker.

The worker is silent from then on, as after a refusal: nothing starts on it, and it is polled until it answers again or is not registered.

Measured: both new tests (test_replaced_workers) fail without the change and pass with it; 298 core pool tests pass.

--- a/packages/core/cranberryshore/pool/scheduler.py
+++ b/packages/core/cranberryshore/pool/scheduler.py
@@ -291,6 +291,8 @@
         self.losses.worker_replaced(worker, now)
         for end in worker.remove_ended_runs():
             self.ender.run_ended(worker, end, now)
+        worker.mark_silent()
+        self.placer.worker_changed(worker)
         self.ender.end_failed_jobs(now)
         self.changed_at = now
 
