Take-over: runs of an earlier scheduler outlived their leases

A scheduler that takes over in a wave of crashes learns from a worker's first report what the earlier one has started there. If that worker then falls silent, or another process answers at its address, these runs stayed as long as the worker was held, that is until its registration was gone and 3 s more: a list of the last contact that was told as a fact.

Callers whose jobs come again as new ones (their instance was lost) wait all that time, although the leases have ended 1.1 s after the last contact. And every handed-over job waits the full 1.3 s, since no job is verified while any worker has runs of another scheduler.

The foreign runs of a silent worker are forgotten when the lease has ended, and those of a worker that has ended at once. A worker that obeys another holder keeps them: that holder may extend the lease.

--- a/packages/core/cranberryshore/pool/scheduler.py
+++ b/packages/core/cranberryshore/pool/scheduler.py
@@ -292,7 +292,7 @@
         for end in worker.remove_ended_runs():
             self.ender.run_ended(worker, end, now)
         worker.mark_silent()
-        self.placer.worker_changed(worker)
+        self.takeover.discard_strangers(worker)
         self.ender.end_failed_jobs(now)
         self.changed_at = now
 
@@ -357,6 +357,7 @@
             if now > worker.unlisted_at + UNLISTED_WORKER_SECONDS and not worker.runs:
                 del self.workers[name]
                 self.placer.worker_removed(name)
+        self.takeover.discard_lapsed_strangers(now)
         self.placer.tick(now)
         self.foreign.discard_outdated(self.workers.values())
         self.crashes.discard_outdated(now)
--- a/packages/core/cranberryshore/pool/takeover.py
+++ b/packages/core/cranberryshore/pool/takeover.py
@@ -13,6 +13,7 @@
 from cranberryshore.pool.effects import PollWorker, PoolEffect, StopRun
 from cranberryshore.pool.foreign_runs import ForeignRuns
 from cranberryshore.pool.held_worker import HeldWorker
+from cranberryshore.pool.hold_state import HoldState
 from cranberryshore.pool.job_ending import JobEnder
 from cranberryshore.pool.placing import Placer
 from cranberryshore.pool.refusing import RESUMED_JOB_WAIT_SECONDS
@@ -83,6 +84,18 @@
             for key in sorted(worker.strangers):
                 self.effects.append(StopRun(worker.name, key, worker.token))
 
+    def discard_lapsed_strangers(self, now: float) -> None:
+        """Forget the foreign runs of silent workers whose leases have expired."""
+        for name in sorted(self.placer.stranger_holders):
+            worker = self.workers[name]
+            if worker.state is HoldState.SILENT and not worker.possible_runs(now):
+                self.discard_strangers(worker)
+
+    def discard_strangers(self, worker: HeldWorker) -> None:
+        """Forget the foreign runs of a worker, which have ended."""
+        worker.strangers, worker.strangers_since = set(), float("inf")
+        self.placer.worker_changed(worker)
+
     def _adopt_job(self, job: PoolJob, now: float) -> None:
         """Adopt the active and finished runs of a job that another scheduler has started."""
         names = self.foreign.workers_of(job.request.id)
