Take-over: an adopted run counted as heard, whatever its worker had missed

A run of an earlier scheduler is adopted when its job is handed over, from the latest report of its worker. If polls had failed since that report, the run may have ended meanwhile, but it was entered as running and heard now. If the lease held by then (a restarted worker that answers a poll with a lease may list a late order of the earlier scheduler), a crash counted as one under the task.

A run is adopted as unheard if a poll of its worker has failed since the latest answer. The next answer that lists it makes it heard again.

Measured: of the 6 new tests (AdoptedRunTest), 1 fails without the change, all pass with it. The others keep what held and was not guarded: adopted after a closed connection, after a recorded loss, without a lease of this scheduler, and the lapse of a run that was adopted after its worker was lost. 309 core pool tests pass.

--- a/packages/core/cranberryshore/pool/held_worker.py
+++ b/packages/core/cranberryshore/pool/held_worker.py
@@ -66,8 +66,7 @@
     born : int
         Identifier of the current start of the worker process; 0 before its first answer.
     registered_born : int
-        Identifier of the start that wrote the registration from which service, labels and capacity
-        come; 0 if unknown.
+        Start that wrote the registration with service, labels and capacity; 0 if unknown.
     last_seen : int
         Number of the last processed end since that start.
     acknowledged_end : int
@@ -85,6 +84,8 @@
         Runs of the present start whose leases have expired since its latest answer.
     is_loss_recorded : bool
         Whether the worker has been recorded as lost since its last answer.
+    is_unheard : bool
+        Whether a poll has failed since the latest answer.
     strangers : set of RunKey
         Foreign runs: active, but not started or adopted by this holder.
     foreign_ends : dict
@@ -99,8 +100,7 @@
     clock_read_at, clock_requested_at : float
         Times at which the clock of the worker was read, and at which a poll was requested for it.
     lease_extended_at : float
-        Time of the last request, of this holder or an earlier one, that could extend the lease, in
-        seconds.
+        Time of the last request, of any holder, that could extend the lease, in seconds.
     lease_until : float
         End of the longest lease that the worker has confirmed, in seconds.
     born_polled_at : float
@@ -131,6 +131,7 @@
     closed_at: float = float("-inf")
     lapsed_runs: set[RunKey] = attrs.field(factory=set)
     is_loss_recorded: bool = False
+    is_unheard: bool = False
     strangers: set[RunKey] = attrs.field(factory=set)
     strangers_since: float = float("inf")
     foreign_ends: dict[str, ReportedEnd] = attrs.field(factory=dict)
@@ -219,13 +220,12 @@
         self.lease_extended_at = now
 
     def confirm_start(self, key: RunKey, now: float) -> None:
-        """Record that the worker has confirmed the start of a run."""
+        """Record that the worker, or a former start of it, has confirmed the start of a run."""
         run = self.runs.get(key)
         if run is None:
             return
         run.start_confirmed_at = min(run.start_confirmed_at, now)
         if run.born != self.born:
-            # Not known which start of the process has begun it.
             return
         self.lease_until = max(self.lease_until, run.lease_until)
         if run.state is RunState.REQUESTED:
@@ -373,7 +373,7 @@
         """Take over a run of another holder."""
         self.strangers.discard(key)
         run = Run(demand, RunState.RUNNING, self.token, now, is_adopted=True, born=self.born)
-        run.start_confirmed_at, self.runs[key] = now, run
+        run.start_confirmed_at, run.is_unheard, self.runs[key] = now, self.is_unheard, run
         self.room = self.room - demand
 
     def _save_foreign_end(self, end: ReportedEnd) -> None:
--- a/packages/core/cranberryshore/pool/run_statistics.py
+++ b/packages/core/cranberryshore/pool/run_statistics.py
@@ -29,12 +29,14 @@
     @staticmethod
     def record_poll_failure(worker: HeldWorker) -> None:
         """Record that a worker has not answered a poll."""
+        worker.is_unheard = True
         for run in worker.runs.values():
             run.is_unheard = True
 
     @staticmethod
     def record_answer(worker: HeldWorker, now: float) -> None:
         """Record that a worker answers a poll, before the answer is processed."""
+        worker.is_unheard = False
         for run in worker.runs.values():
             if run.is_unheard:
                 run.record_answer(worker.clock_read_at, now)
--- a/packages/core/cranberryshore/pool/tests/test_takeover_after_losses.py
+++ b/packages/core/cranberryshore/pool/tests/test_takeover_after_losses.py
@@ -52,3 +52,77 @@
         self.poll_idle()
         self.assertIs(self.scheduler.workers["w1"].state, HoldState.LOST)
         self.assertEqual(self.submit(), [])
+
+
+class AdoptedRunTest(RestartTestCase):
+    """Runs that are adopted some time after the report that has listed them."""
+
+    def report(self, name: str, born: int, *running, sent_at: float, has_lease: bool) -> None:
+        """Let a worker answer a poll, which may have extended its lease."""
+        worker = self.scheduler.workers[name]
+        listed = tuple(ReportedRun(*key) for key in running)
+        status = WorkerStatus(born, int(1000 * self.now), listed, ())
+        lease_until = sent_at + LEASE_SECONDS if has_lease else float("-inf")
+        self.scheduler.record_status(name, status, worker.token, sent_at, self.now, lease_until)
+
+    def list_stranger(self) -> None:
+        """Let a restarted worker list a run that a late order of an earlier scheduler began."""
+        sent_at, self.now = self.now, self.now + 0.01
+        self.report("w1", 2, KEY, sent_at=sent_at, has_lease=True)
+        self.list_workers(born=2)
+
+    def hand_over(self) -> None:
+        self.scheduler.submit(request(is_resumed=True), "e", self.now, frozenset({"w1"}))
+        self.assertIn(KEY, self.scheduler.workers["w1"].runs)
+
+    def possible_runs(self) -> dict:
+        return self.scheduler.workers["w1"].possible_runs(self.now)
+
+    def test_run_that_was_adopted_after_a_failed_poll_was_there_when_the_process_ended(self):
+        self.list_stranger()
+        self.scheduler.record_poll_failure("w1", 1, self.now)
+        self.hand_over()
+        self.assertEqual(self.possible_runs(), {KEY: False})
+
+    def test_run_that_was_adopted_after_a_closed_connection_was_there(self):
+        self.list_stranger()
+        self.scheduler.worker_closed("w1", self.now)
+        self.scheduler.record_poll_failure("w1", 1, self.now)
+        self.hand_over()
+        self.scheduler.worker_refuses("w1", self.now)
+        self.scheduler.worker_replaced("w1", self.now)
+        self.scheduler.crashes.confirm_registered("w1", 2, self.now)
+        self.assertEqual(self.scheduler.crashes.crashed_workers(KEY[0]), 0)
+
+    def test_run_that_was_adopted_after_the_loss_of_its_worker_is_recorded_as_there(self):
+        self.list_stranger()
+        self.scheduler.worker_closed("w1", self.now)
+        self.scheduler.worker_refuses("w1", self.now)
+        self.hand_over()
+        self.scheduler.worker_closed("w1", self.now)
+        self.scheduler.worker_refuses("w1", self.now)
+        records = self.scheduler.crashes.records(self.now)
+        found = [(lost.attempt, lost.state, lost.was_running) for lost in records]
+        self.assertEqual(found, [(1, LossState.SUSPECTED, False)])
+
+    def test_adopted_run_that_is_listed_again_is_there(self):
+        self.list_stranger()
+        self.scheduler.record_poll_failure("w1", 1, self.now)
+        self.hand_over()
+        sent_at, self.now = self.now, self.now + 0.01
+        self.report("w1", 2, KEY, sent_at=sent_at, has_lease=True)
+        self.assertEqual(self.possible_runs(), {KEY: True})
+
+    def test_adopted_run_without_a_lease_of_this_scheduler_was_there(self):
+        self.poll("w1", [KEY])
+        self.hand_over()
+        self.assertEqual(self.possible_runs(), {KEY: False})
+
+    def test_run_that_was_adopted_after_its_worker_was_lost_lapses_with_the_lease(self):
+        self.list_stranger()
+        self.scheduler.worker_refuses("w1", self.now)
+        self.hand_over()
+        self.now += RESUMED_JOB_WAIT_SECONDS + 0.01
+        self.scheduler.tick(self.now)
+        self.poll_idle()
+        self.assertEqual([start.worker for start in self.starts()], ["w2"])
