Crashes: a loss that was over counted when its record arrived late

A former scheduler suspects the loss of a worker and dies. The next one has answers of the same process before the record reaches it: messages of the former one may be lost, and the copy in the store is read again for as long as the store is silent. The suspicion stayed open then, or joined a later loss of the same run, and a later end of the process proved it with the evidence of the earlier moment: a crash under a task that was no longer there. Two of them fail a job.

A scheduler now remembers, for as long as records count, up to when each start of a worker has answered. A suspicion from before that is refuted when it arrives; if the same run has a record here, that is of a later loss, and the older one is left out.

A suspicion since the latest answer is still polled for.

--- a/packages/core/cranberryshore/pool/crashes.py
+++ b/packages/core/cranberryshore/pool/crashes.py
@@ -94,6 +94,8 @@
         New and changed records that other instances lack.
     recent : list
         Latest losses that this instance has noticed: time, worker and entries.
+    heard : dict
+        Send time of the latest poll that each start of a worker has answered here.
     discarded_at : float
         Time at which old records were last discarded.
     """
@@ -103,6 +105,7 @@
     cleared: dict[str, None] = attrs.field(factory=dict)
     changes: list[Entry] = attrs.field(factory=list)
     recent: list[tuple[float, str, list[Entry]]] = attrs.field(factory=list)
+    heard: dict[tuple[str, int], float] = attrs.field(factory=dict)
     discarded_at: float = float("-inf")
 
     def record(
@@ -163,9 +166,20 @@
         )
 
     def merge(self, records: Iterable[LostRun], now: float) -> None:
-        """Add the records of another instance."""
+        """Add the records of another instance.
+
+        A suspicion is refuted if the worker has answered since.
+        """
         for lost in records:
-            self._merge(attrs.evolve(lost, age_seconds=0.0), now - lost.age_seconds)
+            self._merge_received(attrs.evolve(lost, age_seconds=0.0), now - lost.age_seconds)
+
+    def _merge_received(self, lost: LostRun, lost_at: float) -> None:
+        heard_at = self.heard.get((lost.worker, lost.born), float("-inf"))
+        if lost.state is not LossState.SUSPECTED or heard_at <= lost_at:
+            self._merge(lost, lost_at)
+        elif lost.key not in self.entries.get(lost.task, ()):
+            # A record that is known here is of a later loss.
+            self._merge(attrs.evolve(lost, state=LossState.REFUTED), lost_at)
 
     def _merge(self, lost: LostRun, lost_at: float) -> None:
         if lost.task in self.cleared:
@@ -184,6 +198,11 @@
         if known.lost.state is LossState.SUSPECTED:
             self.unresolved.add(lost.worker)
 
+    def worker_answered(self, worker: str, born: int, polled_at: float, now: float) -> None:
+        """Record that a start of a worker has answered a poll that was sent at a time."""
+        self.heard[worker, born] = max(polled_at, self.heard.get((worker, born), polled_at))
+        self.resolve(worker, born, now)
+
     def resolve(self, worker: str, born: int | None, now: float) -> None:
         """Prove or refute the losses of a worker that has answered.
 
@@ -287,9 +306,12 @@
 
     def discard_outdated(self, now: float) -> None:
         """Forget old losses, and the oldest ones if there are too many."""
-        if not self.entries or now < self.discarded_at + DISCARD_SECONDS:
+        if now < self.discarded_at + DISCARD_SECONDS:
             return
         self.discarded_at = now
+        self.heard = {boot: at for boot, at in self.heard.items() if now <= at + RETENTION_SECONDS}
+        if not self.entries:
+            return
         entries = self._entries()
         entries.sort(key=lambda entry: entry.lost_at, reverse=True)
         for number, entry in enumerate(entries):
--- a/packages/core/cranberryshore/pool/loss_tracking.py
+++ b/packages/core/cranberryshore/pool/loss_tracking.py
@@ -60,7 +60,7 @@
     def worker_answered(self, worker: HeldWorker, now: float) -> None:
         """Record that a worker has answered a poll."""
         worker.is_loss_recorded = False
-        self.crashes.resolve(worker.name, worker.born, now)
+        self.crashes.worker_answered(worker.name, worker.born, worker.polled_at, now)
 
     def workers_listed(self, listing: WorkerListing, now: float) -> None:
         """Record the registrations, which may tell whether lost workers have left."""
