Crashes: an answer from before a loss refuted it

A worker answers a poll and crashes; a refused start shows the loss before the answer is read. The answer refuted the loss, and the evidence that was taken when the connection was closed was gone: a task that crashes its workers costs one more.

Only the answer to a poll that was sent after the loss refutes it; an earlier poll whose answer comes later leaves it open, and the worker is polled again.

--- a/packages/core/cranberryshore/pool/crashes.py
+++ b/packages/core/cranberryshore/pool/crashes.py
@@ -201,18 +201,25 @@
     def worker_answered(self, worker: str, born: int, polled_at: float, now: float) -> None:
         """Record that a start of a worker has answered a poll that was sent at a time."""
         self.heard[worker, born] = max(polled_at, self.heard.get((worker, born), polled_at))
-        self.resolve(worker, born, now)
+        self.resolve(worker, born, now, polled_at)
 
-    def resolve(self, worker: str, born: int | None, now: float) -> None:
+    def resolve(
+        self, worker: str, born: int | None, now: float, polled_at: float = float("inf")
+    ) -> None:
         """Prove or refute the losses of a worker that has answered.
 
-        ``born`` is the start of the process that has; ``None`` stands for another worker.
+        ``born`` is the start of the process that has; ``None`` stands for another worker. An answer
+        to a poll from before the loss, sent at ``polled_at``, may be as old and does not refute it.
         """
         if worker not in self.unresolved:
             return
         self.unresolved.discard(worker)
         for entry in self._suspected(worker):
-            state = LossState.REFUTED if born == entry.lost.born else LossState.PROVEN
+            is_same = born == entry.lost.born
+            if is_same and polled_at < entry.lost_at:
+                self.unresolved.add(worker)
+                continue
+            state = LossState.REFUTED if is_same else LossState.PROVEN
             self._merge(attrs.evolve(entry.lost, state=state), now)
 
     def confirm_registered(self, worker: str, born: int, now: float) -> None:
--- a/packages/core/cranberryshore/pool/loss_tracking.py
+++ b/packages/core/cranberryshore/pool/loss_tracking.py
@@ -7,7 +7,7 @@
 from cranberryshore.pool.adoption import job_id_of
 from cranberryshore.pool.crashes import CrashHistory
 from cranberryshore.pool.departures import Departure, DepartureCheck
-from cranberryshore.pool.effects import PoolEffect, WorkerLossJudged, WorkerLost
+from cranberryshore.pool.effects import PollWorker, PoolEffect, WorkerLossJudged, WorkerLost
 from cranberryshore.pool.held_worker import HeldWorker
 from cranberryshore.pool.isolation import Isolation
 from cranberryshore.pool.job_failure import FailureCause, JobFailure
@@ -61,6 +61,8 @@
         """Record that a worker has answered a poll."""
         worker.is_loss_recorded = False
         self.crashes.worker_answered(worker.name, worker.born, worker.polled_at, now)
+        if worker.name in self.crashes.unresolved:
+            self.effects.append(PollWorker(worker.name))
 
     def workers_listed(self, listing: WorkerListing, now: float) -> None:
         """Record the registrations, which may tell whether lost workers have left."""
--- a/packages/core/cranberryshore/pool/tests/test_late_evidence.py
+++ b/packages/core/cranberryshore/pool/tests/test_late_evidence.py
@@ -55,6 +55,19 @@
         self.scheduler.worker_replaced("w1", self.now)
         self.assertEqual(self.scheduler.crashes.crashed_workers(TASK), 1)
 
+    def test_answer_to_a_poll_from_before_the_loss_refutes_it(self):
+        (start,) = self.submit()
+        sent_at = self.now
+        self.now += 0.1
+        self.list_workers()
+        self.scheduler.worker_closed(start.worker, self.now)
+        self.scheduler.worker_refuses(start.worker, self.now)
+        self.answer(start.worker, 1, start.key, sent_at=sent_at)
+        self.assertEqual(self.states(), [LossState.SUSPECTED])
+        self.assertIn(start.worker, [effect.worker for effect in self.effects(PollWorker)])
+        self.scheduler.worker_replaced(start.worker, self.now)
+        self.assertEqual(self.crashed_workers(start), 1)
+
     def test_answer_to_a_later_poll_does_not_refute_a_loss(self):
         (start,) = self.submit()
         self.scheduler.worker_closed(start.worker, self.now)
