Isolation: refused starts confined their queue and kept suspects waiting

A worker that crashes while it is idle is noticed by the starts that are sent to it. The first refusal recorded its loss with the others that were under way, and the queue of these counted as one that had cost a worker; the refusals that followed a few milliseconds later changed nothing. Two such workers (an eighth of the service) confined the queue to half of the workers for 3 s, in the wave in which capacity is short anyway. A suspect whose start was refused after the loss of its worker counted as one that had exposed it, so that others of the service waited for 3 s.

A start that is withdrawn is now taken out of the loss of its worker. Each loss keeps its runs for these seconds (WorkerLoss).

The base class of the existing tests is split off; they are unchanged.

--- a/packages/core/cranberryshore/pool/isolation.py
+++ b/packages/core/cranberryshore/pool/isolation.py
@@ -19,6 +19,7 @@
 from cranberryshore.pool.run import BootState
 from cranberryshore.pool.run_registry import RunRegistry
 from cranberryshore.pool.run_statistics import RunStatistics
+from cranberryshore.pool.worker_status import RunKey
 
 EXPOSED_SHARE = 8
 """One in so many workers of a service runs a suspect, or was lost under one."""
@@ -39,44 +40,94 @@
 """Expected run time from which a run is too much to lose beside a suspect."""
 
 
+@attrs.define(eq=False)
+class WorkerLoss:
+    """Loss of a worker, with the runs that may have been on it.
+
+    Parameters
+    ----------
+    queues : dict
+        Queue of each run.
+    suspects : set of RunKey
+        Those of the runs beside which nothing else was started.
+    is_exposed : bool
+        Whether the worker ran a suspect.
+    """
+
+    worker: str
+    service: str
+    at: float
+    queues: dict[RunKey, str]
+    suspects: set[RunKey]
+    is_exposed: bool
+
+    def queue_shares(self) -> dict[str, float]:
+        """Return the share of each queue in the loss."""
+        names = sorted(set(self.queues.values()))
+        return {name: 1 / len(names) for name in names}
+
+    def withdraw_start(self, key: RunKey) -> None:
+        """Record that a run has never begun."""
+        self.queues.pop(key, None)
+        if key in self.suspects:
+            self.suspects.discard(key)
+            self.is_exposed = bool(self.suspects)
+
+
 @attrs.define(eq=False)
 class Isolation:
     """Limits on the starts of suspects, and of queues that crash workers.
 
     Parameters
     ----------
-    losses : list
-        Service and time of the loss of each worker that ran a suspect, for the last seconds.
-    queue_losses : list
-        Queue, its share in the loss of a worker, and time of the loss, for the last seconds.
+    losses : list of WorkerLoss
+        Losses of the last seconds, without those that have a common cause and exposed no suspect.
     recent : list
         Time and worker of the latest losses, which may have a common cause.
     """
 
     registry: RunRegistry
     statistics: RunStatistics
-    losses: list[tuple[str, float]] = attrs.field(factory=list)
-    queue_losses: list[tuple[str, float, float]] = attrs.field(factory=list)
+    losses: list[WorkerLoss] = attrs.field(factory=list)
     recent: list[tuple[float, str]] = attrs.field(factory=list)
 
+    @property
+    def queue_losses(self) -> list[tuple[str, float, float]]:
+        """Return queues, their shares in the loss of a worker without suspects, and its time."""
+        return [
+            (queue, share, loss.at)
+            for loss in self.losses
+            if not loss.is_exposed
+            for queue, share in loss.queue_shares().items()
+        ]
+
     def worker_lost(self, worker: HeldWorker, boot: BootState, now: float) -> None:
         """Record that a worker was lost."""
-        if boot.is_exposed:
-            self.losses.append((worker.service, now))
-            return
-        self.recent = [item for item in self.recent if now <= item[0] + SIMULTANEOUS_SECONDS]
-        self.recent.append((now, worker.name))
-        if len({name for _, name in self.recent}) >= MIN_SIMULTANEOUS_WORKERS:
+        if not boot.is_exposed and self._has_common_cause(worker.name, now):
             # A rack or a zone was lost, which says nothing about the queues.
             since = self.recent[0][0]
-            self.queue_losses = [item for item in self.queue_losses if item[2] < since]
+            self.losses = [item for item in self.losses if item.is_exposed or item.at < since]
             return
         queues = {
-            self.registry.tasks_by_run[key][0].request.queue
+            key: self.registry.tasks_by_run[key][0].request.queue
             for key in boot.runs
             if key in self.registry.tasks_by_run
         }
-        self.queue_losses += [(queue, 1 / len(queues), now) for queue in queues]
+        suspects = set(worker.isolated_runs)
+        self.losses.append(
+            WorkerLoss(worker.name, worker.service, now, queues, suspects, boot.is_exposed)
+        )
+
+    def _has_common_cause(self, worker: str, now: float) -> bool:
+        self.recent = [item for item in self.recent if now <= item[0] + SIMULTANEOUS_SECONDS]
+        self.recent.append((now, worker))
+        return len({name for _, name in self.recent}) >= MIN_SIMULTANEOUS_WORKERS
+
+    def start_withdrawn(self, worker: str, key: RunKey) -> None:
+        """Record that a run has never begun, so that it was not lost with its worker."""
+        for loss in self.losses:
+            if loss.worker == worker:
+                loss.withdraw_start(key)
 
     def confined_workers(
         self, queue: str, service: str, workers: Iterable[HeldWorker], now: float
@@ -85,9 +136,9 @@
 
         A queue that crashes workers keeps half of them, so that others can use the rest.
         """
-        if not self.queue_losses:
+        if not self.losses:
             return None
-        self.queue_losses = [item for item in self.queue_losses if now < item[2] + RECOVERY_SECONDS]
+        self._discard_old(now)
         lost = sum(share for name, share, _ in self.queue_losses if name == queue)
         if lost < MIN_QUEUE_LOSSES:
             return None
@@ -98,18 +149,21 @@
 
     def may_start(self, workers: Iterable[HeldWorker], service: str, now: float) -> bool:
         """Return whether another worker of a service may be exposed to a suspect."""
-        self.losses = [item for item in self.losses if now < item[1] + RECOVERY_SECONDS]
+        self._discard_old(now)
         members = [worker for worker in workers if worker.service == service]
-        exposed = sum(lost == service for lost, _ in self.losses)
+        exposed = sum(loss.is_exposed and loss.service == service for loss in self.losses)
         exposed += sum(
             bool(worker.isolated_runs) and worker.state is HoldState.HELD for worker in members
         )
         return exposed < max(1, len(members) // EXPOSED_SHARE)
 
+    def _discard_old(self, now: float) -> None:
+        self.losses = [loss for loss in self.losses if now < loss.at + RECOVERY_SECONDS]
+
     def is_suitable(self, worker: HeldWorker) -> bool:
         """Return whether a suspect may be started beside the runs of a worker."""
         return not any(self._is_long(key) for key in worker.runs)
 
-    def _is_long(self, key: tuple[str, int]) -> bool:
+    def _is_long(self, key: RunKey) -> bool:
         job, task = self.registry.tasks_by_run[key]
         return self.statistics.expected_task_ms(job, task) > 1000 * LONG_RUN_SECONDS
--- a/packages/core/cranberryshore/pool/scheduler.py
+++ b/packages/core/cranberryshore/pool/scheduler.py
@@ -330,6 +330,7 @@
             self.statistics.health.rejections.rejected(name, key, now)
         worker = self.workers.get(name)
         run = withdraw_start(worker, key) if worker is not None else None
+        self.placer.isolation.start_withdrawn(name, key)
         if run is None:
             return
         self.registry.withdraw_start(key)
--- a/packages/core/cranberryshore/pool/tests/test_isolation.py
+++ b/packages/core/cranberryshore/pool/tests/test_isolation.py
@@ -1,12 +1,14 @@
+from cranberryshore.pool import StartRun
 from cranberryshore.pool.crashes import SIMULTANEOUS_SECONDS
 from cranberryshore.pool.isolation import CONFINING_SHARE, RECOVERY_SECONDS
 from cranberryshore.pool.tests.test_lost_workers import LostWorkerTestCase
+from cranberryshore.pool.tests.test_scheduler import request
 
 WORKER_COUNT = 2 * CONFINING_SHARE
 
 
-class ConfinedQueueTest(LostWorkerTestCase):
-    """A queue whose tasks crash workers one after another."""
+class ConfinedQueueTestCase(LostWorkerTestCase):
+    """A service of so many workers that a queue may be confined."""
 
     def setUp(self):
         super().setUp()
@@ -15,6 +17,10 @@
             self.poll(f"w{number}")
         self.starts()
 
+
+class ConfinedQueueTest(ConfinedQueueTestCase):
+    """A queue whose tasks crash workers one after another."""
+
     def lose_workers(self, count: int, pause: float) -> None:
         self.poll_idle()
         for start in self.submit("deadly", count, millicores=2000):
@@ -45,3 +51,58 @@
     def test_lost_rack_confines_no_queue(self):
         self.lose_workers(4, 0.0)
         self.assertEqual(len(self.used_workers()), WORKER_COUNT - 4)
+
+
+class RefusedStartIsolationTest(ConfinedQueueTestCase):
+    """Workers that are lost with starts on their way, which are refused then."""
+
+    def send(self, count: int) -> list[StartRun]:
+        """Submit tasks that fill a worker each, and return their starts, which are not answered."""
+        self.poll_idle()
+        self.scheduler.submit(request("sent", count, millicores=2000), "e", self.now)
+        return self.effects(StartRun)
+
+    def lose(self, name: str) -> None:
+        self.fail_polls(name)
+        self.scheduler.worker_refuses(name, self.now)
+
+    def reject(self, start: StartRun) -> None:
+        self.scheduler.start_rejected(start.worker, start.key, False, self.now)
+
+    def confined_workers(self) -> frozenset[str] | None:
+        isolation, workers = self.scheduler.placer.isolation, self.scheduler.workers.values()
+        return isolation.confined_workers("q", "s", workers, self.now)
+
+    def test_queue_is_confined_for_starts_that_were_refused(self):
+        for start in self.send(2):
+            self.lose(start.worker)
+            self.now += 2 * SIMULTANEOUS_SECONDS
+            self.reject(start)
+        self.assertIsNone(self.confined_workers())
+
+    def test_queue_is_confined_for_starts_that_may_have_begun(self):
+        for start in self.send(2):
+            self.lose(start.worker)
+            self.now += 2 * SIMULTANEOUS_SECONDS
+        self.assertIsNotNone(self.confined_workers())
+
+    def test_queue_that_ran_on_a_lost_worker_is_free_since_a_start_was_refused(self):
+        for number in range(2):
+            (running,) = self.submit(f"run{number}")
+            self.scheduler.submit(request(f"sent{number}"), "e", self.now)
+            (start,) = self.effects(StartRun)
+            self.assertEqual(start.worker, running.worker)
+            self.lose(start.worker)
+            self.now += 2 * SIMULTANEOUS_SECONDS
+            self.reject(start)
+            self.scheduler.cancel(f"sent{number}", "e", self.now)
+        self.assertIsNotNone(self.confined_workers())
+
+    def test_suspects_wait_for_a_worker_on_which_the_start_of_one_was_refused(self):
+        isolation, workers = self.scheduler.placer.isolation, self.scheduler.workers
+        for start in self.send(2):
+            workers[start.worker].isolated_runs.add(start.key)
+            self.lose(start.worker)
+            self.assertFalse(isolation.may_start(list(workers.values())[:8], "s", self.now))
+            self.reject(start)
+            self.assertTrue(isolation.may_start(list(workers.values())[:8], "s", self.now))
