Scheduler: a start that was refused late counted as one that may have run

In a wave, another process answers at the address of a crashed worker, and the poll that tells so overtakes the refusal of a start. The run is gone by then, and the refusal changed nothing: the job counted as started although no task of it had begun anywhere. Its caller was told "may have run", not at once when the job could no longer be answered in time, but at the end of its time. The same after a lease that had ended, and for a job whose caller had left before the refusal and came again.

The registry keeps the starts without a reply, also of runs that were removed, so that a refusal withdraws them whenever it comes. Starts whose reply never comes still count as begun; 2,000 of them are kept.

--- a/packages/core/cranberryshore/pool/adoption.py
+++ b/packages/core/cranberryshore/pool/adoption.py
@@ -44,6 +44,7 @@
         return False
     task.attempt = max(task.attempt, key[1])
     registry.record_start(job, task, worker.name, key, now)
+    registry.confirm_start(key)
     worker.adopt_run(key, job.step_of(task).demand, now)
     return True
 
--- a/packages/core/cranberryshore/pool/run_registry.py
+++ b/packages/core/cranberryshore/pool/run_registry.py
@@ -5,6 +5,9 @@
 from cranberryshore.pool.work import PoolJob, PoolTask, TaskPhase
 from cranberryshore.pool.worker_status import RunKey
 
+MAX_OPEN_STARTS = 2_000
+"""Maximum number of starts without a reply that are kept; others count as begun."""
+
 MAX_REMEMBERED_JOBS = 20_000
 """Maximum number of ended jobs whose attempts are kept: some minutes at 100 jobs per second."""
 
@@ -17,11 +20,17 @@
     """Requested and active runs, and the last attempt numbers of ended jobs.
 
     A task has at most one run in the registry, so that it never runs twice at the same time.
+
+    Parameters
+    ----------
+    open_starts : dict
+        Jobs of the starts without a reply, also of those whose runs were removed.
     """
 
     tasks_by_run: dict[RunKey, tuple[PoolJob, PoolTask]] = attrs.field(factory=dict)
     active_tasks: set[str] = attrs.field(factory=set)
     attempts: dict[str, int] = attrs.field(factory=dict)
+    open_starts: dict[RunKey, PoolJob] = attrs.field(factory=dict)
 
     def is_task_active(self, name: str) -> bool:
         """Return whether a run of a task may be active, including runs of an ended job."""
@@ -38,12 +47,23 @@
             job.has_started, job.started_at = True, now
         self.tasks_by_run[key] = (job, task)
         self.active_tasks.add(key[0])
+        self.open_starts[key] = job
+        while len(self.open_starts) > MAX_OPEN_STARTS:
+            del self.open_starts[next(iter(self.open_starts))]
+
+    def confirm_start(self, key: RunKey) -> None:
+        """Record that a start was accepted."""
+        self.open_starts.pop(key, None)
 
     def withdraw_start(self, key: RunKey) -> None:
         """Record that a start was rejected, so that it counts for nothing."""
-        job = self.tasks_by_run[key][0]
+        job = self.open_starts.pop(key, None)
+        if job is None:
+            return
         job.possible_starts -= 1
         job.has_started = job.possible_starts > 0 or job.has_adopted_run
+        if job.is_ended and not (job.has_started or job.was_started_before):
+            self.attempts.pop(job.request.id, None)
 
     def raise_attempt(self, key: RunKey) -> None:
         """Raise the attempt number of a task whose start was rejected because of it."""
@@ -66,5 +86,6 @@
     def restore_attempts(self, job: PoolJob) -> None:
         """Continue the attempt numbers of a job that is submitted again."""
         first = self.attempts.get(job.request.id, 0)
+        job.was_started_before = first > 0
         for task in job.tasks:
             task.attempt = first
--- a/packages/core/cranberryshore/pool/scheduler.py
+++ b/packages/core/cranberryshore/pool/scheduler.py
@@ -320,6 +320,7 @@
         """Record that a worker has confirmed the start of a run."""
         if name in self.workers:
             self.workers[name].confirm_start(key, now)
+            self.registry.confirm_start(key)
             self.statistics.health.rejections.accepted(name, key)
 
     def start_rejected(
@@ -331,9 +332,9 @@
         worker = self.workers.get(name)
         run = withdraw_start(worker, key) if worker is not None else None
         self.placer.isolation.start_withdrawn(name, key)
+        self.registry.withdraw_start(key)
         if run is None:
             return
-        self.registry.withdraw_start(key)
         if is_attempt_low:
             self.registry.raise_attempt(key)
         self.ender.run_ended(worker, RunEnd(key, EndKind.NEVER_BEGAN, run), now)
--- a/packages/core/cranberryshore/pool/tests/test_refused_starts.py
+++ b/packages/core/cranberryshore/pool/tests/test_refused_starts.py
@@ -1,5 +1,6 @@
-from cranberryshore.pool import LossState, StartRun
+from cranberryshore.pool import EndKind, JobEnded, LossState, Outcome, StartRun
 from cranberryshore.pool.held_worker import LEASE_EXPIRY_SECONDS
+from cranberryshore.pool.run_registry import MAX_OPEN_STARTS
 from cranberryshore.pool.tests.test_former_boots import RestartTestCase
 from cranberryshore.pool.tests.test_scheduler import request
 
@@ -69,3 +70,83 @@
         self.answer(start.worker, 2)
         (lost,) = self.scheduler.crashes.records(self.now)
         self.assertEqual((lost.state, lost.has_lapsed), (LossState.PROVEN, True))
+
+
+class LateRefusalTest(RefusedStartTestCase):
+    """Refusals of starts whose runs were removed before, since their worker had ended."""
+
+    def end_worker(self, start: StartRun) -> None:
+        """Let another process answer a poll before the start is refused."""
+        self.scheduler.worker_replaced(start.worker, self.now)
+        self.scheduler.take_effects()
+
+    def refuse_late(self, entry: str = "e") -> Outcome:
+        """Let the time of the job pass, and return what its caller is told."""
+        self.now += 4.0
+        self.scheduler.tick(self.now)
+        (end,) = [item for item in self.effects(JobEnded) if item.entry == entry]
+        return end.outcome
+
+    def test_start_that_was_refused_after_its_worker_had_ended_counts_as_run(self):
+        start = self.send()
+        self.end_worker(start)
+        self.reject(start)
+        self.assertIs(self.refuse_late(), Outcome.REFUSED)
+
+    def test_start_that_was_refused_after_its_lease_had_ended_counts_as_run(self):
+        start = self.send()
+        self.fail_polls(start.worker)
+        self.now += LEASE_EXPIRY_SECONDS + 0.01
+        self.scheduler.tick(self.now)
+        self.reject(start)
+        self.assertIs(self.refuse_late(), Outcome.REFUSED)
+
+    def test_start_that_was_refused_after_its_caller_had_left_counts_as_run(self):
+        start = self.send()
+        self.scheduler.cancel("j", "e", self.now)
+        self.end_worker(start)
+        self.reject(start)
+        self.scheduler.submit(request(), "f", self.now)
+        self.assertIs(self.refuse_late("f"), Outcome.REFUSED)
+
+    def test_start_that_was_never_refused_counts_as_not_run(self):
+        start = self.send()
+        self.end_worker(start)
+        self.assertIs(self.refuse_late_started(), Outcome.GIVEN_UP)
+
+    def test_start_beside_one_that_was_refused_counts_as_not_run(self):
+        self.scheduler.submit(request(count=2), "e", self.now)
+        first, second = self.effects(StartRun)
+        self.end_worker(first)
+        self.reject(first)
+        self.reject(first)
+        self.assertIs(self.refuse_late_started(), Outcome.GIVEN_UP)
+        self.reject(second)
+
+    def test_earlier_start_of_a_job_that_came_again_counts_as_not_run(self):
+        start = self.send()
+        self.scheduler.start_confirmed(start.worker, start.key, self.now)
+        self.scheduler.cancel("j", "e", self.now)
+        self.end(start, EndKind.STOPPED)
+        again = self.send()
+        self.scheduler.cancel("j", "e", self.now)
+        self.end_worker(again)
+        self.reject(again)
+        self.scheduler.submit(request(), "f", self.now)
+        self.assertIs(self.refuse_late("f"), Outcome.GIVEN_UP)
+
+    def refuse_late_started(self) -> Outcome:
+        """Let the whole time of the caller pass, for which a job that was started is kept."""
+        self.now += 2.0
+        return self.refuse_late()
+
+    def test_starts_without_a_reply_are_kept_without_end(self):
+        registry = self.scheduler.registry
+        for number in range(MAX_OPEN_STARTS + 1):
+            start = self.send(f"j{number}")
+            self.scheduler.cancel(f"j{number}", "e", self.now)
+            self.end(start, EndKind.STOPPED)
+            self.scheduler.take_effects()
+        self.assertEqual(len(registry.open_starts), MAX_OPEN_STARTS)
+        self.reject(start)
+        self.assertNotIn(start.key, registry.open_starts)
--- a/packages/core/cranberryshore/pool/work.py
+++ b/packages/core/cranberryshore/pool/work.py
@@ -170,6 +170,8 @@
         Workers that may have runs of a resumed job; ``None`` if they are not known.
     possible_starts : int
         Number of starts, apart from those that workers have rejected.
+    was_started_before : bool
+        Whether tasks may have been started for an earlier submission of the job.
     ran_on_slow_worker, has_adopted_run : bool
         Whether a run was on a slow worker, or one of another scheduler or on a worker that was
         silent meanwhile, so that the run times are not representative of the queue.
@@ -194,6 +196,7 @@
     exposed_workers: frozenset[str] | None = None
     has_started: bool = False
     possible_starts: int = 0
+    was_started_before: bool = False
     started_at: float = 0.0
     longest_run_ms: float = 0.0
     ran_on_slow_worker: bool = False
