Isolation: workers that were not lost confined queues and kept suspects

A partition that resets connections makes workers refuse calls. When the same process answers again, the loss is refuted, but for 3 s after it the queue of its runs counted as one that had cost a worker, and a suspect on it as one that had exposed it. After two such workers the queue was confined to half of the workers, and a service with up to 15 workers started no suspect, although nothing had crashed.

An answer of the same process to a poll from after the loss takes it back there, too.

Measured: of the 3 new tests (RefutedLossIsolationTest), 2 fail without the change, all pass with it; the third keeps the confinement when the workers have restarted. 335 core pool tests pass. lose_workers of test_isolation moved to the base class, unchanged.

--- a/packages/core/cranberryshore/pool/isolation.py
+++ b/packages/core/cranberryshore/pool/isolation.py
@@ -46,6 +46,8 @@
 
     Parameters
     ----------
+    born : int
+        Identifier of the start of its process.
     queues : dict
         Queue of each run.
     suspects : set of RunKey
@@ -55,6 +57,7 @@
     """
 
     worker: str
+    born: int
     service: str
     at: float
     queues: dict[RunKey, str]
@@ -66,6 +69,11 @@
         names = sorted(set(self.queues.values()))
         return {name: 1 / len(names) for name in names}
 
+    def is_refuted_by(self, worker: HeldWorker) -> bool:
+        """Return whether the same process has answered a poll from after the loss."""
+        is_same = (self.worker, self.born) == (worker.name, worker.born)
+        return is_same and self.at < worker.polled_at
+
     def withdraw_start(self, key: RunKey) -> None:
         """Record that a run has never begun."""
         self.queues.pop(key, None)
@@ -113,9 +121,16 @@
             for key in boot.runs
             if key in self.registry.tasks_by_run
         }
-        suspects = set(worker.isolated_runs)
         self.losses.append(
-            WorkerLoss(worker.name, worker.service, now, queues, suspects, boot.is_exposed)
+            WorkerLoss(
+                worker.name,
+                boot.born,
+                worker.service,
+                now,
+                queues,
+                set(worker.isolated_runs),
+                boot.is_exposed,
+            )
         )
 
     def _has_common_cause(self, worker: str, now: float) -> bool:
@@ -129,6 +144,11 @@
             if loss.worker == worker:
                 loss.withdraw_start(key)
 
+    def worker_answered(self, worker: HeldWorker) -> None:
+        """Record that a worker has answered a poll; it was not lost before, if it has not ended."""
+        if self.losses:
+            self.losses = [loss for loss in self.losses if not loss.is_refuted_by(worker)]
+
     def confined_workers(
         self, queue: str, service: str, workers: Iterable[HeldWorker], now: float
     ) -> frozenset[str] | None:
--- a/packages/core/cranberryshore/pool/loss_tracking.py
+++ b/packages/core/cranberryshore/pool/loss_tracking.py
@@ -60,6 +60,7 @@
     def worker_answered(self, worker: HeldWorker, now: float) -> None:
         """Record that a worker has answered a poll."""
         worker.is_loss_recorded = False
+        self.isolation.worker_answered(worker)
         self.crashes.worker_answered(worker.name, worker.born, worker.polled_at, now)
         if worker.name in self.crashes.unresolved:
             self.effects.append(PollWorker(worker.name))
--- a/packages/core/cranberryshore/pool/tests/test_isolation.py
+++ b/packages/core/cranberryshore/pool/tests/test_isolation.py
@@ -1,4 +1,4 @@
-from cranberryshore.pool import StartRun
+from cranberryshore.pool import ReportedRun, StartRun, WorkerStatus
 from cranberryshore.pool.crashes import SIMULTANEOUS_SECONDS
 from cranberryshore.pool.isolation import CONFINING_SHARE, RECOVERY_SECONDS
 from cranberryshore.pool.tests.test_lost_workers import LostWorkerTestCase
@@ -17,10 +17,6 @@
             self.poll(f"w{number}")
         self.starts()
 
-
-class ConfinedQueueTest(ConfinedQueueTestCase):
-    """A queue whose tasks crash workers one after another."""
-
     def lose_workers(self, count: int, pause: float) -> None:
         self.poll_idle()
         for start in self.submit("deadly", count, millicores=2000):
@@ -28,6 +24,10 @@
             self.scheduler.worker_refuses(start.worker, self.now)
             self.now += pause
 
+
+class ConfinedQueueTest(ConfinedQueueTestCase):
+    """A queue whose tasks crash workers one after another."""
+
     def used_workers(self) -> set[str]:
         self.poll_idle()
         starts = self.submit("sound", 4 * WORKER_COUNT, millicores=1000)
@@ -106,3 +106,38 @@
             self.assertFalse(isolation.may_start(list(workers.values())[:8], "s", self.now))
             self.reject(start)
             self.assertTrue(isolation.may_start(list(workers.values())[:8], "s", self.now))
+
+
+class RefutedLossIsolationTest(ConfinedQueueTestCase):
+    """Workers that refuse connections behind a partition, and answer again soon."""
+
+    def answer(self, name: str, born: int) -> None:
+        self.now += 0.01
+        worker = self.scheduler.workers[name]
+        listed = tuple(ReportedRun(*key) for key in worker.runs)
+        status = WorkerStatus(born, 0, listed if born == worker.born else (), ())
+        self.scheduler.record_status(name, status, worker.token, self.now, self.now)
+
+    def lose_and_answer(self, born: int) -> frozenset[str] | None:
+        """Lose two workers, let them answer, and return the workers that the queue keeps."""
+        self.lose_workers(2, 2 * SIMULTANEOUS_SECONDS)
+        for name in sorted(loss.worker for loss in self.scheduler.placer.isolation.losses):
+            self.answer(name, born)
+        isolation, workers = self.scheduler.placer.isolation, self.scheduler.workers.values()
+        return isolation.confined_workers("q", "s", workers, self.now)
+
+    def test_queue_is_confined_for_workers_that_were_not_lost(self):
+        self.assertIsNone(self.lose_and_answer(born=1))
+
+    def test_queue_is_not_confined_for_workers_that_have_restarted(self):
+        self.assertIsNotNone(self.lose_and_answer(born=2))
+
+    def test_suspects_wait_for_a_worker_that_was_not_lost(self):
+        (start,) = self.submit()
+        worker = self.scheduler.workers[start.worker]
+        worker.isolated_runs.add(start.key)
+        self.scheduler.worker_refuses(worker.name, self.now)
+        self.answer(worker.name, 1)
+        worker.isolated_runs.clear()
+        isolation = self.scheduler.placer.isolation
+        self.assertTrue(isolation.may_start([worker], "s", self.now))
