Closure: a job was pending for ever after its worker was lost

After its issuer has died, the outcome of a job follows from the reports of the workers. A worker that had reported running tasks and was lost then stayed in the record as it was last heard: all tasks "are running or done".

A worker is now recorded as lost also after a report. If it had reported a running task of a job, the job has failed with task_lost, may have run. What it has reported as ended, or as not there, stays true, and a later report of it replaces the loss.

--- a/packages/core/cranberryshore/ownership/closure.py
+++ b/packages/core/cranberryshore/ownership/closure.py
@@ -63,7 +63,7 @@
     reports : dict
         Task records by worker, job id and task index, for each worker that has reported.
     lost_workers : set of OwnedWorker
-        Workers that no longer exist and have not reported.
+        Workers that no longer exist, and have not reported since.
     evicted_through : int
         Highest sequence number of an id of which a worker has evicted records, -1 if none.
     """
@@ -88,8 +88,7 @@
 
     def on_worker_lost(self, worker: OwnedWorker) -> None:
         """Record that a worker incarnation no longer exists."""
-        if worker not in self.reports:
-            self.lost_workers.add(worker)
+        self.lost_workers.add(worker)
 
     def unreported_workers(self, id: SubmissionId) -> set[OwnedWorker]:
         """Return the workers that may have tasks of ``id``, have not reported and are not lost."""
@@ -113,6 +112,10 @@
         if TaskRecordState.FAILED in states:
             detail = "A task ran and failed; the issuer has died."
             return _failed(ErrorType.TASK_FAILED, ExecutionStatus.RAN_AND_FAILED, detail)
+        lost_worker = self._worker_lost_under(str(id))
+        if lost_worker is not None:
+            detail = f"Worker {lost_worker.name} was lost while a task may have been running."
+            return _failed(ErrorType.TASK_LOST, ExecutionStatus.MAY_HAVE_RUN, detail)
         count = next(iter(records.values())).task_count if records else None
         if count is not None and len(records) == count:
             return self._full_outcome(records, states)
@@ -129,6 +132,14 @@
             if worker not in self.below or id.sequence < self.below[worker]
         }
 
+    def _worker_lost_under(self, job: str) -> OwnedWorker | None:
+        """Return a lost worker that has reported a running task of a job, if any."""
+        for worker in sorted(self.lost_workers & self.reports.keys()):
+            records = self.reports[worker].get(job, {}).values()
+            if any(record.state is TaskRecordState.RUNNING for record in records):
+                return worker
+        return None
+
     def _records(self, job: str) -> dict[int, TaskRecord]:
         records: dict[int, TaskRecord] = {}
         for by_job in self.reports.values():
@@ -150,7 +161,7 @@
         if records:
             detail = "The issuer died before it had started all of the job's tasks."
             return _failed(ErrorType.OWNER_LOST, ExecutionStatus.MAY_HAVE_RUN, detail)
-        lost_workers = self.lost_workers & self._possible_workers(id)
+        lost_workers = (self.lost_workers - self.reports.keys()) & self._possible_workers(id)
         if lost_workers:
             names = ", ".join(sorted(worker.name for worker in lost_workers))
             detail = f"The issuer has died, and so has what its workers knew: {names}."
--- a/packages/core/cranberryshore/ownership/tests/test_closure.py
+++ b/packages/core/cranberryshore/ownership/tests/test_closure.py
@@ -1,6 +1,6 @@
 from unittest import TestCase
 
-from cranberryshore.errors import ExecutionStatus
+from cranberryshore.errors import ErrorType, ExecutionStatus
 from cranberryshore.identity import Incarnation, SubmissionId
 from cranberryshore.ownership import (
     JobOutcomeKind,
@@ -55,6 +55,36 @@
         self.closure.on_report(TWO, ())
         self.assertEqual(self.claim(), (JobOutcomeKind.FAILED, ExecutionStatus.MAY_HAVE_RUN))
 
+    def test_job_is_pending_for_ever_after_its_worker_was_lost_with_running_tasks(self):
+        for state in (TaskRecordState.OK, TaskRecordState.RUNNING):
+            self.closure.on_report(ONE, (record(0, TaskRecordState.RUNNING),))
+            self.closure.on_report(TWO, (record(1, state),))
+            self.closure.on_worker_lost(ONE)
+            outcome = self.closure.job_outcome(ID, "desk")
+            self.assertIs(outcome.kind, JobOutcomeKind.FAILED)
+            self.assertIs(outcome.refusal.type, ErrorType.TASK_LOST)
+            self.assertIs(outcome.refusal.claim, ExecutionStatus.MAY_HAVE_RUN)
+            self.assertEqual(self.closure.job_outcome(ID, "another").refusal.claim.value, "not_run")
+
+    def test_worker_that_is_lost_after_its_tasks_have_ended_leaves_their_outcome(self):
+        self.closure.on_report(ONE, tuple(record(index, TaskRecordState.OK) for index in range(2)))
+        self.closure.on_worker_lost(ONE)
+        self.assertIs(self.closure.job_outcome(ID, "desk").kind, JobOutcomeKind.COMPLETE)
+
+    def test_worker_that_is_lost_after_a_report_without_the_job_has_not_run_it(self):
+        self.closure.on_report(ONE, ())
+        self.closure.on_report(TWO, ())
+        self.closure.on_worker_lost(ONE)
+        self.assertEqual(self.claim(), (JobOutcomeKind.FAILED, ExecutionStatus.NOT_RUN))
+
+    def test_worker_that_reports_after_all_was_not_lost(self):
+        tasks = tuple(record(index, TaskRecordState.RUNNING) for index in range(2))
+        self.closure.on_report(ONE, tasks)
+        self.closure.on_worker_lost(ONE)
+        self.assertTrue(self.closure.is_running(ID))
+        self.closure.on_report(ONE, tuple(record(index, TaskRecordState.OK) for index in range(2)))
+        self.assertIs(self.closure.job_outcome(ID, "desk").kind, JobOutcomeKind.COMPLETE)
+
     def test_evicted_records_leave_older_jobs_uncertain(self):
         self.closure.on_report(ONE, (), ID.sequence)
         self.closure.on_report(TWO, ())
