--- a/packages/core/cranberryshore/pool/scheduler.py
+++ b/packages/core/cranberryshore/pool/scheduler.py
@@ -329,6 +329,7 @@
         """Record that a worker has rejected a start, and with ``is_paused`` would reject others."""
         if is_paused:
             self.statistics.health.rejections.rejected(name, key, now)
+        self.crashes.withdraw(name, key)
         worker = self.workers.get(name)
         run = withdraw_start(worker, key) if worker is not None else None
         self.placer.isolation.start_withdrawn(name, key)
