Crashes: a withdrawn start stayed lost at other instances

A start that turns out to be refused withdraws the record of its worker's loss. If the loss had been proven meanwhile, the other instances kept it: there a proof replaced the refutation. And the task was taken out of what stood beside the others on its worker at this scheduler only: the next one let the culprit go, and an older copy of a record brought the task back. A later attempt of the same task there was taken out as well.

The withdrawal is a refutation, which replaces a proof everywhere, and the records of a worker's loss tell which of the tasks beside have never begun on it; what stood beside itself is not changed any more.

--- a/packages/core/cranberryshore/pool/crashes.py
+++ b/packages/core/cranberryshore/pool/crashes.py
@@ -278,16 +278,7 @@
         for entry in self._losses(task):
             lost = entry.lost
             if (lost.worker, lost.attempt) == (worker, attempt) and not lost.was_running:
-                self._replace(entry, attrs.evolve(lost, state=LossState.REFUTED))
-                for other in self._entries():
-                    if (other.lost.worker, other.lost.born) == (worker, lost.born):
-                        beside = tuple(name for name in other.lost.beside if name != task)
-                        self._replace(other, attrs.evolve(other.lost, beside=beside))
-
-    def _replace(self, entry: Entry, lost: LostRun) -> None:
-        if lost != entry.lost:
-            entry.lost = lost
-            self.changes.append(entry)
+                self._merge(attrs.evolve(lost, state=LossState.REFUTED), entry.lost_at)
 
     def _suspected(self, worker: str) -> list[Entry]:
         return [
@@ -354,7 +345,20 @@
         """Return whether a task crashes the workers that start it."""
         if self.crashed_workers(task) < MAX_LOST_WORKERS:
             return False
-        return any(self.cleared.keys() >= set(lost.beside) for lost in self._proven(task))
+        return any(self._was_alone(lost) for lost in self._proven(task))
+
+    def _was_alone(self, lost: LostRun) -> bool:
+        """Return whether nothing else was on the worker but tasks that are not to blame."""
+        return all(
+            task in self.cleared or self._has_never_begun(task, lost.worker, lost.born)
+            for task in lost.beside
+        )
+
+    def _has_never_begun(self, task: str, worker: str, born: int) -> bool:
+        """Return whether each start of a task on a lost worker was withdrawn."""
+        found = [entry.lost for entry in self.entries.get(task, {}).values()]
+        states = [lost.state for lost in found if (lost.worker, lost.born) == (worker, born)]
+        return bool(states) and all(state is LossState.REFUTED for state in states)
 
     def discard_outdated(self, now: float) -> None:
         """Forget old losses, and the oldest ones if there are too many."""
--- a/packages/core/cranberryshore/pool/tests/test_merged_records.py
+++ b/packages/core/cranberryshore/pool/tests/test_merged_records.py
@@ -82,3 +82,50 @@
             alone = attrs.evolve(crash, worker=worker)
             history.merge([alone, attrs.evolve(alone, beside=("a",))], NOW)
         self.assertFalse(history.is_culprit(TASK))
+
+
+class WithdrawnStartTest(TestCase):
+    """Records of a start that turns out to be refused, at several instances."""
+
+    def setUp(self):
+        self.history, self.other = CrashHistory(), CrashHistory()
+
+    def exchange(self, now: float) -> None:
+        self.other.merge(self.history.take_changes(now), now)
+
+    def crash(self, worker: str, attempt: int, beside: str, now: float) -> None:
+        runs = {(TASK, attempt): True, (beside, 1): False}
+        self.history.record(worker, 1, runs, PROVEN, now)
+        self.history.confirm_registered(worker, 1, now)
+
+    def test_loss_under_a_start_that_was_refused_stays_at_other_instances_after_a_proof(self):
+        self.history.record("w1", 1, {(TASK, 1): False}, PROVEN, 0.0)
+        self.exchange(0.0)
+        self.history.withdraw("w1", (TASK, 1))
+        self.exchange(0.1)
+        self.assertFalse(self.other.is_suspect(TASK))
+
+    def test_refused_start_stays_beside_the_culprit_at_other_instances(self):
+        self.crash("w1", 1, "a", 0.0)
+        self.crash("w2", 2, "b", 5.0)
+        self.exchange(5.0)
+        self.assertFalse(self.other.is_culprit(TASK))
+        self.history.withdraw("w2", ("b", 1))
+        self.exchange(5.1)
+        self.assertTrue(self.history.is_culprit(TASK))
+        self.assertTrue(self.other.is_culprit(TASK))
+
+    def test_refused_start_comes_back_beside_the_culprit_by_an_older_record(self):
+        self.crash("w1", 1, "a", 0.0)
+        self.crash("w2", 2, "b", 5.0)
+        older = self.history.records(5.0)
+        self.history.withdraw("w2", ("b", 1))
+        self.history.merge(older, 5.1)
+        self.assertTrue(self.history.is_culprit(TASK))
+
+    def test_task_that_ran_beside_the_culprit_in_another_attempt_is_left_out(self):
+        self.crash("w1", 1, "a", 0.0)
+        self.crash("w2", 2, "b", 5.0)
+        self.history.record("w2", 1, {("b", 2): False}, PROVEN, 5.0)
+        self.history.withdraw("w2", ("b", 1))
+        self.assertFalse(self.history.is_culprit(TASK))
