Requests: upstreams became fast by requests that were never sent

A request that was abandoned before it was sent (its upstream had left, or its caller) released its slot as after a success of 0 ms, and one whose caller left, or whose time was over, as after a success of the time until then. The service times became too short: the wait of a new request was foretold too short, so it was queued until its time was over instead of refused at once, and a slow upstream ranked as a sound one.

A slot is now released without an end in these cases. The time until then counts only if it is longer than the usual one, of which it is a part.

The 4 new tests of test_gate are for the new method.

--- a/packages/core/cranberryshore/requests/gate.py
+++ b/packages/core/cranberryshore/requests/gate.py
@@ -148,6 +148,18 @@
             self.service_ms += EWMA_WEIGHT * (service_ms - self.service_ms)
         return self.advance(now)
 
+    def release(self, upstream: str, now: float, least_ms: float = 0.0) -> list[out.Effect]:
+        """Release the slot of a request that was not sent, or whose end was not awaited.
+
+        It would have taken longer than ``least_ms``, which tells something only of a slow upstream.
+        """
+        self.pool.release(upstream, ONE_SLOT)
+        record = self.records.get(upstream)
+        if record is not None:
+            record.service_ms += EWMA_WEIGHT * max(least_ms - record.service_ms, 0.0)
+            self.service_ms += EWMA_WEIGHT * max(least_ms - self.service_ms, 0.0)
+        return self.advance(now)
+
     def abandon(self, ticket: Ticket, now: float) -> list[out.Effect]:
         """Cancel a waiting request whose caller has disconnected."""
         if not ticket.is_waiting:
--- a/packages/core/cranberryshore/requests/tests/test_gate.py
+++ b/packages/core/cranberryshore/requests/tests/test_gate.py
@@ -7,7 +7,7 @@
 from cranberryshore.work import Capacity
 
 
-class GateTest(TestCase):
+class GateTestCase(TestCase):
     def setUp(self):
         self.gate = RequestGate(GateSettings(queue_limit=3))
         self.gate.set_upstreams({"u1": 1, "u2": 1})
@@ -18,6 +18,8 @@
         ticket = Ticket(next(self.numbers), "team", urgent, now, deadline)
         return ticket, self.gate.admit(ticket, now)
 
+
+class GateTest(GateTestCase):
     def test_slots_are_never_exceeded_and_urgent_goes_first(self):
         first = [self.admit()[0] for _ in range(2)]
         self.assertEqual({ticket.upstream for ticket in first}, {"u1", "u2"})
@@ -52,3 +54,42 @@
         effects = self.gate.advance(0.0)
         self.assertEqual([type(effect) for effect in effects], [GrantLoans])
         self.assertTrue(self.admit()[0].is_waiting)
+
+
+class ServiceTimeTest(GateTestCase):
+    """Service times that are learned from requests, some of which have no end."""
+
+    def setUp(self):
+        super().setUp()
+        for _ in range(50):
+            ticket, _ = self.admit()
+            self.gate.finish(ticket.upstream, 0.0, 400.0, True)
+
+    def service_times(self) -> list[float]:
+        return [self.gate.service_ms, *(item.service_ms for item in self.gate.records.values())]
+
+    def release(self, *least_ms: float) -> list[float]:
+        """Release the slot of a request, and return the changes of the service times."""
+        before = self.service_times()
+        ticket, _ = self.admit()
+        self.gate.release(ticket.upstream, 0.0, *least_ms)
+        self.assertEqual(self.gate.free_slots(), 2)
+        return [after - time for after, time in zip(self.service_times(), before, strict=True)]
+
+    def test_request_that_was_never_sent_counts_as_one_of_no_time(self):
+        self.assertEqual(self.release(), [0.0, 0.0, 0.0])
+
+    def test_request_that_was_broken_off_counts_as_a_short_one(self):
+        self.assertEqual(self.release(5.0), [0.0, 0.0, 0.0])
+
+    def test_request_that_was_broken_off_late_counts_for_nothing(self):
+        changes = self.release(900.0)
+        self.assertGreater(changes[0], 0.0)
+        self.assertGreater(max(changes[1:]), 0.0)
+
+    def test_slot_of_a_request_that_was_never_sent_is_kept(self):
+        first, _ = self.admit()
+        self.admit()
+        waiting, _ = self.admit()
+        self.gate.release(first.upstream, 0.0)
+        self.assertEqual(waiting.upstream, first.upstream)
--- a/packages/daemon/cranberryshored/requests/service.py
+++ b/packages/daemon/cranberryshored/requests/service.py
@@ -226,8 +226,7 @@
         if ticket.is_waiting:
             self._apply_effects(self.gate.abandon(ticket, now))
         elif ticket.upstream is not None:
-            # Nothing was sent: release the slot as after a success, with a service time of 0.
-            self._apply_effects(self.gate.finish(ticket.upstream, now, 0.0, True))
+            self._apply_effects(self.gate.release(ticket.upstream, now))
 
     async def _forward(
         self, ticket: Ticket, request: IncomingRequest, deadline_at: float
@@ -236,16 +235,20 @@
         started = self._now()
         # The HTTP client takes 0 as no timeout.
         left = max(deadline_at - started, 0.001)
-        is_ok = True
+        # A timeout or a cancellation depends on the caller, so it is no end and no failure.
+        has_ended = is_ok = False
         try:
             address = self.addresses.get(upstream, "")
             outcome = await self.forwarder.forward(address, request, left)
-            # A timeout or a cancellation depends on the caller, so it is no upstream failure.
-            is_ok = isinstance(outcome, Ok) or outcome.err_value.is_timeout
+            is_ok = isinstance(outcome, Ok)
+            has_ended = is_ok or not outcome.err_value.is_timeout
         finally:
-            ended = self._now()
-            service_ms = (ended - started) * 1000
-            self._apply_effects(self.gate.finish(upstream, ended, service_ms, is_ok))
+            now = self._now()
+            service_ms = (now - started) * 1000
+            if has_ended:
+                self._apply_effects(self.gate.finish(upstream, now, service_ms, is_ok))
+            else:
+                self._apply_effects(self.gate.release(upstream, now, service_ms))
         self.forwarded.inc()
         return outcome
 
