Jobs: starts that were never sent were lost with their worker

When the session with a worker breaks off, the dispatcher learns of it only when the worker counts as lost, or its session is open again. Until then tasks were placed on the worker; there was no session to send them over, and they counted as started. If the worker had crashed, their jobs failed: task_lost, may have run, for tasks that nobody had been sent. The timeline told them as started on that worker.

--- a/packages/daemon/cranberryshored/jobs/service.py
+++ b/packages/daemon/cranberryshored/jobs/service.py
@@ -74,6 +74,8 @@
         Set when a peer has closed the incarnation, which must then be replaced.
     ownership_doubted : asyncio.Event
         Set when the process was paused; no tasks are started until the ownership is confirmed.
+    unsent : list of StartTasks
+        Starts on workers without an open session, which have certainly not run.
     """
 
     dispatcher: Dispatcher
@@ -89,6 +91,7 @@
     owner_retired: asyncio.Event = attrs.field(factory=asyncio.Event)
     ownership_doubted: asyncio.Event = attrs.field(factory=asyncio.Event)
     handled_at: float | None = None
+    unsent: list[StartTasks] = attrs.field(factory=list)
     waiters: dict[str, list[asyncio.Future]] = attrs.field(factory=dict)
     task: asyncio.Task | None = None
 
@@ -115,6 +118,10 @@
         effects = self.dispatcher.handle(input, now)
         for effect in effects:
             self._execute(effect)
+        unsent, self.unsent = self.unsent, []
+        for start in unsent:
+            tasks = tuple((start.batch.job, task.index) for task in start.batch.tasks)
+            effects += self._handle_at(TasksRejected(start.worker, tasks), now)
         return effects
 
     async def wait(self, job: Job, seconds: float) -> None:
@@ -204,9 +211,12 @@
         link = self.links.open_link(OwnedWorker(effect.worker, effect.incarnation))
         batch = effect.batch
         count = len(batch.tasks)
+        if link is None:
+            self.metrics.wasted_messages.labels("start_without_session").inc()
+            self.unsent.append(effect)
+            return
         self.recorder.record(time(), EventKind.TASKS_STARTED, batch.job, effect.worker, count)
-        if link is not None:
-            link.send(Start((batch,)))
+        link.send(Start((batch,)))
 
     def _stop_tasks(self, effect: StopTasks) -> None:
         link = self.links.links.get(effect.worker)
