--- a/packages/core/cranberryshore/pool/job_summary.py
+++ b/packages/core/cranberryshore/pool/job_summary.py
@@ -20,7 +20,8 @@
     waiting_jobs : int
         Number of other jobs, waiting or started, that the scheduler has when the job ends.
     runs : tuple of str
-        Worker and attempt number of the last run of each task, as ``worker/attempt``.
+        Worker and attempt number of the last start of each task, which may not have begun, as
+        ``worker/attempt``.
     """
 
     queue: str
