--- a/packages/core/cranberryshore/pool/tests/test_event_orders.py
+++ b/packages/core/cranberryshore/pool/tests/test_event_orders.py
@@ -3,7 +3,7 @@
 
 from cranberryshore.pool import LossState, LostRun, StartRun
 from cranberryshore.pool.held_worker import LEASE_EXPIRY_SECONDS
-from cranberryshore.pool.tests.test_refused_starts import RefusedStartTestCase
+from cranberryshore.pool.tests.test_withdrawn_starts import RefusedStartTestCase
 
 
 class EventOrderTest(RefusedStartTestCase):
--- a/packages/core/cranberryshore/pool/tests/test_late_replies.py
+++ b/packages/core/cranberryshore/pool/tests/test_late_replies.py
@@ -1,6 +1,6 @@
 from cranberryshore.pool import ReportedRun, WorkerStatus
 from cranberryshore.pool.held_worker import LEASE_SECONDS
-from cranberryshore.pool.tests.test_refused_starts import RefusedStartTestCase
+from cranberryshore.pool.tests.test_withdrawn_starts import RefusedStartTestCase
 
 
 class LateReplyTest(RefusedStartTestCase):
--- a/packages/core/cranberryshore/pool/tests/test_never_began.py
+++ b/packages/core/cranberryshore/pool/tests/test_never_began.py
@@ -1,5 +1,5 @@
 from cranberryshore.pool import EndKind, StartRun, UnsuccessfulRun
-from cranberryshore.pool.tests.test_refused_starts import RefusedStartTestCase
+from cranberryshore.pool.tests.test_withdrawn_starts import RefusedStartTestCase
 
 
 class NeverBeganTest(RefusedStartTestCase):
