--- a/packages/daemon/cranberryshored/pool/tests/test_start_replies.py
+++ b/packages/daemon/cranberryshored/pool/tests/test_start_replies.py
@@ -12,7 +12,7 @@
 from cranberryshore.work import Capacity
 from cranberryshored.pool import StartReply
 from cranberryshored.pool.clock import CLOCKS
-from cranberryshored.pool.tests.test_worker_channel import DelayedCalls, WorkerChannelTestCase
+from cranberryshored.pool.tests.test_worker_channel import ChannelTestCase, DelayedCalls
 
 
 class ReplyingCalls(DelayedCalls):
@@ -24,7 +24,7 @@
         return self.reply
 
 
-class StartReplyTest(WorkerChannelTestCase):
+class StartReplyTest(ChannelTestCase):
     async def start(self, reply: StartReply):
         """Start the only task of a job on a worker that replies so, and return the scheduler."""
         calls = ReplyingCalls()
