Mutations: starts that were refused or confirmed late, and late records

The properties of test_merged_records are functions inside of the tests, since Hypothesis rejects a second run of a test method in one process.

--- a/packages/core/cranberryshore/pool/tests/test_merged_records.py
+++ b/packages/core/cranberryshore/pool/tests/test_merged_records.py
@@ -10,6 +10,8 @@
 TASK, NOW = "j.0.0.0", 100.0
 SUSPECTED, REFUTED, PROVEN = LossState.SUSPECTED, LossState.REFUTED, LossState.PROVEN
 
+EXAMPLES = settings(max_examples=150, deadline=None, derandomize=True)
+
 flags = st.booleans()
 records = st.builds(
     LostRun,
@@ -40,31 +42,40 @@
 class MergedRecordsTest(TestCase):
     """Records of the same losses from several instances."""
 
-    @settings(max_examples=150, deadline=None, derandomize=True)
-    @given(st.lists(records, max_size=8), st.randoms(use_true_random=False))
-    def test_records_depend_on_the_order_in_which_they_arrive(self, lost_runs, random):
-        shuffled = lost_runs.copy()
-        random.shuffle(shuffled)
-        self.assertEqual(merged(lost_runs), merged(shuffled))
-
-    @settings(max_examples=150, deadline=None, derandomize=True)
-    @given(st.lists(records, max_size=6), st.lists(records, max_size=6))
-    def test_records_depend_on_the_instance_that_has_passed_them_on(self, one, other):
-        passed_on = list(merged(one))
-        self.assertEqual(merged(other, passed_on), merged(one + other))
-        self.assertEqual(merged(one, passed_on, passed_on), merged(one))
-
-    @settings(max_examples=150, deadline=None, derandomize=True)
-    @given(st.lists(records, max_size=8))
-    def test_crash_is_made_of_records_of_which_one_is_refuted(self, lost_runs):
-        for lost in merged(lost_runs):
-            if not lost.is_crash():
-                continue
-            same = [item for item in lost_runs if (item.task, item.key) == (lost.task, lost.key)]
-            self.assertTrue(all(item.state is not REFUTED for item in same))
-            self.assertTrue(any(item.state is PROVEN for item in same))
-            self.assertTrue(any(item.was_running for item in same))
-            self.assertTrue(any(item.was_registered for item in same))
+    def test_records_depend_on_the_order_in_which_they_arrive(self):
+        @EXAMPLES
+        @given(st.lists(records, max_size=8), st.randoms(use_true_random=False))
+        def check(lost_runs, random):
+            shuffled = lost_runs.copy()
+            random.shuffle(shuffled)
+            self.assertEqual(merged(lost_runs), merged(shuffled))
+
+        check()
+
+    def test_records_depend_on_the_instance_that_has_passed_them_on(self):
+        @EXAMPLES
+        @given(st.lists(records, max_size=6), st.lists(records, max_size=6))
+        def check(one, other):
+            passed_on = list(merged(one))
+            self.assertEqual(merged(other, passed_on), merged(one + other))
+            self.assertEqual(merged(one, passed_on, passed_on), merged(one))
+
+        check()
+
+    def test_crash_is_made_of_records_of_which_one_is_refuted(self):
+        @EXAMPLES
+        @given(st.lists(records, max_size=8))
+        def check(lost_runs):
+            for lost in filter(LostRun.is_crash, merged(lost_runs)):
+                same = [
+                    item for item in lost_runs if (item.task, item.key) == (lost.task, lost.key)
+                ]
+                self.assertTrue(all(item.state is not REFUTED for item in same))
+                self.assertTrue(any(item.state is PROVEN for item in same))
+                self.assertTrue(any(item.was_running for item in same))
+                self.assertTrue(any(item.was_registered for item in same))
+
+        check()
 
     def test_loss_that_one_scheduler_refutes_is_proven_by_a_former_one(self):
         # The former one stood still while the same process answered and later ended.
--- a/packages/core/cranberryshore/pool/tests/test_withdrawn_starts.py
+++ b/packages/core/cranberryshore/pool/tests/test_withdrawn_starts.py
@@ -150,3 +150,9 @@
         self.assertEqual(len(registry.open_starts), MAX_OPEN_STARTS)
         self.reject(start)
         self.assertNotIn(start.key, registry.open_starts)
+
+    def test_confirmed_start_is_kept_as_one_without_a_reply(self):
+        start = self.send()
+        self.assertEqual(set(self.scheduler.registry.open_starts), {start.key})
+        self.scheduler.start_confirmed(start.worker, start.key, self.now)
+        self.assertEqual(self.scheduler.registry.open_starts, {})
--- a/packages/proof/cranberryshore_proof/contact_mutations.py
+++ b/packages/proof/cranberryshore_proof/contact_mutations.py
@@ -8,11 +8,21 @@
 
 from cranberryshore.placement import rejections
 from cranberryshore.placement.rejections import RejectionPauses
-from cranberryshore.pool import Group, MemberAddress, Scheduler
+from cranberryshore.pool import (
+    CrashHistory,
+    Group,
+    HeldWorker,
+    LossState,
+    MemberAddress,
+    Scheduler,
+    lost_run,
+)
 from cranberryshore.pool.earlier_runs import EarlierRuns
-from cranberryshore.pool.run import Run
+from cranberryshore.pool.isolation import Isolation
+from cranberryshore.pool.run import BootState, Run, RunState
 from cranberryshore.pool.run_registry import RunRegistry
 from cranberryshore.pool.run_statistics import RunStatistics
+from cranberryshore.pool.takeover import Takeover
 from cranberryshore.pool.worker_status import RunKey
 from cranberryshored.pool import loss_keeper, worker_channel
 from cranberryshored.pool.clock import TOKEN_INSTANCE_BITS, TokenSource, now
@@ -21,10 +31,18 @@
 
 CONTACT_TEST_MODULES = (
     "cranberryshore.pool.tests.test_earlier_submissions",
+    "cranberryshore.pool.tests.test_event_orders",
     "cranberryshore.pool.tests.test_group",
+    "cranberryshore.pool.tests.test_late_evidence",
+    "cranberryshore.pool.tests.test_late_replies",
+    "cranberryshore.pool.tests.test_merged_records",
     "cranberryshore.pool.tests.test_rejected_starts",
+    "cranberryshore.pool.tests.test_replaced_workers",
     "cranberryshore.pool.tests.test_silent_workers",
+    "cranberryshore.pool.tests.test_takeover_after_losses",
+    "cranberryshore.pool.tests.test_withdrawn_starts",
     "cranberryshored.pool.tests.test_loss_keeper",
+    "cranberryshored.pool.tests.test_start_replies",
     "cranberryshored.pool.tests.test_takeover_tokens",
     "cranberryshored.pool.tests.test_worker_channel",
 )
@@ -98,6 +116,25 @@
     self.unheard_seconds += now - max(heard_at, self.started_at)
 
 
+def _confirm_any_boot(self: HeldWorker, key: RunKey, now: float) -> None:
+    run = self.runs.get(key)
+    if run is not None:
+        run.start_confirmed_at = min(run.start_confirmed_at, now)
+        run.state = RunState.RUNNING if run.state is RunState.REQUESTED else run.state
+        self.lease_until = max(self.lease_until, run.lease_until)
+
+
+def _list_without_boot(self: Run, born: int, percent: float) -> None:
+    self.born, self.percent = born, percent
+
+
+def _refute_by_any_answer(
+    self: CrashHistory, worker: str, born: int, polled_at: float, now: float
+) -> None:
+    self.heard[worker, born] = polled_at
+    self.resolve(worker, born, now)
+
+
 CONTACT_MUTATIONS = (
     ("earlier: own starts are forgotten", EarlierRuns, "may_have_started", _only_foreign),
     ("earlier: others' starts are unknown", EarlierRuns, "may_have_started", _only_own),
@@ -112,6 +149,23 @@
     ("rejected: full workers are asked", worker_channel, "PAUSING_REPLIES", ()),
     ("rejected: such starts count as run", RunRegistry, "withdraw_start", _constant(None)),
     ("rejected: one voids all starts", RunRegistry, "withdraw_start", _withdraw_all),
+    ("start: what is known at a closing stays", BootState, "without", lambda self, *_: self),
+    ("start: a reply counts for any boot", HeldWorker, "confirm_start", _confirm_any_boot),
+    ("start: leases outlive a boot", Run, "record_listing", _list_without_boot),
+    ("start: refused ones confine queues", Isolation, "start_withdrawn", _constant(None)),
+    ("start: replies are forgotten", RunRegistry, "confirm_start", _constant(None)),
+    ("foreign runs: they outlive leases", Takeover, "discard_lapsed_strangers", _constant(None)),
+    ("foreign runs: they outlive processes", Takeover, "discard_strangers", _constant(None)),
+    (
+        "record: a proof replaces a refutation",
+        lost_run,
+        "STATE_ORDER",
+        (LossState.SUSPECTED, LossState.REFUTED, LossState.PROVEN),
+    ),
+    ("record: late ones are new", CrashHistory, "_merge_received", CrashHistory._merge),
+    ("record: any answer refutes", CrashHistory, "worker_answered", _refute_by_any_answer),
+    ("record: refused starts stay beside", CrashHistory, "_has_never_begun", _constant(False)),
+    ("record: refuted losses confine queues", Isolation, "worker_answered", _constant(None)),
     ("peer: late heartbeats replace live ones", Group, "is_replaced", _constant(False)),
     ("peer: earlier starts are ignored for good", Group, "is_replaced", _any_later),
     ("keeper: failed writes count", StoreRegistry, "save_losses", _claim_saved),
