Losses: a rejected start withdraws no record of a former start of its worker

A scheduler numbers the attempts of a resumed job anew, and a worker may return under its name. A start that its later process rejected withdrew the record of the earlier crash under the same number: a culprit was let go, and a task that stood beside it was blamed.

Change: what is kept of a start without a reply names the start of the process that it was sent to; only records of this one and of later ones are withdrawn.

--- a/packages/core/cranberryshore/pool/adoption.py
+++ b/packages/core/cranberryshore/pool/adoption.py
@@ -43,7 +43,7 @@
     if task is None or registry.is_task_active(key[0]):
         return False
     task.attempt = max(task.attempt, key[1])
-    registry.record_start(job, task, worker.name, key, now)
+    registry.record_start(job, task, worker, key, now)
     registry.confirm_start(key)
     worker.adopt_run(key, job.step_of(task).demand, now)
     return True
--- a/packages/core/cranberryshore/pool/crashes.py
+++ b/packages/core/cranberryshore/pool/crashes.py
@@ -253,12 +253,17 @@
             if registration.is_of_start(entry.lost.born):
                 self._merge(attrs.evolve(entry.lost, state=LossState.REFUTED), now)
 
-    def withdraw(self, worker: str, run: RunKey) -> None:
-        """Record that a run has never begun, so that no worker was lost under it."""
+    def withdraw(self, worker: str, born: int, run: RunKey) -> None:
+        """Record that a run has never begun on a start of a worker, nor on later ones.
+
+        Records of former starts may be of another run, since the next scheduler numbers the
+        attempts anew.
+        """
         task, attempt = run
         for entry in self._losses(task):
             lost = entry.lost
-            if (lost.worker, lost.attempt) == (worker, attempt) and not lost.was_running:
+            is_same = (lost.worker, lost.attempt) == (worker, attempt) and lost.born >= born
+            if is_same and not lost.was_running:
                 self._merge(attrs.evolve(lost, state=LossState.REFUTED), entry.lost_at)
 
     def _suspected(self, worker: str) -> list[Entry]:
--- a/packages/core/cranberryshore/pool/placing.py
+++ b/packages/core/cranberryshore/pool/placing.py
@@ -206,7 +206,7 @@
             return False
         task.attempt += 1
         key = (job.name_of(task), task.attempt)
-        self.registry.record_start(job, task, worker.name, key, now)
+        self.registry.record_start(job, task, worker, key, now)
         worker.add_run(key, job.step_of(task).demand, now, lease_end_ms)
         record = self.statistics.health.record_for(worker.name)
         record.probe_running = bool(record.isolation_seconds)
--- a/packages/core/cranberryshore/pool/run_registry.py
+++ b/packages/core/cranberryshore/pool/run_registry.py
@@ -2,6 +2,7 @@
 
 import attrs
 
+from cranberryshore.pool.held_worker import HeldWorker
 from cranberryshore.pool.work import PoolJob, PoolTask, TaskPhase
 from cranberryshore.pool.worker_status import RunKey
 
@@ -15,6 +16,20 @@
 """Increment of an attempt number that a worker has rejected as too low."""
 
 
+@attrs.frozen(eq=False)
+class OpenStart:
+    """Start without a reply.
+
+    Parameters
+    ----------
+    born : int
+        Identifier of the start of the worker process when it was sent.
+    """
+
+    job: PoolJob
+    born: int
+
+
 @attrs.define(eq=False)
 class RunRegistry:
     """Requested and active runs, and the last attempt numbers of ended jobs.
@@ -24,30 +39,30 @@
     Parameters
     ----------
     open_starts : dict
-        Jobs of the starts without a reply, also of those whose runs were removed.
+        Starts without a reply, also those whose runs were removed.
     """
 
     tasks_by_run: dict[RunKey, tuple[PoolJob, PoolTask]] = attrs.field(factory=dict)
     active_tasks: set[str] = attrs.field(factory=set)
     attempts: dict[str, int] = attrs.field(factory=dict)
-    open_starts: dict[RunKey, PoolJob] = attrs.field(factory=dict)
+    open_starts: dict[RunKey, OpenStart] = attrs.field(factory=dict)
 
     def is_task_active(self, name: str) -> bool:
         """Return whether a run of a task may be active, including runs of an ended job."""
         return name in self.active_tasks
 
     def record_start(
-        self, job: PoolJob, task: PoolTask, worker: str, key: RunKey, now: float
+        self, job: PoolJob, task: PoolTask, worker: HeldWorker, key: RunKey, now: float
     ) -> None:
         """Add a run of a waiting task."""
         job.waiting_tasks -= 1
-        task.phase, task.worker, task.last_worker = TaskPhase.PLACED, worker, worker
+        task.phase, task.worker, task.last_worker = TaskPhase.PLACED, worker.name, worker.name
         job.possible_starts += 1
         if not job.has_started:
             job.has_started, job.started_at = True, now
         self.tasks_by_run[key] = (job, task)
         self.active_tasks.add(key[0])
-        self.open_starts[key] = job
+        self.open_starts[key] = OpenStart(job, worker.born)
         while len(self.open_starts) > MAX_OPEN_STARTS:
             del self.open_starts[next(iter(self.open_starts))]
 
@@ -55,15 +70,17 @@
         """Record that a start was accepted."""
         self.open_starts.pop(key, None)
 
-    def withdraw_start(self, key: RunKey) -> None:
-        """Record that a start was rejected, so that it counts for nothing."""
-        job = self.open_starts.pop(key, None)
-        if job is None:
-            return
+    def withdraw_start(self, key: RunKey) -> OpenStart | None:
+        """Record that a start was rejected, so that it counts for nothing, and return it."""
+        start = self.open_starts.pop(key, None)
+        if start is None:
+            return None
+        job = start.job
         job.possible_starts -= 1
         job.has_started = job.possible_starts > 0 or job.has_adopted_run
         if job.is_ended and not (job.has_started or job.was_started_before):
             self.attempts.pop(job.request.id, None)
+        return start
 
     def raise_attempt(self, key: RunKey) -> None:
         """Raise the attempt number of a task whose start was rejected because of it."""
--- a/packages/core/cranberryshore/pool/scheduler.py
+++ b/packages/core/cranberryshore/pool/scheduler.py
@@ -331,11 +331,12 @@
         """Record that a worker has rejected a start, and with ``is_paused`` would reject others."""
         if is_paused:
             self.statistics.health.rejections.rejected(name, key, now)
-        self.crashes.withdraw(name, key)
         worker = self.workers.get(name)
         run = withdraw_start(worker, key) if worker is not None else None
         self.placer.isolation.start_withdrawn(name, key)
-        self.registry.withdraw_start(key)
+        start = self.registry.withdraw_start(key)
+        if start is not None:
+            self.crashes.withdraw(name, start.born, key)
         if run is None:
             return
         if is_attempt_low:
--- a/packages/core/cranberryshore/pool/tests/test_merged_records.py
+++ b/packages/core/cranberryshore/pool/tests/test_merged_records.py
@@ -112,7 +112,7 @@
     def test_loss_under_a_start_that_was_refused_stays_at_other_instances_after_a_proof(self):
         self.history.record("w1", 1, {(TASK, 1): False}, PROVEN, 0.0)
         self.exchange(0.0)
-        self.history.withdraw("w1", (TASK, 1))
+        self.history.withdraw("w1", 1, (TASK, 1))
         self.exchange(0.1)
         self.assertFalse(self.other.is_suspect(TASK))
 
@@ -121,7 +121,7 @@
         self.crash("w2", 2, "b", 5.0)
         self.exchange(5.0)
         self.assertFalse(self.other.is_culprit(TASK))
-        self.history.withdraw("w2", ("b", 1))
+        self.history.withdraw("w2", 1, ("b", 1))
         self.exchange(5.1)
         self.assertTrue(self.history.is_culprit(TASK))
         self.assertTrue(self.other.is_culprit(TASK))
@@ -130,7 +130,7 @@
         self.crash("w1", 1, "a", 0.0)
         self.crash("w2", 2, "b", 5.0)
         older = self.history.records(5.0)
-        self.history.withdraw("w2", ("b", 1))
+        self.history.withdraw("w2", 1, ("b", 1))
         self.history.merge(older, 5.1)
         self.assertTrue(self.history.is_culprit(TASK))
 
@@ -138,5 +138,5 @@
         self.crash("w1", 1, "a", 0.0)
         self.crash("w2", 2, "b", 5.0)
         self.history.record("w2", 1, {("b", 2): False}, PROVEN, 5.0)
-        self.history.withdraw("w2", ("b", 1))
+        self.history.withdraw("w2", 1, ("b", 1))
         self.assertFalse(self.history.is_culprit(TASK))
--- a/packages/core/cranberryshore/pool/tests/test_withdrawn_losses.py
+++ b/packages/core/cranberryshore/pool/tests/test_withdrawn_losses.py
@@ -48,7 +48,7 @@
         other = CrashHistory()
         self.history.record("w1", 1, {(SOUND, 1): False}, LossState.SUSPECTED, 0.0)
         other.merge(self.history.take_changes(0.0), 0.0)
-        self.history.withdraw("w1", (SOUND, 1))
+        self.history.withdraw("w1", 1, (SOUND, 1))
         other.merge(self.history.take_changes(0.1), 0.1)
         self.assertFalse(other.is_suspect(SOUND))
 
@@ -56,7 +56,7 @@
         self.history.record(
             "w1", 1, {(DEADLY, 1): True, (SOUND, 1): False}, LossState.SUSPECTED, 0.0
         )
-        self.history.withdraw("w1", (SOUND, 1))
+        self.history.withdraw("w1", 1, (SOUND, 1))
         self.history.resolve("w1", 2, 0.0)
         self.history.confirm_registered("w1", 1, 0.0)
         self.history.record(
@@ -68,5 +68,5 @@
     def test_run_that_was_there_is_withdrawn_with_another_one_of_its_attempt(self):
         # Attempts are numbered anew by the next scheduler.
         self.history.record("w1", 1, {(DEADLY, 1): True}, LossState.PROVEN, 0.0)
-        self.history.withdraw("w1", (DEADLY, 1))
+        self.history.withdraw("w1", 1, (DEADLY, 1))
         self.assertTrue(self.history.is_suspect(DEADLY))
