Losses: waves that several schedulers see in parts, or beside a refused suspect

In a divided pool each scheduler may see fewer than three workers of a wave, so none of them saw the common cause, and sound jobs were given up after two waves. And a worker to which a suspect had only been sent did not count as one of a wave.

Change: received records count as recent losses with their times, and say whether a suspect was running on the worker; only a suspect that was certainly running exempts its worker. What confines queues uses the same rule (`RecentLosses`) instead of a copy of its first form.

--- a/packages/core/cranberryshore/pool/crashes.py
+++ b/packages/core/cranberryshore/pool/crashes.py
@@ -136,6 +136,7 @@
                 was_running,
                 is_store_answering,
                 number=self._refuted_count(task, worker, born, attempt),
+                is_exposed=is_exposed,
             )
             for (task, attempt), was_running in runs.items()
         ]
@@ -180,7 +181,13 @@
         A suspicion is refuted if the worker has answered since.
         """
         for lost in records:
-            self._merge_received(attrs.evolve(lost, age_seconds=0.0), now - lost.age_seconds)
+            received, lost_at = attrs.evolve(lost, age_seconds=0.0), now - lost.age_seconds
+            is_known = received.key in self.entries.get(received.task, ())
+            self._merge_received(received, lost_at)
+            if not (is_known or received.has_lapsed):
+                record = (received.task, received.key)
+                noticed = NoticedLoss(received.worker, lost_at, received.is_exposed, (record,))
+                self._notice(noticed, now)
 
     def _merge_received(self, lost: LostRun, lost_at: float) -> None:
         heard_at = self.heard.get((lost.worker, lost.born), float("-inf"))
--- a/packages/core/cranberryshore/pool/held_worker.py
+++ b/packages/core/cranberryshore/pool/held_worker.py
@@ -258,7 +258,8 @@
     def boot_state(self, now: float) -> BootState:
         """Return what is known of the present start of the worker process."""
         lapsed = frozenset(self.lapsed_runs)
-        return BootState(self.born, self.possible_runs(now), bool(self.isolated_runs), lapsed)
+        isolated = frozenset(self.isolated_runs)
+        return BootState(self.born, self.possible_runs(now), isolated, lapsed)
 
     def record_closing(self, now: float) -> None:
         """Record that the host of the worker has closed a connection before the reply."""
--- a/packages/core/cranberryshore/pool/isolation.py
+++ b/packages/core/cranberryshore/pool/isolation.py
@@ -13,7 +13,7 @@
 
 import attrs
 
-from cranberryshore.pool.common_cause import MIN_SIMULTANEOUS_WORKERS, SIMULTANEOUS_SECONDS
+from cranberryshore.pool.common_cause import NoticedLoss, RecentLosses
 from cranberryshore.pool.held_worker import HeldWorker
 from cranberryshore.pool.hold_state import HoldState
 from cranberryshore.pool.run import BootState
@@ -90,14 +90,14 @@
     ----------
     losses : list of WorkerLoss
         Losses of the last seconds, without those that have a common cause and exposed no suspect.
-    recent : list
-        Time and worker of the latest losses, which may have a common cause.
+    recent : RecentLosses
+        Latest losses without suspects, which may have a common cause.
     """
 
     registry: RunRegistry
     statistics: RunStatistics
     losses: list[WorkerLoss] = attrs.field(factory=list)
-    recent: list[tuple[float, str]] = attrs.field(factory=list)
+    recent: RecentLosses = attrs.field(factory=RecentLosses)
 
     @property
     def queue_losses(self) -> list[tuple[str, float, float]]:
@@ -111,11 +111,13 @@
 
     def worker_lost(self, worker: HeldWorker, boot: BootState, now: float) -> None:
         """Record that a worker was lost."""
-        if not boot.is_exposed and self._has_common_cause(worker.name, now):
-            # A rack or a zone was lost, which says nothing about the queues.
-            since = self.recent[0][0]
-            self.losses = [item for item in self.losses if item.is_exposed or item.at < since]
-            return
+        if not boot.is_exposed:
+            related = self.recent.add(NoticedLoss(worker.name, now), now)
+            if related:
+                # A rack or a zone was lost, which says nothing about the queues.
+                since = min(loss.lost_at for loss in related)
+                self.losses = [item for item in self.losses if item.is_exposed or item.at < since]
+                return
         queues = {
             key: self.registry.tasks_by_run[key][0].request.queue
             for key in boot.runs
@@ -128,16 +130,11 @@
                 worker.service,
                 now,
                 queues,
-                set(worker.isolated_runs),
+                set(boot.isolated_runs),
                 boot.is_exposed,
             )
         )
 
-    def _has_common_cause(self, worker: str, now: float) -> bool:
-        self.recent = [item for item in self.recent if now <= item[0] + SIMULTANEOUS_SECONDS]
-        self.recent.append((now, worker))
-        return len({name for _, name in self.recent}) >= MIN_SIMULTANEOUS_WORKERS
-
     def start_withdrawn(self, worker: str, key: RunKey) -> None:
         """Record that a run has never begun, so that it was not lost with its worker."""
         for loss in self.losses:
--- a/packages/core/cranberryshore/pool/loss_tracking.py
+++ b/packages/core/cranberryshore/pool/loss_tracking.py
@@ -128,7 +128,7 @@
             state,
             now,
             is_store_answering=self.departures.is_answering(now),
-            is_exposed=boot.is_exposed,
+            is_exposed=boot.was_running_suspect,
             ended_at=worker.closed_at if worker.has_just_closed(now) else None,
         )
         if boot.is_exposed:
--- a/packages/core/cranberryshore/pool/lost_run.py
+++ b/packages/core/cranberryshore/pool/lost_run.py
@@ -46,6 +46,8 @@
         Time since the loss when the record was sent to another instance or to the store.
     has_lapsed : bool
         Whether the lease of the run was over before anything showed that the process has ended.
+    is_exposed : bool
+        Whether a suspect was running on the worker.
     """
 
     task: str
@@ -61,6 +63,7 @@
     number: int = 0
     age_seconds: float = 0.0
     has_lapsed: bool = False
+    is_exposed: bool = False
 
     @property
     def key(self) -> LossKey:
@@ -89,4 +92,5 @@
             was_registered=self.was_registered or other.was_registered,
             has_common_cause=self.has_common_cause or other.has_common_cause,
             has_lapsed=self.has_lapsed and other.has_lapsed,
+            is_exposed=self.is_exposed or other.is_exposed,
         )
--- a/packages/core/cranberryshore/pool/run.py
+++ b/packages/core/cranberryshore/pool/run.py
@@ -92,18 +92,28 @@
     ----------
     runs : dict
         Runs that may be active, and whether each one certainly is.
-    is_exposed : bool
-        Whether one of them may crash the worker.
+    isolated_runs : frozenset of RunKey
+        Those of them that may crash the worker.
     lapsed_runs : frozenset of RunKey
         Runs that were on the worker at its latest answer, and whose leases have expired since.
     """
 
     born: int
     runs: dict[RunKey, bool]
-    is_exposed: bool
+    isolated_runs: frozenset[RunKey] = frozenset()
     lapsed_runs: frozenset[RunKey] = frozenset()
 
-    def without(self, key: RunKey, is_exposed: bool) -> "BootState":
+    @property
+    def is_exposed(self) -> bool:
+        """Return whether a suspect may have been on the worker."""
+        return bool(self.isolated_runs)
+
+    @property
+    def was_running_suspect(self) -> bool:
+        """Return whether a suspect was certainly on the worker."""
+        return any(self.runs.get(key, False) for key in self.isolated_runs)
+
+    def without(self, key: RunKey) -> "BootState":
         """Return the state without a run that has never begun."""
         runs = {run: is_certain for run, is_certain in self.runs.items() if run != key}
-        return attrs.evolve(self, runs=runs, is_exposed=is_exposed)
+        return attrs.evolve(self, runs=runs, isolated_runs=self.isolated_runs - {key})
--- a/packages/core/cranberryshore/pool/tests/test_review_of_common_causes.py
+++ b/packages/core/cranberryshore/pool/tests/test_review_of_common_causes.py
@@ -1,9 +1,10 @@
 from unittest import TestCase
 
-from cranberryshore.pool import CrashHistory, LossState
+from cranberryshore.pool import CrashHistory, LossState, StartRun
 from cranberryshore.pool.common_cause import SIMULTANEOUS_SECONDS
 from cranberryshore.pool.held_worker import CLOSING_SECONDS
 from cranberryshore.pool.tests.test_lost_workers import LostWorkerTestCase
+from cranberryshore.pool.tests.test_scheduler import request
 
 TASK = "j.0.0.0"
 
@@ -50,6 +51,23 @@
         self.refuse(starts[2].worker)
         self.assertTrue(self.has_common_cause(starts[2].key[0]))
 
+    def test_wave_is_not_noticed_for_a_suspect_that_never_began(self):
+        starts = self.submit(count=2, millicores=2000)
+        used = {start.worker for start in starts}
+        third = next(name for name in sorted(self.scheduler.workers) if name not in used)
+        for name in self.scheduler.workers.keys() - used - {third}:
+            self.scheduler.workers[name].is_draining = True
+        self.scheduler.crashes.record("v", 1, {("s.0.0.0", 1): True}, LossState.PROVEN, -9.0)
+        self.poll(third)
+        self.scheduler.submit(request("s"), "e", self.now)
+        (sent,) = self.effects(StartRun)
+        self.assertEqual(sent.worker, third)
+        for name in (*used, third):
+            self.close(name)
+            self.refuse(name)
+        self.scheduler.start_rejected(third, sent.key, False, self.now)
+        self.assertTrue(self.has_common_cause(starts[0].key[0]))
+
 
 class SeveralHistoriesTest(TestCase):
     def setUp(self):
@@ -69,3 +87,12 @@
         self.crash(self.history, "w3", "k.0.0.0", 5.01)
         self.crash(self.history, "w4", "l.0.0.0", 5.02)
         self.assertFalse(self.history.is_culprit(TASK))
+
+    def test_job_failed_for_waves_of_which_each_scheduler_saw_two_workers(self):
+        for now in (1.0, 5.0):
+            self.crash(self.history, "w1", TASK, now)
+            self.crash(self.history, "w2", f"k{now}.0.0.0", now)
+            self.crash(self.other, "w3", f"l{now}.0.0.0", now)
+            self.crash(self.other, "w4", f"m{now}.0.0.0", now)
+            self.exchange(now + 0.01)
+        self.assertFalse(self.history.is_culprit(TASK))
--- a/packages/core/cranberryshore/pool/withdrawal.py
+++ b/packages/core/cranberryshore/pool/withdrawal.py
@@ -13,5 +13,5 @@
     run = worker.remove_run(key)
     worker.lapsed_runs.discard(key)
     if worker.closed_boot is not None:
-        worker.closed_boot = worker.closed_boot.without(key, bool(worker.isolated_runs))
+        worker.closed_boot = worker.closed_boot.without(key)
     return run
