Scheduler: listings of the workers are limited page by page, and none of two schedulers hands back

Cause: a new scheduler gave the whole listing 0.5 s, then 1.0 and 1.5 s, and handed over after 2.5 s. A listing that takes more than 1.0 s was answered after 2.7 s at the earliest, so two schedulers handed over to each other without end, and none read the registrations.

Change: the time limit is that of a page, and 1.5 s until the store has answered once. Each term takes a new connection, since one of an earlier term may have fallen silent, which then would cost 1.5 s. A page that is answered shows that the listing goes on. A scheduler hands over to no instance that has handed over since anyone has read the registrations.

--- a/packages/core/cranberryshore/pool/claims.py
+++ b/packages/core/cranberryshore/pool/claims.py
@@ -98,6 +98,8 @@
         Time on the monotonic clock of the peer.
     store_answered_at : float
         Time at which the platform's store has last answered the peer.
+    handed_over_at : float
+        Time at which it has named another instance to schedule, while this one followed it.
     """
 
     at: MemberAddress
@@ -113,6 +115,7 @@
     known_epoch: int | None = 0
     heartbeat_sent_at: float = float("-inf")
     store_answered_at: float = float("-inf")
+    handed_over_at: float = float("-inf")
 
     def clock(self, now: float) -> float:
         """Return the monotonic clock of the peer, late by the transit time of its heartbeat."""
--- a/packages/core/cranberryshore/pool/group.py
+++ b/packages/core/cranberryshore/pool/group.py
@@ -66,8 +66,9 @@
         Members that were known and not registered when these addresses were read.
     listed_at : float
         Time at which the platform was asked for them.
-    claimed_at : float
-        Time of the latest claim of this instance.
+    page_read_at : float
+        Time at which the store has last answered this instance with a part of the registrations;
+        that of its latest claim, if it has not since.
     listing_read_at : float
         Time at which the registrations of the workers were read that this instance knows, by itself
         or by the scheduler that it follows.
@@ -85,7 +86,7 @@
     listed: frozenset[str] | None = None
     unregistered: frozenset[str] = frozenset()
     listed_at: float = float("-inf")
-    claimed_at: float = float("-inf")
+    page_read_at: float = float("-inf")
     listing_read_at: float = float("-inf")
     is_large: bool = False
     is_uneven: bool = False
@@ -265,7 +266,7 @@
 
     def record_claim(self, claim: Claim, now: float) -> None:
         """Record that this instance claims workers, by the registrations that it knows."""
-        self.claim, self.claimed_at = claim, now
+        self.claim, self.page_read_at = claim, now
         if self.listing_read_at == float("-inf"):
             self.listing_read_at = now
 
@@ -280,9 +281,20 @@
         contact = StoreContact(
             now - self.listing_read_at,
             float("inf") if answer_age is None else answer_age,
-            now - self.claimed_at,
+            now - self.page_read_at,
         )
-        return find_reader(self._possible_successors(now), contact, now)
+        return find_reader(self._untried_successors(now), contact, now)
+
+    def _untried_successors(self, now: float) -> list[Member]:
+        """Return the possible successors that have not handed over since the latest reading.
+
+        The others could not read the registrations either.
+        """
+        return [
+            member
+            for member in self._possible_successors(now)
+            if member.handed_over_at <= self.listing_read_at
+        ]
 
     def _possible_successors(self, now: float) -> list[Member]:
         """Return the live peers that may schedule the workers that this instance may schedule."""
--- a/packages/core/cranberryshore/pool/store_access.py
+++ b/packages/core/cranberryshore/pool/store_access.py
@@ -35,30 +35,31 @@
         Time since the registrations were read that it uses, by itself or by a former scheduler.
     answer_age : float
         Time since the store has answered this instance; infinite if it has not.
-    claim_age : float
-        Time since this instance has claimed the workers.
+    page_age : float
+        Time since the store has answered this instance with a part of the registrations, or since
+        it has claimed the workers.
     """
 
     listing_age: float
     answer_age: float
-    claim_age: float
+    page_age: float
 
     def is_lost(self) -> bool:
         """Return whether an instance that the store answers should schedule.
 
-        A new scheduler that the store answers reads the registrations within moments.
+        A new scheduler that the store answers reads the registrations page by page.
 
         Examples
         --------
-        >>> StoreContact(listing_age=3.0, answer_age=0.2, claim_age=0.1).is_lost()
+        >>> StoreContact(listing_age=3.0, answer_age=0.2, page_age=0.1).is_lost()
         False
-        >>> StoreContact(listing_age=3.0, answer_age=2.0, claim_age=0.1).is_lost()
+        >>> StoreContact(listing_age=3.0, answer_age=2.0, page_age=0.1).is_lost()
         True
         """
         if self.listing_age <= MAX_LISTING_AGE_SECONDS:
             return False
         is_rejected = self.answer_age > MAX_ANSWER_AGE_SECONDS
-        return is_rejected or self.claim_age > MAX_LISTING_AGE_SECONDS
+        return is_rejected or self.page_age > MAX_LISTING_AGE_SECONDS
 
 
 def find_reader(successors: Iterable[Member], contact: StoreContact, now: float) -> Member | None:
--- a/packages/daemon/cranberryshored/platform/store.py
+++ b/packages/daemon/cranberryshored/platform/store.py
@@ -66,6 +66,21 @@
     entries: tuple[Entry, ...]
 
 
+@attrs.frozen
+class KeyPage:
+    """Part of a listing, in the order of the keys; pages are not a snapshot.
+
+    Parameters
+    ----------
+    last_key : str
+        Key after which the next page begins, empty if there is none.
+    """
+
+    revision: int
+    entries: tuple[Entry, ...]
+    last_key: str
+
+
 @attrs.frozen
 class WatchResult:
     """Changes of keys with a prefix up to a revision, in order."""
--- a/packages/daemon/cranberryshored/pool/app.py
+++ b/packages/daemon/cranberryshored/pool/app.py
@@ -360,7 +360,10 @@
         self.is_first_roster = True
         self.scheduling.begin(claim, self.pool_config, self.rosters.workers)
         self.workers_task = start_task(
-            self.registry.follow_workers(self._handle_workers, self.rosters.workers), self.log
+            self.registry.follow_workers(
+                self._handle_workers, self.rosters.workers, self._handle_page
+            ),
+            self.log,
         )
         self.exchange.follow()
         self.exchange.announce()
@@ -381,6 +384,9 @@
             return
         self.exchange.send(end.entry, lambda place, echo: encode_end(place, end))
 
+    def _handle_page(self) -> None:
+        self.group.page_read_at = now()
+
     def _handle_workers(self, listing: WorkerListing) -> None:
         self.group.listing_read_at = listing.answered_at
         if self.group.compare_workers(listing.workers, self.is_first_roster):
--- a/packages/daemon/cranberryshored/pool/exchange.py
+++ b/packages/daemon/cranberryshored/pool/exchange.py
@@ -232,6 +232,8 @@
         member.roster_version = beat.roster_version
         if beat.store_age is not None:
             member.store_answered_at = moment - beat.store_age
+        if beat.successor and beat.sender.incarnation == self.follows:
+            member.handed_over_at = moment
         if beat.listing_age is not None and beat.sender.incarnation == self.follows:
             self.group.listing_read_at = moment - beat.listing_age
         for item in beat.members:
--- a/packages/daemon/cranberryshored/pool/protocols.py
+++ b/packages/daemon/cranberryshored/pool/protocols.py
@@ -143,10 +143,12 @@
         self,
         on_workers: Callable[[WorkerListing], None],
         known: tuple[WorkerRegistration, ...],
+        on_page: Callable[[], None] = lambda: None,
     ) -> None:
         """Report the registered workers whenever they change, and each time they are confirmed.
 
         ``known`` are the workers that the caller holds, which may have lost their registration.
+        ``on_page`` is called with each part of a listing that the store has answered.
         """
         ...
 
--- a/packages/daemon/cranberryshored/pool/registry.py
+++ b/packages/daemon/cranberryshored/pool/registry.py
@@ -18,7 +18,8 @@
     WorkerListing,
     WorkerRegistration,
 )
-from cranberryshored.platform.store import Store, StoreFailure, StoreUnavailable
+from cranberryshored.platform.listing import PagedStore
+from cranberryshored.platform.store import StoreFailure, StoreUnavailable
 from cranberryshored.pool.clock import now
 from cranberryshored.pool.protocols import ConfigHandler
 from cranberryshored.pool.records import decode_lost_run, decode_member, split_losses
@@ -71,7 +72,7 @@
 entries return within 2 s."""
 
 
-class LeasingStore(Store, Protocol):
+class LeasingStore(PagedStore, Protocol):
     """A store whose leases can be renewed."""
 
     async def keep_lease(self, lease: str) -> Result[None, StoreFailure]:
@@ -205,6 +206,7 @@
         self,
         on_workers: Callable[[WorkerListing], None],
         known: tuple[WorkerRegistration, ...],
+        on_page: Callable[[], None] = lambda: None,
     ) -> None:
         """See :class:`Registry`.
 
@@ -228,6 +230,9 @@
             workers = tuple(reported[name] for name in sorted(reported))
             on_workers(WorkerListing(workers, frozenset(missing), confirmed_at, now()))
 
+        # An idle connection may have fallen silent since an earlier term.
+        await self.workers_store.close()
+        await self.workers_store.start()
         await StoreFollower(
             self.workers_store,
             self.layout.workers_prefix,
@@ -235,6 +240,7 @@
             report,
             self.status,
             WORKERS_BATCH_SECONDS,
+            on_page,
         ).run()
 
     async def keep_registered(self, member: MemberAddress) -> None:
--- a/packages/daemon/cranberryshored/pool/store_follower.py
+++ b/packages/daemon/cranberryshored/pool/store_follower.py
@@ -5,12 +5,13 @@
 from typing import TypeVar
 
 import attrs
-from result import Err, Result
+from result import Err, Ok, Result
 from structlog.typing import FilteringBoundLogger
 
+from cranberryshored.platform.listing import PagedStore, join_pages
 from cranberryshored.platform.store import (
     KeyListing,
-    Store,
+    KeyPage,
     StoreFailure,
     StoreUnavailable,
     WatchCompacted,
@@ -98,9 +99,11 @@
 class StoreFollower:
     """Follows the entries under a prefix.
 
+    The time limit is that of each answer, so a listing may take longer, page by page.
+
     Parameters
     ----------
-    store : Store
+    store : PagedStore
         Client that no other calls use: its connection is closed with a call that is not answered,
         so the next call takes a new one, and never one that another call has left silent.
     wait_ms : int
@@ -109,15 +112,20 @@
         Called with all entries, and a time at which they were the newest ones, after each response.
     pause : float
         Time in which changes are batched.
+    on_page : callable
+        Called with each page of a listing that the store has answered.
+    timeout : CallTimeout
+        Limit of an answer; the longest one until the store has answered.
     """
 
-    store: Store
+    store: PagedStore
     prefix: str
     wait_ms: int
     report: Callable[[dict[str, str], float], None]
     status: StoreStatus
     pause: float = 0.0
-    timeout: CallTimeout = attrs.field(factory=CallTimeout)
+    on_page: Callable[[], None] = lambda: None
+    timeout: CallTimeout = attrs.field(factory=lambda: CallTimeout(MAX_TIMEOUT_SECONDS))
 
     async def run(self) -> None:
         """Follow the entries until cancelled; after an unexpected error, from a new listing."""
@@ -129,13 +137,21 @@
     async def _follow(self) -> None:
         while True:
             begun_at = now()
-            listing = await call_in_time(self.store.list(self.prefix), self.timeout.seconds)
-            if isinstance(listing, Err):
-                await self._retry_after(begun_at, listing.err_value)
-                continue
+            listing = await join_pages(self._read_page)
+            if isinstance(listing, Ok):
+                await self._watch(listing.ok_value, begun_at)
+
+    async def _read_page(self, after: str) -> Result[KeyPage, StoreFailure]:
+        """Read a page of a listing; after a failure, return when it may be repeated."""
+        begun_at = now()
+        page = await call_in_time(self.store.list_page(self.prefix, after), self.timeout.seconds)
+        if isinstance(page, Err):
+            await self._retry_after(begun_at, page.err_value)
+        else:
             self.status.answered()
             self.timeout.answered(now() - begun_at)
-            await self._watch(listing.ok_value, begun_at)
+            self.on_page()
+        return page
 
     def _report(self, entries: dict[str, str], confirmed_at: float) -> None:
         """Report the entries; the next change is reported also if that fails."""
--- a/packages/daemon/cranberryshored/pool/tests/test_store_access.py
+++ b/packages/daemon/cranberryshored/pool/tests/test_store_access.py
@@ -89,6 +89,27 @@
         self.run_round(store_age=0.1)
         self.assertEqual(len(self.exchange.listener.ended), 1)
 
+    def test_next_scheduler_hands_over_while_it_reads_page_by_page(self):
+        self.follow(listing_age=MAX_LISTING_AGE_SECONDS)
+        self.claim(answer_age=0.2)
+        self.now += MAX_LISTING_AGE_SECONDS
+        self.exchange.group.page_read_at = self.now
+        self.run_round(store_age=0.1)
+        self.assertEqual(self.exchange.listener.ended, [])
+
+    def test_next_scheduler_hands_back_to_one_that_could_not_read_the_registrations(self):
+        self.follow(listing_age=MAX_LISTING_AGE_SECONDS)
+        beat = Beat(FOLLOWER, 1, 0, 0, 0, self.now, successor="another")
+        self.exchange.deliver(FOLLOWER.incarnation, beat)
+        self.claim(answer_age=0.2)
+        self.now += MAX_LISTING_AGE_SECONDS
+        self.run_round(store_age=0.1)
+        self.assertEqual(self.exchange.listener.ended, [])
+        self.read_registrations(0.1)
+        self.now += MAX_LISTING_AGE_SECONDS + 0.1
+        self.run_round(store_age=0.1)
+        self.assertEqual(len(self.exchange.listener.ended), 1)
+
     def test_first_scheduler_hands_over_before_it_can_read_the_registrations(self):
         self.exchange.group.listing_read_at = float("-inf")
         self.claim(answer_age=MAX_ANSWER_AGE_SECONDS + 0.1)
--- a/packages/proof/cranberryshore_proof/contact_mutations.py
+++ b/packages/proof/cranberryshore_proof/contact_mutations.py
@@ -6,18 +6,22 @@
 import asyncio
 from collections.abc import Callable
 
+from result import Result
+
 from cranberryshore.placement import rejections
 from cranberryshore.placement.rejections import RejectionPauses
-from cranberryshore.pool import Group, MemberAddress, Scheduler
+from cranberryshore.pool import Group, Member, MemberAddress, Scheduler
 from cranberryshore.pool.earlier_runs import EarlierRuns
 from cranberryshore.pool.run import Run
 from cranberryshore.pool.run_registry import RunRegistry
 from cranberryshore.pool.run_statistics import RunStatistics
 from cranberryshore.pool.worker_status import RunKey
-from cranberryshored.pool import loss_keeper, worker_channel
+from cranberryshored.platform.store import KeyPage, StoreFailure
+from cranberryshored.pool import loss_keeper, store_follower, worker_channel
 from cranberryshored.pool.clock import TOKEN_INSTANCE_BITS, TokenSource, now
 from cranberryshored.pool.loss_keeper import LossKeeper
 from cranberryshored.pool.registry import StoreRegistry
+from cranberryshored.pool.store_follower import StoreFollower, call_in_time
 
 CONTACT_TEST_MODULES = (
     "cranberryshore.pool.tests.test_earlier_submissions",
@@ -98,6 +102,16 @@
     self.unheard_seconds += now - max(heard_at, self.started_at)
 
 
+def _any_successor(self: Group, now: float) -> list[Member]:
+    return self._possible_successors(now)
+
+
+async def _read_within_one_limit(self: StoreFollower, after: str) -> Result[KeyPage, StoreFailure]:
+    pages = self.store.list(self.prefix)
+    listing = await call_in_time(pages, self.timeout.seconds)
+    return listing.map(lambda whole: KeyPage(whole.revision, whole.entries, ""))
+
+
 CONTACT_MUTATIONS = (
     ("earlier: own starts are forgotten", EarlierRuns, "may_have_started", _only_foreign),
     ("earlier: others' starts are unknown", EarlierRuns, "may_have_started", _only_own),
@@ -120,6 +134,9 @@
     ("keeper: reads are repeated for good", LossKeeper, "_load", _load_for_good),
     ("token: advances of a worker count for all", TokenSource, "advance", _advance_all),
     ("token: former ones do not matter", TokenSource, "next", _next_by_clock),
+    ("store: failed readers are tried again", Group, "_untried_successors", _any_successor),
+    ("store: first answers come soon", store_follower, "MAX_TIMEOUT_SECONDS", 1.0),
+    ("store: a listing is one answer", StoreFollower, "_read_page", _read_within_one_limit),
     ("silence: it is run time", RunStatistics, "record_answer", _constant(None)),
     ("silence: one failed poll is none", Scheduler, "record_poll_failure", _note_second),
     ("silence: it never ends", Run, "record_answer", _excuse_always),
--- a/packages/proof/cranberryshore_proof/pool_mutate.py
+++ b/packages/proof/cranberryshore_proof/pool_mutate.py
@@ -151,7 +151,7 @@
 
 
 def _claim_anew(self: Group, claim: Claim, now: float) -> None:
-    self.claim, self.claimed_at, self.listing_read_at = claim, now, now
+    self.claim, self.page_read_at, self.listing_read_at = claim, now, now
 
 
 def _take_earlier_copy(
--- a/packages/proof/cranberryshore_proof/pool_registry.py
+++ b/packages/proof/cranberryshore_proof/pool_registry.py
@@ -88,7 +88,7 @@
         if not self._is_store_unreachable():
             on_config(self.data.config, self.data.now())
 
-    async def follow_workers(self, on_workers, known) -> None:
+    async def follow_workers(self, on_workers, known, on_page=lambda: None) -> None:
         """See :class:`Registry`."""
         while True:
             if not self._is_store_unreachable():
--- a/packages/proof/cranberryshore_proof/pool_store.py
+++ b/packages/proof/cranberryshore_proof/pool_store.py
@@ -8,9 +8,11 @@
 from result import Err, Ok, Result
 
 from cranberryshore_proof.network import Network
+from cranberryshored.platform.listing import join_pages
 from cranberryshored.platform.store import (
     Entry,
     KeyListing,
+    KeyPage,
     StoreConflict,
     StoreFailure,
     StoreUnavailable,
@@ -47,8 +49,10 @@
         Lease that a key is deleted with.
     is_silent : bool
         Whether all calls stay unanswered and undone.
-    slow_seconds : float
-        Additional time that each answer takes.
+    slow_seconds, listing_seconds : float
+        Additional time that each answer takes, and that each page of a listing takes besides.
+    page_size : int
+        Largest number of entries on a page.
     """
 
     revision: int = 10
@@ -59,6 +63,8 @@
     lease_by_key: dict[str, str] = attrs.field(factory=dict)
     is_silent: bool = False
     slow_seconds: float = 0.0
+    listing_seconds: float = 0.0
+    page_size: int = 500
     changed: asyncio.Event = attrs.field(factory=asyncio.Event)
 
     def set(self, key: str, value: str | None, lease: str = "") -> int:
@@ -93,6 +99,13 @@
         keys = sorted(key for key in self.entries if key.startswith(prefix))
         return KeyListing(self.revision, tuple(self.entries[key] for key in keys))
 
+    def list_page(self, prefix: str, after: str) -> KeyPage:
+        """Return the entries with a prefix whose keys come after another one, up to a limit."""
+        keys = sorted(key for key in self.entries if key.startswith(prefix) and key > after)
+        page = keys[: self.page_size]
+        entries = tuple(self.entries[key] for key in page)
+        return KeyPage(self.revision, entries, page[-1] if len(keys) > len(page) else "")
+
     async def watch(
         self, prefix: str, after: int, wait_seconds: float
     ) -> Result[WatchResult, StoreFailure]:
@@ -155,7 +168,8 @@
         """Do nothing."""
 
     async def close(self) -> None:
-        """Do nothing."""
+        """Close the idle connections."""
+        self.idle.clear()
 
     def silence(self) -> None:
         """Let the open connections fall silent for good, without a reset."""
@@ -192,9 +206,14 @@
 
     async def list(self, prefix: str) -> Result[KeyListing, StoreFailure]:
         """See :class:`Store`."""
+        return await join_pages(lambda after: self.list_page(prefix, after))
+
+    async def list_page(self, prefix: str, after: str) -> Result[KeyPage, StoreFailure]:
+        """See :class:`PagedStore`."""
 
         async def serve() -> Result:
-            return Ok(self.store.list(prefix))
+            await asyncio.sleep(self.store.listing_seconds)
+            return Ok(self.store.list_page(prefix, after))
 
         return await self._call(serve)
 
--- a/packages/proof/cranberryshore_proof/tests/test_store_follower.py
+++ b/packages/proof/cranberryshore_proof/tests/test_store_follower.py
@@ -123,6 +123,34 @@
 
         self.follow(scenario)
 
+    def read_first(self, store: ModelStore, seconds: float) -> None:
+        """Begin to follow a store, whose entries must be reported within a time."""
+
+        async def run() -> list[dict]:
+            CLOCKS.steady = asyncio.get_running_loop().time
+            reports = []
+
+            def report(entries: dict[str, str], _confirmed_at: float) -> None:
+                reports.append(dict(entries))
+
+            client = ModelStoreClient("n", store, Network(Random(1)), lambda: False)
+            status = StoreStatus(make_logger("store"))
+            task = asyncio.ensure_future(StoreFollower(client, "k", 1000, report, status).run())
+            await asyncio.sleep(seconds)
+            task.cancel()
+            return reports
+
+        for key in ("k1", "k2", "k3"):
+            store.set(key, "0")
+        self.assertEqual(run_virtual(run()), [dict.fromkeys(("k1", "k2", "k3"), "0")])
+
+    def test_listing_fails_that_takes_longer_than_an_answer_may(self):
+        store = ModelStore(listing_seconds=1.2, page_size=1)
+        self.read_first(store, 3 * (1.2 + 2 * ROUND_TRIP_SECONDS))
+
+    def test_first_answer_of_a_slow_store_comes_too_late(self):
+        self.read_first(ModelStore(slow_seconds=1.2), 1.2 + 2 * ROUND_TRIP_SECONDS)
+
     def test_error_in_one_report_ends_the_follower(self):
         async def scenario(followed: FollowedStore) -> None:
             followed.failures = 1
@@ -163,6 +191,23 @@
         self.clients.append(client)
         return client
 
+    def test_connection_that_fell_silent_since_the_last_term_delays_the_listing(self):
+        async def run() -> list[tuple]:
+            CLOCKS.steady = asyncio.get_running_loop().time
+            listings = []
+            for _ in range(2):
+                task = asyncio.ensure_future(self.registry.follow_workers(listings.append, ()))
+                await asyncio.sleep(0.1)
+                # Ends between two calls, so the connection is idle.
+                self.store.set(WORKERS_PREFIX + "a", "")
+                await asyncio.sleep(0.1)
+                task.cancel()
+                for client in self.clients:
+                    client.silence()
+            return listings
+
+        self.assertEqual(len(run_virtual(run())), 4)
+
     def publish(self, version: int) -> None:
         self.store.set(CONFIG_KEY, encode_json(PoolConfig(version)).decode())
 
