Worker channel: a worker is polled on when a poll in parallel fails last

What callers saw: jobs refused because "the remaining workers cannot answer the job in time", while three of six workers were up and free.

Cause: a poll that was sent beside another one may fail as the second one, which makes the worker silent. If the runs of the worker have lapsed by then, the polling has found it idle and waits to be woken. Nothing polls a silent worker else, so it stayed out of use for the rest of the claim.

Change: a poll that fails wakes the polling.

Tests of worker_channel and scheduling: 15 passed.

--- a/packages/daemon/cranberryshored/pool/tests/test_worker_channel.py
+++ b/packages/daemon/cranberryshored/pool/tests/test_worker_channel.py
@@ -94,6 +94,24 @@
         self.assertEqual(calls.polls, 2)
         await channel.close()
 
+    async def test_worker_is_never_polled_again_after_two_parallel_polls_have_failed(self):
+        calls = DelayedCalls()
+        channel = self.open_channel(calls)
+        worker = channel.worker
+        while worker.state is not HoldState.HELD:
+            await asyncio.sleep(0.01)
+        calls.answer_seconds = float("inf")
+        channel.poll_now()
+        await asyncio.sleep(0.02)
+        channel.poll_now()
+        while worker.state is HoldState.HELD:
+            await asyncio.sleep(0.01)
+        calls.answer_seconds = 0.0
+        async with asyncio.timeout(5):
+            while worker.state is not HoldState.HELD:
+                await asyncio.sleep(0.01)
+        await channel.close()
+
     async def test_error_in_one_poll_ends_the_polling_of_the_worker(self):
         class FailingCalls(DelayedCalls):
             async def poll(self, worker, poll, seconds):
--- a/packages/daemon/cranberryshored/pool/worker_channel.py
+++ b/packages/daemon/cranberryshored/pool/worker_channel.py
@@ -246,6 +246,8 @@
 
     def _poll_failed(self, failure: PollFailure, token: int) -> None:
         worker = self.worker
+        # A poll in parallel may fail when the polling waits because the worker is idle.
+        self.wake.set()
         self.failed_polls += 1
         before, self.latest_failure = self.latest_failure, failure
         if self.failed_polls == 1 or failure is not before:
