Soak: signals that end a process without a handler are sent once it has reported its handlers

Cause: SIGUSR1 was sent to processes older than 2 s, SIGHUP to all. Where processes wait for the processor, the imports take longer.

Change: the launcher sets both handlers first, before the imports of the daemon, and reports that in its first line; neither signal is sent before. SIGHUP during the imports is sent as before, SIGUSR1 now too.

--- a/packages/soak/cranberryshore_soak/fault_injection.py
+++ b/packages/soak/cranberryshore_soak/fault_injection.py
@@ -19,10 +19,6 @@
 """Range of the time between two faults; as a fault lasts up to 4 s, two or three overlap."""
 
 FAULT_LENGTH_SECONDS = (0.3, 4.0)
-HANDLER_READY_SECONDS = 2.0
-"""SIGUSR1 is sent only to processes older than this. Before :mod:`cranberryshore_soak.launch` has
-installed its handler, the signal would end the process."""
-
 DISTRIBUTION_SECONDS = 0.1
 """Time in which instances usually read a new configuration and begin their next watch."""
 
@@ -195,16 +191,16 @@
 
     async def _reload(self, length: float) -> None:
         for daemon in list(self.cluster.daemons.values()):
-            daemon.send(SIGHUP)
+            daemon.send_handled(SIGHUP)
             await asyncio.sleep(length / 20)
 
     async def _clock_jump(self, length: float) -> None:
         daemon = self._choose_daemon()
-        if daemon is not None and time.monotonic() > daemon.started_at + HANDLER_READY_SECONDS:
+        if daemon is not None:
             self.cluster.history.record_event(
                 f"  clock of {daemon.name} jumps {daemon.clock_jump} s"
             )
-            daemon.send(SIGUSR1)
+            daemon.send_handled(SIGUSR1)
 
     # Connections
 
--- a/packages/soak/cranberryshore_soak/launch.py
+++ b/packages/soak/cranberryshore_soak/launch.py
@@ -1,26 +1,18 @@
 """Run the daemon with a skewed wall clock; each SIGUSR1 adds a further jump."""
 
+from cranberryshore_soak import early_signals  # isort: skip
+
 import os
-import signal
 from time import time
 
 from cranberryshore_platform.__main__ import main
+from cranberryshore_soak.environment import JUMP_VARIABLE, OFFSET_VARIABLE
 from cranberryshored.pool.clock import CLOCKS
 
-OFFSET_VARIABLE = "CRANBERRYSHORE_SOAK_CLOCK_OFFSET"
-JUMP_VARIABLE = "CRANBERRYSHORE_SOAK_CLOCK_JUMP"
-
 
 def skew_clock(offset: float, jump: float) -> None:
     """Skew the wall clock by ``offset`` seconds, and by another ``jump`` on each SIGUSR1."""
-    seconds = offset
-
-    def add_jump(_signal: int, _frame: object) -> None:
-        nonlocal seconds
-        seconds += jump
-
-    CLOCKS.unix = lambda: time() + seconds
-    signal.signal(signal.SIGUSR1, add_jump)
+    CLOCKS.unix = lambda: time() + offset + jump * len(early_signals.jumps)
 
 
 if __name__ == "__main__":
--- a/packages/soak/cranberryshore_soak/processes.py
+++ b/packages/soak/cranberryshore_soak/processes.py
@@ -12,7 +12,7 @@
 
 import attrs
 
-from cranberryshore_soak.launch import JUMP_VARIABLE, OFFSET_VARIABLE
+from cranberryshore_soak.environment import HANDLERS_REPORT, JUMP_VARIABLE, OFFSET_VARIABLE
 
 MAX_LOG_LINES = 40_000
 """Log lines retained for each daemon."""
@@ -50,6 +50,8 @@
         Receives a description of each unexpected behavior of the process.
     terminating : Process or None
         The last process that was killed or told to shut down.
+    handling : Process or None
+        The last process that has reported that it handles signals.
     """
 
     name: str
@@ -65,6 +67,7 @@
     paused_until: float = 0.0
     started_at: float = 0.0
     terminating: asyncio.subprocess.Process | None = None
+    handling: asyncio.subprocess.Process | None = None
     watcher: asyncio.Task | None = None
 
     @property
@@ -114,6 +117,8 @@
     async def _watch(self, process: asyncio.subprocess.Process) -> None:
         """Collect the log, and report an unrequested exit or an unexpected exit status."""
         async for line in process.stdout:
+            if line.decode(errors="replace").rstrip() == HANDLERS_REPORT:
+                self.handling = process
             self._record_log_line(line)
         code = await process.wait()
         if process is not self.terminating:
@@ -138,6 +143,11 @@
             with suppress(ProcessLookupError):
                 os.kill(self.process.pid, number)
 
+    def send_handled(self, number: signal.Signals) -> None:
+        """Send a signal that ends a process without a handler, once the process has one."""
+        if self.handling is self.process:
+            self.send(number)
+
     async def kill(self) -> None:
         """Kill the process."""
         self.terminating = self.process
--- a/packages/soak/cranberryshore_soak/regressions.py
+++ b/packages/soak/cranberryshore_soak/regressions.py
@@ -42,10 +42,8 @@
     "job failed for workers on which its runs had lapsed": _worker_loss_plan(725),
     "job failed for two workers that had left unseen": _worker_loss_plan(726),
     "job failed for a worker that a start had not reached": _worker_loss_plan(730),
-    "SIGHUP before the interpreter had started (open)": _large_plan(4002),
-    "listings of the workers took over 1 s, so a smaller room was not read (open)": _large_plan(
-        4003
-    ),
+    "SIGHUP or SIGUSR1 before the process handled it": _large_plan(4002),
+    "listings of the workers took over 1 s, so a smaller room was not read": _large_plan(4003),
     "instances were not ready on a busy machine (open)": _large_plan(4004),
     "request unanswered and configuration late on a busy machine (open)": _large_plan(4005),
     "a nested entry ended the scheduler's watch of the workers": _foreign_entry_plan(744),
--- a/packages/soak/cranberryshore_soak/tests/test_processes.py
+++ b/packages/soak/cranberryshore_soak/tests/test_processes.py
@@ -1,8 +1,9 @@
 import asyncio
+import os
 import subprocess
 import threading
 from pathlib import Path
-from signal import SIGCONT
+from signal import SIGCONT, SIGHUP, SIGSTOP, SIGUSR1
 from tempfile import TemporaryDirectory
 from unittest import IsolatedAsyncioTestCase, mock
 
@@ -25,6 +26,26 @@
                 for daemon in daemons:
                     await daemon.close()
 
+    async def test_signal_ended_a_process_that_did_not_handle_it_yet(self):
+        # Regression: seed 4002 on a busy machine; processes took over 2 s to handle SIGUSR1.
+        violations = []
+        with TemporaryDirectory() as folder:
+            daemon = DaemonProcess("e0", "a", {}, Path(folder), 0.0, 1.0, violations.append)
+            await daemon.start()
+            os.kill(daemon.process_id, SIGSTOP)
+            daemon.send_handled(SIGUSR1)
+            daemon.send_handled(SIGHUP)
+            self.assertEqual(daemon.sent_signals, [])
+            os.kill(daemon.process_id, SIGCONT)
+            async with asyncio.timeout(30):
+                while daemon.handling is None:
+                    await asyncio.sleep(0.001)
+                daemon.send_handled(SIGUSR1)
+                daemon.send_handled(SIGHUP)
+                await daemon.watcher
+        self.assertEqual([number for _, number in daemon.sent_signals], [SIGUSR1, SIGHUP])
+        self.assertIn("e0 exited unexpectedly with status 2", violations)
+
     async def test_signal_takes_the_exit_status_from_the_watcher(self):
         # Regression: seed 241 reported "e2 exited with status 255". A signal to a process that had
         # just exited collected its status before the watcher did.
