--- a/packages/proof/cranberryshore_proof/pool_play.py
+++ b/packages/proof/cranberryshore_proof/pool_play.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from cranberryshore.pool import PoolConfig
+from cranberryshore.pool import HoldState, PoolConfig
 from cranberryshore_proof.config_checks import STORE
 from cranberryshore_proof.pool_deployment import PoolDeployment
 from cranberryshore_proof.pool_worker_faults import WorkerFaults
@@ -281,6 +281,7 @@
         await asyncio.sleep(4.0)
         await asyncio.gather(*await deployment.load(LOAD_AFTER_FAULTS_SECONDS, 5.0))
         after_faults = deployment.summary()
+        self._check_workers_in_use()
         return PoolResult(
             deployment.seed,
             tuple(self.events),
@@ -291,6 +292,21 @@
             after_faults.completed,
         )
 
+    def _check_workers_in_use(self) -> None:
+        """Check that each worker that is up is held by a scheduler, since all faults have ended."""
+        schedulings = [daemon.scheduling for daemon in self.deployment.daemons.values()]
+        held = {
+            name
+            for scheduling in schedulings
+            if scheduling.claim is not None
+            for name, worker in scheduling.scheduler.workers.items()
+            if worker.state is HoldState.HELD
+        }
+        for worker in self.deployment.workers.values():
+            is_up = not (worker.is_down or worker.refuses or worker.is_replaced)
+            if is_up and worker.name not in held:
+                self.deployment.faults.append(f"{worker.name} is up and out of use")
+
 
 def simulate_pool(
     seed: int, is_store_simulated: bool = True, has_crashes: bool = False
--- a/packages/proof/cranberryshore_proof/tests/test_pool_play.py
+++ b/packages/proof/cranberryshore_proof/tests/test_pool_play.py
@@ -45,6 +45,12 @@
         self.assert_held(12, is_store_simulated=True)
         self.assert_held(14, is_store_simulated=True)
 
+    def test_workers_that_are_up_stay_out_of_use(self):
+        # Regression: of two polls in parallel, the second to fail was the last one.
+        for seed in (31, 39):
+            result = simulate_pool(seed, has_crashes=True)
+            self.assertEqual((seed, result.faults), (seed, ()))
+
     def test_worker_restart_that_is_not_noticed(self):
         # Regression (seed 3): the record of a worker's runs since its restart was dropped together
         # with that of the runs before.
