Losses: an announcement that is read after the proof still tells a departure

What callers may see: a job is given up for workers that have left. Once another process had answered at the address, the announcement was not looked at any more: only suspected losses were dismissed.

Change: a registration that says leaving refutes each loss of that start of the worker, proven or not.

--- a/packages/core/cranberryshore/pool/crashes.py
+++ b/packages/core/cranberryshore/pool/crashes.py
@@ -254,10 +254,17 @@
             and entry.lost.state is not LossState.REFUTED
         ]
 
-    def dismiss(self, registration: WorkerRegistration, now: float) -> None:
-        """Record that a worker has left that is registered as leaving, so it has not crashed."""
-        for entry in self._suspected(registration.name):
-            if registration.is_of_start(entry.lost.born):
+    def dismiss(self, registrations: Iterable[WorkerRegistration], now: float) -> None:
+        """Record that workers have left that are registered as leaving, so they have not crashed.
+
+        The announcement may be read after another process has answered.
+        """
+        if not self.entries:
+            return
+        leaving = {worker.name: worker for worker in registrations if worker.is_draining}
+        for entry in self._entries():
+            worker = leaving.get(entry.lost.worker)
+            if worker is not None and worker.is_of_start(entry.lost.born):
                 self._merge(attrs.evolve(entry.lost, state=LossState.REFUTED), now)
 
     def withdraw(self, worker: str, born: int, run: RunKey) -> None:
--- a/packages/core/cranberryshore/pool/loss_tracking.py
+++ b/packages/core/cranberryshore/pool/loss_tracking.py
@@ -89,10 +89,7 @@
             if departure is Departure.EXCLUDED:
                 self.crashes.confirm_registered(entry.lost.worker, entry.lost.born, now)
         self.effects += [WorkerLossJudged(name, judged[name]) for name in sorted(judged)]
-        if self.crashes.unresolved:
-            for entry in listing.workers:
-                if entry.is_draining and entry.name in self.crashes.unresolved:
-                    self.crashes.dismiss(entry, now)
+        self.crashes.dismiss(listing.workers, now)
 
     def find_failure(self, job: PoolJob) -> JobFailure | None:
         """Return the failure of a job with a task that crashes its workers."""
--- a/packages/core/cranberryshore/pool/tests/test_unproven_losses.py
+++ b/packages/core/cranberryshore/pool/tests/test_unproven_losses.py
@@ -1,5 +1,7 @@
 from collections.abc import Callable
 
+import attrs
+
 from cranberryshore.pool import (
     EndKind,
     FailureCause,
@@ -7,6 +9,7 @@
     LossState,
     ReportedRun,
     StartRun,
+    WorkerListing,
     WorkerStatus,
 )
 from cranberryshore.pool.crashes import MAX_UNCLEAR_LOSSES
@@ -18,7 +21,7 @@
 )
 from cranberryshore.pool.takeover import ADOPTION_WINDOW_SECONDS
 from cranberryshore.pool.tests.test_lost_workers import LostWorkerTestCase
-from cranberryshore.pool.tests.test_scheduler import request
+from cranberryshore.pool.tests.test_scheduler import registration, request
 
 
 class UnprovenLossTest(LostWorkerTestCase):
@@ -161,6 +164,23 @@
         self.assert_not_failed()
         self.assertFalse(self.scheduler.crashes.is_suspect("j.0.0.0"))
 
+    def test_job_failed_for_workers_whose_announcement_was_read_after_the_proof(self):
+        # The store has carried it out late.
+        def lose(name: str) -> None:
+            self.crash(name)
+            self.scheduler.worker_replaced(name, self.now)
+            self.now += 0.3
+            workers = [registration(other) for other in self.scheduler.workers]
+            leaving = [
+                attrs.evolve(worker, born=1, is_draining=worker.name == name) for worker in workers
+            ]
+            listing = WorkerListing(tuple(leaving), frozenset(), self.now, self.now)
+            self.scheduler.workers_listed(listing, self.now)
+
+        self.lose_twice(lose)
+        self.assert_not_failed()
+        self.assertEqual(self.scheduler.crashes.crashed_workers("j.0.0.0"), 0)
+
     def test_job_failed_after_a_refusal_that_came_when_the_lease_was_nearly_over(self):
         def lose(name: str) -> None:
             self.list_workers()
