--- a/packages/core/cranberryshore/pool/crashes.py
+++ b/packages/core/cranberryshore/pool/crashes.py
@@ -94,6 +94,8 @@
         New and changed records that other instances lack.
     recent : RecentLosses
         Latest losses that this instance has noticed.
+    heard : dict
+        Send time of the latest poll that each start of a worker has answered here.
     discarded_at : float
         Time at which old records were last discarded.
     """
@@ -103,6 +105,7 @@
     cleared: dict[str, None] = attrs.field(factory=dict)
     changes: list[Entry] = attrs.field(factory=list)
     recent: RecentLosses = attrs.field(factory=RecentLosses)
+    heard: dict[tuple[str, int], float] = attrs.field(factory=dict)
     discarded_at: float = float("-inf")
 
     def record(
@@ -133,6 +136,7 @@
                 was_running,
                 is_store_answering,
                 number=self._refuted_count(task, worker, born, attempt),
+                is_exposed=is_exposed,
             )
             for (task, attempt), was_running in runs.items()
         ]
@@ -172,9 +176,26 @@
         )
 
     def merge(self, records: Iterable[LostRun], now: float) -> None:
-        """Add the records of another instance."""
+        """Add the records of another instance.
+
+        A suspicion is refuted if the worker has answered since.
+        """
         for lost in records:
-            self._merge(attrs.evolve(lost, age_seconds=0.0), now - lost.age_seconds)
+            received, lost_at = attrs.evolve(lost, age_seconds=0.0), now - lost.age_seconds
+            is_known = received.key in self.entries.get(received.task, ())
+            self._merge_received(received, lost_at)
+            if not (is_known or received.has_lapsed):
+                record = (received.task, received.key)
+                noticed = NoticedLoss(received.worker, lost_at, received.is_exposed, (record,))
+                self._notice(noticed, now)
+
+    def _merge_received(self, lost: LostRun, lost_at: float) -> None:
+        heard_at = self.heard.get((lost.worker, lost.born), float("-inf"))
+        if lost.state is not LossState.SUSPECTED or heard_at <= lost_at:
+            self._merge(lost, lost_at)
+        elif lost.key not in self.entries.get(lost.task, ()):
+            # A record that is known here is of a later loss.
+            self._merge(attrs.evolve(lost, state=LossState.REFUTED), lost_at)
 
     def _merge(self, lost: LostRun, lost_at: float) -> None:
         if lost.task in self.cleared:
@@ -184,6 +205,7 @@
         if known is None:
             known = found[lost.key] = Entry(lost, lost_at)
         else:
+            known.lost_at = min(known.lost_at, lost_at)
             merged = known.lost.merge(lost)
             if merged == known.lost:
                 return
@@ -192,16 +214,28 @@
         if known.lost.state is LossState.SUSPECTED:
             self.unresolved.add(lost.worker)
 
-    def resolve(self, worker: str, born: int | None, now: float) -> None:
+    def worker_answered(self, worker: str, born: int, polled_at: float, now: float) -> None:
+        """Record that a start of a worker has answered a poll that was sent at a time."""
+        self.heard[worker, born] = max(polled_at, self.heard.get((worker, born), polled_at))
+        self.resolve(worker, born, now, polled_at)
+
+    def resolve(
+        self, worker: str, born: int | None, now: float, polled_at: float = float("inf")
+    ) -> None:
         """Prove or refute the losses of a worker that has answered.
 
-        ``born`` is the start of the process that has; ``None`` stands for another worker.
+        ``born`` is the start of the process that has; ``None`` stands for another worker. An answer
+        to a poll from before the loss, sent at ``polled_at``, may be as old and does not refute it.
         """
         if worker not in self.unresolved:
             return
         self.unresolved.discard(worker)
         for entry in self._suspected(worker):
-            state = LossState.REFUTED if born == entry.lost.born else LossState.PROVEN
+            is_same = born == entry.lost.born
+            if is_same and polled_at < entry.lost_at:
+                self.unresolved.add(worker)
+                continue
+            state = LossState.REFUTED if is_same else LossState.PROVEN
             self._merge(attrs.evolve(entry.lost, state=state), now)
 
     def confirm_registered(self, worker: str, born: int, now: float) -> None:
@@ -220,28 +254,31 @@
             and entry.lost.state is not LossState.REFUTED
         ]
 
-    def dismiss(self, registration: WorkerRegistration, now: float) -> None:
-        """Record that a worker has left that is registered as leaving, so it has not crashed."""
-        for entry in self._suspected(registration.name):
-            if registration.is_of_start(entry.lost.born):
+    def dismiss(self, registrations: Iterable[WorkerRegistration], now: float) -> None:
+        """Record that workers have left that are registered as leaving, so they have not crashed.
+
+        The announcement may be read after another process has answered.
+        """
+        if not self.entries:
+            return
+        leaving = {worker.name: worker for worker in registrations if worker.is_draining}
+        for entry in self._entries():
+            worker = leaving.get(entry.lost.worker)
+            if worker is not None and worker.is_of_start(entry.lost.born):
                 self._merge(attrs.evolve(entry.lost, state=LossState.REFUTED), now)
 
-    def withdraw(self, worker: str, run: RunKey) -> None:
-        """Record that a run has never begun, so that no worker was lost under it."""
+    def withdraw(self, worker: str, born: int, run: RunKey) -> None:
+        """Record that a run has never begun on a start of a worker, nor on later ones.
+
+        Records of former starts may be of another run, since the next scheduler numbers the
+        attempts anew.
+        """
         task, attempt = run
         for entry in self._losses(task):
             lost = entry.lost
-            if (lost.worker, lost.attempt) == (worker, attempt) and not lost.was_running:
-                self._replace(entry, attrs.evolve(lost, state=LossState.REFUTED))
-                for other in self._entries():
-                    if (other.lost.worker, other.lost.born) == (worker, lost.born):
-                        beside = tuple(name for name in other.lost.beside if name != task)
-                        self._replace(other, attrs.evolve(other.lost, beside=beside))
-
-    def _replace(self, entry: Entry, lost: LostRun) -> None:
-        if lost != entry.lost:
-            entry.lost = lost
-            self.changes.append(entry)
+            is_same = (lost.worker, lost.attempt) == (worker, attempt) and lost.born >= born
+            if is_same and not lost.was_running:
+                self._merge(attrs.evolve(lost, state=LossState.REFUTED), entry.lost_at)
 
     def _suspected(self, worker: str) -> list[Entry]:
         return [
@@ -308,13 +345,29 @@
         """Return whether a task crashes the workers that start it."""
         if self.crashed_workers(task) < MAX_LOST_WORKERS:
             return False
-        return any(self.cleared.keys() >= set(lost.beside) for lost in self._proven(task))
+        return any(self._was_alone(lost) for lost in self._proven(task))
+
+    def _was_alone(self, lost: LostRun) -> bool:
+        """Return whether nothing else was on the worker but tasks that are not to blame."""
+        return all(
+            task in self.cleared or self._has_never_begun(task, lost.worker, lost.born)
+            for task in lost.beside
+        )
+
+    def _has_never_begun(self, task: str, worker: str, born: int) -> bool:
+        """Return whether each start of a task on a lost worker was withdrawn."""
+        found = [entry.lost for entry in self.entries.get(task, {}).values()]
+        states = [lost.state for lost in found if (lost.worker, lost.born) == (worker, born)]
+        return bool(states) and all(state is LossState.REFUTED for state in states)
 
     def discard_outdated(self, now: float) -> None:
         """Forget old losses, and the oldest ones if there are too many."""
-        if not self.entries or now < self.discarded_at + DISCARD_SECONDS:
+        if now < self.discarded_at + DISCARD_SECONDS:
             return
         self.discarded_at = now
+        self.heard = {boot: at for boot, at in self.heard.items() if now <= at + RETENTION_SECONDS}
+        if not self.entries:
+            return
         entries = self._entries()
         entries.sort(key=lambda entry: entry.lost_at, reverse=True)
         for number, entry in enumerate(entries):
--- a/packages/core/cranberryshore/pool/held_worker.py
+++ b/packages/core/cranberryshore/pool/held_worker.py
@@ -66,8 +66,7 @@
     born : int
         Identifier of the current start of the worker process; 0 before its first answer.
     registered_born : int
-        Identifier of the start that wrote the registration from which service, labels and capacity
-        come; 0 if unknown.
+        Start that wrote the registration with service, labels and capacity; 0 if unknown.
     last_seen : int
         Number of the last processed end since that start.
     acknowledged_end : int
@@ -85,6 +84,8 @@
         Runs of the present start whose leases have expired since its latest answer.
     is_loss_recorded : bool
         Whether the worker has been recorded as lost since its last answer.
+    is_unheard : bool
+        Whether a poll has failed since the latest answer.
     strangers : set of RunKey
         Foreign runs: active, but not started or adopted by this holder.
     foreign_ends : dict
@@ -99,8 +100,7 @@
     clock_read_at, clock_requested_at : float
         Times at which the clock of the worker was read, and at which a poll was requested for it.
     lease_extended_at : float
-        Time of the last request, of this holder or an earlier one, that could extend the lease, in
-        seconds.
+        Time of the last request, of any holder, that could extend the lease, in seconds.
     lease_until : float
         End of the longest lease that the worker has confirmed, in seconds.
     born_polled_at : float
@@ -131,6 +131,7 @@
     closed_at: float = float("-inf")
     lapsed_runs: set[RunKey] = attrs.field(factory=set)
     is_loss_recorded: bool = False
+    is_unheard: bool = False
     strangers: set[RunKey] = attrs.field(factory=set)
     strangers_since: float = float("inf")
     foreign_ends: dict[str, ReportedEnd] = attrs.field(factory=dict)
@@ -212,18 +213,20 @@
         self, key: RunKey, demand: Capacity, now: float, lease_end_ms: int | None = None
     ) -> None:
         """Add a run whose start is being requested."""
-        run = self.runs[key] = Run(demand, RunState.REQUESTED, self.token, now)
+        run = self.runs[key] = Run(demand, RunState.REQUESTED, self.token, now, born=self.born)
         if lease_end_ms is not None:
             run.lease_until = self.lease_end_at(lease_end_ms)
         self.room = self.room - demand
         self.lease_extended_at = now
 
     def confirm_start(self, key: RunKey, now: float) -> None:
-        """Record that the worker has confirmed the start of a run."""
+        """Record that the worker, or a former start of it, has confirmed the start of a run."""
         run = self.runs.get(key)
         if run is None:
             return
         run.start_confirmed_at = min(run.start_confirmed_at, now)
+        if run.born != self.born:
+            return
         self.lease_until = max(self.lease_until, run.lease_until)
         if run.state is RunState.REQUESTED:
             run.state = RunState.RUNNING
@@ -255,7 +258,8 @@
     def boot_state(self, now: float) -> BootState:
         """Return what is known of the present start of the worker process."""
         lapsed = frozenset(self.lapsed_runs)
-        return BootState(self.born, self.possible_runs(now), bool(self.isolated_runs), lapsed)
+        isolated = frozenset(self.isolated_runs)
+        return BootState(self.born, self.possible_runs(now), isolated, lapsed)
 
     def record_closing(self, now: float) -> None:
         """Record that the host of the worker has closed a connection before the reply."""
@@ -294,8 +298,7 @@
 
     def mark_lost(self, now: float) -> None:
         """Record that the worker obeys another holder."""
-        self.state = HoldState.LOST
-        self.lost_at = now
+        self.state, self.lost_at = HoldState.LOST, now
 
     def remove_expired_runs(self, now: float) -> list[RunEnd]:
         """Remove and return the runs of a worker that is not held and whose lease has expired."""
@@ -333,7 +336,7 @@
         ends += self._remove_missing_runs(listed, token, poll_sent_at)
         for key, item in listed.items():
             if key in self.runs:
-                self.runs[key].percent = item.percent
+                self.runs[key].record_listing(self.born, item.percent)
                 self.confirm_start(key, now)
         self.strangers = {key for key in listed if key not in self.runs}
         self.strangers_since = min(self.strangers_since, now) if self.strangers else float("inf")
@@ -368,9 +371,8 @@
     def adopt_run(self, key: RunKey, demand: Capacity, now: float) -> None:
         """Take over a run of another holder."""
         self.strangers.discard(key)
-        self.runs[key] = Run(
-            demand, RunState.RUNNING, self.token, now, is_adopted=True, start_confirmed_at=now
-        )
+        run = Run(demand, RunState.RUNNING, self.token, now, is_adopted=True, born=self.born)
+        run.start_confirmed_at, run.is_unheard, self.runs[key] = now, self.is_unheard, run
         self.room = self.room - demand
 
     def _save_foreign_end(self, end: ReportedEnd) -> None:
@@ -389,9 +391,8 @@
         ends = []
         for key, run in list(self.runs.items()):
             is_certain = run.token < token or run.start_confirmed_at < poll_sent_at
-            if key in listed or not is_certain:
-                continue
-            has_begun = run.start_confirmed_at < float("inf")
-            kind = EndKind.VANISHED if has_begun else EndKind.NEVER_BEGAN
-            ends.append(RunEnd(key, kind, self.remove_run(key)))
+            if key not in listed and is_certain:
+                has_begun = run.start_confirmed_at < float("inf")
+                kind = EndKind.VANISHED if has_begun else EndKind.NEVER_BEGAN
+                ends.append(RunEnd(key, kind, self.remove_run(key)))
         return ends
--- a/packages/core/cranberryshore/pool/loss_tracking.py
+++ b/packages/core/cranberryshore/pool/loss_tracking.py
@@ -71,7 +71,10 @@
     def worker_answered(self, worker: HeldWorker, now: float) -> None:
         """Record that a worker has answered a poll."""
         worker.is_loss_recorded = False
-        self.crashes.resolve(worker.name, worker.born, now)
+        self.isolation.worker_answered(worker)
+        self.crashes.worker_answered(worker.name, worker.born, worker.polled_at, now)
+        if worker.name in self.crashes.unresolved:
+            self.effects.append(PollWorker(worker.name))
 
     def workers_listed(self, listing: WorkerListing, now: float) -> None:
         """Record the registrations, which may tell whether lost workers have left."""
@@ -86,10 +89,7 @@
             if departure is Departure.EXCLUDED:
                 self.crashes.confirm_registered(entry.lost.worker, entry.lost.born, now)
         self.effects += [WorkerLossJudged(name, judged[name]) for name in sorted(judged)]
-        if self.crashes.unresolved:
-            for entry in listing.workers:
-                if entry.is_draining and entry.name in self.crashes.unresolved:
-                    self.crashes.dismiss(entry, now)
+        self.crashes.dismiss(listing.workers, now)
 
     def find_failure(self, job: PoolJob) -> JobFailure | None:
         """Return the failure of a job with a task that crashes its workers."""
@@ -125,7 +125,7 @@
             state,
             now,
             is_store_answering=self.departures.is_answering(now),
-            is_exposed=boot.is_exposed,
+            is_exposed=boot.was_running_suspect,
             ended_at=worker.closed_at if worker.has_just_closed(now) else None,
         )
         if boot.is_exposed:
--- a/packages/core/cranberryshore/pool/lost_run.py
+++ b/packages/core/cranberryshore/pool/lost_run.py
@@ -6,11 +6,14 @@
 
 
 class LossState(Enum):
-    """What is known of a loss; a later member replaces an earlier one."""
+    """What is known of a loss; a later member replaces an earlier one.
+
+    A process that has answered after a loss may end later, which does not prove this loss.
+    """
 
     SUSPECTED = "suspected"
-    REFUTED = "refuted"
     PROVEN = "proven"
+    REFUTED = "refuted"
 
 
 LossKey = tuple[str, int, int, int]
@@ -43,6 +46,8 @@
         Time since the loss when the record was sent to another instance or to the store.
     has_lapsed : bool
         Whether the lease of the run was over before anything showed that the process has ended.
+    is_exposed : bool
+        Whether a suspect was running on the worker.
     """
 
     task: str
@@ -58,6 +63,7 @@
     number: int = 0
     age_seconds: float = 0.0
     has_lapsed: bool = False
+    is_exposed: bool = False
 
     @property
     def key(self) -> LossKey:
@@ -79,10 +85,12 @@
         """Return the record with what another one of the same loss knows besides."""
         return attrs.evolve(
             self,
+            beside=tuple(sorted({*self.beside, *other.beside})),
             state=max(self.state, other.state, key=STATE_ORDER.index),
             was_running=self.was_running or other.was_running,
             was_store_answering=self.was_store_answering or other.was_store_answering,
             was_registered=self.was_registered or other.was_registered,
             has_common_cause=self.has_common_cause or other.has_common_cause,
             has_lapsed=self.has_lapsed and other.has_lapsed,
+            is_exposed=self.is_exposed or other.is_exposed,
         )
--- a/packages/core/cranberryshore/pool/run.py
+++ b/packages/core/cranberryshore/pool/run.py
@@ -35,6 +35,9 @@
         End of the lease that the start request carried, in seconds on the clock of this instance.
     is_unheard : bool
         Whether a poll of the worker has failed since its latest answer.
+    born : int
+        Identifier of the start of the worker process that the request was sent to, or that has
+        listed the run since.
     unheard_seconds : float
         Time without answers of the worker, in which the run may have stood still.
     """
@@ -49,6 +52,7 @@
     lease_until: float = float("-inf")
     percent: float = 0.0
     is_unheard: bool = False
+    born: int = 0
     unheard_seconds: float = 0.0
 
     def was_running_when_heard(self) -> bool:
@@ -63,6 +67,13 @@
         self.unheard_seconds += now - max(heard_at, self.started_at)
         self.is_unheard = False
 
+    def record_listing(self, born: int, percent: float) -> None:
+        """Record that a start of the worker process has listed the run."""
+        self.percent = percent
+        if born != self.born:
+            # The lease that the request carried is a time on the clock of the former start.
+            self.born, self.lease_until = born, float("-inf")
+
 
 @attrs.frozen
 class RunEnd:
@@ -81,13 +92,28 @@
     ----------
     runs : dict
         Runs that may be active, and whether each one certainly is.
-    is_exposed : bool
-        Whether one of them may crash the worker.
+    isolated_runs : frozenset of RunKey
+        Those of them that may crash the worker.
     lapsed_runs : frozenset of RunKey
         Runs that were on the worker at its latest answer, and whose leases have expired since.
     """
 
     born: int
     runs: dict[RunKey, bool]
-    is_exposed: bool
+    isolated_runs: frozenset[RunKey] = frozenset()
     lapsed_runs: frozenset[RunKey] = frozenset()
+
+    @property
+    def is_exposed(self) -> bool:
+        """Return whether a suspect may have been on the worker."""
+        return bool(self.isolated_runs)
+
+    @property
+    def was_running_suspect(self) -> bool:
+        """Return whether a suspect was certainly on the worker."""
+        return any(self.runs.get(key, False) for key in self.isolated_runs)
+
+    def without(self, key: RunKey) -> "BootState":
+        """Return the state without a run that has never begun."""
+        runs = {run: is_certain for run, is_certain in self.runs.items() if run != key}
+        return attrs.evolve(self, runs=runs, isolated_runs=self.isolated_runs - {key})
--- a/packages/core/cranberryshore/pool/scheduler.py
+++ b/packages/core/cranberryshore/pool/scheduler.py
@@ -27,6 +27,7 @@
 from cranberryshore.pool.submitting import JobIntake
 from cranberryshore.pool.takeover import Takeover
 from cranberryshore.pool.verifying import Verification
+from cranberryshore.pool.withdrawal import withdraw_start
 from cranberryshore.pool.work import Outcome, PoolJob, WorkRequest
 from cranberryshore.pool.worker_registration import WorkerListing
 from cranberryshore.pool.worker_status import EndKind, RunKey, WorkerStatus
@@ -292,6 +293,8 @@
         self.losses.worker_replaced(worker, now)
         for end in worker.remove_ended_runs():
             self.ender.run_ended(worker, end, now)
+        worker.mark_silent()
+        self.takeover.discard_strangers(worker)
         self.ender.end_failed_jobs(now)
         self.changed_at = now
 
@@ -319,6 +322,7 @@
         """Record that a worker has confirmed the start of a run."""
         if name in self.workers:
             self.workers[name].confirm_start(key, now)
+            self.registry.confirm_start(key)
             self.statistics.health.rejections.accepted(name, key)
 
     def start_rejected(
@@ -327,12 +331,14 @@
         """Record that a worker has rejected a start, and with ``is_paused`` would reject others."""
         if is_paused:
             self.statistics.health.rejections.rejected(name, key, now)
-        self.crashes.withdraw(name, key)
         worker = self.workers.get(name)
-        run = worker.remove_run(key) if worker is not None else None
+        run = withdraw_start(worker, key) if worker is not None else None
+        self.placer.isolation.start_withdrawn(name, key)
+        start = self.registry.withdraw_start(key)
+        if start is not None:
+            self.crashes.withdraw(name, start.born, key)
         if run is None:
             return
-        self.registry.withdraw_start(key)
         if is_attempt_low:
             self.registry.raise_attempt(key)
         self.ender.run_ended(worker, RunEnd(key, EndKind.NEVER_BEGAN, run), now)
@@ -357,6 +363,7 @@
             if now > worker.unlisted_at + UNLISTED_WORKER_SECONDS and not worker.runs:
                 del self.workers[name]
                 self.placer.worker_removed(name)
+        self.takeover.discard_lapsed_strangers(now)
         self.placer.tick(now)
         self.foreign.discard_outdated(self.workers.values())
         self.crashes.discard_outdated(now)
--- a/packages/daemon/cranberryshored/pool/worker_channel.py
+++ b/packages/daemon/cranberryshored/pool/worker_channel.py
@@ -141,9 +141,9 @@
             # A response that cannot be read does not prove that the run never begins.
             token = self.tokens.next(worker.token)
             self.scheduler.start_unanswered(worker.name, token, now())
-        elif reply is StartReply.FENCED and order.token == worker.token:
-            self.scheduler.fenced(worker.name, now())
         else:
+            if reply is StartReply.FENCED and order.token == worker.token:
+                self.scheduler.fenced(worker.name, now())
             is_low, is_paused = reply is StartReply.ATTEMPT_LOW, reply in PAUSING_REPLIES
             self.scheduler.start_rejected(worker.name, order.key, is_low, now(), is_paused)
         self.on_change()
@@ -246,6 +246,8 @@
 
     def _poll_failed(self, failure: PollFailure, token: int) -> None:
         worker = self.worker
+        # A poll in parallel may fail when the polling waits because the worker is idle.
+        self.wake.set()
         self.failed_polls += 1
         before, self.latest_failure = self.latest_failure, failure
         if self.failed_polls == 1 or failure is not before:
