--- a/packages/proof/cranberryshore_proof/pool_play.py
+++ b/packages/proof/cranberryshore_proof/pool_play.py
@@ -11,6 +11,7 @@
 from cranberryshore_proof.config_checks import STORE
 from cranberryshore_proof.pool_deployment import PoolDeployment
 from cranberryshore_proof.pool_jobs import JobMix
+from cranberryshore_proof.pool_result import PoolResult
 from cranberryshore_proof.pool_worker_faults import WorkerFaults
 from cranberryshore_proof.virtual_loop import run_virtual
 
@@ -43,34 +44,6 @@
 """Time that callers wait in simulations with such tasks, so that they are started several times."""
 
 
-@attrs.frozen
-class PoolResult:
-    """Result of one simulation.
-
-    Parameters
-    ----------
-    events : tuple of str
-        Injected faults, with their times.
-    faults : tuple of str
-        Violations that were found.
-    jobs, completed : int
-        Jobs submitted under faults, and those of them that completed.
-    refused_starts, refused_at_once : int
-        Starts whose connections were refused, and the most of them that were on their way to one
-        worker at the same time.
-    """
-
-    seed: int
-    events: tuple[str, ...]
-    faults: tuple[str, ...]
-    jobs: int
-    completed: int
-    jobs_after_faults: int
-    completed_after_faults: int
-    refused_starts: int
-    refused_at_once: int
-
-
 @attrs.define(eq=False)
 class PoolSimulation:
     """Injects faults into a deployment while callers submit jobs.
