Review stand-ins: use ports that no outgoing connection is given

Cause: two scripts at the same time took the same port, so a daemon did not become ready. Change: listening ports come from a range below the one for outgoing connections.

--- a/review/standins-2/deployment.py
+++ b/review/standins-2/deployment.py
@@ -3,11 +3,13 @@
 import asyncio
 import json
 import os
+import random
 import signal
 import socket
 import subprocess
 import tempfile
 import time
+from contextlib import suppress
 from pathlib import Path
 
 import attrs
@@ -19,6 +21,8 @@
 SERVICE, ROUTE_HOST, PREFIX = "svc", "jobs.example", "/jobs/"
 ZONES = ("zone-a", "zone-b", "zone-c")
 START_SECONDS = 20.0
+PORTS = range(20_000, 32_000)
+PORT_TRIES = 100
 
 
 class CannotRunError(Exception):
@@ -26,10 +30,13 @@
 
 
 def free_port() -> int:
-    """Return a loopback port that is free."""
-    with socket.socket() as sock:
-        sock.bind((HOST, 0))
-        return sock.getsockname()[1]
+    """Return a free loopback port that no outgoing connection is given by the system."""
+    for _ in range(PORT_TRIES):
+        port = random.choice(PORTS)
+        with socket.socket() as sock, suppress(OSError):
+            sock.bind((HOST, port))
+            return port
+    raise CannotRunError("no port is free")
 
 
 @attrs.frozen
