--- a/review/standins-2/hostile.py
+++ b/review/standins-2/hostile.py
@@ -26,7 +26,7 @@
 RACK_STEPS, RACK_CHARACTERS = 64, 4000
 LAST_PIECE_BYTES = 10
 PIECES_S = 2.0
-"""Time from the first pieces to the last ones."""
+"""Time from the first pieces of the last body to the last pieces of all."""
 
 
 def encode_job(steps: list[dict]) -> bytes:
@@ -105,24 +105,32 @@
             writer.close()
 
 
-async def send_pieces(address: str, body: bytes, last_at: float, end: float) -> None:
-    """Send a body without its last piece, and that piece at a set time; leave at the end."""
-    data, host, port = job_request(job_id(), body, BUDGET_MS), *address.split(":")
-    writer = None
-    try:
-        async with asyncio.timeout(end - time.monotonic()):
-            reader, writer = await asyncio.open_connection(host, int(port))
-            writer.write(data[:-LAST_PIECE_BYTES])
-            await writer.drain()
-            await asyncio.sleep(last_at - time.monotonic())
-            writer.write(data[-LAST_PIECE_BYTES:])
-            say("sent", address, bytes=len(body))
-            say("answered", address, status=status_of(await reader.read()))
-    except (OSError, TimeoutError) as error:
-        say("left", address, error=type(error).__name__)
-    finally:
-        if writer is not None:
-            writer.close()
+async def send_pieces(chosen: list[str], body: bytes, end: float) -> None:
+    """Send bodies without their last pieces, then these at the same moment; leave at the end."""
+    connections = []
+    for address in chosen:
+        host, port = address.split(":")
+        reader, writer = await asyncio.open_connection(host, int(port))
+        data = job_request(job_id(), body, BUDGET_MS)
+        writer.write(data[:-LAST_PIECE_BYTES])
+        await writer.drain()
+        connections.append((address, reader, writer, data[-LAST_PIECE_BYTES:]))
+    await asyncio.sleep(PIECES_S)
+    for _, _, writer, last in connections:
+        writer.write(last)
+    for address, _, _, _ in connections:
+        say("sent", address, bytes=len(body))
+
+    async def wait(address: str, reader: asyncio.StreamReader) -> None:
+        try:
+            async with asyncio.timeout(end - time.monotonic()):
+                say("answered", address, status=status_of(await reader.read()))
+        except (OSError, TimeoutError) as error:
+            say("left", address, error=type(error).__name__)
+
+    await asyncio.gather(*(wait(item[0], item[1]) for item in connections))
+    for _, _, writer, _ in connections:
+        writer.close()
 
 
 async def main(kind: str, count: int, seconds: float, addresses: list[str]) -> None:
@@ -132,8 +140,7 @@
     body = bodies[kind]() if kind in bodies else b""
     chosen = [addresses[number % len(addresses)] for number in range(count)]
     if kind == "pieces":
-        body, last_at = rack_body(), time.monotonic() + PIECES_S
-        await asyncio.gather(*(send_pieces(item, body, last_at, end) for item in chosen))
+        await send_pieces(sorted(chosen), rack_body(), end)
     elif kind == "chunks":
         await asyncio.gather(*(send_chunks(address, end) for address in chosen))
     else:
