Review cases: exit with 2 whenever a case cannot run

Cause: without the build, or after an unexpected error, a script exited with 1 as if the rule was broken, and SIGTERM left its daemons running.

--- a/review/standins-2/deployment.py
+++ b/review/standins-2/deployment.py
@@ -9,6 +9,8 @@
 import subprocess
 import tempfile
 import time
+import traceback
+from collections.abc import Coroutine
 from contextlib import suppress
 from pathlib import Path
 
@@ -268,3 +270,23 @@
         f"X-Deadline-Ms: {budget_ms}\r\nConnection: close\r\n\r\n"
     )
     return head.encode()
+
+
+BROKEN, HELD, CANNOT_RUN = 1, 0, 2
+
+
+def run_script(work: Coroutine[object, object, int]) -> int:
+    """Run a case and return its exit status; SIGTERM ends it with all processes it started."""
+
+    async def run() -> int:
+        loop, task = asyncio.get_running_loop(), asyncio.current_task()
+        loop.add_signal_handler(signal.SIGTERM, task.cancel)
+        return await work
+
+    try:
+        return asyncio.run(run())
+    except CannotRunError as error:
+        print(error)
+    except (Exception, asyncio.CancelledError):
+        traceback.print_exc()
+    return CANNOT_RUN
--- a/review/standins-2/hostile_case.py
+++ b/review/standins-2/hostile_case.py
@@ -16,12 +16,14 @@
 
 import attrs
 from deployment import (
-    CannotRunError,
+    BROKEN,
+    HELD,
     Deployment,
     Record,
     exchange,
     job_request,
     readiness,
+    run_script,
     status_of,
 )
 
@@ -223,10 +225,10 @@
 
 def run_case(case: HostileCase, verdict: Callable[[Observation], list[str]]) -> int:
     """Play a case; return the exit status by the verdict, which returns what was broken."""
-    try:
-        broken = verdict(asyncio.run(case.observe()))
-    except CannotRunError as error:
-        print(error)
-        return 2
-    print("broken: " + "; ".join(broken) if broken else "held")
-    return int(bool(broken))
+
+    async def play() -> int:
+        broken = verdict(await case.observe())
+        print("broken: " + "; ".join(broken) if broken else "held")
+        return BROKEN if broken else HELD
+
+    return run_script(play())
