Review case 12: tasks start beyond shrunk rooms in a zone that the store turns away

Cause: in a divided pool, the scheduler of a zone hands its claim over to instances of its zone only, and nothing passes on the registrations that other schedulers read.

--- a/review/standins-3/deployment.py
+++ b/review/standins-3/deployment.py
@@ -10,6 +10,7 @@
 import sys
 import tempfile
 import tomllib
+from collections.abc import Sequence
 from pathlib import Path
 from typing import Any
 
@@ -24,7 +25,7 @@
 STORE_PORT, MINION_PORT, METRICS_PORT = 8169, 8080, 9100
 CAPACITY = {"cpu": 32000, "memMb": 131072, "gpu": 0}
 MEMORY_MB, MAX_FDS = 300, 4100
-RETRY_SECONDS = 1.3
+ZONES = ("zone-a", "zone-b", "zone-c")
 
 
 def _lookup(fields: Any, path: str) -> Any:
@@ -96,15 +97,15 @@
 class Deployment:
     """All parts of a small deployment, in one place."""
 
-    def __init__(self, record: Record, entries: int = 3, minions: int = 6) -> None:
+    def __init__(self, record: Record, zones: Sequence[str] = ZONES, minions: int = 6) -> None:
         self.record = record
         self.directory = Path(tempfile.mkdtemp(prefix="review-"))
         self.network = free_network()
-        self.zones = ["zone-a", "zone-b", "zone-c"]
+        self.zones = sorted(set(zones))
         self.store = Store()
         self.entries = [
-            Entry(f"entry-{n}", f"{self.network}.1.{n}", self.zones[n % 3], self.directory)
-            for n in range(1, entries + 1)
+            Entry(f"entry-{n}", f"{self.network}.1.{n}", zone, self.directory)
+            for n, zone in enumerate(zones, 1)
         ]
         self.minion_count = minions
         self.minions: list[Minion] = []
@@ -118,10 +119,11 @@
         self.session = ClientSession(
             connector=TCPConnector(limit=0, force_close=True), timeout=ClientTimeout(total=60)
         )
-        await self.store.start(f"{self.network}.0.9", STORE_PORT)
+        hosts = [self.store_host(entry) for entry in self.entries]
+        await self.store.start(hosts, STORE_PORT)
         self.put_config()
         for number in range(self.minion_count):
-            zone, labels = self.zones[number % 3], ["a", f"r{number % 3}-0"]
+            zone, labels = self.zones[number % len(self.zones)], ["a", f"r{number // 8}-0"]
             name, capacity = f"i-{number:08x}", dict(CAPACITY)
             minion = Minion(name, self.store, self.record, SERVICE, zone, capacity, labels)
             self.minions.append(minion)
@@ -162,6 +164,10 @@
         config = {"version": self.version, "routes": [route], "services": [service]}
         self.store.put("op/config", config | {"limits": limits})
 
+    def store_host(self, entry: Entry) -> str:
+        """Return the address of the store for an entry machine, by which it knows its callers."""
+        return f"{self.network}.0.{self.entries.index(entry) + 9}"
+
     def fields(self, entry: Entry) -> dict[str, Any]:
         """Return the values that the platform fills into the settings of an entry process."""
         listen = {"front": FRONT_PORT, "ready": READY_PORT, "control": CONTROL_PORT}
@@ -173,7 +179,7 @@
             "seeds": seeds,
             "listen": {name: f"{entry.ip}:{port}" for name, port in listen.items()},
             "limits": {"cpuShare": 0.537, "cores": 2, "memoryMb": MEMORY_MB, "maxFds": MAX_FDS},
-            "platform": {"addr": f"{self.network}.0.9:{STORE_PORT}"},
+            "platform": {"addr": f"{self.store_host(entry)}:{STORE_PORT}"},
             "bounds": {},
         }
 
--- a/review/standins-3/minion.py
+++ b/review/standins-3/minion.py
@@ -99,6 +99,12 @@
         host, port = self.address.split(":")
         await self.start(host, int(port))
 
+    def shrink(self, cpu: int) -> None:
+        """Have less room from now on, and say so at once."""
+        self.capacity = self.capacity | {"cpu": cpu}
+        self.record.add("shrink", minion=self.name, cpu=cpu)
+        self.report()
+
     def clock_ms(self) -> int:
         """Return the steady clock of this boot."""
         return 1000 + int((time.monotonic() - self.origin) * 1000)
--- a/review/standins-3/running.py
+++ b/review/standins-3/running.py
@@ -4,10 +4,10 @@
 import os
 import sys
 import traceback
-from collections.abc import Awaitable, Callable
+from collections.abc import Awaitable, Callable, Sequence
 from pathlib import Path
 
-from deployment import Deployment
+from deployment import ZONES, Deployment
 from record import Record
 
 HELD, BROKEN, NOT_RUN = 0, 1, 2
@@ -21,12 +21,12 @@
     """The case did not get as far as the rule."""
 
 
-def run_case(folder: Path, play: Play, entries: int = 3, minions: int = 6) -> None:
+def run_case(folder: Path, play: Play, zones: Sequence[str] = ZONES, minions: int = 6) -> None:
     """Play a case, write its record, and exit with its result."""
     record = Record(folder / "record.txt")
     with_trouble = os.environ.get("TROUBLE", "1") != "0"
     try:
-        broken = asyncio.run(_play(Deployment(record, entries, minions), play, with_trouble))
+        broken = asyncio.run(_play(Deployment(record, zones, minions), play, with_trouble))
     except Exception as error:
         traceback.print_exc()
         record.add("not run", error=repr(error))
--- a/review/standins-3/store.py
+++ b/review/standins-3/store.py
@@ -32,12 +32,14 @@
         self.leases: dict[int, tuple[float, float]] = {}
         self.last_lease = 0
         self.changed = asyncio.Event()
+        self.rejected: set[str] = set()
         self.runner: web.AppRunner | None = None
         self.expiry: asyncio.Task | None = None
 
-    async def start(self, host: str, port: int) -> None:
-        """Listen on an address."""
-        app = web.Application(client_max_size=4_000_000, middlewares=[answer_in_time])
+    async def start(self, hosts: list[str], port: int) -> None:
+        """Listen on an address for each entry machine."""
+        middlewares = [answer_in_time, self._reject]
+        app = web.Application(client_max_size=4_000_000, middlewares=middlewares)
         app.add_routes(
             [
                 web.get("/api/kv-key", self._key),
@@ -51,7 +53,8 @@
         )
         self.runner = web.AppRunner(app, access_log=None, shutdown_timeout=0.1)
         await self.runner.setup()
-        await web.TCPSite(self.runner, host, port).start()
+        for host in hosts:
+            await web.TCPSite(self.runner, host, port).start()
         self.expiry = asyncio.create_task(self._expire())
 
     async def close(self) -> None:
@@ -61,6 +64,18 @@
         if self.runner is not None:
             await self.runner.cleanup()
 
+    @web.middleware
+    async def _reject(self, request: web.Request, handler) -> web.StreamResponse:
+        """Answer 503 to the machines that the store turns away, at the end of a watch as well."""
+        if request.transport is None:
+            # The caller has gone.
+            return web.json_response({}, status=503)
+        host = request.transport.get_extra_info("sockname")[0]
+        if host in self.rejected:
+            return web.json_response({}, status=503)
+        answer = await handler(request)
+        return web.json_response({}, status=503) if host in self.rejected else answer
+
     def put(self, key: str, value: Any, lease: int = 0) -> int:
         """Write a value as JSON, as the operator or a minion does."""
         text = json.dumps(value, separators=(",", ":"))
