Log and count workers whose registration is of another start

`Worker responds.` has both starts now, a record tells of each worker that isn't used for that reason, and a gauge counts them.

--- a/packages/daemon/cranberryshored/metrics.py
+++ b/packages/daemon/cranberryshored/metrics.py
@@ -121,6 +121,10 @@
         "cranberryshore_interfering_pairs", "Pairs of queues that slow each other down."
     )
     open_workers: Gauge = _gauge("cranberryshore_open_workers", "Workers with a session.")
+    outdated_registrations: Gauge = _gauge(
+        "cranberryshore_outdated_registrations",
+        "Workers on which nothing starts, as another start has written their registration.",
+    )
     refused_clients: Counter = _counter(
         "cranberryshore_refused_clients",
         "Clients refused because of their input.",
--- a/packages/daemon/cranberryshored/pool/scheduling.py
+++ b/packages/daemon/cranberryshored/pool/scheduling.py
@@ -147,6 +147,14 @@
         workers = self.scheduler.workers.values()
         return sum(worker.state is HoldState.HELD for worker in workers)
 
+    def outdated_count(self) -> int:
+        """Return the number of held workers whose registration is of another start."""
+        workers = self.scheduler.workers.values()
+        return sum(
+            worker.state is HoldState.HELD and not worker.is_registration_current()
+            for worker in workers
+        )
+
     def lost_count(self) -> int:
         """Return the number of workers lost to another holder; leaving ones are not counted."""
         return sum(
@@ -379,6 +387,7 @@
                 self.scheduler.tick(now())
             self.metrics.queued_tasks.set(self.scheduler.waiting_tasks())
             self.metrics.open_workers.set(self.held_count())
+            self.metrics.outdated_registrations.set(self.outdated_count())
             self.apply_effects_soon()
             for name in sorted(self.channels.keys() - self.scheduler.workers.keys()):
                 self._close(self.channels.pop(name))
--- a/packages/daemon/cranberryshored/pool/worker_channel.py
+++ b/packages/daemon/cranberryshored/pool/worker_channel.py
@@ -226,7 +226,7 @@
                 self.timeout.answered(now() - request_sent_at)
             self.failed_polls = 0
             worker.acknowledged_end = max(worker.acknowledged_end, last_seen)
-            previous_state = worker.state
+            previous_state, previous_born = worker.state, worker.born
             self.scheduler.record_status(
                 worker.name, answer.ok_value, token, request_sent_at, now(), lease_until
             )
@@ -235,10 +235,18 @@
                     "Worker responds.",
                     worker=worker.name,
                     born=worker.born,
+                    registered_born=worker.registered_born,
                     token=token,
                     running=len(answer.ok_value.running),
                     strangers=len(worker.strangers),
                 )
+            if worker.born != previous_born and not worker.is_registration_current():
+                self.log.info(
+                    "Registration is of another start of the worker; it gets no tasks.",
+                    worker=worker.name,
+                    born=worker.born,
+                    registered_born=worker.registered_born,
+                )
         self.on_change()
 
     def _fenced(self) -> None:
