Scheduling: record which start of a worker wrote an inherited registration

Cause: SchedulingService passed ten values to HeldWorker by position. Since the tenth attribute is is_evacuated, so the start that wrote the registration became that, Scheduler.add_worker overwrote it, and registered_born stayed 0, which counts as "not known". Until the first own reading of the store, the labels and the capacity of the inherited list were used for whichever process answered.

Change: the optional attributes of HeldWorker are keyword-only, and a registration is applied to a worker in one place, HeldWorker.relist, for a new worker as for a known one.

InheritedRegistrationTest: three tests, for labels, for capacity and for the count of such workers, fail without the change and pass with it.

--- a/packages/core/cranberryshore/pool/evacuation/tests/test_evacuated_workers.py
+++ b/packages/core/cranberryshore/pool/evacuation/tests/test_evacuated_workers.py
@@ -19,6 +19,7 @@
     WorkRequest,
 )
 from cranberryshore.pool.refusing import RETRY_AFTER_MS, may_gain_worker
+from cranberryshore.pool.tests.registrations import relist
 from cranberryshore.pool.tests.unlimited_rights import UnlimitedRights
 from cranberryshore.work import Capacity
 
@@ -107,7 +108,7 @@
     def test_restart_of_a_worker_does_not_end_its_evacuation(self):
         self.evacuate("a")
         self.poll("a1", born=2)
-        self.scheduler.relist("a1", Capacity(2000, 1000), frozenset(), False, 2)
+        relist(self.scheduler, "a1")
         self.assertEqual(set(self.started_on(self.submit(count=6))), {"b1"})
 
     def test_suspect_is_not_isolated_on_an_evacuated_worker(self):
@@ -188,15 +189,15 @@
         self.assert_refused(self.tick())
 
     def test_leaving_worker_is_no_place_beside_an_evacuation(self):
-        self.scheduler.relist("b1", Capacity(2000, 1000), frozenset(), True, 1)
+        relist(self.scheduler, "b1", is_draining=True)
         self.evacuate("a")
         self.assert_refused(self.submit())
 
     def test_draining_and_shrinking_during_an_evacuation_stay_in_force_after_it(self):
         # The stricter rule applies, and revoking the evacuation does not revoke the other one.
         self.evacuate("a")
-        self.scheduler.relist("a1", Capacity(2000, 1000), frozenset(), True, 1)
-        self.scheduler.relist("a2", Capacity(1000, 1000), frozenset(), False, 1)
+        relist(self.scheduler, "a1", is_draining=True)
+        relist(self.scheduler, "a2", capacity=Capacity(1000, 1000))
         self.evacuate()
         self.assertEqual(sorted(self.started_on(self.submit(count=6))), ["a2", "b1", "b1"])
 
--- a/packages/core/cranberryshore/pool/held_worker.py
+++ b/packages/core/cranberryshore/pool/held_worker.py
@@ -5,17 +5,15 @@
 this holder. Runs that this holder did not start are adopted or stopped before a lease is extended.
 """
 
+from collections.abc import Container
+
 import attrs
 
+from cranberryshore.keyword_arguments import optional_by_name
 from cranberryshore.pool.hold_state import HoldState
 from cranberryshore.pool.run import BootState, Run, RunEnd, RunState
-from cranberryshore.pool.worker_status import (
-    EndKind,
-    ReportedEnd,
-    ReportedRun,
-    RunKey,
-    WorkerStatus,
-)
+from cranberryshore.pool.worker_registration import WorkerRegistration
+from cranberryshore.pool.worker_status import EndKind, ReportedEnd, RunKey, WorkerStatus
 from cranberryshore.work.capacity import Capacity
 
 LEASE_SECONDS = 1.0
@@ -45,14 +43,11 @@
 CLOCK_REQUEST_SECONDS = 0.1
 """Time after which a poll that should read the clock of an idle worker counts as lost."""
 
-TAKEOVER_BACKOFF_SECONDS = 3.0
-"""Time before a worker that obeys another holder may be taken over again."""
-
 MAX_REMEMBERED_ENDS = 200
 """Maximum number of stored ends of foreign runs, which a busy worker reaches within seconds."""
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, field_transformer=optional_by_name)
 class HeldWorker:
     """State of a worker that this instance holds.
 
@@ -173,17 +168,21 @@
 
     def is_clock_being_read(self, now: float) -> bool:
         """Return whether a poll that reads the clock is expected to be answered."""
-        is_requested = now < self.clock_requested_at + CLOCK_REQUEST_SECONDS
-        return is_requested and not self.is_clock_known(now)
+        return now < self.clock_requested_at + CLOCK_REQUEST_SECONDS and not self.is_clock_known(
+            now
+        )
 
     def unlist(self, now: float) -> None:
         """Record that the worker is not in the roster."""
         if self.is_listed:
             self.is_listed, self.unlisted_at = False, now
 
-    def relist(self) -> None:
-        """Record that the worker is in the roster again."""
+    def relist(self, entry: WorkerRegistration) -> None:
+        """Record that the worker is in the roster, with its present registration."""
         self.is_listed, self.unlisted_at = True, float("inf")
+        self.labels, self.registered_born = frozenset(entry.labels), entry.born
+        self.is_draining = entry.is_draining
+        self.resize(entry.capacity)
 
     def resize(self, total: Capacity) -> None:
         """Change the total capacity; active runs continue."""
@@ -383,7 +382,7 @@
             del self.foreign_ends[next(iter(self.foreign_ends))]
 
     def _remove_missing_runs(
-        self, listed: dict[RunKey, ReportedRun], token: int, poll_sent_at: float
+        self, listed: Container[RunKey], token: int, poll_sent_at: float
     ) -> list[RunEnd]:
         """Remove and return the runs that should be in the status report but are not.
 
--- a/packages/core/cranberryshore/pool/scheduler.py
+++ b/packages/core/cranberryshore/pool/scheduler.py
@@ -242,23 +242,14 @@
             worker.unlist(now)
             self.placer.worker_changed(worker)
 
-    def relist(
-        self,
-        name: str,
-        total: Capacity,
-        labels: frozenset[str],
-        is_draining: bool,
-        born: int = 0,
-    ) -> None:
-        """Apply the present registration of a held worker, which the start ``born`` has written."""
-        worker = self.workers[name]
-        worker.is_draining, worker.labels, worker.registered_born = is_draining, labels, born
-        worker.relist()
-        worker.resize(total)
+    def relist(self, entry: WorkerRegistration) -> None:
+        """Apply the present registration of a held worker."""
+        worker = self.workers[entry.name]
+        worker.relist(entry)
         self.placer.worker_changed(worker)
         if not worker.is_registration_current():
             # An idle worker may have restarted without any notice.
-            self.effects.append(PollWorker(name))
+            self.effects.append(PollWorker(entry.name))
 
     def lease_end_ms(self, worker: HeldWorker, now: float) -> int | None:
         """Return the new lease end on the clock of a worker; ``None`` to keep the old one."""
--- a/packages/core/cranberryshore/pool/tests/test_earlier_submissions.py
+++ b/packages/core/cranberryshore/pool/tests/test_earlier_submissions.py
@@ -1,5 +1,6 @@
 from cranberryshore.pool import EndKind, JobEnded, Outcome, PoolConfig
 from cranberryshore.pool.refusing import RETRY_AFTER_MS, VERIFICATION_SECONDS
+from cranberryshore.pool.tests.registrations import relist
 from cranberryshore.pool.tests.test_lost_workers import LostWorkerTestCase
 from cranberryshore.pool.tests.test_scheduler import request
 from cranberryshore.work import Capacity
@@ -62,7 +63,7 @@
     def test_started_job_that_fits_no_worker_any_more_is_refused_as_not_run(self):
         self.start_and_lose()
         for name in ("w1", "w2"):
-            self.scheduler.relist(name, Capacity(500, 10), frozenset(), False)
+            relist(self.scheduler, name, capacity=Capacity(500, 10))
         self.assertIs(self.submit_again().outcome, Outcome.GIVEN_UP)
 
     def test_started_job_that_waits_behind_others_is_refused_as_not_run(self):
--- a/packages/core/cranberryshore/pool/tests/test_former_boots.py
+++ b/packages/core/cranberryshore/pool/tests/test_former_boots.py
@@ -10,6 +10,7 @@
     StepSpec,
     WorkerStatus,
 )
+from cranberryshore.pool.tests.registrations import relist
 from cranberryshore.pool.tests.test_lost_workers import LostWorkerTestCase
 from cranberryshore.work import Capacity
 
@@ -77,8 +78,7 @@
     """Registrations and answers of different starts of a worker process."""
 
     def register(self, *labels: str, born: int) -> None:
-        total = self.scheduler.workers["w1"].total
-        self.scheduler.relist("w1", total, frozenset(labels), False, born)
+        relist(self.scheduler, "w1", labels=labels, born=born)
 
     def submit_labelled(self) -> list[str]:
         step = StepSpec(1, Capacity(1000, 10), 100, label="a")
--- a/packages/core/cranberryshore/pool/tests/test_held_worker.py
+++ b/packages/core/cranberryshore/pool/tests/test_held_worker.py
@@ -9,6 +9,7 @@
     WorkerStatus,
 )
 from cranberryshore.pool.held_worker import LEASE_EXPIRY_SECONDS
+from cranberryshore.pool.tests.registrations import registration_of
 from cranberryshore.work import Capacity
 
 KEY = ("j.0.0.0", 1)
@@ -127,7 +128,7 @@
         self.poll(status(), 0.0, 0.1)
         self.worker.unlist(0.2)
         self.assertFalse(self.worker.is_available())
-        self.worker.relist()
+        self.worker.relist(registration_of(self.worker))
         self.assertTrue(self.worker.is_available())
 
     def test_ends_are_processed_once(self):
--- a/packages/core/cranberryshore/pool/tests/test_lost_workers.py
+++ b/packages/core/cranberryshore/pool/tests/test_lost_workers.py
@@ -15,6 +15,7 @@
 from cranberryshore.pool.isolation import RECOVERY_SECONDS
 from cranberryshore.pool.job_failure import FailureCause
 from cranberryshore.pool.refusing import RETRY_AFTER_MS
+from cranberryshore.pool.tests.registrations import relist
 from cranberryshore.pool.tests.test_scheduler import SchedulerTestCase, registration, request
 from cranberryshore.work import Capacity
 
@@ -116,8 +117,7 @@
 
     def test_end_of_a_leaving_worker_is_no_crash(self):
         (start,) = self.submit()
-        worker = self.scheduler.workers[start.worker]
-        self.scheduler.relist(start.worker, worker.total, worker.labels, is_draining=True)
+        relist(self.scheduler, start.worker, is_draining=True)
         self.crash(start.worker)
         self.scheduler.worker_replaced(start.worker, self.now)
         self.assertFalse(self.scheduler.crashes.records(self.now))
@@ -174,11 +174,11 @@
 
     def test_job_is_refused_for_good_while_rooms_are_smaller(self):
         for name in ("w1", "w2"):
-            self.scheduler.relist(name, Capacity(500, 1000), frozenset(), is_draining=False)
+            relist(self.scheduler, name, capacity=Capacity(500, 1000))
         self.scheduler.submit(request(), "e", self.now)
         (end,) = self.effects(JobEnded)
         self.assertEqual((end.outcome, end.retry_after_ms), (Outcome.REFUSED, RETRY_AFTER_MS))
-        self.scheduler.relist("w1", Capacity(2000, 1000), frozenset(), is_draining=False)
+        relist(self.scheduler, "w1", capacity=Capacity(2000, 1000))
         self.assertEqual(len(self.submit()), 1)
 
     def test_job_is_refused_for_good_that_workers_held_before_the_scheduler_began(self):
@@ -197,7 +197,7 @@
         starts = self.effects(StartRun)
         self.scheduler.cancel("j", "e", self.now)
         for name in ("w1", "w2"):
-            self.scheduler.relist(name, Capacity(1000, 1000), frozenset(), is_draining=False)
+            relist(self.scheduler, name, capacity=Capacity(1000, 1000))
         worker = self.scheduler.workers[starts[0].worker]
         self.assertEqual(worker.room.millicores, 1000 - sum(len(worker.runs) * [1000]))
         others = [start.worker for start in self.submit("k", 4)]
--- a/packages/core/cranberryshore/pool/tests/test_records_of_losses.py
+++ b/packages/core/cranberryshore/pool/tests/test_records_of_losses.py
@@ -3,6 +3,7 @@
 from cranberryshore.pool.departures import HIDDEN_CHANGE_SECONDS
 from cranberryshore.pool.held_worker import LEASE_EXPIRY_SECONDS
 from cranberryshore.pool.lost_run import LossState
+from cranberryshore.pool.tests.registrations import relist
 from cranberryshore.pool.tests.test_former_boots import RestartTestCase
 
 TASK = "j.0.0.0"
@@ -82,8 +83,7 @@
     def test_departure_of_a_worker_proves_a_loss_that_was_suspected_before(self):
         # Its process has lived on: it has written that it is draining.
         self.merge(LostRun(TASK, 1, "w1", 1))
-        total = self.scheduler.workers["w1"].total
-        self.scheduler.relist("w1", total, frozenset(), is_draining=True)
+        relist(self.scheduler, "w1", is_draining=True)
         self.scheduler.worker_replaced("w1", self.now)
         self.assertEqual(self.scheduler.crashes.crashed_workers(TASK), 0)
 
--- a/packages/core/cranberryshore/pool/tests/test_worker_selection.py
+++ b/packages/core/cranberryshore/pool/tests/test_worker_selection.py
@@ -4,6 +4,7 @@
 
 from cranberryshore.pool.held_worker import HeldWorker
 from cranberryshore.pool.tests.load_replay import Burst, generate_load, make_replay
+from cranberryshore.pool.tests.registrations import relist
 from cranberryshore.pool.worker_selection import MIN_LEASE_SECONDS, WorkerIndex, meets_constraints
 
 JOBS_PER_WORKER_SECOND = 2.34
@@ -77,7 +78,7 @@
         replay = make_replay(2)
         scheduler = replay.scheduler
         scheduler.tick(0.0)
-        scheduler.relist("w00", scheduler.workers["w00"].total, frozenset(), is_draining=True)
+        relist(scheduler, "w00", is_draining=True)
         load = generate_load(1, 1, 2.0)
         outcomes = replay.simulate(load)
         self.assertEqual(replay.workers["w00"].ended, [])
--- a/packages/daemon/cranberryshored/pool/scheduling.py
+++ b/packages/daemon/cranberryshored/pool/scheduling.py
@@ -31,7 +31,6 @@
     WorkerRegistration,
     WorkRequest,
 )
-from cranberryshore.pool.held_worker import TAKEOVER_BACKOFF_SECONDS
 from cranberryshore.pool.work import CANCELLED_DETAIL
 from cranberryshored.metrics import Metrics
 from cranberryshored.pool.clock import BaseTimeout, TokenSource, now
@@ -50,6 +49,9 @@
 """Time without a tick after which this process counts as stalled. Other instances take over after
 0.5 s."""
 
+TAKEOVER_BACKOFF_SECONDS = 3.0
+"""Time before a worker that obeys another holder may be taken over again."""
+
 TICK_SECONDS = 0.025
 """Interval of the checks for passed deadlines: a sixth of the shortest target latency."""
 
@@ -323,8 +325,7 @@
         if worker is not None and _is_place_of(worker, entry) and self._keeps_hold(worker):
             if entry.is_draining and not worker.is_draining:
                 self.log.info("Worker is leaving.", worker=entry.name)
-            labels = frozenset(entry.labels)
-            self.scheduler.relist(entry.name, entry.capacity, labels, entry.is_draining, entry.born)
+            self.scheduler.relist(entry)
             return
         if worker is not None and worker.runs:
             # These runs must have ended, or their lease expired, before the worker is replaced.
@@ -332,17 +333,16 @@
             return
         former_token = worker.token if worker is not None else 0
         worker = HeldWorker(
-            entry.name,
-            entry.address,
-            entry.zone,
-            entry.service,
-            entry.capacity,
-            frozenset(entry.labels),
-            self.tokens.next(former_token),
-            entry.rack,
-            entry.is_draining,
-            entry.born,
+            name=entry.name,
+            address=entry.address,
+            zone=entry.zone,
+            service=entry.service,
+            total=entry.capacity,
+            labels=frozenset(entry.labels),
+            token=self.tokens.next(former_token),
+            rack=entry.rack,
         )
+        worker.relist(entry)
         self.scheduler.add_worker(worker, now())
         self._open_channel(worker)
 
--- a/packages/daemon/cranberryshored/pool/tests/test_scheduling.py
+++ b/packages/daemon/cranberryshored/pool/tests/test_scheduling.py
@@ -25,14 +25,17 @@
 from cranberryshored.pool.clock import CLOCKS, Clocks, TokenSource
 from cranberryshored.pool.scheduling import STALL_SECONDS, SchedulingService
 
-WORKER = WorkerRegistration("w", "w", "z", "s", Capacity(4000, 1000))
+WORKER = WorkerRegistration("w", "w", "z", "s", Capacity(4000, 1000), labels=("a",), born=1)
 
 
 class RecordingWorkerCalls:
-    """Client whose workers accept every request; records the requested starts."""
+    """Client whose workers accept every request; records the requested starts.
+
+    ``born`` is the start of the worker processes.
+    """
 
     def __init__(self):
-        self.starts = []
+        self.starts, self.born = [], 1
 
     async def start_run(self, worker, start, seconds):
         self.starts.append(start.key)
@@ -43,10 +46,12 @@
 
     async def poll(self, worker, poll, seconds):
         await asyncio.sleep(0.01)
-        return Ok(WorkerStatus(1, 0, (), ()))
+        return Ok(WorkerStatus(self.born, 0, (), ()))
+
 
+class SchedulingTestCase(IsolatedAsyncioTestCase):
+    """A scheduler with one worker."""
 
-class StalledSchedulerTest(IsolatedAsyncioTestCase):
     async def asyncSetUp(self):  # noqa: N802
         quiet = structlog.make_filtering_bound_logger(logging.CRITICAL)
         structlog.configure(wrapper_class=quiet)
@@ -81,11 +86,13 @@
             await asyncio.sleep(0.01)
         self.fail("the worker was not held within 1 s")
 
-    async def submit(self, budget_ms=5000):
-        request = WorkRequest("j", "q", "", (StepSpec(1, Capacity(1000, 10), 100),), budget_ms)
-        self.service.submit(request, "e")
+    async def submit(self, budget_ms=5000, millicores=1000, label=""):
+        step = StepSpec(1, Capacity(millicores, 10), 100, label=label)
+        self.service.submit(WorkRequest("j", "q", "", (step,), budget_ms), "e")
         await asyncio.sleep(0)
 
+
+class StalledSchedulerTest(SchedulingTestCase):
     async def test_orders_are_sent(self):
         await self.wait_until_held()
         await self.submit()
@@ -145,3 +152,45 @@
         await self.service.channels["w"].request_tasks.copy().pop()
         self.service.set_roster((attrs.evolve(WORKER, service="t"),))
         self.assertFalse(self.service.scheduler.workers["w"].is_available())
+
+
+class InheritedRegistrationTest(SchedulingTestCase):
+    """A worker has restarted as another kind before the next scheduler has read its registration.
+
+    Regression (issue 57): the start that wrote an inherited registration was not recorded, so that
+    labels and capacity of the former process were used for the present one.
+    """
+
+    async def asyncSetUp(self):  # noqa: N802
+        await super().asyncSetUp()
+        self.service.end("another instance schedules")
+        self.calls.born = 2
+        self.service.begin(Claim(2), self.service.scheduler.config, (WORKER,))
+        await self.wait_until_held()
+
+    async def register(self, registration):
+        self.service.set_roster((registration,))
+        await asyncio.sleep(0.05)
+
+    async def test_task_is_started_by_inherited_labels_of_a_former_process(self):
+        await self.submit(label="a")
+        await asyncio.sleep(0.05)
+        self.assertEqual(self.calls.starts, [])
+        await self.register(attrs.evolve(WORKER, labels=("b",), born=2))
+        self.assertEqual(self.calls.starts, [])
+        await self.register(attrs.evolve(WORKER, born=2))
+        self.assertIn(("j.0.0.0", 1), self.calls.starts)
+
+    async def test_task_is_started_in_inherited_capacity_of_a_former_process(self):
+        await self.submit(millicores=4000)
+        await asyncio.sleep(0.05)
+        self.assertEqual(self.calls.starts, [])
+        await self.register(attrs.evolve(WORKER, capacity=Capacity(2000, 1000), born=2))
+        self.assertEqual(self.calls.starts, [])
+        await self.register(attrs.evolve(WORKER, born=2))
+        self.assertIn(("j.0.0.0", 1), self.calls.starts)
+
+    async def test_unused_worker_with_an_inherited_registration_is_not_counted(self):
+        self.assertEqual((self.service.held_count(), self.service.outdated_count()), (1, 1))
+        await self.register(attrs.evolve(WORKER, born=2))
+        self.assertEqual((self.service.held_count(), self.service.outdated_count()), (1, 0))
