Workers: an entry or an answer that does not say its start is not used

Callers saw nothing: tasks could start by the labels and the capacity of a former process of a worker.

Cause: is_registration_current, is_of_start and record_status took the value 0 ("not known") for any start, and the registration, the held worker and the decoders all had it as their default. PROTOCOL.md, Service discovery: the field `born` is "at the top level of all that it says of itself and of its lists of runs, ... always a whole number", and an entry with "fields missing" "names no minion to use".

The simulation always registers the start.

--- a/packages/core/cranberryshore/messages/tests/test_odd_values.py
+++ b/packages/core/cranberryshore/messages/tests/test_odd_values.py
@@ -38,7 +38,7 @@
 
     def test_list_that_has_a_version_is_reduced(self):
         # Instances that have the version would differ in what it lists.
-        worker = WorkerRegistration("w", "10.0.0.1:1", "z", "s", Capacity(2**70))
+        worker = WorkerRegistration("w", "10.0.0.1:1", "z", "s", Capacity(2**70), born=1)
         news = RosterNews(1, (worker,))
         self.assertEqual(without_unencodable(news), (news, ()))
 
--- a/packages/core/cranberryshore/pool/division.py
+++ b/packages/core/cranberryshore/pool/division.py
@@ -41,7 +41,8 @@
     Examples
     --------
     >>> from cranberryshore.work import Capacity
-    >>> workers = [WorkerRegistration(f"w{n}", "", "ab"[n % 2], "s", Capacity()) for n in range(9)]
+    >>> zones = "ababababa"
+    >>> workers = [WorkerRegistration(f"w{z}", "", z, "s", Capacity(), born=1) for z in zones]
     >>> is_uneven({"a", "b"}, workers), is_uneven({"a", "b", "c"}, workers), is_uneven({"a"}, [])
     (False, True, True)
     """
--- a/packages/core/cranberryshore/pool/evacuation/tests/test_evacuated_workers.py
+++ b/packages/core/cranberryshore/pool/evacuation/tests/test_evacuated_workers.py
@@ -40,7 +40,9 @@
 
     def add(self, name: str, born: int = 1) -> None:
         labels = frozenset({"x"} if name == "a1" else ())
-        worker = HeldWorker(name, name, name[0], "s", Capacity(2000, 1000), labels, 1)
+        worker = HeldWorker(
+            name, name, name[0], "s", Capacity(2000, 1000), labels, 1, registered_born=1
+        )
         self.scheduler.add_worker(worker, self.now)
         self.poll(name, born=born)
 
--- a/packages/core/cranberryshore/pool/evacuation/warm_ups.py
+++ b/packages/core/cranberryshore/pool/evacuation/warm_ups.py
@@ -26,7 +26,7 @@
     Parameters
     ----------
     born : int
-        Identifier of the start; 0 if unknown.
+        Identifier of the start.
     left_ms : int
         Remaining time by the latest registration.
     begins_at, ends_at : float
--- a/packages/core/cranberryshore/pool/held_worker.py
+++ b/packages/core/cranberryshore/pool/held_worker.py
@@ -60,7 +60,7 @@
     born : int
         Identifier of the current start of the worker process; 0 before its first answer.
     registered_born : int
-        Start that wrote the registration with service, labels and capacity; 0 if unknown.
+        Start that wrote the registration with service, labels and capacity.
     last_seen : int
         Number of the last processed end since that start.
     acknowledged_end : int
@@ -112,10 +112,10 @@
     total: Capacity
     labels: frozenset[str]
     token: int
+    registered_born: int = attrs.field(kw_only=True)
     rack: str = ""
     is_draining: bool = False
     is_evacuated: bool = False
-    registered_born: int = 0
     is_listed: bool = True
     unlisted_at: float = float("inf")
     state: HoldState = HoldState.ACQUIRING
@@ -159,8 +159,8 @@
         )
 
     def is_registration_current(self) -> bool:
-        """Return whether the present start of the worker may have written its registration."""
-        return self.registered_born == self.born or 0 in (self.registered_born, self.born)
+        """Return whether the present start of the worker has written its registration."""
+        return self.registered_born == self.born
 
     def is_clock_known(self, now: float) -> bool:
         """Return whether the clock was read recently enough to set the end of a new lease."""
@@ -284,7 +284,7 @@
 
     def is_outdated(self, status: WorkerStatus, poll_sent_at: float) -> bool:
         """Return whether a report was made before the latest one, which has overtaken it."""
-        if status.born in (0, self.born):
+        if status.born == self.born:
             return status.clock_ms < self.reported_ms
         return self.born != 0 and poll_sent_at < self.born_polled_at
 
@@ -323,7 +323,7 @@
         """
         if self.is_outdated(status, poll_sent_at):
             return []
-        if status.born not in (0, self.born):
+        if status.born != self.born:
             self._begin_boot(status.born, poll_sent_at)
         self.reported_ms, self.closed_boot = status.clock_ms, None
         self.lapsed_runs.clear()
--- a/packages/core/cranberryshore/pool/interference/tests/test_interference.py
+++ b/packages/core/cranberryshore/pool/interference/tests/test_interference.py
@@ -85,7 +85,10 @@
     def test_adopted_run_beside_another_makes_its_sample_unknown(self):
         # Guards against runs beside another holder's run that count as undisturbed.
         for is_adopted in (False, True):
-            worker, runs = HeldWorker("w", "w", "z", "p", DEMAND, frozenset(), 1), WorkerRuns()
+            worker, runs = (
+                HeldWorker("w", "w", "z", "p", DEMAND, frozenset(), 1, registered_born=1),
+                WorkerRuns(),
+            )
             if is_adopted:
                 worker.adopt_run(("x", 1), DEMAND, 0.0)
                 worker.runs[("x", 1)].is_adopted = True
@@ -95,7 +98,10 @@
             self.assertIs(runs.run_ended(worker, end, "a", 2.0) is None, is_adopted)
 
     def test_co_runners_are_weighted_by_time(self):
-        worker, runs = HeldWorker("w", "w", "z", "p", DEMAND, frozenset(), 1), WorkerRuns()
+        worker, runs = (
+            HeldWorker("w", "w", "z", "p", DEMAND, frozenset(), 1, registered_born=1),
+            WorkerRuns(),
+        )
         for number, key in enumerate((("t", 1), ("u", 1))):
             worker.add_run(key, DEMAND, float(number))
             runs.run_started(worker, key, "ab"[number], True, float(number))
--- a/packages/core/cranberryshore/pool/relief/tests/test_rules.py
+++ b/packages/core/cranberryshore/pool/relief/tests/test_rules.py
@@ -20,7 +20,7 @@
 
 def workers(counts: dict[str, int], service: str = "s") -> list[WorkerRegistration]:
     return [
-        WorkerRegistration(f"{service}-{zone}{number}", "", zone, service, Capacity(1000))
+        WorkerRegistration(f"{service}-{zone}{number}", "", zone, service, Capacity(1000), born=1)
         for zone, count in counts.items()
         for number in range(count)
     ]
--- a/packages/core/cranberryshore/pool/scheduler.py
+++ b/packages/core/cranberryshore/pool/scheduler.py
@@ -269,7 +269,7 @@
         if worker is None or worker.is_outdated(status, poll_sent_at):
             return
         self.statistics.record_answer(worker, now)
-        former = worker.boot_state(now) if status.born not in (0, worker.born) else None
+        former = worker.boot_state(now) if status.born != worker.born else None
         ends = worker.record_status(status, token, poll_sent_at, now, lease_until)
         if former is not None:
             self.statistics.worker_restarted(name)
--- a/packages/core/cranberryshore/pool/tests/load_replay.py
+++ b/packages/core/cranberryshore/pool/tests/load_replay.py
@@ -187,7 +187,9 @@
 
     def add_worker(self, name: str, millicores: int, slowdown: float = 1.0) -> None:
         """Add a worker that is already held."""
-        held = HeldWorker(name, name, "z", "pool", Capacity(millicores, 131072), frozenset(), 1)
+        held = HeldWorker(
+            name, name, "z", "pool", Capacity(millicores, 131072), frozenset(), 1, registered_born=1
+        )
         held.state, held.clock_offset_ms, held.born = HoldState.HELD, 0.0, 1
         held.clock_read_at = float("inf")
         self.workers[name] = SimulatedWorker(held, slowdown)
--- a/packages/core/cranberryshore/pool/tests/test_certain_runs.py
+++ b/packages/core/cranberryshore/pool/tests/test_certain_runs.py
@@ -25,7 +25,7 @@
 
     def setUp(self):
         total = Capacity(4000, 1000)
-        self.worker = HeldWorker("w", "w", "z", "s", total, frozenset(), 10)
+        self.worker = HeldWorker("w", "w", "z", "s", total, frozenset(), 10, registered_born=1)
         self.stopper = RunStopper({"w": self.worker}, RunRegistry(), RunStatistics(), [])
         self.now = 0.0
         self.answer()
--- a/packages/core/cranberryshore/pool/tests/test_former_boots.py
+++ b/packages/core/cranberryshore/pool/tests/test_former_boots.py
@@ -38,8 +38,9 @@
 
     def test_late_answer_of_a_former_boot_is_a_crash_of_the_present_one(self):
         sent_at = self.now
-        self.answer("w1", 2)
-        self.answer("w2", 2)
+        for name in ("w1", "w2"):
+            self.answer(name, 2)
+            relist(self.scheduler, name)
         (start,) = self.submit()
         self.answer(start.worker, 2, start.key)
         self.fail_polls(start.worker)
@@ -102,7 +103,9 @@
 
 class LateAnswerTest(TestCase):
     def test_ended_run_in_a_late_answer_is_a_run_of_another_scheduler(self):
-        worker = HeldWorker("w", "w", "z", "s", Capacity(4000, 1000), frozenset(), 10)
+        worker = HeldWorker(
+            "w", "w", "z", "s", Capacity(4000, 1000), frozenset(), 10, registered_born=1
+        )
         worker.record_status(WorkerStatus(1, 0, (), ()), 10, 0.0, 0.1)
         key = ("j.0.0.0", 1)
         worker.add_run(key, Capacity(1000, 64), 0.2)
--- a/packages/core/cranberryshore/pool/tests/test_group.py
+++ b/packages/core/cranberryshore/pool/tests/test_group.py
@@ -247,14 +247,14 @@
     def test_expired_registrations_of_a_zone_do_not_end_the_division(self):
         self.list_members(97)
         self.group.claim = Claim(1, "z4", is_divided=True)
-        workers = [WorkerRegistration("w", "w", "z0", "s", Capacity(1000))]
+        workers = [WorkerRegistration("w", "w", "z0", "s", Capacity(1000), born=1)]
         self.assertFalse(self.group.compare_workers(workers, is_first=False))
         self.assertTrue(self.group.compare_workers(workers, is_first=True))
 
     def test_evacuated_zone_counts_as_one_without_workers(self):
         self.list_members(97)
         zones = ("z0", "z1", "z2", "z3", "z4")
-        workers = [WorkerRegistration(f"w{z}", "w", z, "s", Capacity(1000)) for z in zones]
+        workers = [WorkerRegistration(f"w{z}", "w", z, "s", Capacity(1000), born=1) for z in zones]
         self.group.claim = Claim(1, "z4", is_divided=True)
         self.group.evacuated = frozenset({"z0"})
         # Only the scheduler of the evacuated zone gives up its claim, and claims all zones.
@@ -279,7 +279,7 @@
         self.list_members(97)
         self.hear("z0", "z1", "z2", "z3", "z4")
         zones = ("z0", "z1", "z2", "z3", "z4")
-        workers = [WorkerRegistration(f"w{z}", "w", z, "s", Capacity(1000)) for z in zones]
+        workers = [WorkerRegistration(f"w{z}", "w", z, "s", Capacity(1000), born=1) for z in zones]
         self.group.claim, self.group.evacuated = Claim(1), frozenset({"z4"})
         self.group.compare_workers(workers, is_first=False)
         self.assertEqual((self.group.is_divided, self.group.claim.is_uneven), (False, True))
--- a/packages/core/cranberryshore/pool/tests/test_held_worker.py
+++ b/packages/core/cranberryshore/pool/tests/test_held_worker.py
@@ -23,7 +23,7 @@
 class HeldWorkerTest(TestCase):
     def setUp(self):
         total = Capacity(4000, 1000)
-        self.worker = HeldWorker("w", "w", "z", "s", total, frozenset(), 10)
+        self.worker = HeldWorker("w", "w", "z", "s", total, frozenset(), 10, registered_born=1)
 
     def poll(self, listed: WorkerStatus, poll_sent_at: float, now: float, token: int = 10):
         return self.worker.record_status(listed, token, poll_sent_at, now)
--- a/packages/core/cranberryshore/pool/tests/test_lost_workers.py
+++ b/packages/core/cranberryshore/pool/tests/test_lost_workers.py
@@ -204,7 +204,9 @@
         self.assertNotIn(worker.name, others)
 
     def test_worker_without_room_gets_nothing(self):
-        worker = HeldWorker("w", "w", "z", "s", Capacity(2000, 1000), frozenset(), 1)
+        worker = HeldWorker(
+            "w", "w", "z", "s", Capacity(2000, 1000), frozenset(), 1, registered_born=1
+        )
         worker.add_run(("j.0.0.0", 1), Capacity(2000, 10), 0.0)
         worker.resize(Capacity(1000, 1000))
         self.assertEqual(worker.room.millicores, -1000)
--- a/packages/core/cranberryshore/pool/tests/test_queue_versions.py
+++ b/packages/core/cranberryshore/pool/tests/test_queue_versions.py
@@ -27,8 +27,11 @@
         queues = (QUEUE,) if is_known else ()
         scheduler = Scheduler(PoolConfig(scheduler_version, queues), UnlimitedRights())
         for service in ("own", "other"):
-            worker = HeldWorker(service, "", "z", service, Capacity(4000, 64), frozenset(), 1)
+            worker = HeldWorker(
+                service, "", "z", service, Capacity(4000, 64), frozenset(), 1, registered_born=1
+            )
             worker.state, worker.clock_offset_ms, worker.clock_read_at = HoldState.HELD, 0.0, 100.0
+            worker.born = 1
             scheduler.add_worker(worker, 100.0)
         request = WorkRequest(
             "j",
--- a/packages/core/cranberryshore/pool/tests/test_rejected_starts.py
+++ b/packages/core/cranberryshore/pool/tests/test_rejected_starts.py
@@ -14,6 +14,7 @@
     generate_load,
     make_replay,
 )
+from cranberryshore.pool.tests.registrations import relist
 from cranberryshore.pool.tests.test_scheduler import SchedulerTestCase, request
 
 LOAD_SECONDS, DRAIN_SECONDS = 10.0, 6.0
@@ -91,6 +92,7 @@
         self.assertEqual(self.reject(start), [])
         worker, status = self.scheduler.workers["w1"], WorkerStatus(2, 0, (), ())
         self.scheduler.record_status("w1", status, worker.token, self.now, self.now)
+        relist(self.scheduler, "w1")
         self.assertEqual(len(self.effects(StartRun)), 1)
 
     def test_room_of_an_ended_run_is_not_used_before_the_pause_is_over(self):
--- a/packages/core/cranberryshore/pool/tests/test_replaced_workers.py
+++ b/packages/core/cranberryshore/pool/tests/test_replaced_workers.py
@@ -1,4 +1,5 @@
 from cranberryshore.pool import HoldState
+from cranberryshore.pool.tests.registrations import relist
 from cranberryshore.pool.tests.test_former_boots import RestartTestCase
 from cranberryshore.pool.tests.test_scheduler import WORKERS
 
@@ -20,4 +21,7 @@
         self.assertEqual(self.submit(), [])
         self.answer("w1", 2)
         self.assertIs(self.scheduler.workers["w1"].state, HoldState.HELD)
+        self.assertEqual(self.starts(), [])
+        relist(self.scheduler, "w1")
+        self.scheduler.tick(self.now)
         self.assertEqual([start.worker for start in self.starts()], ["w1"])
--- a/packages/core/cranberryshore/pool/tests/test_roster.py
+++ b/packages/core/cranberryshore/pool/tests/test_roster.py
@@ -10,7 +10,7 @@
 
 
 def registration(name: str) -> WorkerRegistration:
-    return WorkerRegistration(name, f"{name}:1", "a", "s", Capacity(1000))
+    return WorkerRegistration(name, f"{name}:1", "a", "s", Capacity(1000), born=1)
 
 
 FIRST = tuple(registration(name) for name in ("w1", "w2", "w3"))
--- a/packages/core/cranberryshore/pool/tests/test_scheduler.py
+++ b/packages/core/cranberryshore/pool/tests/test_scheduler.py
@@ -41,7 +41,7 @@
 
 
 def registration(name: str) -> WorkerRegistration:
-    return WorkerRegistration(name, name, "z", "s", Capacity(2000, 1000))
+    return WorkerRegistration(name, name, "z", "s", Capacity(2000, 1000), born=1)
 
 
 class SchedulerTestCase(TestCase):
@@ -56,7 +56,9 @@
         self.now += 0.01
 
     def add_worker(self, name: str) -> None:
-        worker = HeldWorker(name, name, "z", "s", Capacity(2000, 1000), frozenset(), 1)
+        worker = HeldWorker(
+            name, name, "z", "s", Capacity(2000, 1000), frozenset(), 1, registered_born=1
+        )
         self.scheduler.add_worker(worker, self.now)
 
     def poll(self, name: str, running=(), ended=()):
--- a/packages/core/cranberryshore/pool/tests/test_start_rights.py
+++ b/packages/core/cranberryshore/pool/tests/test_start_rights.py
@@ -13,7 +13,7 @@
 
 
 def registration(name: str) -> WorkerRegistration:
-    return WorkerRegistration(name, name, "z", "s", Capacity(1000, 10))
+    return WorkerRegistration(name, name, "z", "s", Capacity(1000, 10), born=1)
 
 
 class AcknowledgedRightsTest(TestCase):
--- a/packages/core/cranberryshore/pool/tests/test_takeover.py
+++ b/packages/core/cranberryshore/pool/tests/test_takeover.py
@@ -41,7 +41,9 @@
         self.names = CountingSet(f"w{number:03}" for number in range(worker_count))
         self.scheduler = Scheduler(PoolConfig(1, (QUEUE,)), UnlimitedRights())
         for name in sorted(self.names):
-            worker = HeldWorker(name, name, "z", "s", Capacity(4000, 1000), frozenset(), 1)
+            worker = HeldWorker(
+                name, name, "z", "s", Capacity(4000, 1000), frozenset(), 1, registered_born=1
+            )
             self.scheduler.add_worker(worker, 0.0)
         self.released = []
 
@@ -109,7 +111,7 @@
 
     def test_outdated_entries_are_discarded(self):
         foreign = ForeignRuns()
-        worker = HeldWorker("w", "w", "z", "s", Capacity(1), frozenset(), 1)
+        worker = HeldWorker("w", "w", "z", "s", Capacity(1), frozenset(), 1, registered_born=1)
         worker.strangers = {(f"j{number}.0.0.0", 1) for number in range(foreign.rebuild_size + 1)}
         foreign.record(worker, ())
         worker.strangers = {("j7.0.0.0", 1)}
--- a/packages/daemon/cranberryshored/pool/scheduling.py
+++ b/packages/daemon/cranberryshored/pool/scheduling.py
@@ -340,6 +340,7 @@
             total=entry.capacity,
             labels=frozenset(entry.labels),
             token=self.tokens.next(former_token),
+            registered_born=entry.born,
             rack=entry.rack,
         )
         worker.relist(entry)
--- a/packages/daemon/cranberryshored/pool/tests/test_exchange.py
+++ b/packages/daemon/cranberryshored/pool/tests/test_exchange.py
@@ -150,7 +150,7 @@
         group.claim = Claim(1)
         listener = StubListener()
         listener.workers = tuple(
-            WorkerRegistration(f"w{number}", "127.0.0.1:9", "a", "s", Capacity(1000))
+            WorkerRegistration(f"w{number}", "127.0.0.1:9", "a", "s", Capacity(1000), born=1)
             for number in range(540)
         )
         self.exchange = PeerExchange(group, (), listener, Metrics(), make_logger("x"))
--- a/packages/daemon/cranberryshored/pool/tests/test_roster_keeper.py
+++ b/packages/daemon/cranberryshored/pool/tests/test_roster_keeper.py
@@ -12,7 +12,7 @@
         self.addCleanup(setattr, CLOCKS, "steady", Clocks().steady)
         CLOCKS.steady = lambda: 100.0
         rosters = RosterKeeper("e.1")
-        worker = WorkerRegistration("w", "w", "z", "s", Capacity(1000))
+        worker = WorkerRegistration("w", "w", "z", "s", Capacity(1000), born=1)
         rosters.adopt(1, (worker,))
         CLOCKS.steady = lambda: 101.0
         rosters.adopt(2, ())
--- a/packages/daemon/cranberryshored/pool/tests/test_takeover_tokens.py
+++ b/packages/daemon/cranberryshored/pool/tests/test_takeover_tokens.py
@@ -53,7 +53,9 @@
         CLOCKS.unix = lambda: self.unix
 
     def open_channel(self, scheduler: Scheduler, name: str, tokens: TokenSource) -> WorkerChannel:
-        worker = HeldWorker(name, name, "z", "s", Capacity(1), frozenset(), tokens.next())
+        worker = HeldWorker(
+            name, name, "z", "s", Capacity(1), frozenset(), tokens.next(), registered_born=1
+        )
         scheduler.workers[name] = worker
         log = make_logger("x")
         return WorkerChannel(
--- a/packages/daemon/cranberryshored/pool/tests/test_worker_channel.py
+++ b/packages/daemon/cranberryshored/pool/tests/test_worker_channel.py
@@ -75,7 +75,9 @@
     def open_channel(self, calls):
         structlog.configure(wrapper_class=quiet)
         CLOCKS.steady, CLOCKS.unix = Clocks().steady, Clocks().unix
-        worker = HeldWorker("w", "w", "z", "s", Capacity(1000, 10), frozenset(), 1)
+        worker = HeldWorker(
+            "w", "w", "z", "s", Capacity(1000, 10), frozenset(), 1, registered_born=1
+        )
         scheduler = Scheduler(PoolConfig())
         scheduler.workers["w"] = worker
         channel = WorkerChannel(
--- a/packages/proof/cranberryshore_proof/pool_play.py
+++ b/packages/proof/cranberryshore_proof/pool_play.py
@@ -292,7 +292,6 @@
     async def run(self) -> PoolResult:
         """Submit jobs under faults, then without."""
         deployment = self.deployment
-        deployment.registrations.shows_born = self.has_crashes
         deployment.evacuations.limit_ms = EVACUATION_LIMIT_MS if self.has_evacuations else 0
         await deployment.start()
         jobs_per_second = WAVE_JOBS_PER_SECOND if self.has_waves else 8.0
--- a/packages/proof/cranberryshore_proof/pool_registrations.py
+++ b/packages/proof/cranberryshore_proof/pool_registrations.py
@@ -46,8 +46,6 @@
         Registrations that are not renewed, by worker.
     cut_off : set of str
         Addresses of workers that cannot reach the store.
-    shows_born : bool
-        Whether registrations hold the start of their process.
     warm_at : dict
         Time at which a worker that has just started will have warmed up.
     """
@@ -57,7 +55,6 @@
     expired: set[str] = attrs.field(factory=set)
     stale: dict[str, StaleRegistration] = attrs.field(factory=dict)
     cut_off: set[str] = attrs.field(factory=set)
-    shows_born: bool = True
     warm_at: dict[str, float] = attrs.field(factory=dict)
 
     def roster(self) -> tuple[WorkerRegistration, ...]:
@@ -127,7 +124,7 @@
             "s",
             Capacity(worker.millicores),
             is_draining=worker.is_draining,
-            born=worker.born if self.shows_born else 0,
+            born=worker.born,
             warmup_left_ms=self._warmup_left_ms(worker),
         )
 
--- a/packages/proof/cranberryshore_proof/tests/test_double_start.py
+++ b/packages/proof/cranberryshore_proof/tests/test_double_start.py
@@ -542,7 +542,9 @@
     def test_returned_job_waits_until_all_workers_are_polled(self):
         queue = QueueSpec("q", "h", "/q/", "s", max_attempts=2, slack_factor=10.0)
         scheduler = Scheduler(PoolConfig(1, (queue,)), UnlimitedRights())
-        scheduler.add_worker(HeldWorker("w", "w", "z", "s", Capacity(1000), frozenset(), 1), 0.0)
+        scheduler.add_worker(
+            HeldWorker("w", "w", "z", "s", Capacity(1000), frozenset(), 1, registered_born=1), 0.0
+        )
         scheduler.record_status("w", WorkerStatus(1, 0, (), ()), 1, 0.0, 0.0)
         step = StepSpec(1, Capacity(1000), 1000)
         scheduler.submit(WorkRequest("full", "q", "", (step,), BUDGET_MS), "e", 0.0)
@@ -580,7 +582,8 @@
         scheduler = Scheduler(PoolConfig(1, (queue,)), UnlimitedRights())
         for name in ("v", "w"):
             scheduler.add_worker(
-                HeldWorker(name, name, "z", "s", Capacity(1000), frozenset(), 1), 0.0
+                HeldWorker(name, name, "z", "s", Capacity(1000), frozenset(), 1, registered_born=1),
+                0.0,
             )
         step = StepSpec(1, Capacity(1000), 1000)
         steps = (step, attrs.evolve(step, after=(0,)))
--- a/packages/proof/cranberryshore_proof/tests/test_store_follower.py
+++ b/packages/proof/cranberryshore_proof/tests/test_store_follower.py
@@ -332,7 +332,7 @@
 
     def follow_workers(self, odd: WorkerRegistration, layout: StoreLayout = LAYOUT) -> list[dict]:
         """Follow an odd worker, which changes, among good ones; return the records about it."""
-        worker = WorkerRegistration("a", "10.0.0.1:1", "z", "s", Capacity(1000))
+        worker = WorkerRegistration("a", "10.0.0.1:1", "z", "s", Capacity(1000), born=1)
         workers = (worker, odd, attrs.evolve(worker, name="z"))
 
         async def run() -> None:
@@ -361,11 +361,11 @@
         return [record for record in records if record.get("key") == WORKERS_PREFIX + odd.name]
 
     def test_entry_that_cannot_be_sent_to_peers_becomes_a_worker(self):
-        odd = WorkerRegistration("b", "10.0.0.1:1", "z", "s", Capacity(2**70))
+        odd = WorkerRegistration("b", "10.0.0.1:1", "z", "s", Capacity(2**70), born=1)
         self.assertEqual(len(self.follow_workers(odd)), 1)
 
     def test_entry_whose_decoder_raises_an_error_costs_the_others(self):
-        odd = WorkerRegistration("b", "10.0.0.1:1", "z", "s", Capacity(1000))
+        odd = WorkerRegistration("b", "10.0.0.1:1", "z", "s", Capacity(1000), born=1)
 
         def decode(name: str, text: str) -> Result[WorkerRegistration, Rejection]:
             if name == odd.name:
