Pool: optional attributes of what is known of other processes are passed by name

Change: Beat, WorkEnded, Claim, Member, LostRun, Run, WorkRequest, PoolTask and PoolJob take optional attributes by name only, and the decoders of the platform name them. No decision changes.

--- a/packages/core/cranberryshore/keyword_arguments.py
+++ b/packages/core/cranberryshore/keyword_arguments.py
@@ -6,9 +6,6 @@
 
 import attrs
 
-MAX_POSITIONAL_OPTIONS = 4
-"""Largest number of optional attributes that callers may pass by position."""
-
 
 def optional_by_name(
     cls: type, fields: list[attrs.Attribute]  # noqa: ARG001
--- a/packages/core/cranberryshore/messages/pool.py
+++ b/packages/core/cranberryshore/messages/pool.py
@@ -2,6 +2,7 @@
 
 import attrs
 
+from cranberryshore.keyword_arguments import optional_by_name
 from cranberryshore.pool.claims import Claim, MemberAddress
 from cranberryshore.pool.config import PoolConfig
 from cranberryshore.pool.evacuation import ZoneEvacuations
@@ -13,7 +14,7 @@
 from cranberryshore.pool.worker_registration import WorkerRegistration
 
 
-@attrs.frozen
+@attrs.frozen(field_transformer=optional_by_name)
 class Beat:
     """Periodic heartbeat: followers send it to the scheduler, the scheduler to all instances.
 
@@ -122,7 +123,7 @@
     job: str
 
 
-@attrs.frozen
+@attrs.frozen(field_transformer=optional_by_name)
 class WorkEnded:
     """Reports the outcome of a job to the entry instance that submitted it.
 
--- a/packages/core/cranberryshore/pool/claims.py
+++ b/packages/core/cranberryshore/pool/claims.py
@@ -3,6 +3,7 @@
 import attrs
 
 from cranberryshore.bounds import Amount, Name, Text
+from cranberryshore.keyword_arguments import optional_by_name
 from cranberryshore.pool.overload.load_report import LoadReport
 
 
@@ -50,7 +51,7 @@
         return (-self.millicores, self.address)
 
 
-@attrs.frozen
+@attrs.frozen(field_transformer=optional_by_name)
 class Claim:
     """Claim of a scheduler to the workers of a pool or of one zone.
 
@@ -82,7 +83,7 @@
         return (bool(self.zone) is is_divided, self.held, self.term)
 
 
-@attrs.define
+@attrs.define(field_transformer=optional_by_name)
 class Member:
     """State of a peer according to its last heartbeat.
 
--- a/packages/core/cranberryshore/pool/group.py
+++ b/packages/core/cranberryshore/pool/group.py
@@ -313,7 +313,7 @@
     def claim_of_successor(self) -> Claim:
         """Return the claim, with term 0, to take over from a scheduler that leaves."""
         if self.is_divided:
-            return Claim(0, self.own.zone, 0, True, is_overloaded=self.is_overloaded)
+            return Claim(0, zone=self.own.zone, is_divided=True, is_overloaded=self.is_overloaded)
         return Claim(0, is_uneven=self.is_uneven)
 
     def compare_workers(self, workers: Collection[WorkerRegistration], is_first: bool) -> bool:
@@ -382,9 +382,9 @@
         if not self.is_divided and 2 * len(reachable & known.keys()) > len(known):
             return Claim(0, is_uneven=self.is_uneven)
         zone = {address for address, where in known.items() if where == self.own.zone}
-        is_alone = len(zone) == 1 and not self.is_divided
-        if not is_alone and 2 * len(reachable & zone) > len(zone):
-            return Claim(0, self.own.zone, 0, self.is_divided, self.is_uneven, self.is_overloaded)
+        if (len(zone) > 1 or self.is_divided) and 2 * len(reachable & zone) > len(zone):
+            claim = Claim(0, zone=self.own.zone, is_divided=self.is_divided)
+            return attrs.evolve(claim, is_uneven=self.is_uneven, is_overloaded=self.is_overloaded)
         return None
 
     def _known_zones(self, now: float) -> dict[str, str]:
--- a/packages/core/cranberryshore/pool/lost_run.py
+++ b/packages/core/cranberryshore/pool/lost_run.py
@@ -4,6 +4,8 @@
 
 import attrs
 
+from cranberryshore.keyword_arguments import optional_by_name
+
 
 class LossState(Enum):
     """What is known of a loss; a later member replaces an earlier one.
@@ -22,7 +24,7 @@
 STATE_ORDER = tuple(LossState)
 
 
-@attrs.frozen
+@attrs.frozen(field_transformer=optional_by_name)
 class LostRun:
     """Run that was on a worker when the worker was lost.
 
--- a/packages/core/cranberryshore/pool/run.py
+++ b/packages/core/cranberryshore/pool/run.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from cranberryshore.keyword_arguments import optional_by_name
 from cranberryshore.pool.worker_status import EndKind, RunKey
 from cranberryshore.work.capacity import Capacity
 
@@ -19,7 +20,7 @@
     STOPPING = "stopping"
 
 
-@attrs.define
+@attrs.define(field_transformer=optional_by_name)
 class Run:
     """Run that occupies capacity on a worker.
 
--- a/packages/core/cranberryshore/pool/tests/test_cancelling.py
+++ b/packages/core/cranberryshore/pool/tests/test_cancelling.py
@@ -207,7 +207,7 @@
 
 
 class DividedSpreadTest(SpreadTestCase):
-    claim = Claim(1, "a", is_divided=True)
+    claim = Claim(1, zone="a", is_divided=True)
 
     def setUp(self):
         super().setUp()
@@ -215,8 +215,8 @@
 
     def hear_pool(self) -> None:
         self.hear(address(2), address(4, "b"), address(6, "c"))
-        self.hear(address(3, "b"), claim=Claim(2, "b", is_divided=True))
-        self.hear(address(5, "c"), claim=Claim(3, "c", is_divided=True))
+        self.hear(address(3, "b"), claim=Claim(2, zone="b", is_divided=True))
+        self.hear(address(5, "c"), claim=Claim(3, zone="c", is_divided=True))
 
     def test_jobs_go_to_the_own_zone_and_to_the_schedulers(self):
         self.hear_pool()
@@ -239,7 +239,7 @@
         number = self.cancel()
         self.spread.confirm("e2.1", number)
         self.assertEqual((self.settled(), self.spread.missing(number)), ([], ["zone b"]))
-        self.hear(address(4, "b"), claim=Claim(2, "b", is_divided=True))
+        self.hear(address(4, "b"), claim=Claim(2, zone="b", is_divided=True))
         self.spread.confirm("e4.1", number)
         self.assertEqual(self.settled(), [("j",)])
 
--- a/packages/core/cranberryshore/pool/tests/test_group.py
+++ b/packages/core/cranberryshore/pool/tests/test_group.py
@@ -77,7 +77,7 @@
         for number in (5, 6, 7):
             self.group.add_reported_member(address(number, "b"), self.now)
         self.record_contact(2)
-        self.assertEqual(self.claim_after_delay(), Claim(0, "a"))
+        self.assertEqual(self.claim_after_delay(), Claim(0, zone="a"))
 
     def test_zone_scheduler_does_not_keep_other_zones_leaderless(self):
         # Regression: with half of the instances in a zone that has its own scheduler, the other
@@ -86,7 +86,7 @@
         self.record_contact(2, 3, follows="e2.1")
         self.record_contact(4, zone="c")
         self.assertIsNone(self.claim_after_delay())
-        self.group.members["e2.1"].claim = Claim(9, "a", 2)
+        self.group.members["e2.1"].claim = Claim(9, zone="a", held=2)
         self.assertEqual(self.claim_after_delay(), Claim(0))
 
     def test_ended_registrations_do_not_count(self):
@@ -103,7 +103,7 @@
             self.record_contact(number, zone="b")
         self.now += PEER_TIMEOUT_SECONDS
         self.record_contact(2)
-        self.assertEqual(self.claim_after_delay(), Claim(0, "a"))
+        self.assertEqual(self.claim_after_delay(), Claim(0, zone="a"))
 
     def test_own_address_is_not_a_peer(self):
         # During a zone partition, a stale registration of the own address appeared as a peer with
@@ -113,10 +113,10 @@
         self.assertEqual(self.group.members, {})
 
     def test_stronger_claim_wins(self):
-        self.group.claim = Claim(5, "", 10)
-        self.group.record_contact(address(2), self.now).claim = Claim(9, "a", 4)
+        self.group.claim = Claim(5, zone="", held=10)
+        self.group.record_contact(address(2), self.now).claim = Claim(9, zone="a", held=4)
         self.assertFalse(self.group.must_yield(self.now))
-        self.group.record_contact(address(3), self.now).claim = Claim(4, "", 14)
+        self.group.record_contact(address(3), self.now).claim = Claim(4, zone="", held=14)
         self.assertTrue(self.group.must_yield(self.now))
 
     def test_silent_scheduler_is_not_followed(self):
@@ -125,7 +125,7 @@
         self.assertIsNone(self.group.scheduler(self.now + PEER_TIMEOUT_SECONDS + 0.001))
 
     def test_scheduler_of_another_zone_is_not_followed(self):
-        self.group.record_contact(address(2, "b"), self.now).claim = Claim(9, "b")
+        self.group.record_contact(address(2, "b"), self.now).claim = Claim(9, zone="b")
         self.assertIsNone(self.group.scheduler(self.now))
 
     def test_new_incarnation_replaces_the_old_one(self):
@@ -183,7 +183,7 @@
         self.assertFalse(best & self.chosen(since, 20) - {responding.incarnation})
 
     def test_members_of_the_own_zone_and_schedulers_are_included(self):
-        self.group.members["e50.1"].claim = Claim(1, "z0")
+        self.group.members["e50.1"].claim = Claim(1, zone="z0")
         in_zone = {name for name, member in self.group.members.items() if member.at.zone == "z4"}
         chosen = self.chosen(self.now)
         self.assertIn("e50.1", chosen)
@@ -226,27 +226,27 @@
     def test_best_ranked_instance_of_a_zone_claims_the_zone(self):
         self.list_members(97)
         self.hear("z0", "z1", "z4")
-        self.assertEqual(self.claim_after_delay(), Claim(0, "z4", is_divided=True))
+        self.assertEqual(self.claim_after_delay(), Claim(0, zone="z4", is_divided=True))
 
     def test_claim_of_the_zone_is_stronger_than_one_of_all_zones(self):
         self.list_members(97)
         self.hear("z4")
-        self.group.members["e9.1"].claim = Claim(1, "z4", held=10, is_divided=True)
-        self.group.members["e19.1"].claim = Claim(2, "", held=270)
+        self.group.members["e9.1"].claim = Claim(1, zone="z4", held=10, is_divided=True)
+        self.group.members["e19.1"].claim = Claim(2, zone="", held=270)
         self.assertEqual(self.group.scheduler(self.now).at.incarnation, "e9.1")
 
     def test_followers_learn_from_claims_that_the_pool_is_divided_or_uneven(self):
-        self.group.learn_division(Claim(1, "z0", is_divided=True))
+        self.group.learn_division(Claim(1, zone="z0", is_divided=True))
         self.assertTrue(self.group.is_divided)
-        self.group.learn_division(Claim(2, "z1", is_uneven=True))
-        self.group.learn_division(Claim(1, "z0", is_divided=True))
+        self.group.learn_division(Claim(2, zone="z1", is_uneven=True))
+        self.group.learn_division(Claim(1, zone="z0", is_divided=True))
         self.assertFalse(self.group.is_divided)
         self.group.learn_division(Claim(3))
         self.assertTrue(self.group.is_divided)
 
     def test_expired_registrations_of_a_zone_do_not_end_the_division(self):
         self.list_members(97)
-        self.group.claim = Claim(1, "z4", is_divided=True)
+        self.group.claim = Claim(1, zone="z4", is_divided=True)
         workers = [WorkerRegistration("w", "w", "z0", "s", Capacity(1000), born=1)]
         self.assertFalse(self.group.compare_workers(workers, is_first=False))
         self.assertTrue(self.group.compare_workers(workers, is_first=True))
@@ -255,7 +255,7 @@
         self.list_members(97)
         zones = ("z0", "z1", "z2", "z3", "z4")
         workers = [WorkerRegistration(f"w{z}", "w", z, "s", Capacity(1000), born=1) for z in zones]
-        self.group.claim = Claim(1, "z4", is_divided=True)
+        self.group.claim = Claim(1, zone="z4", is_divided=True)
         self.group.evacuated = frozenset({"z0"})
         # Only the scheduler of the evacuated zone gives up its claim, and claims all zones.
         self.assertFalse(self.group.compare_workers(workers, is_first=False))
@@ -269,7 +269,7 @@
         self.hear("z0", "z1")
         for member in self.group.members.values():
             member.at = attrs.evolve(member.at, millicores=9000)
-            member.claim = Claim(1, member.at.zone, is_divided=True)
+            member.claim = Claim(1, zone=member.at.zone, is_divided=True)
         self.group.is_uneven = True
         self.assertIsNone(self.claim_after_delay())
         self.group.leaderless_since, self.group.evacuated = None, frozenset({"z4"})
@@ -291,4 +291,4 @@
         self.list_members(97)
         self.hear("z0", "z4")
         self.assertEqual(self.group.successor(self.now).at.zone, "z4")
-        self.assertEqual(self.group.claim_of_successor(), Claim(0, "z4", is_divided=True))
+        self.assertEqual(self.group.claim_of_successor(), Claim(0, zone="z4", is_divided=True))
--- a/packages/core/cranberryshore/pool/tests/test_merged_records.py
+++ b/packages/core/cranberryshore/pool/tests/test_merged_records.py
@@ -79,7 +79,9 @@
 
     def test_loss_that_one_scheduler_refutes_is_proven_by_a_former_one(self):
         # The former one stood still while the same process answered and later ended.
-        loss = LostRun(TASK, 1, "w1", 1, (), SUSPECTED, was_running=True, was_registered=True)
+        loss = LostRun(
+            TASK, 1, "w1", 1, beside=(), state=SUSPECTED, was_running=True, was_registered=True
+        )
         refuted, proven = attrs.evolve(loss, state=REFUTED), attrs.evolve(loss, state=PROVEN)
         for order in ([refuted, proven], [proven, refuted]):
             history = CrashHistory()
@@ -87,7 +89,9 @@
             self.assertEqual(history.crashed_workers(TASK), 0)
 
     def test_task_is_the_culprit_although_another_instance_knows_of_a_task_beside_it(self):
-        crash = LostRun(TASK, 1, "w1", 1, (), PROVEN, was_running=True, was_registered=True)
+        crash = LostRun(
+            TASK, 1, "w1", 1, beside=(), state=PROVEN, was_running=True, was_registered=True
+        )
         history = CrashHistory()
         for worker in ("w1", "w2"):
             alone = attrs.evolve(crash, worker=worker)
--- a/packages/core/cranberryshore/pool/tests/test_records_of_losses.py
+++ b/packages/core/cranberryshore/pool/tests/test_records_of_losses.py
@@ -12,7 +12,9 @@
 
 def crash(worker: str, attempt: int, state: LossState = PROVEN) -> LostRun:
     """Return the record of a worker that has crashed under the task, if that is proven."""
-    return LostRun(TASK, attempt, worker, 1, (), state, was_running=True, was_registered=True)
+    return LostRun(
+        TASK, attempt, worker, 1, beside=(), state=state, was_running=True, was_registered=True
+    )
 
 
 class RecordsOfLossesTest(RestartTestCase):
--- a/packages/core/cranberryshore/pool/work.py
+++ b/packages/core/cranberryshore/pool/work.py
@@ -4,6 +4,7 @@
 
 import attrs
 
+from cranberryshore.keyword_arguments import optional_by_name
 from cranberryshore.pool.config import (
     MAX_LATENESS_FACTOR,
     PoolConfig,
@@ -74,7 +75,7 @@
     rack: str = ""
 
 
-@attrs.frozen
+@attrs.frozen(field_transformer=optional_by_name)
 class WorkRequest:
     """Job as submitted by an entry instance to the scheduler.
 
@@ -118,7 +119,7 @@
         return config.newest_queue(self.queue, self.known_queue)
 
 
-@attrs.define
+@attrs.define(field_transformer=optional_by_name)
 class PoolTask:
     """State of a task.
 
@@ -145,7 +146,7 @@
     stragglers: int = 0
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, field_transformer=optional_by_name)
 class PoolJob:
     """Job with the state of its tasks.
 
--- a/packages/daemon/cranberryshored/pool/outcomes.py
+++ b/packages/daemon/cranberryshored/pool/outcomes.py
@@ -17,11 +17,11 @@
         place,
         end.job,
         outcome,
-        end.detail,
-        end.retry_after_ms,
-        end.failure,
-        is_cancelled,
-        end.is_late,
+        detail=end.detail,
+        retry_after_ms=end.retry_after_ms,
+        failure=end.failure,
+        is_cancelled=is_cancelled,
+        is_late=end.is_late,
     )
 
 
--- a/packages/daemon/cranberryshored/pool/tests/test_store_access.py
+++ b/packages/daemon/cranberryshored/pool/tests/test_store_access.py
@@ -46,7 +46,7 @@
         self.assertEqual(self.exchange.listener.ended, [])
 
     def test_scheduler_of_a_zone_that_is_cut_off_keeps_its_claim(self):
-        self.exchange.group.claim = Claim(1, "a")
+        self.exchange.group.claim = Claim(1, zone="a")
         self.read_registrations(10.0)
         self.run_round(store_age=0.1)
         self.assertEqual(self.exchange.listener.ended, [])
--- a/packages/proof/cranberryshore_proof/tests/test_double_start.py
+++ b/packages/proof/cranberryshore_proof/tests/test_double_start.py
@@ -551,7 +551,7 @@
         scheduler.submit(WorkRequest("j", "q", "", (step,), BUDGET_MS), "e", 0.0)
         scheduler.take_effects()
         # Meanwhile another scheduler has had the job, and may have started it.
-        resumed = WorkRequest("j", "q", "", (step,), BUDGET_MS, 600, is_resumed=True)
+        resumed = WorkRequest("j", "q", "", (step,), BUDGET_MS, waited_ms=600, is_resumed=True)
         scheduler.submit(resumed, "e", 0.6, frozenset({"w"}))
         ended = ReportedEnd(1, "full.0.0.0", 1, EndKind.DONE)
         scheduler.record_status("w", WorkerStatus(1, 0, (), (ended,)), 1, 0.59, 0.61)
@@ -587,7 +587,7 @@
             )
         step = StepSpec(1, Capacity(1000), 1000)
         steps = (step, attrs.evolve(step, after=(0,)))
-        request = WorkRequest("j", "q", "", steps, BUDGET_MS, 600, is_resumed=True)
+        request = WorkRequest("j", "q", "", steps, BUDGET_MS, waited_ms=600, is_resumed=True)
         scheduler.submit(request, "e", 0.0, frozenset({"v", "w"}))
         running = (ReportedRun("j.0.0.0", 1),)
         scheduler.record_status("v", WorkerStatus(1, 0, running, ()), 1, 0.001, 0.002)
