Soak: workers return as another kind while another instance takes over scheduling

Half of the faults workers_return_as_others kill the schedulers 0.3 s before the return now; the choice has a generator of its own, so that the other choices of a seed stay.

--- a/packages/soak/cranberryshore_soak/fault_injection.py
+++ b/packages/soak/cranberryshore_soak/fault_injection.py
@@ -15,7 +15,13 @@
 from cranberryshore_soak.evacuations import SoakEvacuations
 from cranberryshore_soak.processes import DaemonProcess
 from cranberryshore_soak.uncontrolled_clients import UncontrolledClients
-from cranberryshore_soak.worker_faults import FULL_ROOM, SMALL_ROOM, Fault, WorkerFaults
+from cranberryshore_soak.worker_faults import (
+    FULL_ROOM,
+    NOTICED_SECONDS,
+    SMALL_ROOM,
+    Fault,
+    WorkerFaults,
+)
 
 FAULT_INTERVAL_SECONDS = (0.2, 1.8)
 """Range of the time between two faults; as a fault lasts up to 4 s, two or three overlap."""
@@ -34,6 +40,10 @@
 """A smaller room counts 4.5 s later; calls that wait when the rejection begins are answered."""
 
 MAX_REREGISTRATION_SECONDS = 2.0
+TAKEOVER_SHARE, TAKEOVER_LEAD_SECONDS = 0.5, 0.3
+"""Share of the returns of workers as another kind that meet a change of the scheduler, and time
+from its end to the return. Another instance takes over 0.5 s after the end, and inherits the former
+registrations."""
 
 
 @attrs.define(eq=False)
@@ -44,17 +54,22 @@
     ----------
     busy : set of str
         Daemons that are being restarted, which no other fault may stop.
+    takeover_random : Random
+        Chooses the returns that meet a change of the scheduler. The other choices of a seed do not
+        depend on it.
     """
 
     cluster: SoakCluster
     random: Random
     tasks: set[asyncio.Task] = attrs.field(factory=set)
     busy: set[str] = attrs.field(factory=set)
+    takeover_random: Random = attrs.field(init=False)
     worker_faults: WorkerFaults = attrs.field(init=False)
     evacuations: SoakEvacuations = attrs.field(init=False)
 
     def __attrs_post_init__(self) -> None:
         self.evacuations = SoakEvacuations(self.cluster, Random(self.cluster.plan.seed + 9))
+        self.takeover_random = Random(self.cluster.plan.seed + 11)
         self.worker_faults = WorkerFaults(self.cluster, self.random)
 
     async def run(self, seconds: float) -> None:
@@ -130,6 +145,7 @@
             "store_revoke": self._store_revoke,
             "config": self._config,
             **self.worker_faults.faults_by_name(),
+            "workers_return_as_others": self._workers_return_as_others,
         }
 
     async def _inject(self, fault: Fault, length: float) -> None:
@@ -183,6 +199,24 @@
                 stop = daemon.kill() if number == SIGKILL else daemon.leave()
                 await self._restart(daemon, stop, length / 4)
 
+    async def _workers_return_as_others(self, length: float) -> None:
+        if self.takeover_random.random() < TAKEOVER_SHARE:
+            await self.return_during_takeover(length)
+        else:
+            await self.worker_faults.return_as_others(length)
+
+    async def return_during_takeover(self, length: float) -> None:
+        """Let workers return as another kind while another instance takes over scheduling."""
+        returning = asyncio.create_task(self.worker_faults.return_as_others(length))
+        await asyncio.sleep(NOTICED_SECONDS - TAKEOVER_LEAD_SECONDS)
+        schedulers = [
+            daemon
+            for name, daemon in self.cluster.daemons.items()
+            if daemon.is_scheduler and daemon.is_running() and name not in self.busy
+        ]
+        restarts = [self._restart(daemon, daemon.kill(), length) for daemon in schedulers]
+        await asyncio.gather(returning, *restarts)
+
     async def _pause(self, length: float) -> None:
         daemon = self._choose_daemon()
         if daemon is not None:
--- a/packages/soak/cranberryshore_soak/tests/test_changed_workers.py
+++ b/packages/soak/cranberryshore_soak/tests/test_changed_workers.py
@@ -4,12 +4,24 @@
 
 from cranberryshore_platform.tests.standin import StoreFaults
 from cranberryshore_soak.cluster import SoakCluster, SoakPlan
-from cranberryshore_soak.fault_injection import REJECTION_SECONDS, SHRINKING_DELAY_SECONDS
+from cranberryshore_soak.fault_injection import (
+    REJECTION_SECONDS,
+    SHRINKING_DELAY_SECONDS,
+    FaultInjector,
+)
 from cranberryshore_soak.tests.test_soak import prepare_loop
-from cranberryshore_soak.worker_faults import FULL_ROOM, SMALL_ROOM, WorkerFaults
+from cranberryshore_soak.worker_faults import (
+    FULL_ROOM,
+    NOTICED_SECONDS,
+    SMALL_ROOM,
+    WorkerFaults,
+)
 
 CALLER_COUNT, MEAN_PAUSE_SECONDS, OTHERS_SECONDS = 12, 0.02, 6.0
 TASK_COUNTS = (1, 2)
+OUTAGE_SECONDS = NOTICED_SECONDS + 1.0
+"""Outage of the store from the crash of workers until after their return, in which the next
+scheduler has the inherited registrations only."""
 
 
 class ChangedWorkerTest(IsolatedAsyncioTestCase):
@@ -40,6 +52,18 @@
             await self.faults["workers_return_as_others"](1.0)
         await load
 
+    async def test_new_scheduler_starts_tasks_by_the_labels_of_a_former_process(self):
+        # Regression (issue 57): the start that wrote an inherited registration was not recorded.
+        injector = FaultInjector(self.cluster, Random(1))
+        load = self.start_load(2 * OTHERS_SECONDS)
+        for _ in range(2):
+            await asyncio.sleep(1.0)
+            faults = StoreFaults(is_busy=True)
+            outage = asyncio.create_task(self.cluster.impair_store(faults, OUTAGE_SECONDS))
+            await injector.return_during_takeover(1.0)
+            await outage
+        await load
+
     async def test_task_starts_beyond_a_shrunk_room_while_the_store_rejects_instances(self):
         # Regression (issue 35): a scheduler that the store rejects kept the former room.
         load = self.start_load(2 * REJECTION_SECONDS)
--- a/packages/soak/cranberryshore_soak/worker_faults.py
+++ b/packages/soak/cranberryshore_soak/worker_faults.py
@@ -86,7 +86,7 @@
             "workers_crash_in_waves": self.crash_in_waves,
             "workers_leave_unseen": self._workers_leave_unseen,
             "workers_end_at_starts": self._workers_end_at_starts,
-            "workers_return_as_others": self._workers_return_as_others,
+            "workers_return_as_others": self.return_as_others,
             "worker_leave": self._worker_leave,
             "worker_add": self._worker_add,
             "worker_fails": self._worker_fails,
@@ -256,7 +256,7 @@
         worker.http_server.start_fault = None
         await self._restart(worker, self.random.uniform(*DOWN_SECONDS))
 
-    async def _workers_return_as_others(self, length: float) -> None:
+    async def return_as_others(self, length: float) -> None:
         """Let workers crash and return under their names with less room, as another kind."""
         with self._reserve() as chosen:
             await self._return_as(chosen, OTHER_LABEL, SMALL_ROOM)
