Scheduling: a worker that has not answered yet is not polled for each registration

Change: a registration causes a poll only if the worker has answered with another start. The new test fails without it; the 8 tests of the divided pool pass.

--- a/packages/core/cranberryshore/pool/scheduler.py
+++ b/packages/core/cranberryshore/pool/scheduler.py
@@ -247,7 +247,7 @@
         worker = self.workers[entry.name]
         worker.relist(entry)
         self.placer.worker_changed(worker)
-        if not worker.is_registration_current():
+        if worker.born and not worker.is_registration_current():
             # An idle worker may have restarted without any notice.
             self.effects.append(PollWorker(entry.name))
 
--- a/packages/core/cranberryshore/pool/tests/test_former_boots.py
+++ b/packages/core/cranberryshore/pool/tests/test_former_boots.py
@@ -100,6 +100,13 @@
         self.answer("w1", 2)
         self.assertEqual([start.worker for start in self.starts()], ["w1"])
 
+    def test_worker_is_polled_again_before_its_first_answer(self):
+        worker = HeldWorker("w3", "w3", "z", "s", Capacity(1), frozenset(), 1, registered_born=1)
+        self.scheduler.add_worker(worker, self.now)
+        self.assertEqual([effect.worker for effect in self.effects(PollWorker)], ["w3"])
+        relist(self.scheduler, "w3", born=1)
+        self.assertEqual(self.effects(PollWorker), [])
+
 
 class LateAnswerTest(TestCase):
     def test_ended_run_in_a_late_answer_is_a_run_of_another_scheduler(self):
