Simulation: workers return as another kind while another instance takes over scheduling

No simulated worker changed its kind, registrations had no labels, and the plays without crashes had no starts in them, so neither the random plays nor the mutations could notice that a new scheduler uses an inherited registration for a later process.

pool_changed_workers lets workers return with another label or less room up to 0.7 s after the scheduler was killed, half of the times while the store is silent, beside the other faults; jobs require a label, and each start is checked for it. Its choices have a generator of their own: the plays of known seeds stay. Two mutations put the fault back, as the trust in the first answer and as a registration that is applied without its start.

With the first mutation the three new tests fail, the random one too; the three of InheritedRegistrationTest fail with both. test_pool_play alone passes with both, as before.

--- a/packages/proof/cranberryshore_proof/contact_mutations.py
+++ b/packages/proof/cranberryshore_proof/contact_mutations.py
@@ -18,6 +18,7 @@
     Member,
     MemberAddress,
     Scheduler,
+    WorkerRegistration,
     lost_run,
 )
 from cranberryshore.pool.earlier_runs import EarlierRuns
@@ -50,13 +51,28 @@
     "cranberryshored.pool.tests.test_start_replies",
     "cranberryshored.pool.tests.test_takeover_tokens",
     "cranberryshored.pool.tests.test_worker_channel",
+    "cranberryshore_proof.tests.test_changed_workers",
 )
 
 RECORD_POLL_FAILURE = Scheduler.record_poll_failure
 NEXT_TOKEN = TokenSource.next
+BEGIN_BOOT, RELIST = HeldWorker._begin_boot, HeldWorker.relist
 SAVE_LOSSES, LOAD_LOSSES = StoreRegistry.save_losses, StoreRegistry.load_losses
 
 
+def _trust_first_answer(self: HeldWorker, born: int, poll_sent_at: float) -> None:
+    """Take an inherited registration for one of whichever start answers first."""
+    if not self.born:
+        self.registered_born = born
+    BEGIN_BOOT(self, born, poll_sent_at)
+
+
+def _relist_without_start(self: HeldWorker, entry: WorkerRegistration) -> None:
+    former = self.registered_born
+    RELIST(self, entry)
+    self.registered_born = former
+
+
 def _constant(value: object) -> Callable:
     return lambda *arguments: value
 
@@ -151,6 +167,8 @@
 
 
 CONTACT_MUTATIONS = (
+    ("registrations: inherited ones count", HeldWorker, "_begin_boot", _trust_first_answer),
+    ("registrations: one is of the start before", HeldWorker, "relist", _relist_without_start),
     ("earlier: own starts are forgotten", EarlierRuns, "may_have_started", _only_foreign),
     ("earlier: others' starts are unknown", EarlierRuns, "may_have_started", _only_own),
     ("earlier: all jobs have run", EarlierRuns, "may_have_started", _constant(True)),
--- a/packages/proof/cranberryshore_proof/pool_deployment.py
+++ b/packages/proof/cranberryshore_proof/pool_deployment.py
@@ -24,7 +24,7 @@
 from cranberryshore_proof.network import Network
 from cranberryshore_proof.pool_crashes import CrashModel
 from cranberryshore_proof.pool_evacuations import ModelEvacuations
-from cranberryshore_proof.pool_jobs import JobMix, SimulatedJob
+from cranberryshore_proof.pool_jobs import JobMix, LabelledJobs, SimulatedJob
 from cranberryshore_proof.pool_probe import HOST, QueueProbe
 from cranberryshore_proof.pool_registrations import ModelRegistrations
 from cranberryshore_proof.pool_registry import CONFIG_KEY, LAYOUT, FakeRegistry
@@ -98,6 +98,7 @@
     partitioned: set[str] = attrs.field(factory=set)
     demands: dict[str, int] = attrs.field(factory=dict)
     seconds: dict[str, float] = attrs.field(factory=dict)
+    labelled: LabelledJobs = attrs.field(init=False)
     jobs: list[SimulatedJob] = attrs.field(factory=list)
     job_count: int = 0
     faults: list[str] = attrs.field(factory=list)
@@ -122,6 +123,7 @@
 
     def __attrs_post_init__(self) -> None:
         self.random = Random(self.seed)
+        self.labelled = LabelledJobs(Random(f"{self.seed} labels"))
         self.network = Network(self.random)
         self.registrations = ModelRegistrations(self.workers, self.store)
         self.evacuations = ModelEvacuations(self.store, self.disturbances, self.daemons)
@@ -159,10 +161,8 @@
         await asyncio.sleep(3.0)
 
     def _add_worker(self, name: str, zone: str) -> ModelWorker:
-        model = self.crash_model
-        worker = ModelWorker(
-            name, zone, 4000, self._run_seconds, self._check_start, model.run_ended
-        )
+        ended, seconds = self.crash_model.run_ended, self._run_seconds
+        worker = ModelWorker(name, zone, 4000, seconds, self._check_start, ended)
         self.workers[name] = worker
         return worker
 
@@ -232,15 +232,10 @@
         )
         if self.hosts:
             settings = attrs.evolve(settings, processor_share=self.hosts[number].speed)
-        calls = FakeWorkerCalls(address, self.workers, self.demands, self.network, self.random)
-        calls.late_share = self.late_share
-        daemon = PoolDaemon(
-            settings,
-            Metrics(),
-            calls,
-            self._make_registry(address),
-            self._make_transport,
-        )
+        shared = (self.workers, self.demands, self.network, self.random)
+        calls = FakeWorkerCalls(address, *shared, self.late_share)
+        registry = self._make_registry(address)
+        daemon = PoolDaemon(settings, Metrics(), calls, registry, self._make_transport)
         self.disturbances.strike(self.now(), address)
         self.daemons[address] = daemon
         # The wait also ends if the run is killed while it starts.
@@ -274,9 +269,8 @@
         address = self.address(number)
         self.network.kill_run(address)
         self.disturbances.strike(self.now(), address)
-        self.store_clients.pop(address, None)
-        self.transports.pop(address, None)
-        self.daemons.pop(address, None)
+        for parts in (self.store_clients, self.transports, self.daemons):
+            parts.pop(address, None)
 
     def scheduler_number(self) -> int | None:
         """Return the number of a scheduler instance, ``None`` if there is none."""
@@ -328,6 +322,7 @@
         now = self.now()
         self.crash_model.task_started(worker, key)
         self.faults += self.evacuations.check_start(worker, now)
+        self.faults += self.labelled.check_start(worker, key, now)
         if worker.used() > worker.allowed_millicores(now):
             self.faults.append(f"{now:.3f} {worker.name} over capacity: {sorted(worker.runs)}")
         for other in self.workers.values():
@@ -357,7 +352,8 @@
         daemon = self.daemons.get(address)
         if daemon is None or address in self.network.frozen or not daemon.pool_config.version:
             return None
-        step = StepSpec(tasks, Capacity(self.demands[job.id]), int(self.seconds[job.id] * 1000))
+        demand, milliseconds = Capacity(self.demands[job.id]), int(self.seconds[job.id] * 1000)
+        step = StepSpec(tasks, demand, milliseconds, label=self.labelled.label_of(job.id))
         request = WorkRequest(job.id, "q", "", (step,), left)
         queue = daemon.pool_config.get_queue("q")
         task = self.network.spawn(address, daemon.entry_service.submit(request, queue))
@@ -383,6 +379,7 @@
             self.demands[job.id] = self.random.choice(self.job_mix.millicores)
             self.seconds[job.id] = self.random.choice(self.job_mix.seconds)
             self.jobs.append(job)
+            self.labelled.draw(job.id)
             if self.deadly_share and self.crash_model.random.random() < self.deadly_share:
                 self.crash_model.deadly_tasks.add(f"{job.id}.0.0.0")
             number = self.random.randrange(len(self.zones))
--- a/packages/proof/cranberryshore_proof/pool_play.py
+++ b/packages/proof/cranberryshore_proof/pool_play.py
@@ -71,7 +71,8 @@
         """Return the generator of all random decisions."""
         return self.deployment.random
 
-    def _record_event(self, text: str) -> None:
+    def record_event(self, text: str) -> None:
+        """Record a fault with its time."""
         self.events.append(f"{self.deployment.now():.3f} {text}")
 
     def _choose_instance(self) -> int:
@@ -97,11 +98,11 @@
             deployment.change_config(PoolConfig(version, (first, *added)))
 
     async def _silence(self, _seconds: float) -> None:
-        self._record_event("all connections to the store fall silent")
+        self.record_event("all connections to the store fall silent")
         self.deployment.silence_connections()
 
     async def _silence_store(self, seconds: float) -> None:
-        self._record_event(f"store does not answer for {seconds:.2f} s")
+        self.record_event(f"store does not answer for {seconds:.2f} s")
         self.deployment.disturbances.begin(STORE)
         self.deployment.store.is_silent = True
         await asyncio.sleep(seconds)
@@ -110,7 +111,7 @@
 
     async def _slow_store(self, seconds: float) -> None:
         slow_seconds = self.random.uniform(0.05, 0.8)
-        self._record_event(f"store is slow by {slow_seconds:.2f} s for {seconds:.2f} s")
+        self.record_event(f"store is slow by {slow_seconds:.2f} s for {seconds:.2f} s")
         self.deployment.disturbances.begin(STORE)
         self.deployment.store.slow_seconds = slow_seconds
         await asyncio.sleep(seconds)
@@ -118,18 +119,18 @@
         self.deployment.disturbances.end(self.deployment.now(), STORE)
 
     async def _compact_store(self, _seconds: float) -> None:
-        self._record_event("store drops its history")
+        self.record_event("store drops its history")
         self.deployment.compact_store()
 
     async def _kill(self, seconds: float) -> None:
         number = self._choose_instance()
-        self._record_event(f"kill e{number}")
+        self.record_event(f"kill e{number}")
         self.deployment.kill(number)
         await asyncio.sleep(min(seconds, 2.0))
         await self.deployment.start_instance(number)
 
     async def _kill_all(self, seconds: float) -> None:
-        self._record_event("kill all")
+        self.record_event("kill all")
         for number in range(len(self.deployment.zones)):
             self.deployment.kill(number)
         await asyncio.sleep(min(seconds, 1.0))
@@ -139,7 +140,7 @@
     async def _freeze(self, seconds: float) -> None:
         number = self._choose_instance()
         address = self.deployment.address(number)
-        self._record_event(f"freeze e{number} for {seconds:.2f} s")
+        self.record_event(f"freeze e{number} for {seconds:.2f} s")
         self.deployment.network.freeze(address)
         self.deployment.disturbances.begin(address)
         await asyncio.sleep(seconds)
@@ -151,11 +152,11 @@
         number = self._choose_instance()
         zone = self.deployment.zones[number]
         if self.deployment.random.random() < 0.5:
-            self._record_event(f"cut zone {zone}")
+            self.record_event(f"cut zone {zone}")
             numbers = {n for n, item in enumerate(self.deployment.zones) if item == zone}
             self.deployment.cut(numbers, {zone})
         else:
-            self._record_event(f"cut e{number} from its peers")
+            self.record_event(f"cut e{number} from its peers")
             for other in set(range(len(self.deployment.zones))) - {number}:
                 self.deployment.network.cut(
                     self.deployment.address(number), self.deployment.address(other)
@@ -167,7 +168,7 @@
         worker = self.deployment.random.choice(list(self.deployment.workers.values()))
         if self.has_crashes and worker.is_down:
             return
-        self._record_event(f"crash {worker.name}")
+        self.record_event(f"crash {worker.name}")
         self.deployment.crash_model.record_crash(worker, is_injected=True)
         if self.has_crashes:
             self.deployment.registrations.keep(worker)
@@ -179,7 +180,7 @@
 
     async def _fail_all_runs(self, seconds: float) -> None:
         worker = self.deployment.random.choice(list(self.deployment.workers.values()))
-        self._record_event(f"{worker.name} fails all runs")
+        self.record_event(f"{worker.name} fails all runs")
         worker.fails_all = True
         await asyncio.sleep(seconds)
         worker.fails_all = False
@@ -188,7 +189,7 @@
         worker = self.random.choice(list(self.deployment.workers.values()))
         if worker.refuses or worker.is_replaced:
             return
-        self._record_event(f"{worker.name} refuses connections for {seconds:.2f} s")
+        self.record_event(f"{worker.name} refuses connections for {seconds:.2f} s")
         born, worker.refuses = worker.born, True
         await asyncio.sleep(seconds)
         if worker.born == born:
@@ -200,13 +201,13 @@
             # Nobody could learn of it in time.
             return
         room = self.random.choice((0, 900, 2000, 2900))
-        self._record_event(f"{worker.name} has {room} millicores for {2 * seconds:.2f} s")
+        self.record_event(f"{worker.name} has {room} millicores for {2 * seconds:.2f} s")
         worker.resize(room, self.deployment.now())
         await asyncio.sleep(2 * seconds)
         worker.resize(FULL_ROOM, self.deployment.now())
 
     async def _delay_orders(self, seconds: float) -> None:
-        self._record_event("delay orders to workers")
+        self.record_event("delay orders to workers")
         self.deployment.late_share = 0.2
         for daemon in self.deployment.daemons.values():
             daemon.calls.late_share = 0.2
@@ -220,7 +221,7 @@
         cut_nodes = {
             self.deployment.address(n) for n in numbers if self.deployment.random.random() < 0.6
         }
-        self._record_event(f"cut store from {sorted(cut_nodes)}")
+        self.record_event(f"cut store from {sorted(cut_nodes)}")
         self.deployment.nodes_without_store |= cut_nodes
         self.deployment.disturbances.begin(*sorted(cut_nodes))
         # Every other worker cannot reach the store either.
@@ -232,7 +233,7 @@
 
     async def _disturb_workers(self, end: float) -> None:
         """Let workers crash unseen, or leave, until a time."""
-        worker_faults = WorkerFaults(self.deployment, self._record_event)
+        worker_faults = WorkerFaults(self.deployment, self.record_event)
         faults = []
         while self.deployment.now() < end:
             await asyncio.sleep(self.random.uniform(0.5, 2.5))
@@ -241,7 +242,7 @@
 
     async def _crash_in_waves(self, end: float) -> None:
         """Begin series of waves of crashes, some of which overlap, until a time."""
-        worker_faults = WorkerFaults(self.deployment, self._record_event)
+        worker_faults = WorkerFaults(self.deployment, self.record_event)
         series = []
         while self.deployment.now() < end:
             series.append(asyncio.ensure_future(worker_faults.crash_in_waves()))
@@ -271,7 +272,7 @@
             )
         return kinds
 
-    async def _inject_faults(self, end: float) -> list[asyncio.Future]:
+    async def inject_faults(self, end: float) -> list[asyncio.Future]:
         """Inject random faults until a time; return those that may not have ended."""
         kinds, interval_seconds = self._fault_kinds(), FAULT_INTERVAL_SECONDS
         faults = []
@@ -281,7 +282,7 @@
         elif self.has_crashes:
             faults.append(asyncio.ensure_future(self._disturb_workers(end)))
         if self.has_evacuations:
-            evacuations = EvacuationFaults(self.deployment, self._record_event)
+            evacuations = EvacuationFaults(self.deployment, self.record_event)
             faults.append(asyncio.ensure_future(evacuations.run(end)))
         while self.deployment.now() < end:
             await asyncio.sleep(self.random.uniform(*interval_seconds))
@@ -301,7 +302,7 @@
             deployment.budget_ms = LONG_BUDGET_MS
         if deployment.is_store_simulated:
             deployment.background.append(asyncio.ensure_future(self._change_config()))
-        faults = await self._inject_faults(deployment.now() + LOAD_SECONDS - 3.0)
+        faults = await self.inject_faults(deployment.now() + LOAD_SECONDS - 3.0)
         callers = await load
         await asyncio.gather(*faults)
         await asyncio.gather(*callers)
@@ -360,6 +361,19 @@
     return run_virtual(run())
 
 
+def has_held(result: PoolResult) -> bool:
+    """Print the result of a seed, and return whether it has no violation."""
+    has_failed = bool(result.faults) or result.completed_after_faults < result.jobs_after_faults
+    print(
+        f"seed {result.seed}: {result.completed} of {result.jobs} under faults, "
+        f"{result.completed_after_faults} of {result.jobs_after_faults} after, "
+        f"{result.refused_starts} starts refused, {result.refused_at_once} at once"
+    )
+    for line in (*result.events, *result.faults) if has_failed else ():
+        print(f"    {line}")
+    return not has_failed
+
+
 def main() -> int:
     """Simulate consecutive seeds and print their results."""
     parser = ArgumentParser(description="Simulate a pool under random faults in virtual time.")
@@ -377,15 +391,7 @@
             has_waves=arguments.waves,
             has_evacuations=arguments.evacuations,
         )
-        has_failed = bool(result.faults) or result.completed_after_faults < result.jobs_after_faults
-        failed += has_failed
-        print(
-            f"seed {seed}: {result.completed} of {result.jobs} under faults, "
-            f"{result.completed_after_faults} of {result.jobs_after_faults} after, "
-            f"{result.refused_starts} starts refused, {result.refused_at_once} at once"
-        )
-        for line in (*result.events, *result.faults) if has_failed else ():
-            print(f"    {line}")
+        failed += not has_held(result)
     print(f"{arguments.rounds - failed} of {arguments.rounds} held")
     return 1 if failed else 0
 
--- a/packages/proof/cranberryshore_proof/pool_registrations.py
+++ b/packages/proof/cranberryshore_proof/pool_registrations.py
@@ -125,6 +125,7 @@
             Capacity(worker.millicores),
             is_draining=worker.is_draining,
             born=worker.born,
+            labels=(worker.label,),
             warmup_left_ms=self._warmup_left_ms(worker),
         )
 
--- a/packages/proof/cranberryshore_proof/pool_workers.py
+++ b/packages/proof/cranberryshore_proof/pool_workers.py
@@ -30,6 +30,9 @@
 RENAMED_SUFFIX = "+"
 """Added to the name of a worker by the one that takes its address."""
 
+COMMON_LABEL, OTHER_LABEL = "a", "b"
+"""Kinds of workers: all are of the first one at the start."""
+
 RESIZE_SECONDS = 4.5
 """Time in which a scheduler must know of a smaller capacity: 3 s and one report of a worker."""
 
@@ -85,6 +88,8 @@
         Starts whose connections were refused.
     fails_all : bool
         Whether the runs that start now will fail.
+    label : str
+        Kind of the worker, which may change with a restart.
     token : int
         Highest fencing token received.
     highest_attempts : dict
@@ -110,6 +115,7 @@
     refused_until: float = 0.0
     refused_starts: list[RefusedStart] = attrs.field(factory=list)
     fails_all: bool = False
+    label: str = COMMON_LABEL
     token: int = 0
     lease_end: float = 0.0
     last_end_number: int = 0
@@ -145,6 +151,11 @@
         former = [room for at, room in self.former_rooms if now < at + RESIZE_SECONDS]
         return max(self.millicores, *former, 0)
 
+    def return_as(self, label: str, millicores: int) -> None:
+        """Become another kind with the next start, to which no former capacity applies."""
+        self.label, self.millicores = label, millicores
+        self.former_rooms.clear()
+
     def end_due_runs(self, now: float) -> None:
         """End the finished runs, and all runs if the lease has expired."""
         for key, run in sorted(self.runs.items(), key=lambda item: item[1].ends_at):
