--- a/packages/core/cranberryshore/keyword_arguments.py
+++ b/packages/core/cranberryshore/keyword_arguments.py
@@ -7,9 +7,7 @@
 import attrs
 
 
-def optional_by_name(
-    cls: type, fields: list[attrs.Attribute]  # noqa: ARG001
-) -> list[attrs.Attribute]:
+def optional_by_name(cls: type, fields: list[attrs.Attribute]) -> list[attrs.Attribute]:
     """Return the attributes of a class, of which the optional ones are keyword-only.
 
     For the parameter ``field_transformer`` of ``attrs.define`` and ``attrs.frozen``.
--- a/packages/core/cranberryshore/pool/held_worker.py
+++ b/packages/core/cranberryshore/pool/held_worker.py
@@ -168,9 +168,8 @@
 
     def is_clock_being_read(self, now: float) -> bool:
         """Return whether a poll that reads the clock is expected to be answered."""
-        return now < self.clock_requested_at + CLOCK_REQUEST_SECONDS and not self.is_clock_known(
-            now
-        )
+        is_requested = now < self.clock_requested_at + CLOCK_REQUEST_SECONDS
+        return is_requested and not self.is_clock_known(now)
 
     def unlist(self, now: float) -> None:
         """Record that the worker is not in the roster."""
--- a/packages/daemon/cranberryshored/metrics.py
+++ b/packages/daemon/cranberryshored/metrics.py
@@ -123,7 +123,7 @@
     open_workers: Gauge = _gauge("cranberryshore_open_workers", "Workers with a session.")
     outdated_registrations: Gauge = _gauge(
         "cranberryshore_outdated_registrations",
-        "Workers on which nothing starts, as another start has written their registration.",
+        "Held workers without new tasks, since a former process has written their registration.",
     )
     refused_clients: Counter = _counter(
         "cranberryshore_refused_clients",
--- a/packages/daemon/cranberryshored/pool/worker_channel.py
+++ b/packages/daemon/cranberryshored/pool/worker_channel.py
@@ -242,7 +242,7 @@
                 )
             if worker.born != previous_born and not worker.is_registration_current():
                 self.log.info(
-                    "Registration is of another start of the worker; it gets no tasks.",
+                    "Registration is of another start of the worker; waiting for the present one.",
                     worker=worker.name,
                     born=worker.born,
                     registered_born=worker.registered_born,
