Scheduling service and worker model: optional attributes are passed by name

SchedulingService has 14 optional attributes and got one of them by position, the simulation's ModelWorker 20 and up to two. No decision changes; the 233 tests of the daemon pass.

--- a/packages/daemon/cranberryshored/pool/app.py
+++ b/packages/daemon/cranberryshored/pool/app.py
@@ -131,7 +131,7 @@
             self.crashes,
             make_logger("scheduler"),
             self.metrics,
-            self.cancelled,
+            cancelled=self.cancelled,
             policy=SchedulingPolicy.from_settings(self.settings),
         )
 
--- a/packages/daemon/cranberryshored/pool/registry.py
+++ b/packages/daemon/cranberryshored/pool/registry.py
@@ -272,8 +272,8 @@
             WORKERS_WATCH_MS,
             report,
             self.status,
-            WORKERS_BATCH_SECONDS,
-            on_page,
+            pause=WORKERS_BATCH_SECONDS,
+            on_page=on_page,
         ).run()
 
     async def keep_registered(self, member: MemberAddress) -> None:
--- a/packages/daemon/cranberryshored/pool/scheduling.py
+++ b/packages/daemon/cranberryshored/pool/scheduling.py
@@ -6,6 +6,7 @@
 import attrs
 from structlog.typing import FilteringBoundLogger
 
+from cranberryshore.keyword_arguments import optional_by_name
 from cranberryshore.pool import (
     AcknowledgedRights,
     CancelledJobs,
@@ -56,7 +57,7 @@
 """Interval of the checks for passed deadlines: a sixth of the shortest target latency."""
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, field_transformer=optional_by_name)
 class SchedulingService:
     """Holds the workers and schedules the jobs of all entry instances that follow this instance.
 
@@ -152,10 +153,8 @@
     def outdated_count(self) -> int:
         """Return the number of held workers whose registration is of another start."""
         workers = self.scheduler.workers.values()
-        return sum(
-            worker.state is HoldState.HELD and not worker.is_registration_current()
-            for worker in workers
-        )
+        held = (worker for worker in workers if worker.state is HoldState.HELD)
+        return sum(not worker.is_registration_current() for worker in held)
 
     def lost_count(self) -> int:
         """Return the number of workers lost to another holder; leaving ones are not counted."""
--- a/packages/proof/cranberryshore_proof/pool_deployment.py
+++ b/packages/proof/cranberryshore_proof/pool_deployment.py
@@ -162,7 +162,7 @@
 
     def _add_worker(self, name: str, zone: str) -> ModelWorker:
         ended, seconds = self.crash_model.run_ended, self._run_seconds
-        worker = ModelWorker(name, zone, 4000, seconds, self._check_start, ended)
+        worker = ModelWorker(name, zone, 4000, seconds, self._check_start, on_end=ended)
         self.workers[name] = worker
         return worker
 
--- a/packages/proof/cranberryshore_proof/pool_workers.py
+++ b/packages/proof/cranberryshore_proof/pool_workers.py
@@ -7,6 +7,7 @@
 import attrs
 from result import Err, Ok, Result
 
+from cranberryshore.keyword_arguments import optional_by_name
 from cranberryshore.pool import (
     EndKind,
     HeldWorker,
@@ -58,7 +59,7 @@
     refused_at: float
 
 
-@attrs.define(eq=False)
+@attrs.define(eq=False, field_transformer=optional_by_name)
 class ModelWorker:
     """Model of a worker, which starts every run that it is ordered to, even beyond its capacity.
 
--- a/packages/proof/cranberryshore_proof/tests/test_crash_model.py
+++ b/packages/proof/cranberryshore_proof/tests/test_crash_model.py
@@ -33,7 +33,12 @@
             model = CrashModel(Random(1), IdleHost(), violations.append)
             workers = [
                 ModelWorker(
-                    name, "a", 4000, lambda _: TASK_SECONDS, model.task_started, model.run_ended
+                    name,
+                    "a",
+                    4000,
+                    lambda _: TASK_SECONDS,
+                    model.task_started,
+                    on_end=model.run_ended,
                 )
                 for name in ("w0", "w1")
             ]
@@ -104,7 +109,12 @@
             model = CrashModel(Random(1), IdleHost(), violations.append)
             for number in range(count):
                 worker = ModelWorker(
-                    f"w{number}", "a", 4000, lambda _: 0.1, model.task_started, model.run_ended
+                    f"w{number}",
+                    "a",
+                    4000,
+                    lambda _: 0.1,
+                    model.task_started,
+                    on_end=model.run_ended,
                 )
                 worker.fails_all = True
                 self.start(worker)
--- a/packages/soak/cranberryshore_soak/cluster.py
+++ b/packages/soak/cranberryshore_soak/cluster.py
@@ -224,8 +224,8 @@
             4000,
             self.callers.task_seconds,
             self.history.run_started,
-            self.history.run_ended,
-            unix_ms(),
+            on_end=self.history.run_ended,
+            born=unix_ms(),
         )
         http_server = platform_api.WorkerEndpoint(
             model, self.callers.task_demand, Random(self.plan.seed + number)
@@ -297,8 +297,8 @@
             former.millicores,
             former.run_seconds,
             former.on_start,
-            former.on_end,
-            unix_ms(),
+            on_end=former.on_end,
+            born=unix_ms(),
         )
         name = worker.proxy.name = worker.model.name
         worker.http_server.model = worker.model
