--- a/packages/core/cranberryshore/pool/tests/test_merged_records.py
+++ b/packages/core/cranberryshore/pool/tests/test_merged_records.py
@@ -19,15 +19,17 @@
     st.integers(1, 2),
     st.sampled_from(("w1", "w2")),
     st.integers(1, 2),
-    st.lists(st.sampled_from(("a", "b", "c")), unique=True).map(lambda names: tuple(sorted(names))),
-    st.sampled_from(LossState),
-    flags,
-    flags,
-    flags,
-    flags,
-    st.integers(0, 1),
-    st.sampled_from((0.0, 1.0, 5.0)),
-    flags,
+    beside=st.lists(st.sampled_from(("a", "b", "c")), unique=True).map(
+        lambda names: tuple(sorted(names))
+    ),
+    state=st.sampled_from(LossState),
+    was_running=flags,
+    was_store_answering=flags,
+    was_registered=flags,
+    has_common_cause=flags,
+    number=st.integers(0, 1),
+    age_seconds=st.sampled_from((0.0, 1.0, 5.0)),
+    has_lapsed=flags,
 )
 
 
